--- /dev/null
+++ b/src/pondtiller/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout service that shares model engines between live traffic and trainers."""
--- /dev/null
+++ b/src/pondtiller/coordination/membership.py
@@ -0,0 +1,339 @@
+"""SWIM membership: random probes, indirect probes, suspicion and refutation.
+
+Dissemination rides on the probes. A member that leaves says so itself (`LEAVING`); a
+member that does not answer is suspected, and held for dead when nobody refutes in time.
+Cost for a member: one probe a period whatever the number of members.
+"""
+
+import math
+import random
+from dataclasses import dataclass
+
+from pondtiller import wire
+from pondtiller.coordination.deadlines import DeadlineIndex
+from pondtiller.coordination.outbound import Outbound
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Timing of the failure detector, in seconds, and sizes of its messages."""
+
+    probe_seconds: float = 1.0
+    acknowledge_seconds: float = 0.3
+    suspicion_periods: float = 3.0
+    reconnect_seconds: float = 5.0
+    synchronize_seconds: float = 30.0
+    forget_dead_seconds: float = 7200.0
+    indirect_probes: int = 3
+    updates_a_message: int = 8
+    retransmit_factor: float = 3.0
+    rumor_fanout: int = 3
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """A member's state changed in this member's view."""
+
+    member: wire.Member
+
+
+@dataclass(slots=True)
+class _Probe:
+    target: str
+    requester: str | None = None
+    requester_sequence: int = 0
+
+
+def precedence(member: wire.Member) -> tuple[int, int, int]:
+    """Return the order in which statements about one member override each other."""
+    return (member.incarnation, member.refutation, int(member.status))
+
+
+def is_live(member: wire.Member) -> bool:
+    """Return whether a member may be given a duty."""
+    return member.status in (wire.MemberStatus.ALIVE, wire.MemberStatus.SUSPECT)
+
+
+class Membership:
+    """One member's view of all members.
+
+    Parameters
+    ----------
+    member
+        This member as others shall see it; its status must be `ALIVE`.
+    seeds
+        Members to contact at the start; what they say overrides what is given here.
+    settings
+        Timing and sizes.
+    source
+        Seeded random source for the choice of probes.
+    """
+
+    def __init__(
+        self,
+        member: wire.Member,
+        seeds: list[wire.Member],
+        settings: MembershipSettings,
+        source: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.name = member.name
+        self.members: dict[str, wire.Member] = {member.name: member}
+        self._source = source
+        self._sends_left: dict[str, int] = {}
+        self._probe_order: list[str] = []
+        self._probes: dict[int, _Probe] = {}
+        self._sequence = 0
+        self._deadlines: DeadlineIndex[tuple[str, str | int]] = DeadlineIndex()
+        self._outputs: list[Outbound] = []
+        self._changes: list[MemberChanged] = []
+        self._full_sync: set[str] = set()
+        for seed in seeds:
+            if seed.name != member.name:
+                self.members[seed.name] = seed
+                self._full_sync.add(seed.name)
+        self._deadlines.set(("probe", ""), 0.0)
+        self._deadlines.set(("reconnect", ""), settings.reconnect_seconds)
+        first_synchronization = source.uniform(0.5, 1.0) * settings.synchronize_seconds
+        self._deadlines.set(("synchronize", ""), first_synchronization)
+
+    @property
+    def this_member(self) -> wire.Member:
+        """The entry of the member that runs this."""
+        return self.members[self.name]
+
+    def live_names(self) -> list[str]:
+        """Return the names of members that may hold duties, in order."""
+        return sorted(name for name, member in self.members.items() if is_live(member))
+
+    def live_names_in(self, zone: str) -> list[str]:
+        """Return the live members of one zone, in order."""
+        return [name for name in self.live_names() if self.members[name].zone == zone]
+
+    def next_deadline(self) -> float | None:
+        """Return when `run` wants to be called next."""
+        return self._deadlines.next_due()
+
+    def take_outputs(self) -> list[Outbound]:
+        """Return and forget the messages to send."""
+        outputs, self._outputs = self._outputs, []
+        return outputs
+
+    def take_changes(self) -> list[MemberChanged]:
+        """Return and forget the changes of view since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def leave(self) -> None:
+        """Announce that this member takes no new work."""
+        self.members[self.name] = restate(self.this_member, wire.MemberStatus.LEAVING)
+        self._queue_update(self.name)
+        self._send_rumors()
+
+    def _send_rumors(self) -> None:
+        for target in self.random_live(self.settings.rumor_fanout):
+            self._sequence += 1
+            self._send(target, wire.Ping(sequence=self._sequence))
+
+    def random_live(self, count: int) -> list[str]:
+        """Return up to `count` other live members, drawn at random."""
+        others = [name for name in self.live_names() if name != self.name]
+        return self._source.sample(others, min(count, len(others)))
+
+    def updates_for(self, target: str) -> list[wire.Member]:
+        """Return the member updates to carry on a message to `target`."""
+        if target in self._full_sync:
+            self._full_sync.discard(target)
+            return list(self.members.values())
+        fresh = sorted(self._sends_left, key=lambda name: -self._sends_left[name])
+        chosen = fresh[: self.settings.updates_a_message]
+        for name in chosen:
+            self._sends_left[name] -= 1
+            if self._sends_left[name] <= 0:
+                del self._sends_left[name]
+        return [self.members[name] for name in chosen]
+
+    def receive_updates(self, sender: str, updates: list[wire.Member], now: float) -> None:
+        """Merge what `sender` says about members."""
+        if sender not in self.members:
+            self._full_sync.add(sender)
+        for update in updates:
+            self._merge(update, now)
+
+    def note_sender(self, sender: str, incarnation: int) -> None:
+        """Answer a sender that this member holds for dead or does not know with a full view."""
+        known = self.members.get(sender)
+        outdated = known is None or known.incarnation < incarnation
+        if outdated or (known is not None and known.status is wire.MemberStatus.DEAD):
+            self._full_sync.add(sender)
+
+    def receive(
+        self, sender: str, message: wire.Ping | wire.Ack | wire.IndirectPing, now: float
+    ) -> None:
+        """Handle one message of the failure detector."""
+        if isinstance(message, wire.Ping):
+            self._send(sender, wire.Ack(sequence=message.sequence))
+        elif isinstance(message, wire.IndirectPing):
+            self._start_probe(message.target, now, sender, message.sequence)
+        else:
+            self._receive_ack(message)
+
+    def run(self, now: float) -> None:
+        """Do what is due: start probes, ask for indirect ones, suspect, declare dead."""
+        for kind, key in self._deadlines.take_due(now):
+            if kind == "probe":
+                self._probe_next(now)
+            elif kind == "indirect":
+                self._ask_others(int(key))
+            elif kind == "unanswered":
+                self._end_probe(int(key), now)
+            elif kind == "suspicion":
+                self._declare_dead(str(key), now)
+            elif kind == "forget":
+                self._forget(str(key))
+            elif kind == "reconnect":
+                self._probe_dead(now)
+            elif kind == "synchronize":
+                self._synchronize(now)
+
+    def _send(self, target: str, message: wire.Ping | wire.Ack | wire.IndirectPing) -> None:
+        if target in self.members:
+            self._outputs.append(Outbound(target, message))
+
+    def _probe_next(self, now: float) -> None:
+        self._deadlines.set(("probe", ""), now + self.settings.probe_seconds)
+        while self._probe_order:
+            target = self._probe_order.pop()
+            if self._is_probed(target):
+                self._start_probe(target, now)
+                return
+        self._probe_order = [name for name in sorted(self.members) if self._is_probed(name)]
+        self._source.shuffle(self._probe_order)
+        if self._probe_order:
+            self._start_probe(self._probe_order.pop(), now)
+
+    def _is_probed(self, name: str) -> bool:
+        member = self.members.get(name)
+        return name != self.name and member is not None and member.status != wire.MemberStatus.DEAD
+
+    def _start_probe(
+        self, target: str, now: float, requester: str | None = None, requester_sequence: int = 0
+    ) -> None:
+        self._sequence += 1
+        self._probes[self._sequence] = _Probe(target, requester, requester_sequence)
+        self._send(target, wire.Ping(sequence=self._sequence))
+        if requester is None:
+            due = now + self.settings.acknowledge_seconds
+            self._deadlines.set(("indirect", self._sequence), due)
+        self._deadlines.set(("unanswered", self._sequence), now + self.settings.probe_seconds)
+
+    def _ask_others(self, sequence: int) -> None:
+        probe = self._probes.get(sequence)
+        if probe is None:
+            return
+        helpers = [name for name in self.live_names() if name not in (self.name, probe.target)]
+        chosen = self._source.sample(helpers, min(self.settings.indirect_probes, len(helpers)))
+        for helper in chosen:
+            self._send(helper, wire.IndirectPing(sequence=sequence, target=probe.target))
+
+    def _receive_ack(self, message: wire.Ack) -> None:
+        probe = self._probes.pop(message.sequence, None)
+        self._deadlines.clear(("indirect", message.sequence))
+        self._deadlines.clear(("unanswered", message.sequence))
+        if probe is not None and probe.requester is not None:
+            self._send(probe.requester, wire.Ack(sequence=probe.requester_sequence))
+
+    def _end_probe(self, sequence: int, now: float) -> None:
+        probe = self._probes.pop(sequence, None)
+        if probe is None or probe.requester is not None:
+            return
+        member = self.members.get(probe.target)
+        if member is not None and member.status in (
+            wire.MemberStatus.ALIVE,
+            wire.MemberStatus.LEAVING,
+        ):
+            self._merge(restate(member, wire.MemberStatus.SUSPECT), now)
+
+    def _suspicion_seconds(self) -> float:
+        scale = max(1.0, math.log10(len(self.members) + 1))
+        return self.settings.suspicion_periods * scale * self.settings.probe_seconds
+
+    def _declare_dead(self, name: str, now: float) -> None:
+        member = self.members.get(name)
+        if member is not None and member.status is wire.MemberStatus.SUSPECT:
+            self._merge(restate(member, wire.MemberStatus.DEAD), now)
+
+    def _forget(self, name: str) -> None:
+        member = self.members.get(name)
+        if member is not None and member.status is wire.MemberStatus.DEAD:
+            del self.members[name]
+            self._sends_left.pop(name, None)
+
+    def _probe_dead(self, now: float) -> None:
+        """Try one dead member, so that the sides of a healed cut find each other."""
+        self._deadlines.set(("reconnect", ""), now + self.settings.reconnect_seconds)
+        dead = [
+            name
+            for name, member in sorted(self.members.items())
+            if member.status is wire.MemberStatus.DEAD
+        ]
+        if dead:
+            target = self._source.choice(dead)
+            self._full_sync.add(target)
+            self._start_probe(target, now)
+
+    def _synchronize(self, now: float) -> None:
+        self._deadlines.set(("synchronize", ""), now + self.settings.synchronize_seconds)
+        for target in self.random_live(1):
+            self._full_sync.add(target)
+            self._start_probe(target, now)
+
+    def _merge(self, update: wire.Member, now: float) -> None:
+        if update.name == self.name:
+            self._refute(update)
+            return
+        known = self.members.get(update.name)
+        if known is None and update.status is wire.MemberStatus.DEAD:
+            return
+        if known is not None and precedence(update) <= precedence(known):
+            return
+        self.members[update.name] = update
+        self._changes.append(MemberChanged(update))
+        self._queue_update(update.name)
+        self._schedule_status(update, now)
+
+    def _schedule_status(self, member: wire.Member, now: float) -> None:
+        self._deadlines.clear(("suspicion", member.name))
+        self._deadlines.clear(("forget", member.name))
+        if member.status is wire.MemberStatus.SUSPECT:
+            self._deadlines.set(("suspicion", member.name), now + self._suspicion_seconds())
+        elif member.status is wire.MemberStatus.DEAD:
+            due = now + self.settings.forget_dead_seconds
+            self._deadlines.set(("forget", member.name), due)
+
+    def _refute(self, update: wire.Member) -> None:
+        mine = self.this_member
+        if update.incarnation != mine.incarnation or precedence(update) <= precedence(mine):
+            return
+        self.members[self.name] = restate(mine, mine.status, update.refutation + 1)
+        self._queue_update(self.name)
+        self._send_rumors()
+
+    def _queue_update(self, name: str) -> None:
+        scale = math.ceil(math.log2(len(self.members) + 2))
+        self._sends_left[name] = int(self.settings.retransmit_factor * scale)
+
+
+def restate(member: wire.Member, status: int, refutation: int | None = None) -> wire.Member:
+    """Return a copy of `member` with another status and, where given, refutation."""
+    return wire.Member(
+        name=member.name,
+        zone=member.zone,
+        host=member.host,
+        peer_port=member.peer_port,
+        http_port=member.http_port,
+        incarnation=member.incarnation,
+        status=wire.MemberStatus(status),
+        refutation=member.refutation if refutation is None else refutation,
+        storage=member.storage,
+    )
--- /dev/null
+++ b/src/pondtiller/coordination/retries.py
@@ -0,0 +1,106 @@
+"""Retry budgets, jittered backoff and circuit breakers."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+INITIAL_TOKENS = 5.0
+MAXIMUM_TOKENS = 50.0
+
+
+class RetryBudget:
+    """Allows retries as a share of first tries, so that failures cannot multiply load.
+
+    Parameters
+    ----------
+    ratio
+        Retries earned by each first try, for example 0.1.
+    """
+
+    def __init__(self, ratio: float) -> None:
+        self.ratio = ratio
+        self._tokens = INITIAL_TOKENS
+
+    def note_first_try(self) -> None:
+        """Earn a share of one retry."""
+        self._tokens = min(MAXIMUM_TOKENS, self._tokens + self.ratio)
+
+    def take_retry(self) -> bool:
+        """Spend one retry; False where the budget is empty."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class Backoff:
+    """Exponential backoff with full jitter, in seconds."""
+
+    first: float = 0.05
+    maximum: float = 2.0
+
+    def delay(self, attempt: int, source: random.Random) -> float:
+        """Return the wait before attempt number `attempt`, counted from 1."""
+        ceiling = min(self.maximum, self.first * 2 ** min(attempt - 1, 16))
+        return source.uniform(0.0, ceiling)
+
+
+class BreakerState(Enum):
+    """Whether requests may pass a breaker."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class Breaker:
+    """Stops traffic to an engine after consecutive failures and probes it later.
+
+    Parameters
+    ----------
+    threshold
+        Consecutive failures that open the breaker.
+    open_seconds
+        Time from the opening until one probe is let through.
+    """
+
+    def __init__(self, threshold: int = 3, open_seconds: float = 1.0) -> None:
+        self.threshold = threshold
+        self.open_seconds = open_seconds
+        self._failures = 0
+        self._opened_at: float | None = None
+        self._probing_since: float | None = None
+
+    def state(self, now: float) -> BreakerState:
+        """Return the state at `now` seconds."""
+        if self._opened_at is None:
+            return BreakerState.CLOSED
+        if now - self._opened_at < self.open_seconds:
+            return BreakerState.OPEN
+        return BreakerState.HALF_OPEN
+
+    def allows(self, now: float) -> bool:
+        """Return whether a request may be sent now."""
+        state = self.state(now)
+        if state is not BreakerState.HALF_OPEN:
+            return state is BreakerState.CLOSED
+        return self._probing_since is None or now - self._probing_since >= self.open_seconds
+
+    def note_sent(self, now: float) -> None:
+        """Record that a request was sent; a half-open breaker then waits for its outcome."""
+        if self.state(now) is BreakerState.HALF_OPEN:
+            self._probing_since = now
+
+    def note_success(self) -> None:
+        """Close the breaker."""
+        self._failures = 0
+        self._opened_at = None
+        self._probing_since = None
+
+    def note_failure(self, now: float) -> None:
+        """Count a failure and open the breaker at the threshold."""
+        self._failures += 1
+        self._probing_since = None
+        if self._failures >= self.threshold:
+            self._opened_at = now
--- /dev/null
+++ b/src/pondtiller/emulator/scorer.py
@@ -0,0 +1,10 @@
+"""A scorer: judges a sample; the score is fixed by prompt and text."""
+
+from pondtiller.hashing import score
+
+LARGEST = 2**64
+
+
+def score_sample(prompt: str, text: str) -> float:
+    """Return a score between 0 and 1."""
+    return score(prompt, text) / LARGEST
--- /dev/null
+++ b/src/pondtiller/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments that come with the program."""
--- /dev/null
+++ b/src/pondtiller/hashing.py
@@ -0,0 +1,30 @@
+"""Rendezvous hashing: every member computes the same owner from the same view."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def score(key: str, candidate: str) -> int:
+    """Return the 64-bit weight of `candidate` for `key`."""
+    return xxhash.xxh3_64_intdigest(_encode(f"{key}\0{candidate}"))
+
+
+def rank(key: str, candidates: Iterable[str]) -> list[str]:
+    """Return `candidates` with the owner of `key` first."""
+    return sorted(candidates, key=lambda candidate: (-score(key, candidate), candidate))
+
+
+def owner(key: str, candidates: Iterable[str]) -> str | None:
+    """Return the candidate that owns `key`, or None where there is none."""
+    return min(candidates, key=lambda candidate: (-score(key, candidate), candidate), default=None)
+
+
+def digest(text: str) -> str:
+    """Return a 128-bit digest of `text` in hexadecimal."""
+    return xxhash.xxh3_128_hexdigest(_encode(text))
+
+
+def _encode(text: str) -> bytes:
+    # JSON may carry lone surrogates, which strict UTF-8 refuses.
+    return text.encode("utf-8", "surrogatepass")
--- /dev/null
+++ b/src/pondtiller/simulation/cluster.py
@@ -0,0 +1,238 @@
+"""Builds a deployment on the virtual clock and wires its parts together."""
+
+import json
+import random
+from dataclasses import dataclass, field
+
+from pondtiller import wire
+from pondtiller.config.deployment import Deployment, EngineGroup
+from pondtiller.core.constants import FLEET_DOCUMENT
+from pondtiller.core.world import Mechanisms
+from pondtiller.emulator.engine import EngineModel, EngineSettings
+from pondtiller.emulator.object_store import ObjectStore
+from pondtiller.emulator.trainer import TrainerModel, TrainerSettings
+from pondtiller.emulator.weights import WeightStore
+from pondtiller.simulation.callers import Callers
+from pondtiller.simulation.daemon import DaemonNode, Surroundings
+from pondtiller.simulation.engines import EngineNode
+from pondtiller.simulation.network import Network
+from pondtiller.simulation.operators import Operators
+from pondtiller.simulation.platform import PlatformNode
+from pondtiller.simulation.scheduler import Scheduler
+from pondtiller.simulation.trainers import TrainerNode
+from pondtiller.simulation.truth import AcceptedEdit, LeavingEngine, Truth
+from pondtiller.table.sheet import DOCUMENT_NAME, RowKind, Sheet
+
+FLEET_LAG_SECONDS = 2.0
+START_SPREAD_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterSettings:
+    """How a cluster is built.
+
+    Attributes
+    ----------
+    seed
+        Seed of everything that is drawn.
+    mechanisms
+        Switches; all on except in tests that show what a mechanism prevents.
+    with_load
+        Whether callers and trainers run.
+    """
+
+    seed: int
+    mechanisms: Mechanisms = field(default_factory=Mechanisms)
+    with_load: bool = True
+    count_bytes: bool = False
+    shard_count: int = 4
+
+
+class Cluster:
+    """A deployment in simulation; `faults` change it while it runs."""
+
+    def __init__(self, deployment: Deployment, settings: ClusterSettings) -> None:
+        self.deployment = deployment
+        self.settings = settings
+        self.source = random.Random(settings.seed)
+        self.scheduler = Scheduler()
+        self.truth = Truth()
+        self._highest_priority: dict[str, int] = {}
+        self.network = Network(self.scheduler, deployment.latencies, self._fork())
+        self.platform = PlatformNode(ObjectStore(), self.scheduler, self._fork())
+        self.platform.on_write = self._note_write
+        self.weights = WeightStore(deployment.weights.transfer_seconds, deployment.weights.lanes)
+        self.engines = self._build_engines()
+        self.around = Surroundings(
+            self.scheduler,
+            self.network,
+            self.platform,
+            self.engines,
+            on_table=self._note_in_force,
+            count_bytes=settings.count_bytes,
+        )
+        self._write_first_documents()
+        self._build_daemons()
+        self.operators = Operators(self.platform, self.scheduler, self._fork())
+        self.callers = Callers(
+            deployment,
+            self.scheduler,
+            self._fork(),
+            self.truth,
+            self.entry_daemons,
+            {row.name: row.worth for row in deployment.table if row.kind is RowKind.CALLER},
+        )
+        self.trainers = [
+            TrainerNode(
+                TrainerModel(
+                    TrainerSettings(
+                        name=trainer.name,
+                        zone=deployment.zones[0],
+                        samples=trainer.samples,
+                        group=trainer.group,
+                        maximum_tokens=trainer.maximum_tokens,
+                        train_seconds=trainer.train_seconds,
+                    )
+                ),
+                self.scheduler,
+                self._fork(),
+                self.entry_daemons,
+            )
+            for trainer in deployment.trainers
+        ]
+
+    def _fork(self) -> random.Random:
+        return random.Random(self.source.getrandbits(64))
+
+    @property
+    def daemons(self) -> dict[str, DaemonNode]:
+        """All daemons by name, dead ones too."""
+        return self.around.daemons
+
+    def entry_daemons(self) -> list[DaemonNode]:
+        """Return the daemons that a load balancer in front would offer."""
+        offered = [node for node in self.daemons.values() if node.alive and not node.stopping]
+        return offered or list(self.daemons.values())
+
+    def start(self, load_until: float) -> None:
+        """Start all processes, and the load until `load_until` seconds."""
+        for node in self.daemons.values():
+            delay = self.source.uniform(0, START_SPREAD_SECONDS)
+            self.scheduler.after(delay, node.start)
+        if not self.settings.with_load:
+            return
+        self.callers.start(5.0, load_until)
+        for trainer in self.trainers:
+            trainer.start(5.0)
+
+    def run_until(self, end: float) -> None:
+        """Let simulated time pass."""
+        self.scheduler.run_until(end)
+        for trainer in self.trainers:
+            self.truth.received[trainer.model.settings.name] = trainer.model.received
+
+    def mark_leaving(self, engine: str) -> None:
+        """The platform takes an engine out of service; its list shows it late."""
+        visible_at = self.scheduler.now + FLEET_LAG_SECONDS
+        self.scheduler.after(FLEET_LAG_SECONDS, lambda: self._publish_leaving(engine, visible_at))
+
+    def _publish_leaving(self, engine: str, visible_at: float) -> None:
+        document = json.loads(self.platform.store.objects[FLEET_DOCUMENT].body)
+        for entry in document["engines"]:
+            if entry["name"] == engine:
+                entry["leaving"] = True
+        self.truth.leaving.append(LeavingEngine(engine, visible_at))
+        body = json.dumps(document).encode()
+        self.platform.store.put(FLEET_DOCUMENT, None, body, self.scheduler.now)
+
+    def _build_engines(self) -> dict[str, EngineNode]:
+        nodes: dict[str, EngineNode] = {}
+        for group in self.deployment.engines:
+            for number in range(group.count):
+                zone = self.deployment.zones[number % len(self.deployment.zones)]
+                name = f"{group.name}-{number}"
+                nodes[name] = self._build_engine(group, name, zone)
+        return nodes
+
+    def _build_engine(self, group: EngineGroup, name: str, zone: str) -> EngineNode:
+        settings = EngineSettings(
+            name=name,
+            zone=zone,
+            models=group.models,
+            slots=group.slots,
+            step_seconds=group.step_seconds,
+            step_seconds_a_request=group.step_seconds_a_request,
+            chunk_tokens=group.chunk_tokens,
+            swap_seconds=group.swap_seconds,
+        )
+        model = EngineModel(settings, self.weights, self._fork())
+        return EngineNode(model, self.scheduler, self.network, self.truth)
+
+    def _write_first_documents(self) -> None:
+        rows = tuple(sorted(self.deployment.table, key=lambda row: (row.kind, row.name)))
+        sheet = Sheet(rows=rows)
+        store = self.platform.store
+        written = store.put(DOCUMENT_NAME, 0, sheet.model_dump_json().encode(), 0.0)
+        self._note_write(DOCUMENT_NAME, written.revision, sheet.model_dump_json().encode())
+        fleet = {"engines": [fleet_entry(node) for node in self.engines.values()]}
+        store.put(FLEET_DOCUMENT, 0, json.dumps(fleet).encode(), 0.0)
+
+    def _build_daemons(self) -> None:
+        members: list[wire.Member] = []
+        for zone in self.deployment.zones:
+            for number in range(self.deployment.daemons_a_zone):
+                members.append(
+                    wire.Member(
+                        name=f"{zone}-{number}",
+                        zone=zone,
+                        host=f"{zone}-{number}",
+                        peer_port=1,
+                        http_port=1,
+                        status=wire.MemberStatus(wire.MemberStatus.ALIVE),
+                    )
+                )
+        seeds = members[:: self.deployment.daemons_a_zone]
+        for member in members:
+            node = DaemonNode(
+                member.name,
+                member.zone,
+                seeds,
+                self.around,
+                self._fork(),
+                self.settings.mechanisms,
+                self.settings.shard_count,
+            )
+            node.on_connections_broken = self._connections_broken
+            self.daemons[member.name] = node
+
+    def _connections_broken(self, request_id: str, planned: bool) -> None:
+        self.callers.broken(request_id, planned)
+
+    def _note_write(self, name: str, revision: int, body: bytes) -> None:
+        if name != DOCUMENT_NAME:
+            return
+        for row in Sheet.model_validate_json(body).rows_of(RowKind.CALLER):
+            priority = row.priority or 0
+            if priority > self._highest_priority.get(row.name, -1):
+                self._highest_priority[row.name] = priority
+                now = self.scheduler.now
+                self.truth.edits.append(AcceptedEdit(revision, now, row.name, priority))
+
+    def _note_in_force(self, daemon: str, revision: int) -> None:
+        times = self.truth.first_in_force.setdefault(revision, {})
+        times.setdefault(daemon, self.scheduler.now)
+
+
+def fleet_entry(node: EngineNode) -> dict[str, object]:
+    """Return an engine's entry in the platform's list of machines."""
+    settings = node.model.settings
+    return {
+        "name": settings.name,
+        "zone": settings.zone,
+        "host": settings.name,
+        "port": 1,
+        "slots": settings.slots,
+        "models": list(settings.models),
+        "generation": 1,
+        "leaving": False,
+    }
--- /dev/null
+++ b/src/pondtiller/simulation/operators.py
@@ -0,0 +1,97 @@
+"""Operators of a simulated cluster: they edit the table, sometimes at the same time."""
+
+import random
+from dataclasses import dataclass, field
+
+from pondtiller.core.events import (
+    StoredObject,
+    StoreListed,
+    StoreWriteEnded,
+    StoreWriteResult,
+)
+from pondtiller.simulation.platform import PlatformNode
+from pondtiller.simulation.scheduler import Scheduler
+from pondtiller.table.editor import EditOutcome, EditStatus, ReadTable, TableEditor
+from pondtiller.table.sheet import DOCUMENT_NAME, CellChange, Edit, RowKind, Sheet
+
+RETRY_SECONDS = 1.0
+HIGHEST_PRIORITY = 9
+
+
+@dataclass(slots=True)
+class Operators:
+    """Edits of the `priority` cells of caller rows.
+
+    Priorities only rise, so that a revert shows in what engines receive.
+    """
+
+    platform: PlatformNode
+    scheduler: Scheduler
+    source: random.Random
+    outcomes: list[EditOutcome] = field(default_factory=list)
+    accepted: list[str] = field(default_factory=list)
+    refused: list[str] = field(default_factory=list)
+    _sequence: int = 0
+
+    def raise_priority(self, caller: str) -> None:
+        """Raise a caller row's priority by one."""
+        self._sequence += 1
+        body = self.platform.store.objects[DOCUMENT_NAME].body
+        row = Sheet.model_validate_json(body).row(RowKind.CALLER, caller)
+        seen = row.priority if row is not None and row.priority is not None else 0
+        if seen >= HIGHEST_PRIORITY:
+            return
+        change = CellChange(
+            kind=RowKind.CALLER,
+            name=caller,
+            column="priority",
+            seen=str(seen),
+            new=str(seen + 1),
+        )
+        edit = Edit(
+            edit_id=f"edit-{self._sequence}",
+            author="operator",
+            at=self.scheduler.now,
+            changes=(change,),
+        )
+        self._continue(TableEditor(edit))
+
+    def _continue(self, editor: TableEditor) -> None:
+        command = editor.command
+        if isinstance(command, EditOutcome):
+            self.outcomes.append(command)
+            if command.status is EditStatus.ACCEPTED:
+                self.accepted.append(editor.edit.edit_id)
+            elif command.status is EditStatus.REFUSED:
+                self.refused.append(editor.edit.edit_id)
+        elif isinstance(command, ReadTable):
+            self.platform.list_all(lambda event: self._take_read(editor, event))
+        else:
+            self.platform.put(
+                DOCUMENT_NAME,
+                command.expected_revision,
+                command.body,
+                lambda event: self._take_write(editor, event),
+            )
+
+    def _take_read(self, editor: TableEditor, event: object) -> None:
+        if not isinstance(event, StoreListed):
+            editor.note_lost()
+            self.scheduler.after(RETRY_SECONDS, lambda: self._continue(editor))
+            return
+        stored = next((each for each in event.objects if each.name == DOCUMENT_NAME), None)
+        read = stored or StoredObject(DOCUMENT_NAME, 0, b"")
+        editor.note_read(read.revision, read.body)
+        self._continue(editor)
+
+    def _take_write(self, editor: TableEditor, event: object) -> None:
+        assert isinstance(event, StoreWriteEnded)
+        if event.result == StoreWriteResult.WRITTEN:
+            editor.note_written(event.revision)
+            self._continue(editor)
+        elif event.result == StoreWriteResult.CONFLICT:
+            editor.note_conflict()
+            self._continue(editor)
+        else:
+            editor.note_lost()
+            self.scheduler.after(RETRY_SECONDS, lambda: self._continue(editor))
--- /dev/null
+++ b/src/pondtiller/simulation/run.py
@@ -0,0 +1,125 @@
+"""Runs one scenario with one seed and returns its measures and violations."""
+
+import random
+
+from pydantic import BaseModel, ConfigDict
+
+from pondtiller.config.deployment import Deployment
+from pondtiller.core.world import Mechanisms
+from pondtiller.simulation.checks import CheckSettings, Violation, check_all
+from pondtiller.simulation.cluster import Cluster, ClusterSettings
+from pondtiller.simulation.faults import CrashDaemon, CutZones, Fault, PauseDaemon, StoreOutage
+from pondtiller.simulation.faults import schedule as schedule_faults
+from pondtiller.simulation.measures import Measures, measure
+from pondtiller.simulation.scenarios import SCENARIOS, Setting
+
+SETTLE_SECONDS = 60.0
+
+
+class RunSettings(BaseModel):
+    """What to run.
+
+    Attributes
+    ----------
+    seconds
+        Simulated length of the load; the run goes on for `SETTLE_SECONDS` more.
+    """
+
+    model_config = ConfigDict(frozen=True)
+
+    scenario: str
+    seed: int
+    seconds: float = 180.0
+    count_bytes: bool = False
+
+
+class FoundViolation(BaseModel):
+    """A violation as it is reported."""
+
+    model_config = ConfigDict(frozen=True)
+
+    property: str
+    detail: str
+
+
+class RunReport(BaseModel):
+    """Outcome of one run; the same settings give the same report."""
+
+    model_config = ConfigDict(frozen=True)
+
+    deployment: str
+    scenario: str
+    seed: int
+    seconds: float
+    violations: tuple[FoundViolation, ...]
+    measures: Measures
+
+
+def run_scenario(
+    deployment: Deployment, settings: RunSettings, mechanisms: Mechanisms | None = None
+) -> RunReport:
+    """Run a named scenario."""
+    setting = Setting(deployment, settings.seconds, random.Random(settings.seed))
+    faults = SCENARIOS[settings.scenario](setting)
+    cluster = Cluster(
+        deployment,
+        ClusterSettings(
+            seed=settings.seed,
+            mechanisms=mechanisms or Mechanisms(),
+            count_bytes=settings.count_bytes,
+        ),
+    )
+    return run_faults(cluster, settings, faults)
+
+
+def run_faults(cluster: Cluster, settings: RunSettings, faults: tuple[Fault, ...]) -> RunReport:
+    """Run a cluster under given faults."""
+    schedule_faults(cluster, faults)
+    cluster.start(settings.seconds)
+    end = settings.seconds + SETTLE_SECONDS
+    cluster.run_until(end)
+    found = check_all(cluster.truth, check_settings(cluster.deployment, faults))
+    found.extend(check_edits(cluster))
+    return RunReport(
+        deployment=cluster.deployment.name,
+        scenario=settings.scenario,
+        seed=settings.seed,
+        seconds=settings.seconds,
+        violations=tuple(
+            FoundViolation(property=each.property.value, detail=each.detail) for each in found
+        ),
+        measures=measure(cluster, end),
+    )
+
+
+def check_settings(deployment: Deployment, faults: tuple[Fault, ...]) -> CheckSettings:
+    """Return what the checks must know of a deployment and its faults."""
+    bounds = {
+        row.name: row.staleness_bound for row in deployment.table if row.staleness_bound is not None
+    }
+    return CheckSettings(
+        staleness_bounds=bounds,
+        samples={trainer.name: trainer.samples for trainer in deployment.trainers},
+        unreachable=tuple(
+            (fault.at, fault.at + fault.seconds)
+            for fault in faults
+            if isinstance(fault, CutZones | PauseDaemon | StoreOutage | CrashDaemon)
+        ),
+    )
+
+
+def check_edits(cluster: Cluster) -> list[Violation]:
+    """Return edits whose outcome, as operators were told it, is not true."""
+    from pondtiller.simulation.checks import Property
+    from pondtiller.table.sheet import DOCUMENT_NAME, Sheet
+
+    body = cluster.platform.store.objects[DOCUMENT_NAME].body
+    sheet = Sheet.model_validate_json(body)
+    violations: list[Violation] = []
+    for edit_id in cluster.operators.accepted:
+        if not sheet.has_edit(edit_id):
+            violations.append(Violation(Property.TABLE_IN_FORCE, f"{edit_id} was lost"))
+    for edit_id in cluster.operators.refused:
+        if sheet.has_edit(edit_id):
+            violations.append(Violation(Property.TABLE_IN_FORCE, f"{edit_id} was not refused"))
+    return violations
--- /dev/null
+++ b/src/pondtiller/systems/claims.py
@@ -0,0 +1,88 @@
+"""Requests that must not be repeated: claimed in a register before the first byte leaves.
+
+A later request with the same key finds the claim and gets the stored answer, waits for
+the one that runs, or is told that the outcome is unknown. It never runs a second time.
+"""
+
+from pondtiller import wire
+from pondtiller.coordination.membership import is_live
+from pondtiller.coordination.registers.proposer import OutcomeStatus, RegisterOutcome
+from pondtiller.core import constants
+from pondtiller.core.entities import Request, RequestState
+from pondtiller.core.events import ClaimNeeded
+from pondtiller.core.world import TimerKind, World
+from pondtiller.errors import ErrorKind, Failure
+from pondtiller.systems import lifecycle
+from pondtiller.systems.registers import change_register
+
+
+def run(world: World, now: float) -> None:
+    """Start claims of admitted requests and look again at claims of others."""
+    for needed in world.batch.of(ClaimNeeded):
+        request = world.requests.get(needed.request_id)
+        if request is not None:
+            _claim(world, request, now)
+    for request_id in world.due_keys(TimerKind.FOLLOW_CLAIM):
+        request = world.requests.get(request_id)
+        if request is not None and request.state is RequestState.FOLLOWING:
+            _claim(world, request, now)
+
+
+def _claim(world: World, request: Request, now: float) -> None:
+    mine = bytes(lifecycle.own_claim(world, request, wire.ClaimState.CLAIM_RUNNING))
+
+    def change(current: bytes) -> bytes:
+        if not current:
+            return mine
+        known = wire.Claim().parse(current)
+        return mine if known.state is wire.ClaimState.CLAIM_RELEASED else current
+
+    request_id = request.spec.request_id
+
+    def settle(world: World, outcome: RegisterOutcome, now: float) -> None:
+        claimed = world.requests.get(request_id)
+        if claimed is not None:
+            _settle(world, claimed, outcome, now)
+
+    timeout = constants.CLAIM_TIMEOUT_SECONDS
+    change_register(world, lifecycle.claim_key(request), change, now, timeout, settle)
+
+
+def _settle(world: World, request: Request, outcome: RegisterOutcome, now: float) -> None:
+    if outcome.status is OutcomeStatus.UNAVAILABLE:
+        lifecycle.fail(world, request, Failure(ErrorKind.CLAIMS_UNAVAILABLE), now)
+        return
+    claim = wire.Claim().parse(outcome.value)
+    if claim.request_id == request.spec.request_id:
+        request.holds_claim = True
+        lifecycle.enqueue(world, request)
+        return
+    request.state = RequestState.FOLLOWING
+    if claim.fingerprint != request.spec.fingerprint:
+        lifecycle.fail(world, request, Failure(ErrorKind.KEY_REUSED), now)
+    elif claim.state is wire.ClaimState.CLAIM_DONE:
+        _answer_again(world, request, claim, now)
+    elif claim.state is wire.ClaimState.CLAIM_RUNNING and _holder_lives(world, claim):
+        due = now + constants.CLAIM_POLL_SECONDS
+        world.set_timer(TimerKind.FOLLOW_CLAIM, due, request.spec.request_id)
+    else:
+        failure = Failure(ErrorKind.OUTCOME_UNKNOWN, "the daemon that ran it was lost")
+        lifecycle.fail(world, request, failure, now)
+
+
+def _holder_lives(world: World, claim: wire.Claim) -> bool:
+    member = world.membership.members.get(claim.holder)
+    if member is None or member.incarnation != claim.holder_incarnation:
+        return False
+    return is_live(member) or member.status is wire.MemberStatus.LEAVING
+
+
+def _answer_again(world: World, request: Request, claim: wire.Claim, now: float) -> None:
+    if claim.answer_tokens and not claim.answer:
+        failure = Failure(ErrorKind.OUTCOME_UNKNOWN, "it ran; its answer was too long to keep")
+        lifecycle.fail(world, request, failure, now)
+        return
+    request.parts = [claim.answer]
+    request.token_count = claim.answer_tokens
+    request.finish_reason = claim.finish_reason
+    lifecycle.complete(world, request, now)
--- /dev/null
+++ b/src/pondtiller/systems/drain.py
@@ -0,0 +1,42 @@
+"""Planned stop: announce it, take nothing new, finish what is in progress, then end."""
+
+from pondtiller.core.events import DrainRequested
+from pondtiller.core.instructions import Drained
+from pondtiller.core.world import TimerKind, World
+
+CHECK_SECONDS = 0.2
+ANNOUNCE_SECONDS = 1.0
+HAND_OVER_SECONDS = 20.0
+
+
+def run(world: World, now: float) -> None:
+    """Begin a stop that was asked for, and report when nothing is in progress."""
+    if world.batch.of(DrainRequested) and not world.draining:
+        world.draining = True
+        world.drain_started_at = now
+        world.duties.clear()
+        world.membership.leave()
+        world.log("draining", requests=len(world.requests), steps=len(world.steps))
+        world.set_timer(TimerKind.DRAIN, now + ANNOUNCE_SECONDS)
+    if world.due_keys(TimerKind.DRAIN) and not world.drained:
+        world.set_timer(TimerKind.DRAIN, now + CHECK_SECONDS)
+        if _is_done(world, now):
+            world.drained = True
+            world.clear_timer(TimerKind.DRAIN)
+            world.log("drained")
+            world.do(Drained())
+
+
+def _is_done(world: World, now: float) -> bool:
+    if not world.mechanisms.drain:
+        return True
+    if world.requests or world.steps or world.outcome_handlers:
+        return False
+    waited = now - world.drain_started_at
+    return not _holds_replicas(world) or waited > HAND_OVER_SECONDS
+
+
+def _holds_replicas(world: World) -> bool:
+    """Return whether a register configuration still counts on this member."""
+    shards = world.proposer.configuration.shards
+    return any(world.name in shard.names() for shard in shards)
--- /dev/null
+++ b/src/pondtiller/systems/limits.py
@@ -0,0 +1,145 @@
+"""Limits of rows: demands shares for this daemon and divides limits where it is its duty."""
+
+from pondtiller import wire
+from pondtiller.coordination.outbound import Outbound
+from pondtiller.coordination.registers.proposer import OutcomeStatus, RegisterOutcome
+from pondtiller.coordination.shares import (
+    ROUND_SECONDS,
+    Allocator,
+    HeldShare,
+    HolderKey,
+)
+from pondtiller.core import constants
+from pondtiller.core.entities import RequestState
+from pondtiller.core.events import ShareObtained
+from pondtiller.core.world import TimerKind, World
+from pondtiller.hashing import owner
+from pondtiller.systems.peers import ShareMessageArrived
+from pondtiller.systems.registers import change_register
+
+IDLE_HEADROOM = 1
+FIRST_ROUND_SECONDS = 0.005
+ASK_AGAIN_SECONDS = 0.1
+
+
+def run(world: World, now: float) -> None:
+    """Handle demands and grants, renew shares and divide limits."""
+    for event in world.batch.of(ShareMessageArrived):
+        if isinstance(event.message, wire.ShareDemand):
+            _receive_demand(world, event, event.message, now)
+        elif isinstance(event.message, wire.ShareGrant):
+            _receive_grant(world, event.message, now)
+    for row in world.due_keys(TimerKind.SHARE_DEMAND):
+        _renew(world, row, now)
+    for row in world.due_keys(TimerKind.SHARE_ROUND):
+        _divide(world, row, now)
+
+
+def limit_of(world: World, row: str) -> int | None:
+    """Return the limit of a row in the table in force, None where it has none."""
+    entry = world.rows.get(row)
+    return entry.limit if entry is not None else None
+
+
+def may_start(world: World, row: str, now: float) -> bool:
+    """Return whether one more request of a row fits the share held now."""
+    limit = limit_of(world, row)
+    if limit is None:
+        return True
+    if not world.mechanisms.share_leases:
+        return world.row_counts(row).in_flight < limit
+    share = world.shares.get(row)
+    usable = share.usable(now) if share is not None else 0
+    return world.row_counts(row).in_flight < min(usable, limit)
+
+
+def demand(world: World, row: str, now: float) -> None:
+    """Ask the row's allocator for enough for what runs and what waits."""
+    allocator = owner(f"limit/{row}", world.membership.live_names())
+    if allocator is None:
+        return
+    share = world.shares.setdefault(row, HeldShare())
+    in_use = world.row_counts(row).in_flight
+    waiting = len(world.waiting_for_share.get(row, ()))
+    message = share.ask(row, in_use + waiting + IDLE_HEADROOM, in_use, now)
+    world.send(Outbound(allocator, message))
+    world.set_timer(TimerKind.SHARE_DEMAND, now + ROUND_SECONDS, row)
+
+
+def _renew(world: World, row: str, now: float) -> None:
+    is_used = world.row_counts(row).in_flight or world.waiting_for_share.get(row)
+    if limit_of(world, row) is not None and is_used:
+        demand(world, row, now)
+
+
+def wait(world: World, row: str, request_id: str, now: float) -> None:
+    """Let a request wait for a share of `row`, and ask for one."""
+    world.waiting_for_share.setdefault(row, []).append(request_id)
+    share = world.shares.get(row)
+    if share is None or now - share.asked_at > ASK_AGAIN_SECONDS:
+        demand(world, row, now)
+
+
+def keep_demanding(world: World, row: str, now: float) -> None:
+    """Renew the share of a row in use, where it has a limit."""
+    is_set = world.timer_is_set(TimerKind.SHARE_DEMAND, row)
+    if limit_of(world, row) is not None and not is_set:
+        demand(world, row, now)
+
+
+def pass_on(world: World, row: str, now: float) -> None:
+    """Give the place of a request that ended to one that waits."""
+    waiting = world.waiting_for_share.get(row)
+    while waiting and may_start(world, row, now):
+        request = world.requests.get(waiting.pop(0))
+        if request is not None and request.state is RequestState.ADMISSION:
+            world.row_counts(row).in_flight += 1
+            world.emit(ShareObtained(request.spec.request_id, row))
+
+
+def _receive_grant(world: World, grant: wire.ShareGrant, now: float) -> None:
+    share = world.shares.get(grant.row)
+    if share is not None and share.receive(grant):
+        pass_on(world, grant.row, now)
+
+
+def _receive_demand(
+    world: World, event: ShareMessageArrived, message: wire.ShareDemand, now: float
+) -> None:
+    if limit_of(world, message.row) is None:
+        return
+    entry = world.rows[message.row]
+    reserve = entry.deadline_seconds or constants.DEFAULT_LIVE_DEADLINE_SECONDS
+    allocator = world.allocators.setdefault(message.row, Allocator(message.row, reserve))
+    allocator.receive(HolderKey(event.sender, event.incarnation), message, now)
+    if not world.timer_is_set(TimerKind.SHARE_ROUND, message.row) and allocator.planned is None:
+        world.set_timer(TimerKind.SHARE_ROUND, now + FIRST_ROUND_SECONDS, message.row)
+
+
+def _divide(world: World, row: str, now: float) -> None:
+    allocator = world.allocators.get(row)
+    limit = limit_of(world, row)
+    if allocator is None or limit is None or allocator.planned is not None:
+        return
+    allocator.plan(limit, now)
+    change_register(
+        world,
+        constants.SHARE_PREFIX + row,
+        allocator.change,
+        now,
+        constants.SHARE_TIMEOUT_SECONDS,
+        _note_division,
+    )
+
+
+def _note_division(world: World, outcome: RegisterOutcome, now: float) -> None:
+    row = outcome.key.removeprefix(constants.SHARE_PREFIX)
+    allocator = world.allocators[row]
+    if outcome.status is OutcomeStatus.UNAVAILABLE:
+        allocator.abandon()
+        world.set_timer(TimerKind.SHARE_ROUND, now + ROUND_SECONDS, row)
+        return
+    for grant in allocator.settle(outcome.value, now):
+        world.send(Outbound(grant.holder.member, grant.message))
+    if allocator.has_unanswered():
+        world.set_timer(TimerKind.SHARE_ROUND, now + FIRST_ROUND_SECONDS, row)
--- /dev/null
+++ b/src/pondtiller/systems/steward.py
@@ -0,0 +1,173 @@
+"""Stewards of engines: bring new weights to each engine by fenced orders.
+
+Any member may believe that it is an engine's steward. Before its first order it takes a
+higher fence from a register, and the engine refuses every lower fence from then on, so an
+earlier steward that wakes up is refused.
+"""
+
+from pondtiller import wire
+from pondtiller.coordination.registers.proposer import OutcomeStatus, RegisterOutcome
+from pondtiller.coordination.retries import Backoff
+from pondtiller.core import constants
+from pondtiller.core.entities import Engine
+from pondtiller.core.events import OrderAnswered, OrderResult
+from pondtiller.core.instructions import EngineOrder, OrderEngine
+from pondtiller.core.world import EngineDuty, TimerKind, World
+from pondtiller.hashing import owner, score
+from pondtiller.systems.registers import change_register
+
+CHECK_SECONDS = 0.5
+PREFETCH = "prefetch"
+ACTIVATE = "activate"
+FAILURE_BACKOFF = Backoff(first=0.5, maximum=5.0)
+
+
+def run(world: World, now: float) -> None:
+    """Take engines' answers to orders and give the orders that are due."""
+    for answered in world.batch.of(OrderAnswered):
+        _take_answer(world, answered, now)
+    for engine in world.due_keys(TimerKind.ORDER_TIMEOUT):
+        duty = world.duties.get(engine)
+        if duty is not None:
+            duty.order_id = ""
+    if world.due_keys(TimerKind.STEWARD) or not world.timer_is_set(TimerKind.STEWARD):
+        world.set_timer(TimerKind.STEWARD, now + CHECK_SECONDS)
+        _choose_duties(world, now)
+        for name in world.duties:
+            _advance(world, name, now)
+
+
+def _choose_duties(world: World, now: float) -> None:
+    members = tuple(world.membership.live_names_in(world.zone))
+    basis = (members, tuple(sorted(world.engines)))
+    if basis == world.duties_basis or world.draining:
+        return
+    world.duties_basis = basis
+    served_zones = {member.zone for member in world.membership.members.values()}
+    wanted: set[str] = set()
+    for engine in world.engines.values():
+        at_home = engine.zone == world.zone
+        pool = members if at_home else tuple(world.membership.live_names())
+        if not at_home and engine.zone in served_zones:
+            continue
+        if owner(f"steward/{engine.name}", pool) == world.name:
+            wanted.add(engine.name)
+    for name in [name for name in world.duties if name not in wanted]:
+        del world.duties[name]
+    for name in sorted(wanted - set(world.duties)):
+        world.duties[name] = EngineDuty()
+        if not world.timer_is_set(TimerKind.POLL_ENGINE, name):
+            world.set_timer(TimerKind.POLL_ENGINE, now, name)
+
+
+def _advance(world: World, name: str, now: float) -> None:
+    duty = world.duties[name]
+    engine = world.engines.get(name)
+    if engine is None or engine.leaving or duty.order_id or duty.fence_operation is not None:
+        return
+    if engine.reported_at is None or now < duty.wait_until:
+        return
+    for model in sorted(engine.models):
+        version = world.model_versions.get(model, 0)
+        if engine.versions.get(model, 0) < version:
+            _order_version(world, engine, duty, model, version, now)
+            return
+
+
+def _order_version(
+    world: World, engine: Engine, duty: EngineDuty, model: str, version: int, now: float
+) -> None:
+    if not duty.fence and world.mechanisms.fences:
+        _take_fence(world, engine.name, duty, now)
+    elif duty.prefetched.get(model, 0) < version:
+        _order(world, engine, duty, PREFETCH, model, version, now)
+    elif _wave_has_come(world, engine, model, now):
+        _order(world, engine, duty, ACTIVATE, model, version, now)
+
+
+def _wave_has_come(world: World, engine: Engine, model: str, now: float) -> bool:
+    """Return whether an engine may swap now; waves keep part of a model's engines serving."""
+    wave = score("wave", engine.name) % constants.SWAP_WAVES
+    learned_at = world.version_learned_at.get(model)
+    return learned_at is None or now >= learned_at + wave * constants.WAVE_SECONDS
+
+
+def _order(
+    world: World,
+    engine: Engine,
+    duty: EngineDuty,
+    kind: str,
+    model: str,
+    version: int,
+    now: float,
+) -> None:
+    duty.order_id = world.next_id("order")
+    order = EngineOrder(duty.order_id, duty.fence, kind, model, version)
+    duty.order = order
+    world.do(OrderEngine(engine.name, engine.address, order))
+    due = now + constants.ORDER_TIMEOUT_SECONDS
+    world.set_timer(TimerKind.ORDER_TIMEOUT, due, engine.name)
+
+
+def _take_answer(world: World, answered: OrderAnswered, now: float) -> None:
+    duty = world.duties.get(answered.engine)
+    if duty is None or duty.order_id != answered.order_id or duty.order is None:
+        return
+    duty.order_id = ""
+    world.clear_timer(TimerKind.ORDER_TIMEOUT, answered.engine)
+    order = duty.order
+    world.log(
+        "order_answered",
+        engine=answered.engine,
+        kind=order.kind,
+        version=order.version,
+        result=answered.result,
+    )
+    if answered.result == OrderResult.DONE:
+        _take_done(world, answered.engine, duty, order)
+        world.set_timer(TimerKind.STEWARD, now)
+        return
+    duty.failures += 1
+    duty.wait_until = now + FAILURE_BACKOFF.delay(duty.failures, world.source)
+    if answered.result == OrderResult.STALE_FENCE:
+        duty.minimum_fence = duty.fence + 1
+        duty.fence = 0
+
+
+def _take_done(world: World, name: str, duty: EngineDuty, order: EngineOrder) -> None:
+    duty.failures = 0
+    duty.prefetched[order.model] = max(order.version, duty.prefetched.get(order.model, 0))
+    engine = world.engines.get(name)
+    if order.kind == ACTIVATE and engine is not None:
+        engine.versions[order.model] = order.version
+        engine.broken = False
+
+
+def _take_fence(world: World, name: str, duty: EngineDuty, now: float) -> None:
+    minimum = duty.minimum_fence
+
+    def change(current: bytes) -> bytes:
+        known = wire.StewardRecord().parse(current)
+        is_mine = (known.steward, known.steward_incarnation) == (world.name, world.incarnation)
+        if is_mine and known.fence >= max(1, minimum):
+            return current
+        record = wire.StewardRecord(
+            fence=max(known.fence, minimum) + 1,
+            steward=world.name,
+            steward_incarnation=world.incarnation,
+        )
+        return bytes(record)
+
+    def settle(world: World, outcome: RegisterOutcome, now: float) -> None:
+        held = world.duties.get(name)
+        if held is None:
+            return
+        held.fence_operation = None
+        record = wire.StewardRecord().parse(outcome.value)
+        if outcome.status is OutcomeStatus.COMMITTED and record.steward == world.name:
+            held.fence = record.fence
+            world.set_timer(TimerKind.STEWARD, now)
+
+    key = constants.STEWARD_PREFIX + name
+    timeout = constants.STEWARD_TIMEOUT_SECONDS
+    duty.fence_operation = change_register(world, key, change, now, timeout, settle)
--- /dev/null
+++ b/src/pondtiller/systems/store.py
@@ -0,0 +1,152 @@
+"""The platform's object service: list once, watch where it is this daemon's duty, adopt.
+
+Few daemons of a zone watch; all others get documents from their peers.
+"""
+
+from result import Err, Ok
+
+from pondtiller.coordination.documents import Document
+from pondtiller.coordination.registers import configuration as replica_configuration
+from pondtiller.coordination.retries import RetryBudget
+from pondtiller.core import constants
+from pondtiller.core.events import (
+    StoredObject,
+    StoreFailed,
+    StoreListed,
+    StoreWatched,
+    StoreWriteEnded,
+    StoreWriteResult,
+)
+from pondtiller.core.instructions import ListStore, WatchStore, WriteStore
+from pondtiller.core.world import TimerKind, World
+from pondtiller.hashing import rank
+from pondtiller.systems import fleet, peers
+from pondtiller.table import sheet
+
+DUTY_CHECK_SECONDS = 2.0
+DOCUMENTS = (sheet.DOCUMENT_NAME, constants.FLEET_DOCUMENT, replica_configuration.DOCUMENT_NAME)
+
+
+def run(world: World, now: float) -> None:
+    """Take the service's answers, start the next call and adopt new documents."""
+    for listed in world.batch.of(StoreListed):
+        _note_answer(world, now)
+        world.store.listed = True
+        world.store.outdated = False
+        _take_objects(world, listed.objects, listed.revision, now)
+        if world.reconfigurer.is_writing() and world.pending_configuration is None:
+            world.reconfigurer.note_write_settled()
+    for watched in world.batch.of(StoreWatched):
+        _note_answer(world, now)
+        _take_objects(world, watched.objects, watched.revision, now)
+    for failed in world.batch.of(StoreFailed):
+        world.store.is_busy = False
+        world.store.outdated = world.store.outdated or failed.expired
+        world.set_timer(TimerKind.STORE, now + constants.STORE_RETRY_SECONDS)
+    for ended in world.batch.of(StoreWriteEnded):
+        _note_write(world, ended, now)
+    _start_call(world, now)
+    _write_configuration(world, now)
+    _adopt_documents(world, now)
+
+
+def refresh(world: World) -> None:
+    """Ask for a fresh list at the next occasion."""
+    world.store.outdated = True
+
+
+def _note_answer(world: World, now: float) -> None:
+    world.store.is_busy = False
+    world.store.answered_at = now
+    world.clear_timer(TimerKind.STORE)
+
+
+def _take_objects(
+    world: World, objects: tuple[StoredObject, ...], revision: int, now: float
+) -> None:
+    for stored in objects:
+        if stored.name in DOCUMENTS:
+            world.documents.adopt(stored.name, stored.revision, stored.body, now)
+    world.store.revision = revision
+
+
+def _start_call(world: World, now: float) -> None:
+    store = world.store
+    if store.is_busy or (world.timer_is_set(TimerKind.STORE) and not store.outdated):
+        return
+    if not store.listed or store.outdated:
+        store.is_busy = True
+        store.outdated = False
+        world.do(ListStore())
+    elif _is_watcher(world):
+        store.is_busy = True
+        world.do(WatchStore(store.revision))
+    else:
+        world.set_timer(TimerKind.STORE, now + DUTY_CHECK_SECONDS)
+
+
+def _is_watcher(world: World) -> bool:
+    ranked = rank(f"watch/{world.zone}", world.membership.live_names_in(world.zone))
+    return world.name in ranked[: constants.WATCHERS_A_ZONE]
+
+
+def _write_configuration(world: World, now: float) -> None:
+    for write in world.reconfigurer.take_writes():
+        body = write.configuration.model_dump_json().encode()
+        world.pending_configuration = WriteStore(
+            replica_configuration.DOCUMENT_NAME, write.expected_revision, body
+        )
+        world.do(world.pending_configuration)
+    if world.due_keys(TimerKind.STORE_WRITE) and world.pending_configuration is not None:
+        world.do(world.pending_configuration)
+
+
+def _note_write(world: World, ended: StoreWriteEnded, now: float) -> None:
+    pending = world.pending_configuration
+    if ended.name != replica_configuration.DOCUMENT_NAME or pending is None:
+        return
+    if ended.result == StoreWriteResult.UNKNOWN:
+        # The write may have taken effect; the same compare-and-swap again finds out.
+        world.set_timer(TimerKind.STORE_WRITE, now + constants.STORE_RETRY_SECONDS)
+        return
+    world.pending_configuration = None
+    if ended.result == StoreWriteResult.WRITTEN:
+        world.documents.adopt(ended.name, ended.revision, pending.body, now)
+        world.reconfigurer.note_write_settled()
+    else:
+        refresh(world)
+
+
+def _adopt_documents(world: World, now: float) -> None:
+    adopted = world.documents.take_adopted()
+    for document in adopted:
+        if document.name == sheet.DOCUMENT_NAME:
+            _adopt_sheet(world, document)
+        elif document.name == constants.FLEET_DOCUMENT:
+            fleet.adopt_fleet(world, document)
+        elif document.name == replica_configuration.DOCUMENT_NAME:
+            _adopt_replicas(world, document, now)
+    if adopted:
+        peers.spread(world)
+
+
+def _adopt_sheet(world: World, document: Document) -> None:
+    match sheet.parse(document.body):
+        case Ok(parsed):
+            world.sheet = parsed
+            world.rows = {row.key: row for row in parsed.rows}
+            for key, row in world.rows.items():
+                world.budgets.setdefault(key, RetryBudget(row.retry_ratio)).ratio = row.retry_ratio
+            world.log("table_in_force", revision=document.revision, rows=len(parsed.rows))
+        case Err(problem):
+            world.log("document_invalid", document=document.name, problem=problem)
+
+
+def _adopt_replicas(world: World, document: Document, now: float) -> None:
+    match replica_configuration.parse(document.body):
+        case Ok(configuration):
+            world.acceptor.adopt_configuration(configuration)
+            world.proposer.adopt_configuration(configuration, now)
+            world.log("replicas_in_force", revision=document.revision)
+        case Err(problem):
+            world.log("document_invalid", document=document.name, problem=problem)
--- /dev/null
+++ b/src/pondtiller/table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table: rows, cells, edits and their checks; pure, no I/O."""
--- /dev/null
+++ b/src/pondtiller/table/sheet.py
@@ -0,0 +1,210 @@
+"""The table as a value: rows of cells, checked on entry."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from result import Err, Ok, Result
+
+DOCUMENT_NAME = "table"
+KEPT_EDITS = 200
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+
+
+class RowKind(StrEnum):
+    """What a row describes."""
+
+    SERVICE = "service"
+    TRAINER = "trainer"
+    CALLER = "caller"
+
+
+class Row(BaseModel):
+    """One row of the table.
+
+    Attributes
+    ----------
+    kind, name
+        Together they identify the row.
+    model
+        Model that serves the row; services and trainers only.
+    weight
+        Share of engine time relative to other rows that wait.
+    limit
+        Requests that may be in progress at a time everywhere together; None for no limit.
+    priority
+        Priority passed to engines, 0 (least) to 9.
+    worth
+        Worth of one answered request, for the weighted cost.
+    staleness_bound
+        Trainers: versions by which weights may be older than the step's version.
+    retry_ratio
+        Retries allowed as a share of first tries.
+    deadline_seconds
+        Longest time to an answer; None for the default of the row's kind.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    kind: RowKind
+    name: Name
+    model: Name | None = None
+    weight: float = Field(default=1.0, gt=0, le=1e6, allow_inf_nan=False)
+    limit: int | None = Field(default=None, ge=0, le=1_000_000)
+    priority: int | None = Field(default=None, ge=0, le=9)
+    worth: float = Field(default=1.0, ge=0, le=1e9, allow_inf_nan=False)
+    staleness_bound: int | None = Field(default=None, ge=0, le=1000)
+    retry_ratio: float = Field(default=0.1, ge=0, le=1, allow_inf_nan=False)
+    deadline_seconds: float | None = Field(default=None, gt=0, le=86_400, allow_inf_nan=False)
+
+    @property
+    def key(self) -> str:
+        """Name of the row within the table, for example `service/quote-api`."""
+        return f"{self.kind.value}/{self.name}"
+
+    @model_validator(mode="after")
+    def _check_kind(self) -> "Row":
+        if self.kind is RowKind.CALLER and self.model is not None:
+            raise ValueError("a caller row has no model")
+        if self.kind is not RowKind.CALLER and self.model is None:
+            raise ValueError(f"a {self.kind.value} row needs a model")
+        if self.kind is not RowKind.TRAINER and self.staleness_bound is not None:
+            raise ValueError("only a trainer row has a staleness_bound")
+        return self
+
+
+COLUMNS: tuple[str, ...] = tuple(name for name in Row.model_fields if name not in ("kind", "name"))
+
+
+class CellChange(BaseModel):
+    """One cell of an edit.
+
+    Attributes
+    ----------
+    kind, name
+        Row of the cell.
+    column
+        Column of the cell, or `row` to remove (`new` empty) the whole row.
+    seen
+        Value that the operator saw, as text; empty for an empty cell or a missing row.
+    new
+        Value to set, as text; empty to clear the cell.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    kind: RowKind
+    name: Name
+    column: str
+    seen: str
+    new: str
+
+
+class Edit(BaseModel):
+    """A set of cell changes that is accepted or refused as a whole."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    edit_id: str
+    author: str = ""
+    at: float = 0.0
+    changes: tuple[CellChange, ...]
+
+
+class Sheet(BaseModel):
+    """The whole table with the latest edits.
+
+    Attributes
+    ----------
+    rows
+        All rows, in order of kind and name.
+    edits
+        Accepted edits, oldest first, at most `KEPT_EDITS`.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    rows: tuple[Row, ...] = ()
+    edits: tuple[Edit, ...] = ()
+
+    @model_validator(mode="after")
+    def _check_unique(self) -> "Sheet":
+        keys = [row.key for row in self.rows]
+        doubled = sorted({key for key in keys if keys.count(key) > 1})
+        if doubled:
+            raise ValueError(f"rows stand twice: {', '.join(doubled)}")
+        return self
+
+    def row(self, kind: RowKind, name: str) -> Row | None:
+        """Return one row, or None where there is none."""
+        for row in self.rows:
+            if row.kind is kind and row.name == name:
+                return row
+        return None
+
+    def rows_of(self, kind: RowKind) -> Iterator[Row]:
+        """Return the rows of one kind."""
+        return (row for row in self.rows if row.kind is kind)
+
+    def has_edit(self, edit_id: str) -> bool:
+        """Return whether an edit is known to have been accepted."""
+        return any(edit.edit_id == edit_id for edit in self.edits)
+
+
+class RefusalReason(StrEnum):
+    """Why an edit is refused."""
+
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+
+
+class EditRefused(BaseModel):
+    """An edit that was refused as a whole, with a sentence for each cause."""
+
+    model_config = ConfigDict(frozen=True)
+
+    reason: RefusalReason
+    details: tuple[str, ...]
+
+
+def cell_text(row: Row | None, column: str) -> str:
+    """Return a cell as text; empty for an empty cell or a missing row."""
+    if row is None:
+        return ""
+    if column == "row":
+        return row.key
+    value = getattr(row, column)
+    return "" if value is None else str(value)
+
+
+def parse(body: bytes) -> Result[Sheet, str]:
+    """Read a sheet from the document's JSON; the error says what is wrong."""
+    try:
+        return Ok(Sheet.model_validate_json(body))
+    except ValidationError as error:
+        return Err(explain(error))
+
+
+def explain(error: ValidationError) -> str:
+    """Return a validation error as one line with each field and reason."""
+    parts: list[str] = []
+    for item in error.errors():
+        place = ".".join(str(step) for step in item["loc"]) or "row"
+        parts.append(f"{place}: {item['msg']}")
+    return "; ".join(parts)
+
+
+def make_row(
+    kind: RowKind | Literal["service", "trainer", "caller"], name: str, cells: dict[str, str]
+) -> Result[Row, str]:
+    """Return a row from cells given as text; empty text leaves the default."""
+    given = {column: text for column, text in cells.items() if text != ""}
+    unknown = sorted(set(given) - set(COLUMNS))
+    if unknown:
+        return Err(f"unknown column: {', '.join(unknown)}")
+    try:
+        return Ok(Row.model_validate({"kind": kind, "name": name, **given}))
+    except ValidationError as error:
+        return Err(explain(error))
