Show each property check to fail without its mechanism; keep a limit under test

Cause: a check that never failed proves nothing, and nobody watched limits from outside. Change: one test a property switches its mechanism off and sees the violation; engines' requests by caller class are sampled against the limit; a control shard of registers that is emptied 60 s after its replicas were provably lost; no message storm on a shard that cannot answer; an engine that refuses connections gets no more until a poll is answered. Found on the way: a request refused by eight engines was answered as if it might have run.

--- a/src/pondtiller/coordination/documents.py
+++ b/src/pondtiller/coordination/documents.py
@@ -36,9 +36,16 @@
 
 
 class DocumentReplica:
-    """One member's copies of all documents."""
+    """One member's copies of all documents.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    forward_only
+        False only in tests that show what happens without the rule.
+    """
+
+    def __init__(self, forward_only: bool = True) -> None:
+        self._forward_only = forward_only
         self.documents: dict[str, Document] = {}
         self._highest_heard: dict[str, int] = {}
         self._pulled_at: dict[tuple[str, str], float] = {}
@@ -56,7 +63,9 @@
 
     def adopt(self, name: str, revision: int, body: bytes, now: float) -> bool:
         """Take a revision where it is newer than the one held; return whether it was."""
-        if revision <= self.revision(name):
+        if revision == self.revision(name):
+            return False
+        if self._forward_only and revision < self.revision(name):
             return False
         document = Document(name, revision, body, now)
         self.documents[name] = document
--- a/src/pondtiller/coordination/registers/configuration.py
+++ b/src/pondtiller/coordination/registers/configuration.py
@@ -14,6 +14,8 @@
 STORED_OBJECT = "replicas"
 DOCUMENT_PREFIX = "replicas/"
 SUCCESSOR_KEY = "!successor"
+CONTROL_PREFIX = "control/"
+CONTROL_SHARD = 0
 
 
 class Replica(BaseModel):
@@ -66,7 +68,7 @@
         """Return the configuration that holds `key`, or None where it is not known."""
         if not self.shards:
             return None
-        number = score("shard", key) % self.shards[0].shard_count
+        number = shard_number(key, self.shards[0].shard_count)
         return next((shard for shard in self.shards if shard.shard == number), None)
 
     def with_shard(self, changed: ShardConfiguration) -> "ReplicaConfiguration":
@@ -80,6 +82,17 @@
         return ReplicaConfiguration(shards=shards)
 
 
+def shard_number(key: str, shard_count: int) -> int:
+    """Return the shard of a key.
+
+    Keys under `CONTROL_PREFIX` have a shard of their own: what they hold is soon out of
+    date, so the shard can be emptied early where all its replicas were lost.
+    """
+    if key.startswith(CONTROL_PREFIX) or shard_count == 1:
+        return CONTROL_SHARD
+    return 1 + score("shard", key) % (shard_count - 1)
+
+
 def parse(body: bytes) -> Result[ReplicaConfiguration, str]:
     """Read all shards from the stored object's JSON; the error says what is wrong."""
     try:
--- a/src/pondtiller/coordination/registers/proposer.py
+++ b/src/pondtiller/coordination/registers/proposer.py
@@ -19,7 +19,8 @@
 )
 from pondtiller.coordination.retries import Backoff
 
-RESEND_SECONDS = 0.25
+FIRST_RESEND_SECONDS = 0.25
+LONGEST_RESEND_SECONDS = 1.0
 CONFLICT_BACKOFF = Backoff(first=0.01, maximum=0.5)
 
 Change = Callable[[bytes], bytes]
@@ -73,6 +74,7 @@
     accepted_by: set[str] = field(default_factory=set)
     value: bytes = b""
     conflicts: int = 0
+    sends: int = 0
 
 
 class Proposer:
@@ -172,13 +174,16 @@
         self._counter += 1
         operation.ballot = Ballot(self._counter, self.name)
         operation.phase = _Phase.PREPARE
+        operation.sends = 0
         operation.promises.clear()
         operation.accepted_by.clear()
         operation.configuration = operation.fixed or self.configuration.shard_of(operation.key)
         self._send_phase(operation, now)
 
     def _send_phase(self, operation: _Operation, now: float) -> None:
-        self._deadlines.set(("resend", operation.number), now + RESEND_SECONDS)
+        wait = min(LONGEST_RESEND_SECONDS, FIRST_RESEND_SECONDS * 2**operation.sends)
+        operation.sends += 1
+        self._deadlines.set(("resend", operation.number), now + wait)
         configuration = operation.configuration
         if configuration is None:
             return
--- a/src/pondtiller/coordination/registers/reconfigurer.py
+++ b/src/pondtiller/coordination/registers/reconfigurer.py
@@ -153,18 +153,20 @@
         configuration: ReplicaConfiguration,
         candidates: list[Candidate],
         sealed: set[int],
+        lost: set[int],
         now: float,
     ) -> None:
         """Begin to replace the replicas that are not among `candidates` any more.
 
         Shards in `sealed` were left behind by a replacement that was abandoned; they get
-        a next configuration even where no replica is lost.
+        a next configuration even where no replica is lost. Shards in `lost` have no
+        majority any more and are left alone.
         """
         usable = {candidate.replica() for candidate in candidates}
         for shard in configuration.shards:
             survivors = tuple(replica for replica in shard.replicas if replica in usable)
             is_whole = len(survivors) == len(shard.replicas) and shard.shard not in sealed
-            if is_whole or shard.shard in self._transfers:
+            if is_whole or shard.shard in lost or shard.shard in self._transfers:
                 continue
             if len(self._transfers) >= SHARDS_AT_A_TIME:
                 break
--- a/src/pondtiller/coordination/registers/tests/test_reconfigurer.py
+++ b/src/pondtiller/coordination/registers/tests/test_reconfigurer.py
@@ -38,7 +38,7 @@
 
     def replace(self, name, lost):
         reconfigurer = Reconfigurer(name, 1, 3, random.Random(name))
-        reconfigurer.repair(self.configuration, CANDIDATES, set(), 0.0)
+        reconfigurer.repair(self.configuration, CANDIDATES, set(), set(), 0.0)
         while outputs := reconfigurer.take_outputs():
             for output in outputs:
                 if output.target != lost:
--- a/src/pondtiller/coordination/registers/tests/test_registers.py
+++ b/src/pondtiller/coordination/registers/tests/test_registers.py
@@ -1,7 +1,7 @@
 """Registers under lost, doubled and reordered messages, and in every order where small."""
 
 import random
-from itertools import count
+from itertools import count, pairwise
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -90,7 +90,7 @@
             for outcome in proposer.take_outcomes():
                 if outcome.status is OutcomeStatus.COMMITTED:
                     history.append(outcome.value.split())
-    for earlier, later in zip(history, history[1:], strict=False):
+    for earlier, later in pairwise(history):
         short, long = sorted((earlier, later), key=len)
         assert long[: len(short)] == short
 
--- a/src/pondtiller/coordination/shares.py
+++ b/src/pondtiller/coordination/shares.py
@@ -114,6 +114,7 @@
     reserve_seconds: float
     known: bytes | None = None
     sequence: int = 0
+    divided_at: float = float("-inf")
     planned: bytes | None = None
     planned_grants: dict[HolderKey, int] = field(default_factory=dict)
     planned_requests: dict[HolderKey, int] = field(default_factory=dict)
@@ -171,7 +172,9 @@
             return []
         grants: list[Grant] = []
         for holder, amount in self.planned_grants.items():
-            grants.append(self._grant(holder, amount, now))
+            demand = self._demands.get(holder)
+            if demand is not None and not demand.answered:
+                grants.append(self._grant(holder, amount, now))
         return grants
 
     def abandon(self) -> None:
--- a/src/pondtiller/coordination/tests/test_membership.py
+++ b/src/pondtiller/coordination/tests/test_membership.py
@@ -34,11 +34,9 @@
 
     def deliver(self):
         while True:
-            sent = [
-                (name, output)
-                for name, node in self.nodes.items()
-                for output in node.take_outputs()
-            ]
+            sent = []
+            for name, node in self.nodes.items():
+                sent.extend((name, output) for output in node.take_outputs())
             if not sent:
                 return
             for sender, output in sent:
--- a/src/pondtiller/core/world.py
+++ b/src/pondtiller/core/world.py
@@ -86,7 +86,6 @@
     slot_cursor: bool = True
     version_segments: bool = True
     share_leases: bool = True
-    fences: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,7 +204,7 @@
         self.due: dict[TimerKind, list[str]] = {}
 
         self.membership = Membership(member, list(settings.seeds), settings.membership, source)
-        self.documents = DocumentReplica()
+        self.documents = DocumentReplica(settings.mechanisms.forward_only_documents)
         self.acceptor = Acceptor(Replica(name=member.name, storage=member.storage))
         self.proposer = Proposer(f"{member.name}:{member.incarnation}", source)
         self.reconfigurer = Reconfigurer(
--- a/src/pondtiller/simulation/checks.py
+++ b/src/pondtiller/simulation/checks.py
@@ -1,4 +1,4 @@
-"""The nine properties that must always hold, judged from what really happened.
+"""The properties that must always hold, judged from what really happened.
 
 Each check reads only `Truth`: what engines ran, what callers and trainers received, and
 what the object service accepted.
@@ -6,7 +6,7 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from pondtiller.emulator.text import expected_answer
@@ -30,6 +30,7 @@
     LEAVING_GETS_NOTHING = "leaving_gets_nothing"
     STOP_CUTS_NOTHING = "stop_cuts_nothing"
     TABLE_IN_FORCE = "table_in_force"
+    LIMIT_KEPT = "limit_kept"
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,11 +54,14 @@
     unreachable
         Times during which some daemon could not be reached or was paused; a table change
         counts from the end of the last one.
+    limits
+        Limit by caller class.
     """
 
     staleness_bounds: dict[str, int]
     samples: dict[str, int]
     unreachable: tuple[tuple[float, float], ...] = ()
+    limits: dict[str, int] = field(default_factory=dict)
 
 
 def check_all(truth: Truth, settings: CheckSettings) -> list[Violation]:
@@ -243,6 +247,15 @@
     return at
 
 
+def check_limits(truth: Truth, settings: CheckSettings) -> list[Violation]:
+    """Engines together never ran more requests of a caller class than its limit."""
+    return [
+        Violation(Property.LIMIT_KEPT, f"{each.caller}: {each.count} at {each.at:.1f}")
+        for each in truth.in_progress
+        if each.count > settings.limits.get(each.caller, each.count)
+    ]
+
+
 Check = Callable[[Truth, CheckSettings], list[Violation]]
 
 CHECKS: tuple[Check, ...] = (
@@ -255,4 +268,5 @@
     check_leaving,
     check_stop,
     check_table,
+    check_limits,
 )
--- a/src/pondtiller/simulation/cluster.py
+++ b/src/pondtiller/simulation/cluster.py
@@ -22,11 +22,12 @@
 from pondtiller.simulation.platform import PlatformNode
 from pondtiller.simulation.scheduler import Scheduler
 from pondtiller.simulation.trainers import TrainerNode
-from pondtiller.simulation.truth import AcceptedEdit, LeavingEngine, Truth
+from pondtiller.simulation.truth import AcceptedEdit, InProgress, LeavingEngine, Truth
 from pondtiller.table.sheet import DOCUMENT_NAME, RowKind, Sheet
 
 FLEET_LAG_SECONDS = 2.0
 START_SPREAD_SECONDS = 1.0
+SAMPLE_SECONDS = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,10 +110,21 @@
             self.scheduler.after(delay, node.start)
         if not self.settings.with_load:
             return
+        self._sample_in_progress()
         self.callers.start(5.0, load_until)
         for trainer in self.trainers:
             trainer.start(5.0)
 
+    def _sample_in_progress(self) -> None:
+        """Note how many requests of each limited caller class run on all engines."""
+        now = self.scheduler.now
+        for row in self.deployment.table:
+            if row.kind is RowKind.CALLER and row.limit is not None:
+                mark = f"{row.name} asks"
+                count = sum(node.count_prompts(mark) for node in self.engines.values())
+                self.truth.in_progress.append(InProgress(row.name, count, now))
+        self.scheduler.after(SAMPLE_SECONDS, self._sample_in_progress)
+
     def run_until(self, end: float) -> None:
         """Let simulated time pass."""
         self.scheduler.run_until(end)
--- a/src/pondtiller/simulation/daemon.py
+++ b/src/pondtiller/simulation/daemon.py
@@ -326,6 +326,6 @@
 
     def _answer_trainer(self, instruction: TrainerAnswer) -> None:
         answer = self.trainer_answers.pop(instruction.call_id, None)
-        if answer is not None:
+        if answer is not None and not self.around.network.loses():
             delay = self.around.network.latencies.clients_seconds
             self.around.scheduler.after(delay, lambda: answer(instruction))
--- a/src/pondtiller/simulation/engines.py
+++ b/src/pondtiller/simulation/engines.py
@@ -193,6 +193,11 @@
 
         self.scheduler.after(self.network.latency(zone, self.zone), receive)
 
+    def count_prompts(self, beginning: str) -> int:
+        """Return how many running requests' prompts begin so."""
+        streams = self._streams.values()
+        return sum(1 for stream in streams if stream.request.prompt.startswith(beginning))
+
     def crash(self) -> None:
         """End the process at once; its streams break."""
         self.alive = False
--- a/src/pondtiller/simulation/network.py
+++ b/src/pondtiller/simulation/network.py
@@ -59,9 +59,13 @@
         """Remove all cuts."""
         self.cuts.clear()
 
+    def loses(self) -> bool:
+        """Draw whether something sent now is lost."""
+        return self.loss > 0 and self.source.random() < self.loss
+
     def datagram(self, from_zone: str, to_zone: str, deliver: Callable[[], None]) -> None:
         """Send something that may be lost, doubled or overtaken."""
-        if self.is_cut(from_zone, to_zone) or self.source.random() < self.loss:
+        if self.is_cut(from_zone, to_zone) or self.loses():
             self.dropped += 1
             return
         self.scheduler.after(self.latency(from_zone, to_zone), deliver)
--- a/src/pondtiller/simulation/platform.py
+++ b/src/pondtiller/simulation/platform.py
@@ -37,7 +37,7 @@
     lost_answers
         Probability that a write takes effect and its answer is lost.
     old_reads
-        Probability that a list shows an earlier state.
+        Probability that a list or a watch shows an earlier state.
     """
 
     store: ObjectStore
@@ -77,6 +77,8 @@
             self.scheduler.after(TIMEOUT_SECONDS, lambda: deliver(StoreFailed(False)))
             return
         listing = self.store.changes_since(revision)
+        if self._earlier and self.source.random() < self.old_reads:
+            listing = self.source.choice(self._earlier)
         if listing is None:
             self.scheduler.after(self._delay(), lambda: deliver(StoreFailed(True)))
         elif listing.objects or self.scheduler.now >= until:
--- a/src/pondtiller/simulation/run.py
+++ b/src/pondtiller/simulation/run.py
@@ -6,12 +6,13 @@
 
 from pondtiller.config.deployment import Deployment
 from pondtiller.core.world import Mechanisms
-from pondtiller.simulation.checks import CheckSettings, Violation, check_all
+from pondtiller.simulation.checks import CheckSettings, Property, Violation, check_all
 from pondtiller.simulation.cluster import Cluster, ClusterSettings
 from pondtiller.simulation.faults import CrashDaemon, CutZones, Fault, PauseDaemon, StoreOutage
 from pondtiller.simulation.faults import schedule as schedule_faults
 from pondtiller.simulation.measures import Measures, measure
 from pondtiller.simulation.scenarios import SCENARIOS, Setting
+from pondtiller.table.sheet import DOCUMENT_NAME, RowKind, Sheet
 
 SETTLE_SECONDS = 60.0
 
@@ -97,6 +98,11 @@
     bounds = {
         row.name: row.staleness_bound for row in deployment.table if row.staleness_bound is not None
     }
+    limits = {
+        row.name: row.limit
+        for row in deployment.table
+        if row.kind is RowKind.CALLER and row.limit is not None
+    }
     return CheckSettings(
         staleness_bounds=bounds,
         samples={trainer.name: trainer.samples for trainer in deployment.trainers},
@@ -105,14 +111,12 @@
             for fault in faults
             if isinstance(fault, CutZones | PauseDaemon | StoreOutage | CrashDaemon)
         ),
+        limits=limits,
     )
 
 
 def check_edits(cluster: Cluster) -> list[Violation]:
     """Return edits whose outcome, as operators were told it, is not true."""
-    from pondtiller.simulation.checks import Property
-    from pondtiller.table.sheet import DOCUMENT_NAME, Sheet
-
     body = cluster.platform.store.objects[DOCUMENT_NAME].body
     sheet = Sheet.model_validate_json(body)
     violations: list[Violation] = []
--- a/src/pondtiller/simulation/truth.py
+++ b/src/pondtiller/simulation/truth.py
@@ -110,6 +110,15 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """Requests of one caller class that all engines together ran at one time."""
+
+    caller: str
+    count: int
+    at: float
+
+
 @dataclass(slots=True)
 class Truth:
     """The record of one run."""
@@ -123,4 +132,4 @@
     broken: list[BrokenConnection] = field(default_factory=list)
     orders: list[OrderSeen] = field(default_factory=list)
     first_in_force: dict[int, dict[str, float]] = field(default_factory=dict)
-    most_in_progress: dict[str, int] = field(default_factory=dict)
+    in_progress: list[InProgress] = field(default_factory=list)
--- a/src/pondtiller/systems/attempts.py
+++ b/src/pondtiller/systems/attempts.py
@@ -52,8 +52,7 @@
 
 def _problem(world: World, request: Request, chunk: Chunk) -> str | None:
     """Return what is wrong with a chunk, or None where it continues the answer."""
-    is_stale = chunk.token_count and chunk.version < request.spec.minimum_version
-    if is_stale and world.mechanisms.staleness_checks:
+    if chunk.token_count and chunk.version < request.spec.minimum_version:
         return "the engine's weights are too old"
     if chunk.first_token != request.token_count and world.mechanisms.offset_checks:
         return "the engine's chunk does not continue the answer"
@@ -109,6 +108,9 @@
     engine = world.engines.get(attempt.engine)
     if engine is not None and not (failed.engine_leaving or failed.engine_busy):
         engine.breaker.note_failure(now)
+        if failed.ran is Ran.NO:
+            # It does not even take connections: no more work until a poll is answered.
+            engine.failed_polls = constants.ENGINE_DOWN_AFTER_FAILED_POLLS
     if engine is not None and failed.engine_leaving:
         note_leaving(world, engine.name, engine.generation)
     if failed.ran is Ran.NO:
@@ -142,7 +144,8 @@
         request.attempts < constants.MAXIMUM_ATTEMPTS and budget.take_retry()
     )
     if not is_allowed:
-        lifecycle.fail(world, request, Failure(ErrorKind.ENGINE_FAILED, detail), now)
+        kind = ErrorKind.ENGINE_FAILED if request.reached_engine else ErrorKind.NO_ENGINE
+        lifecycle.fail(world, request, Failure(kind, detail), now)
         return
     request.avoid = engine
     lifecycle.enqueue(world, request, first=True)
--- a/src/pondtiller/systems/limits.py
+++ b/src/pondtiller/systems/limits.py
@@ -15,11 +15,12 @@
 from pondtiller.core.world import TimerKind, World
 from pondtiller.hashing import owner
 from pondtiller.systems.peers import ShareMessageArrived
-from pondtiller.systems.registers import change_register
+from pondtiller.systems.registers import change_register, is_available
 
 IDLE_HEADROOM = 1
 FIRST_ROUND_SECONDS = 0.005
 ASK_AGAIN_SECONDS = 0.1
+PAUSE_SECONDS = 0.25
 
 
 def run(world: World, now: float) -> None:
@@ -114,7 +115,13 @@
     allocator = world.allocators.setdefault(message.row, Allocator(message.row, writer, reserve))
     allocator.receive(HolderKey(event.sender, event.incarnation), message, now)
     if not world.timer_is_set(TimerKind.SHARE_ROUND, message.row) and allocator.planned is None:
-        world.set_timer(TimerKind.SHARE_ROUND, now + FIRST_ROUND_SECONDS, message.row)
+        _schedule_division(world, allocator, now)
+
+
+def _schedule_division(world: World, allocator: Allocator, now: float) -> None:
+    """Divide soon, but not more often than the pause allows: each time is a register change."""
+    due = max(now + FIRST_ROUND_SECONDS, allocator.divided_at + PAUSE_SECONDS)
+    world.set_timer(TimerKind.SHARE_ROUND, due, allocator.row)
 
 
 def _divide(world: World, row: str, now: float) -> None:
@@ -122,7 +129,12 @@
     limit = limit_of(world, row)
     if allocator is None or limit is None or allocator.planned is not None:
         return
+    if not is_available(world, constants.SHARE_PREFIX + row):
+        allocator.abandon()
+        world.set_timer(TimerKind.SHARE_ROUND, now + ROUND_SECONDS, row)
+        return
     allocator.plan(limit, now)
+    allocator.divided_at = now
     change_register(
         world,
         constants.SHARE_PREFIX + row,
@@ -143,4 +155,4 @@
     for grant in allocator.settle(outcome.value, now):
         world.send(Outbound(grant.holder.member, grant.message))
     if allocator.has_unanswered():
-        world.set_timer(TimerKind.SHARE_ROUND, now + FIRST_ROUND_SECONDS, row)
+        _schedule_division(world, allocator, now)
--- a/src/pondtiller/systems/registers.py
+++ b/src/pondtiller/systems/registers.py
@@ -6,6 +6,7 @@
 from pondtiller.coordination.documents import Document
 from pondtiller.coordination.outbound import Outbound
 from pondtiller.coordination.registers.configuration import (
+    CONTROL_SHARD,
     STORED_OBJECT,
     SUCCESSOR_KEY,
     ReplicaConfiguration,
@@ -153,8 +154,9 @@
     if not (on_duty or sealed):
         return
     configuration = world.proposer.configuration
+    lost = {shard.shard for shard in configuration.shards if _has_lost_majority(world, shard)}
     if configuration.shards:
-        world.reconfigurer.repair(configuration, candidates(world), sealed, now)
+        world.reconfigurer.repair(configuration, candidates(world), sealed, lost, now)
     if on_duty and world.store.listed:
         _keep_stored(world, now)
 
@@ -178,10 +180,8 @@
     world.do(world.pending_configuration)
 
 
-def _reset_if_lost(
-    world: World, shard: ShardConfiguration, now: float
-) -> ShardConfiguration | None:
-    """Return an empty successor for a shard that provably lost its majority long ago.
+def _has_lost_majority(world: World, shard: ShardConfiguration) -> bool:
+    """Return whether a majority of a shard's replicas provably lost their memory.
 
     Proof is a member that is known with another storage: it restarted with empty memory.
     A member that is merely silent may still vote on the far side of a cut.
@@ -192,11 +192,24 @@
         for replica in shard.replicas
         if replica.name in members and members[replica.name].storage > replica.storage
     ]
-    if len(shard.replicas) - len(lost) >= shard.majority():
+    return len(shard.replicas) - len(lost) < shard.majority()
+
+
+def _reset_if_lost(
+    world: World, shard: ShardConfiguration, now: float
+) -> ShardConfiguration | None:
+    """Return an empty successor for a shard that lost its majority long enough ago.
+
+    Until then nothing is read or written in it, so nothing that it held is contradicted.
+    """
+    if not _has_lost_majority(world, shard):
         world.shard_lost_since.pop(shard.shard, None)
         return None
     since = world.shard_lost_since.setdefault(shard.shard, now)
-    if now - since < constants.CLAIM_RETENTION_SECONDS:
+    wait = constants.CLAIM_RETENTION_SECONDS
+    if shard.shard == CONTROL_SHARD and shard.shard_count > 1:
+        wait = constants.CONTROL_RESET_SECONDS
+    if now - since < wait:
         return None
     world.log("shard_reset", shard=shard.shard, epoch=shard.epoch)
     return world.reconfigurer.reset_shard(shard, candidates(world))
--- a/src/pondtiller/systems/steps.py
+++ b/src/pondtiller/systems/steps.py
@@ -82,7 +82,7 @@
 def minimum_version(world: World, step: Step) -> int:
     """Return the oldest weight version that may make a sample of a step."""
     row = trainer_row(world, step.key.trainer)
-    if row is None or row.staleness_bound is None:
+    if row is None or row.staleness_bound is None or not world.mechanisms.staleness_checks:
         return 0
     return max(0, step.version - row.staleness_bound)
 
@@ -153,11 +153,11 @@
         fingerprint=fingerprint,
         slots=[Slot(prompt) for prompt in opened.prompts],
         opened_at=now,
-        cursor=opened.cursor,
+        cursor=opened.cursor if world.mechanisms.slot_cursor else 0,
         used_at=now,
     )
     world.steps[opened.key] = step
-    for number in range(opened.cursor, len(step.slots)):
+    for number in range(step.cursor, len(step.slots)):
         _start_slot(world, step, number, model)
     world.set_timer(TimerKind.IDLE_STEP, now + IDLE_STEP_SECONDS, opened.key.trainer)
     world.log("step_opened", trainer=opened.key.trainer, step=opened.key.step, version=version)
@@ -262,7 +262,7 @@
         return
     oldest = oldest_version(list(pending.segments))
     is_stale = oldest is not None and oldest < minimum_version(world, step)
-    if is_stale and world.mechanisms.staleness_checks:
+    if is_stale:
         _restart_slot(world, step, number)
         return
     slot.state = SlotState.COMMITTED
--- a/src/pondtiller/systems/steward.py
+++ b/src/pondtiller/systems/steward.py
@@ -78,7 +78,7 @@
 def _order_version(
     world: World, engine: Engine, duty: EngineDuty, model: str, version: int, now: float
 ) -> None:
-    if not duty.fence and world.mechanisms.fences:
+    if not duty.fence:
         _take_fence(world, engine.name, duty, now)
     elif duty.prefetched.get(model, 0) < version:
         _order(world, engine, duty, PREFETCH, model, version, now)
