--- a/src/pondtiller/cli/emulate.py
+++ b/src/pondtiller/cli/emulate.py
@@ -1,6 +1,6 @@
 """`pondtiller emulate`: the stand-ins of a deployment on loopback, in one process."""
 
-import signal
+import sys
 
 import curio
 from cleo.commands.command import Command
@@ -9,6 +9,7 @@
 
 from pondtiller.cli.common import EXIT_OK, bad_option, print_problems, read_number
 from pondtiller.config.deployment import load_deployment
+from pondtiller.daemon.signals import wait_for_stop
 from pondtiller.emulator.server import Emulator, build_emulator
 
 HOST = "127.0.0.1"
@@ -42,11 +43,12 @@
                 self.line(f"platform and scorer: {address.host}:{address.port}")
                 for name, server in emulator.engines.items():
                     self.line(f"engine {name}: {server.address.host}:{server.address.port}")
+                sys.stdout.flush()
                 curio.run(_run, emulator)
         return EXIT_OK
 
 
 async def _run(emulator: Emulator) -> None:
     serving = await curio.spawn(emulator.run)
-    await curio.SignalEvent(signal.SIGINT, signal.SIGTERM).wait()
+    await wait_for_stop()
     await serving.cancel()
--- a/src/pondtiller/cli/serve.py
+++ b/src/pondtiller/cli/serve.py
@@ -1,6 +1,5 @@
 """`pondtiller serve`: one daemon process."""
 
-import signal
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -16,6 +15,7 @@
 from pondtiller.daemon import logs
 from pondtiller.daemon.process import DaemonProcess
 from pondtiller.daemon.settings import DaemonSettings
+from pondtiller.daemon.signals import wait_for_stop
 
 OVERRIDES = ("name", "zone", "host", "peer-port", "http-port", "data-folder", "log-level")
 
@@ -83,6 +83,5 @@
 
 
 async def _stop_on_signal(process: DaemonProcess) -> None:
-    requested = curio.SignalEvent(signal.SIGTERM, signal.SIGINT)
-    await requested.wait()
+    await wait_for_stop()
     await process.stop()
--- a/src/pondtiller/cli/table.py
+++ b/src/pondtiller/cli/table.py
@@ -106,6 +106,10 @@
                 style="error",
             )
             return EXIT_UNAVAILABLE
+        if outcome.status is EditStatus.NOT_MADE:
+            said = "the object service does not answer; the edit was not made"
+            self.line_error(said, style="error")
+            return EXIT_UNAVAILABLE
         refusal = outcome.refusal
         for detail in refusal.details if refusal is not None else ():
             self.line_error(detail, style="error")
--- /dev/null
+++ b/src/pondtiller/cli/tests/test_processes.py
@@ -0,0 +1,181 @@
+"""The commands as separate processes: stand-ins, three daemons, operators, load."""
+
+import re
+import signal
+import subprocess
+import sys
+import time
+
+import httpx2 as httpx
+import pytest
+
+from pondtiller.emulator.text import expected_answer
+
+COMMAND = [sys.executable, "-c", "from pondtiller.cli.application import main; main()"]
+START_SECONDS = 60.0
+SETTINGS = """
+name = "d{number}"
+zone = "{zone}"
+peer_port = {peer}
+http_port = {http}
+register_replicas = 3
+
+[platform]
+host = "127.0.0.1"
+port = {platform}
+scorer_host = "127.0.0.1"
+scorer_port = {platform}
+{peers}
+"""
+PEER = """
+[[peers]]
+name = "d{number}"
+zone = "{zone}"
+host = "127.0.0.1"
+peer_port = {peer}
+http_port = {http}
+"""
+ZONES = ("fukuoka-a", "kumamoto-b", "kitakyu-c")
+
+
+def run(*arguments, code=0):
+    done = subprocess.run([*COMMAND, *arguments], capture_output=True, text=True, timeout=60)
+    assert done.returncode == code, done.stdout + done.stderr
+    return done.stdout + done.stderr
+
+
+def free_ports(count):
+    import socket
+
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
+
+
+@pytest.fixture(scope="module")
+def platform():
+    process = subprocess.Popen(
+        [*COMMAND, "emulate", "--deployment", "kyushu"], stdout=subprocess.PIPE, text=True
+    )
+    first = process.stdout.readline()
+    yield re.search(r"(127\.0\.0\.1:\d+)", first)[1]
+    process.send_signal(signal.SIGINT)
+    assert process.wait(30) == 0
+
+
+@pytest.fixture(scope="module")
+def daemons(platform, tmp_path_factory):
+    folder = tmp_path_factory.mktemp("settings")
+    ports = free_ports(6)
+    places = [
+        {"number": n, "zone": ZONES[n], "peer": ports[2 * n], "http": ports[2 * n + 1]}
+        for n in range(3)
+    ]
+    peers = "".join(PEER.format(**place) for place in places)
+    started = []
+    for place in places:
+        path = folder / f"d{place['number']}.toml"
+        port = platform.rpartition(":")[2]
+        path.write_text(SETTINGS.format(platform=port, peers=peers, **place))
+        run("check", str(path))
+        (folder / f"data{place['number']}").mkdir()
+        started.append(start_daemon(folder, place["number"]))
+    urls = [f"http://127.0.0.1:{place['http']}" for place in places]
+    wait_served(urls)
+    yield urls, started, folder
+    for process in started:
+        process.send_signal(signal.SIGTERM)
+    assert [process.wait(60) for process in started] == [0, 0, 0]
+
+
+def start_daemon(folder, number):
+    arguments = ["serve", "--settings", str(folder / f"d{number}.toml")]
+    arguments += ["--data-folder", str(folder / f"data{number}")]
+    with open(folder / f"d{number}.log", "a") as log:
+        return subprocess.Popen([*COMMAND, *arguments], stderr=log)
+
+
+def wait_served(urls):
+    """Wait until every daemon serves a request that needs engines and registers."""
+    end = time.monotonic() + START_SECONDS
+    for number, url in enumerate(urls):
+        while True:
+            assert time.monotonic() < end, f"{url} does not serve"
+            try:
+                headers = {"Idempotency-Key": f"up{number}", "X-Run-At-Most-Once": "true"}
+                body = {"model": "quote", "prompt": f"up {number}", "max_tokens": 4}
+                sent = httpx.post(f"{url}/v1/completions", json=body, headers=headers, timeout=10)
+                if sent.status_code == 200:
+                    break
+            except httpx.TransportError:
+                pass
+            time.sleep(0.1)
+
+
+def test_request_goes_from_one_end_to_the_other(daemons):
+    urls, _, _ = daemons
+    for url in urls:
+        body = {"model": "quote", "prompt": "a bracket", "max_tokens": 24}
+        answer = httpx.post(f"{url}/v1/completions", json=body).json()
+        assert answer["choices"][0]["text"] == expected_answer("a bracket", 24)
+
+
+def test_table_edit_is_in_force_on_every_daemon(daemons, platform):
+    urls, _, _ = daemons
+    before = run("table", "export", "--platform", platform)
+    assert "service,quote,quote-api" in before
+    said = run("table", "set", "service/quote", "weight", "7.5", "--platform", platform)
+    revision = int(re.search(r"revision (\d+)", said)[1])
+    end = time.monotonic() + START_SECONDS
+    for url in urls:
+        while httpx.get(f"{url}/readyz").json()["table_revision"] < revision:
+            assert time.monotonic() < end
+            time.sleep(0.02)
+    assert "service/quote weight" in run("table", "history", "--platform", platform)
+    assert "7.5" in run("table", "show", "--platform", platform)
+
+
+def test_same_cell_of_two_operators_conflicts_and_others_do_not(platform):
+    arguments = ("table", "set", "trainer/drawing-policy", "weight", "3", "--seen", "9.0")
+    said = run(*arguments, "--platform", platform, code=1)
+    assert "you saw '9.0', it is now" in said
+    run("table", "set", "trainer/drawing-policy", "worth", "2", "--platform", platform)
+
+
+def test_apply_shows_the_difference_and_refuses_bad_files(platform, tmp_path):
+    path = tmp_path / "table.csv"
+    text = run("table", "export", "--platform", platform)
+    path.write_text(text.replace("caller,estimator,,3.0,", "caller,estimator,,4.0,"))
+    shown = run("table", "apply", str(path), "--dry-run", "--platform", platform)
+    assert "caller/estimator weight: '3.0' -> '4.0'" in shown
+    assert "caller/estimator weight" in run("table", "apply", str(path), "--platform", platform)
+    assert "no difference" in run("table", "apply", str(path), "--platform", platform)
+    path.write_text("kind,name\nservice,x\n")
+    assert "'weight' is missing" in run("table", "apply", str(path), "--platform", platform, code=2)
+
+
+def test_load_reports_only_right_answers(daemons):
+    urls, _, _ = daemons
+    place = urls[0].removeprefix("http://")
+    said = run("load", "--url", place, "--rate", "30", "--seconds", "2", "--max-tokens", "8")
+    assert "wrong 0" in said
+
+
+def test_killed_daemon_comes_back_with_its_journal(daemons, platform):
+    urls, started, folder = daemons
+    started[2].kill()
+    started[2].wait(30)
+    started[2] = start_daemon(folder, 2)
+    wait_served(urls)
+    headers = {"Idempotency-Key": "up0", "X-Run-At-Most-Once": "true"}
+    body = {"model": "quote", "prompt": "up 0", "max_tokens": 4}
+    again = httpx.post(f"{urls[2]}/v1/completions", json=body, headers=headers, timeout=10)
+    assert again.json()["choices"][0]["text"] == expected_answer("up 0", 4)
+
+
+def test_object_service_that_does_not_answer_is_said(tmp_path):
+    (port,) = free_ports(1)
+    said = run("table", "show", "--platform", f"127.0.0.1:{port}", code=3)
+    assert "object service" in said
--- a/src/pondtiller/daemon/spawner.py
+++ b/src/pondtiller/daemon/spawner.py
@@ -28,12 +28,16 @@
 
     async def spawn(self, function: Callable[..., Awaitable[None]], *arguments: Any) -> Any:
         """Start a task and return it."""
-        task = await curio.spawn(self._run, function, *arguments, daemon=True)
+        holder: list[Any] = []
+        task = await curio.spawn(self._run, holder, function, *arguments, daemon=True)
+        holder.append(task)
         self._tasks.add(task)
         return task
 
-    async def _run(self, function: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+    async def _run(
+        self, holder: list[Any], function: Callable[..., Awaitable[None]], *arguments: Any
+    ) -> None:
         try:
             await function(*arguments)
         finally:
-            self._tasks.discard(await curio.current_task())
+            self._tasks.difference_update(holder)
--- /dev/null
+++ b/src/pondtiller/daemon/tests/conftest.py
@@ -0,0 +1,9 @@
+import pytest
+
+from pondtiller.daemon.tests.harness import running
+
+
+@pytest.fixture(scope="package")
+def service():
+    with running() as started:
+        yield started
--- a/src/pondtiller/demo/run.py
+++ b/src/pondtiller/demo/run.py
@@ -13,6 +13,7 @@
 from pondtiller.daemon import clock
 from pondtiller.daemon.process import BoundSockets, DaemonProcess
 from pondtiller.daemon.settings import DaemonSettings, PeerSettings, PlatformSettings
+from pondtiller.daemon.signals import wait_for_stop
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.demo.load import LiveLoad
 from pondtiller.emulator.fleet import trainer_settings
@@ -206,8 +207,7 @@
     async def _stay(self) -> None:
         port = self.daemons[0].sockets.http_port
         self.say(f"callers' URL: http://{HOST}:{port}/v1 (interrupt to end)")
-        signal = curio.SignalEvent(2, 15)
-        await signal.wait()
+        await wait_for_stop()
 
     async def _stop_all(self) -> None:
         for daemon in self.daemons:
--- a/src/pondtiller/table/editor.py
+++ b/src/pondtiller/table/editor.py
@@ -29,10 +29,14 @@
 
 
 class EditStatus(StrEnum):
-    """How an edit ended."""
+    """How an edit ended.
+
+    `NOT_MADE` is certain: the service never answered and no write was sent.
+    """
 
     ACCEPTED = "accepted"
     REFUSED = "refused"
+    NOT_MADE = "not_made"
     UNKNOWN = "unknown"
 
 
@@ -97,11 +101,15 @@
         self._write_is_open = self._write_is_open or isinstance(self.command, WriteTable)
         self.command = ReadTable()
         if self._rounds >= MAXIMUM_ROUNDS:
-            self.command = EditOutcome(EditStatus.UNKNOWN)
+            self._give_up()
+
+    def _give_up(self) -> None:
+        status = EditStatus.UNKNOWN if self._write_is_open else EditStatus.NOT_MADE
+        self.command = EditOutcome(status)
 
     def _propose(self, revision: int, sheet: Sheet) -> None:
         if self._rounds >= MAXIMUM_ROUNDS:
-            self.command = EditOutcome(EditStatus.UNKNOWN)
+            self._give_up()
             return
         match apply_edit(sheet, self.edit):
             case Ok(changed):
--- a/src/pondtiller/table/sheet.py
+++ b/src/pondtiller/table/sheet.py
@@ -191,7 +191,7 @@
     """Return a validation error as one line with each field and reason."""
     parts: list[str] = []
     for item in error.errors():
-        place = ".".join(str(step) for step in item["loc"]) or "row"
+        place = ".".join(str(step) for step in item["loc"]) or "value"
         parts.append(f"{place}: {item['msg']}")
     return "; ".join(parts)
 
