Measure control costs by size, on sockets and simulated; compare views by digest

Cause: at 80 members a daemon sent 1,103 bytes a second and spent 0.73% of a core, both growing with the group: whole views were exchanged every 30 s, rumors of the start were still going round, and every poll of an idle engine woke the dispatcher. Change: views are compared by digest and sent only where they differ; fewer repeats of a rumor, since the digest catches what is missed; idle daemons poll engines every 3 s.

--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -6,6 +6,7 @@
 from pondtiller.cli.demo import DemoCommand
 from pondtiller.cli.emulate import EmulateCommand
 from pondtiller.cli.load import LoadCommand
+from pondtiller.cli.scale import ScaleCommand
 from pondtiller.cli.serve import ServeCommand
 from pondtiller.cli.simulate import SimulateCommand
 from pondtiller.cli.table import (
@@ -30,6 +31,7 @@
         DemoCommand(),
         SimulateCommand(),
         LoadCommand(),
+        ScaleCommand(),
         TableShowCommand(),
         TableSetCommand(),
         TableApplyCommand(),
--- a/src/pondtiller/coordination/member.py
+++ b/src/pondtiller/coordination/member.py
@@ -4,6 +4,7 @@
 from enum import IntEnum
 
 from pondtiller import wire
+from pondtiller.hashing import score
 
 
 class MemberStatus(IntEnum):
@@ -52,6 +53,13 @@
         """Whether the member may be given a duty."""
         return self.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
+    @property
+    def digest(self) -> int:
+        """64-bit digest of the statement; 0 for a dead member, so that it equals no member."""
+        if self.status is MemberStatus.DEAD:
+            return 0
+        return score(self.name, f"{self.incarnation}/{self.refutation}/{self.status}")
+
     def to_wire(self) -> wire.Member:
         """Return the message for this statement."""
         return wire.Member(
--- a/src/pondtiller/coordination/membership.py
+++ b/src/pondtiller/coordination/membership.py
@@ -27,7 +27,7 @@
     forget_dead_seconds: float = 7200.0
     indirect_probes: int = 3
     updates_a_message: int = 8
-    retransmit_factor: float = 3.0
+    retransmit_factor: float = 2.0
     rumor_fanout: int = 3
 
 
@@ -79,10 +79,12 @@
         self._outputs: list[Outbound] = []
         self._changes: list[MemberChanged] = []
         self._full_sync: set[str] = set()
+        self._compare_with: set[str] = set()
         self._live: list[str] | None = None
+        self._view_digest = member.digest
         for seed in seeds:
             if seed.name != member.name:
-                self.members[seed.name] = seed
+                self._store(seed)
                 self._full_sync.add(seed.name)
         self._deadlines.set(("probe", ""), 0.0)
         self._deadlines.set(("reconnect", ""), settings.reconnect_seconds)
@@ -121,8 +123,7 @@
 
     def leave(self) -> None:
         """Announce that this member takes no new work."""
-        self.members[self.name] = replace(self.this_member, status=MemberStatus.LEAVING)
-        self._live = None
+        self._store(replace(self.this_member, status=MemberStatus.LEAVING))
         self._queue_update(self.name)
         self._send_rumors()
 
@@ -265,7 +266,6 @@
         member = self.members.get(name)
         if member is not None and member.status is MemberStatus.DEAD:
             del self.members[name]
-            self._live = None
             self._sends_left.pop(name, None)
 
     def _probe_dead(self, now: float) -> None:
@@ -282,11 +282,33 @@
             self._start_probe(target, now)
 
     def _synchronize(self, now: float) -> None:
+        """Compare views with one member; the whole view is sent only where they differ."""
         self._deadlines.set(("synchronize", ""), now + self.settings.synchronize_seconds)
         for target in self.random_live(1):
-            self._full_sync.add(target)
+            self._compare_with.add(target)
             self._start_probe(target, now)
 
+    def digest_for(self, target: str) -> int:
+        """Return the digest of the view where `target` shall compare it, else 0."""
+        if target not in self._compare_with:
+            return 0
+        self._compare_with.discard(target)
+        return self._view_digest
+
+    def receive_digest(self, sender: str, digest: int) -> None:
+        """Send the whole view to a member whose view differs, and ask for its own."""
+        if digest not in (0, self._view_digest):
+            self._full_sync.add(sender)
+            self._compare_with.add(sender)
+
+    def _store(self, member: Member) -> None:
+        known = self.members.get(member.name)
+        if known is not None:
+            self._view_digest ^= known.digest
+        self._view_digest ^= member.digest
+        self.members[member.name] = member
+        self._live = None
+
     def _merge(self, update: Member, now: float) -> None:
         if update.name == self.name:
             self._refute(update)
@@ -296,8 +318,7 @@
             return
         if known is not None and update.precedence <= known.precedence:
             return
-        self.members[update.name] = update
-        self._live = None
+        self._store(update)
         self._changes.append(MemberChanged(update))
         self._queue_update(update.name)
         self._schedule_status(update, now)
@@ -315,7 +336,7 @@
         mine = self.this_member
         if update.incarnation != mine.incarnation or update.precedence <= mine.precedence:
             return
-        self.members[self.name] = replace(mine, refutation=update.refutation + 1)
+        self._store(replace(mine, refutation=update.refutation + 1))
         self._queue_update(self.name)
         self._send_rumors()
 
--- a/src/pondtiller/coordination/tests/test_membership.py
+++ b/src/pondtiller/coordination/tests/test_membership.py
@@ -47,6 +47,7 @@
         source, target = self.nodes[sender], self.nodes[output.target]
         target.note_sender(sender, source.this_member.incarnation)
         target.receive_updates(sender, source.updates_for(output.target), self.now)
+        target.receive_digest(sender, source.digest_for(output.target))
         target.receive(sender, output.message, self.now)
 
     def views(self):
@@ -123,3 +124,13 @@
         group.run(20)
         counts[size] = sent / size
     assert counts[25] <= counts[5] * 1.3
+
+
+def test_views_that_differ_are_found_by_their_digest():
+    group = Group(NAMES)
+    group.run(5)
+    lost = group.nodes["m4"].members.pop("m5")
+    group.nodes["m4"]._view_digest ^= lost.digest
+    group.nodes["m4"]._live = None
+    group.run(90)
+    assert "m5" in group.nodes["m4"].live_names()
--- a/src/pondtiller/daemon/process.py
+++ b/src/pondtiller/daemon/process.py
@@ -59,8 +59,8 @@
         if settings.data_folder is not None:
             self._journal = Journal(settings.data_folder, incarnation)
         self.world = self._build_world(incarnation)
-        self._peers = PeerTransport(self.sockets.datagrams, self.sockets.peer_listener)
-        self.runtime = Runtime(self.world, self._peers, self._journal)
+        self.peers = PeerTransport(self.sockets.datagrams, self.sockets.peer_listener)
+        self.runtime = Runtime(self.world, self.peers, self._journal)
         self._connect_clients()
         self._callers = CallerApi(self.runtime)
         self._trainers = TrainerApi(self.runtime)
@@ -114,13 +114,21 @@
 
     async def run(self) -> None:
         """Serve until `stop` has been asked for and nothing is in progress any more."""
+        await self._run(with_http=True)
+
+    async def run_hollow(self) -> None:
+        """Take part in everything but callers' and trainers' HTTP; for scale runs."""
+        await self._run(with_http=False)
+
+    async def _run(self, with_http: bool) -> None:
         logs.write(self.settings.name, "started")
         receive = self.runtime.receive_letter
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self.runtime.run)
-            await group.spawn(self._peers.receive_datagrams, receive)
-            await group.spawn(self._peers.receive_connections, receive)
-            await group.spawn(serve_http, self.sockets.http_listener, self._handle)
+            await group.spawn(self.peers.receive_datagrams, receive)
+            await group.spawn(self.peers.receive_connections, receive)
+            if with_http:
+                await group.spawn(serve_http, self.sockets.http_listener, self._handle)
             await group.spawn(self._wait_drained)
         if self._journal is not None:
             self._journal.close()
@@ -155,7 +163,7 @@
         if path == "/readyz":
             return self._readiness()
         if path == "/metrics":
-            body = metrics.render(self.runtime, self._peers)
+            body = metrics.render(self.runtime, self.peers)
             return HttpResponse(200, body, "text/plain; version=0.0.4; charset=utf-8")
         if path == "/v1/models":
             return self._models()
--- a/src/pondtiller/simulation/cluster.py
+++ b/src/pondtiller/simulation/cluster.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from pondtiller.config.deployment import Deployment
@@ -42,12 +43,18 @@
         Switches; all on except in tests that show what a mechanism prevents.
     with_load
         Whether callers and trainers run.
+    count_bytes
+        Whether messages are encoded and decoded to count their bytes.
+    processor_clock
+        Clock by which daemons' processor time is measured; None measures nothing and
+        keeps the run's report the same on every machine.
     """
 
     seed: int
     mechanisms: Mechanisms = field(default_factory=Mechanisms)
     with_load: bool = True
     count_bytes: bool = False
+    processor_clock: Callable[[], float] | None = None
     shard_count: int = 4
 
 
@@ -73,6 +80,7 @@
             self.engines,
             on_table=self._note_in_force,
             count_bytes=settings.count_bytes,
+            processor_clock=settings.processor_clock,
         )
         self._write_first_documents()
         self._build_daemons()
--- a/src/pondtiller/simulation/daemon.py
+++ b/src/pondtiller/simulation/daemon.py
@@ -42,7 +42,7 @@
 from pondtiller.simulation.scheduler import Scheduler
 from pondtiller.systems.tick import next_wakeup, tick
 from pondtiller.table.sheet import DOCUMENT_NAME
-from pondtiller.wire.envelope import encode
+from pondtiller.wire.envelope import Letter, decode, encode
 
 SCORE_SECONDS = 0.05
 
@@ -60,11 +60,14 @@
         Letters sent to peers; bytes are counted only where the run asks for it.
     ticks
         Times that the systems ran.
+    busy_seconds
+        Processor time of ticks, encoding and decoding, where the run asks for it.
     """
 
     messages: int = 0
     bytes_sent: int = 0
     ticks: int = 0
+    busy_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -79,6 +82,7 @@
     on_table: Callable[[str, int], None] | None = None
     on_log: Callable[[str, LogEvent], None] | None = None
     count_bytes: bool = False
+    processor_clock: Callable[[], float] | None = None
 
 
 class DaemonNode:
@@ -233,7 +237,9 @@
         now = self.around.scheduler.now
         self._wakeup = None
         self.costs.ticks += 1
+        started = self._processor_seconds()
         tick(self.world, now)
+        self.costs.busy_seconds += self._processor_seconds() - started
         for instruction in self.world.take_outbox():
             self._carry_out(instruction)
         self._note_table()
@@ -274,14 +280,28 @@
 
     def _send_peer(self, instruction: SendPeer) -> None:
         self.costs.messages += 1
-        if self.around.count_bytes:
-            self.costs.bytes_sent += len(encode(instruction.letter))
         target = self.around.daemons.get(instruction.target)
         if target is None:
             return
+        if self.around.count_bytes:
+            self._count_bytes(target, instruction.letter)
         event = LetterArrived(instruction.letter)
         self.around.network.datagram(self.zone, target.zone, lambda: target.deliver(event))
 
+    def _count_bytes(self, target: "DaemonNode", letter: Letter) -> None:
+        """Encode a letter and decode it again, as the daemon's driver would."""
+        started = self._processor_seconds()
+        data = encode(letter)
+        encoded = self._processor_seconds()
+        decode(data)
+        self.costs.bytes_sent += len(data)
+        self.costs.busy_seconds += encoded - started
+        target.costs.busy_seconds += self._processor_seconds() - encoded
+
+    def _processor_seconds(self) -> float:
+        clock = self.around.processor_clock
+        return clock() if clock is not None else 0.0
+
     def _use_engine(
         self, instruction: StartAttempt | CancelAttempt | PollEngine | OrderEngine
     ) -> None:
--- a/src/pondtiller/systems/fleet.py
+++ b/src/pondtiller/systems/fleet.py
@@ -56,13 +56,20 @@
         return
     names = {entry.name for entry in listed}
     for name in [name for name in world.engines if name not in names]:
-        # Its attempts go on: the list lags, and a lost engine shows itself by its stream.
-        world.engines[name].leaving = True
+        _forget_unlisted(world, name)
     for entry in listed:
         _adopt_engine(world, entry)
     _choose_subset(world, document.adopted_at)
 
 
+def _forget_unlisted(world: World, name: str) -> None:
+    """Give no new work to an engine that left the list; forget it once it has none."""
+    world.engines[name].leaving = True
+    world.leaving_engines.pop(name, None)
+    if world.engines[name].own == 0:
+        del world.engines[name]
+
+
 def _adopt_engine(world: World, entry: FleetEngine) -> None:
     known = world.engines.get(entry.name)
     if known is None or known.generation != entry.generation:
@@ -108,8 +115,10 @@
     if engine is None or not is_used:
         return
     world.do(PollEngine(name, engine.address))
-    jitter = world.source.uniform(0.8, 1.2)
-    world.set_timer(TimerKind.POLL_ENGINE, now + constants.ENGINE_POLL_SECONDS * jitter, name)
+    is_busy = bool(world.requests) or engine.reported_at is None or name in world.duties
+    seconds = constants.ENGINE_POLL_SECONDS if is_busy else constants.IDLE_POLL_SECONDS
+    due = now + seconds * world.source.uniform(0.8, 1.2)
+    world.set_timer(TimerKind.POLL_ENGINE, due, name)
 
 
 def _take_report(world: World, report: EngineReported, now: float) -> None:
@@ -128,7 +137,7 @@
         note_version(world, each.model, each.version, now)
     if report.leaving:
         note_leaving(world, engine.name, engine.generation)
-    if not world.timer_is_set(TimerKind.DISPATCH):
+    if world.queue and not world.timer_is_set(TimerKind.DISPATCH):
         world.set_timer(TimerKind.DISPATCH, now)
 
 
--- a/src/pondtiller/systems/peers.py
+++ b/src/pondtiller/systems/peers.py
@@ -87,6 +87,7 @@
 
 def _receive_gossip(world: World, sender: str, gossip: wire.Gossip, now: float) -> None:
     world.membership.receive_updates(sender, gossip.members, now)
+    world.membership.receive_digest(sender, gossip.view_digest)
     world.documents.receive_digests(sender, gossip.documents, now)
     for version in gossip.versions:
         note_version(world, version.model, version.version, now)
@@ -107,11 +108,13 @@
     """Learn that an engine leaves; news are passed on at once."""
     if not world.mechanisms.leaving_marks:
         return
+    known = world.engines.get(engine)
+    if known is None or known.generation > generation:
+        # Not in the list of machines, or an earlier life of it: nothing to keep.
+        return
     if generation > world.leaving_engines.get(engine, -1):
         world.leaving_engines[engine] = generation
-        known = world.engines.get(engine)
-        if known is not None and known.generation <= generation:
-            known.leaving = True
+        known.leaving = True
         spread(world)
 
 
@@ -164,6 +167,7 @@
 def _gossip(world: World, target: str) -> wire.Gossip:
     return wire.Gossip(
         members=world.membership.updates_for(target),
+        view_digest=world.membership.digest_for(target),
         documents=world.documents.digests(),
         versions=[
             wire.ModelVersion(model=model, version=version)
--- a/src/pondtiller/wire/pondtiller/__init__.py
+++ b/src/pondtiller/wire/pondtiller/__init__.py
@@ -85,6 +85,10 @@
     documents: List["DocumentDigest"] = betterproto.message_field(2)
     versions: List["ModelVersion"] = betterproto.message_field(3)
     leaving_engines: List["EngineMark"] = betterproto.message_field(4)
+    view_digest: int = betterproto.fixed64_field(5)
+    """
+    Digest of the sender's view of all members, now and then; 0 where it is not said.
+    """
 
 
 @dataclass(eq=False, repr=False)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -31,7 +31,7 @@
     "time",
     "uuid",
 }
-DRIVERS = {"daemon", "httpio", "simulation", "cli", "demo", "config"}
+DRIVERS = {"daemon", "httpio", "simulation", "cli", "demo", "scale", "config"}
 GLOBAL_RANDOM = {"random", "choice", "uniform", "shuffle", "sample", "randint", "getrandbits"}
 
 
