Keep gossip encoded, doubt oneself before others, and compare policies by experiment

Cause: forty hollow daemons in one process saturated its thread and never left that state: 5,407 bytes/s and 0.9 ticks/s a daemon, the thread busy with decoding gossip that everyone held already, probes late for it, suspicions that made more gossip. Change: statements and facts travel as bytes that a receiver compares before it reads them; a member whose own probes fail stretches its timeouts (after Lifeguard). The membership test of a cut waits 60 s longer for the cut member to give up the others, since it now doubts itself first.

--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -5,6 +5,7 @@
 from pondtiller.cli.check import CheckCommand
 from pondtiller.cli.demo import DemoCommand
 from pondtiller.cli.emulate import EmulateCommand
+from pondtiller.cli.experiment import ExperimentCommand
 from pondtiller.cli.load import LoadCommand
 from pondtiller.cli.scale import ScaleCommand
 from pondtiller.cli.serve import ServeCommand
@@ -31,6 +32,7 @@
         DemoCommand(),
         SimulateCommand(),
         LoadCommand(),
+        ExperimentCommand(),
         ScaleCommand(),
         TableShowCommand(),
         TableSetCommand(),
--- a/src/pondtiller/coordination/documents.py
+++ b/src/pondtiller/coordination/documents.py
@@ -36,7 +36,7 @@
 
 
 class DocumentReplica:
-    """One member's copies of all documents.
+    """One member's copies of all documents; `adoptions` counts what was taken.
 
     Parameters
     ----------
@@ -51,7 +51,7 @@
         self._pulled_at: dict[tuple[str, str], float] = {}
         self._outputs: list[Outbound] = []
         self._adopted: list[Document] = []
-        self._digests: list[wire.DocumentDigest] | None = None
+        self.adoptions = 0
 
     def revision(self, name: str) -> int:
         """Return the revision held, 0 where there is none."""
@@ -70,18 +70,16 @@
             return False
         document = Document(name, revision, body, now)
         self.documents[name] = document
-        self._digests = None
+        self.adoptions += 1
         self._adopted.append(document)
         return True
 
     def digests(self) -> list[wire.DocumentDigest]:
         """Return what to carry on gossip: names and revisions, no bodies."""
-        if self._digests is None:
-            self._digests = [
-                wire.DocumentDigest(name=document.name, revision=document.revision)
-                for document in self.documents.values()
-            ]
-        return self._digests
+        return [
+            wire.DocumentDigest(name=name, revision=self.documents[name].revision)
+            for name in sorted(self.documents)
+        ]
 
     def receive_digests(self, sender: str, digests: list[wire.DocumentDigest], now: float) -> None:
         """Pull from `sender` what it holds and this replica lacks."""
--- a/src/pondtiller/coordination/member.py
+++ b/src/pondtiller/coordination/member.py
@@ -60,9 +60,9 @@
             return 0
         return score(self.name, f"{self.incarnation}/{self.refutation}/{self.status}")
 
-    def to_wire(self) -> wire.Member:
-        """Return the message for this statement."""
-        return wire.Member(
+    def encode(self) -> bytes:
+        """Return the statement as bytes for gossip."""
+        message = wire.Member(
             name=self.name,
             zone=self.zone,
             host=self.host,
@@ -73,13 +73,16 @@
             refutation=self.refutation,
             storage=self.storage,
         )
+        return bytes(message)
 
     @classmethod
-    def from_wire(cls, message: wire.Member) -> "Member | None":
-        """Return the statement in a message, or None where its status is not known here."""
+    def decode(cls, data: bytes) -> "Member | None":
+        """Return the statement in `data`, or None where it is none that is known here."""
         try:
+            message = wire.Member().parse(data)
             status = MemberStatus(int(message.status))
-        except ValueError:
+        except Exception:
+            # The decoder raises many kinds; whatever came is no statement of ours.
             return None
         return cls(
             name=message.name,
--- a/src/pondtiller/coordination/membership.py
+++ b/src/pondtiller/coordination/membership.py
@@ -29,6 +29,7 @@
     updates_a_message: int = 8
     retransmit_factor: float = 2.0
     rumor_fanout: int = 3
+    worst_health: int = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +83,9 @@
         self._compare_with: set[str] = set()
         self._live: list[str] | None = None
         self._view_digest = member.digest
+        self._encoded: dict[str, bytes] = {member.name: member.encode()}
+        self._held: set[bytes] = set(self._encoded.values())
+        self._health = 0
         for seed in seeds:
             if seed.name != member.name:
                 self._store(seed)
@@ -137,25 +141,25 @@
         others = [name for name in self.live_names() if name != self.name]
         return self._source.sample(others, min(count, len(others)))
 
-    def updates_for(self, target: str) -> list[wire.Member]:
-        """Return the member updates to carry on a message to `target`."""
+    def updates_for(self, target: str) -> list[bytes]:
+        """Return the encoded statements to carry on a message to `target`."""
         if target in self._full_sync:
             self._full_sync.discard(target)
-            return [member.to_wire() for member in self.members.values()]
+            return list(self._encoded.values())
         fresh = sorted(self._sends_left, key=lambda name: -self._sends_left[name])
         chosen = fresh[: self.settings.updates_a_message]
         for name in chosen:
             self._sends_left[name] -= 1
             if self._sends_left[name] <= 0:
                 del self._sends_left[name]
-        return [self.members[name].to_wire() for name in chosen]
+        return [self._encoded[name] for name in chosen]
 
-    def receive_updates(self, sender: str, updates: list[wire.Member], now: float) -> None:
-        """Merge what `sender` says about members."""
+    def receive_updates(self, sender: str, updates: list[bytes], now: float) -> None:
+        """Merge what `sender` says about members; statements held already are not read."""
         if sender not in self.members:
             self._full_sync.add(sender)
-        for message in updates:
-            update = Member.from_wire(message)
+        for data in updates:
+            update = None if data in self._held else Member.decode(data)
             if update is not None:
                 self._merge(update, now)
 
@@ -222,9 +226,10 @@
         self._probes[self._sequence] = _Probe(target, requester, requester_sequence)
         self._send(target, wire.Ping(sequence=self._sequence))
         if requester is None:
-            due = now + self.settings.acknowledge_seconds
+            due = now + self.settings.acknowledge_seconds * self._patience()
             self._deadlines.set(("indirect", self._sequence), due)
-        self._deadlines.set(("unanswered", self._sequence), now + self.settings.probe_seconds)
+        due = now + self.settings.probe_seconds * self._patience()
+        self._deadlines.set(("unanswered", self._sequence), due)
 
     def _ask_others(self, sequence: int) -> None:
         probe = self._probes.get(sequence)
@@ -239,13 +244,17 @@
         probe = self._probes.pop(message.sequence, None)
         self._deadlines.clear(("indirect", message.sequence))
         self._deadlines.clear(("unanswered", message.sequence))
-        if probe is not None and probe.requester is not None:
+        if probe is None:
+            return
+        self._health = max(0, self._health - 1)
+        if probe.requester is not None:
             self._send(probe.requester, wire.Ack(sequence=probe.requester_sequence))
 
     def _end_probe(self, sequence: int, now: float) -> None:
         probe = self._probes.pop(sequence, None)
         if probe is None or probe.requester is not None:
             return
+        self._health = min(self.settings.worst_health, self._health + 1)
         member = self.members.get(probe.target)
         if member is not None and member.status in (
             MemberStatus.ALIVE,
@@ -255,7 +264,16 @@
 
     def _suspicion_seconds(self) -> float:
         scale = max(1.0, math.log10(len(self.members) + 1))
-        return self.settings.suspicion_periods * scale * self.settings.probe_seconds
+        periods = self.settings.suspicion_periods * scale
+        return periods * self.settings.probe_seconds * self._patience()
+
+    def _patience(self) -> int:
+        """Return by how much to stretch timeouts.
+
+        A member whose probes keep failing is more likely slow or cut off itself than all
+        others dead, so it accuses later (after Lifeguard).
+        """
+        return 1 + self._health
 
     def _declare_dead(self, name: str, now: float) -> None:
         member = self.members.get(name)
@@ -266,6 +284,7 @@
         member = self.members.get(name)
         if member is not None and member.status is MemberStatus.DEAD:
             del self.members[name]
+            self._held.discard(self._encoded.pop(name))
             self._sends_left.pop(name, None)
 
     def _probe_dead(self, now: float) -> None:
@@ -306,6 +325,9 @@
         if known is not None:
             self._view_digest ^= known.digest
         self._view_digest ^= member.digest
+        self._held.discard(self._encoded.get(member.name, b""))
+        self._encoded[member.name] = member.encode()
+        self._held.add(self._encoded[member.name])
         self.members[member.name] = member
         self._live = None
 
--- a/src/pondtiller/coordination/tests/test_membership.py
+++ b/src/pondtiller/coordination/tests/test_membership.py
@@ -80,6 +80,8 @@
     group.cut = {"m2"}
     group.run(20)
     assert "m2" not in group.nodes["m0"].live_names()
+    # A member whose every probe fails doubts itself first and accuses later.
+    group.run(60)
     assert group.nodes["m2"].live_names() == ["m2"]
     group.cut = set()
     group.run(40)
@@ -131,6 +133,7 @@
     group.run(5)
     lost = group.nodes["m4"].members.pop("m5")
     group.nodes["m4"]._view_digest ^= lost.digest
+    group.nodes["m4"]._held.discard(group.nodes["m4"]._encoded.pop("m5"))
     group.nodes["m4"]._live = None
     group.run(90)
     assert "m5" in group.nodes["m4"].live_names()
--- a/src/pondtiller/core/world.py
+++ b/src/pondtiller/core/world.py
@@ -31,9 +31,11 @@
     StepKey,
 )
 from pondtiller.core.instructions import EngineOrder, Instruction, LogEvent, LogField, WriteStore
+from pondtiller.core.routing_policy import RoutingPolicy
 from pondtiller.table.sheet import Row, Sheet
 
 EventType = TypeVar("EventType")
+FactsBasis = tuple[int, int, int, tuple[tuple[str, int], ...]]
 OutcomeHandler = Callable[["World", RegisterOutcome, float], None]
 
 
@@ -111,6 +113,7 @@
     shard_count: int = 4
     replica_count: int = 5
     mechanisms: Mechanisms = field(default_factory=Mechanisms)
+    routing_policy: RoutingPolicy = RoutingPolicy.FAIR_TWO_CHOICES
 
 
 class Batch:
@@ -179,6 +182,14 @@
     wait_until: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class PrefixHint:
+    """Engine to which a prompt's beginning was sent last, and when."""
+
+    engine: str
+    at: float
+
+
 @dataclass(slots=True)
 class MemberReport:
     """Latest status report of a member, kept by the zone's status writer."""
@@ -239,7 +250,9 @@
         self.subset: list[str] = []
         self.model_versions: dict[str, int] = {}
         self.leaving_engines: dict[str, int] = {}
-        self.prefix_hints: dict[int, tuple[str, float]] = {}
+        self.facts_basis: FactsBasis | None = None
+        self.facts = b""
+        self.prefix_hints: dict[int, PrefixHint] = {}
         self.duties: dict[str, EngineDuty] = {}
         self.duties_basis: tuple[tuple[str, ...], tuple[str, ...]] | None = None
         self.version_learned_at: dict[str, float] = {}
--- a/src/pondtiller/emulator/engine.py
+++ b/src/pondtiller/emulator/engine.py
@@ -103,7 +103,6 @@
     length: int
     generated: int
     arrival: int
-    ready_at: float = 0.0
     prefilled: bool = False
     last_sent_at: float = 0.0
 
@@ -155,6 +154,8 @@
     _waiting: list[_Work] = field(default_factory=list)
     _arrivals: int = 0
     _step_at: float | None = None
+    _in_step: set[str] = field(default_factory=set)
+    _unread_tokens: int = 0
     _orders: list[_PendingOrder] = field(default_factory=list)
     _paused_until: float = 0.0
     _cache: "OrderedDict[str, int]" = field(default_factory=OrderedDict)
@@ -273,9 +274,17 @@
             if len(self._running) >= self.settings.slots and not self._preempt_for(first):
                 break
             self._waiting.remove(first)
-            self._start(first, now)
-        if self._running and self._step_at is None:
-            self._step_at = now + self._step_length()
+            self._start(first)
+        self._begin_step(now)
+
+    def _begin_step(self, now: float) -> None:
+        """Begin a step with all that run now; who comes later joins the next one."""
+        if not self._running or self._step_at is not None:
+            return
+        reading = self._unread_tokens / self.settings.prefill_tokens_a_second
+        self._unread_tokens = 0
+        self._in_step = set(self._running)
+        self._step_at = now + self._step_length() + reading
 
     def _preempt_for(self, work: _Work) -> bool:
         victim = min(
@@ -289,12 +298,11 @@
         self.counts.preemptions += 1
         return True
 
-    def _start(self, work: _Work, now: float) -> None:
+    def _start(self, work: _Work) -> None:
         self._running[work.request.request_id] = work
         if not work.prefilled:
             work.prefilled = True
-            uncached = self._read_prompt(work.request.prompt) + work.generated
-            work.ready_at = now + uncached / self.settings.prefill_tokens_a_second
+            self._unread_tokens += self._read_prompt(work.request.prompt) + work.generated
 
     def _read_prompt(self, prompt: str) -> int:
         """Return how many prompt tokens are not in the prefix cache, and cache them."""
@@ -322,12 +330,10 @@
         if now >= self._paused_until and not self.broken:
             self.counts.busy_seconds += self._step_length()
             for work in list(self._running.values()):
-                if work.ready_at <= now:
+                if work.request.request_id in self._in_step:
                     outputs.append(self._generate(work, now))
         outputs.extend(self._keep_alive(now))
         self._admit(now)
-        if self._running:
-            self._step_at = now + self._step_length()
         self._note_load(now)
         return outputs
 
--- a/src/pondtiller/scale/simulated.py
+++ b/src/pondtiller/scale/simulated.py
@@ -9,7 +9,8 @@
 from pondtiller.config.deployment import Deployment, EngineGroup, Latencies, WeightSection
 from pondtiller.core.events import VersionPublished
 from pondtiller.scale.memory import resident_bytes
-from pondtiller.simulation.cluster import Cluster, ClusterSettings
+from pondtiller.simulation.cluster import Cluster
+from pondtiller.simulation.cluster_settings import ClusterSettings
 from pondtiller.simulation.measures import table_delays
 from pondtiller.systems.status import quantile
 from pondtiller.table.sheet import Row, RowKind
--- /dev/null
+++ b/src/pondtiller/simulation/cluster_settings.py
@@ -0,0 +1,35 @@
+"""How a simulated cluster is built."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pondtiller.core.routing_policy import RoutingPolicy
+from pondtiller.core.world import Mechanisms
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterSettings:
+    """How a cluster is built.
+
+    Attributes
+    ----------
+    seed
+        Seed of everything that is drawn.
+    mechanisms
+        Switches; all on except in tests that show what a mechanism prevents.
+    with_load
+        Whether callers and trainers run.
+    count_bytes
+        Whether messages are encoded and decoded to count their bytes.
+    processor_clock
+        Clock by which daemons' processor time is measured; None measures nothing and
+        keeps the run's report the same on every machine.
+    """
+
+    seed: int
+    mechanisms: Mechanisms = field(default_factory=Mechanisms)
+    with_load: bool = True
+    count_bytes: bool = False
+    processor_clock: Callable[[], float] | None = None
+    shard_count: int = 4
+    routing_policy: RoutingPolicy = RoutingPolicy.FAIR_TWO_CHOICES
--- a/src/pondtiller/simulation/run.py
+++ b/src/pondtiller/simulation/run.py
@@ -5,9 +5,11 @@
 from pydantic import BaseModel, ConfigDict
 
 from pondtiller.config.deployment import Deployment
+from pondtiller.core.routing_policy import RoutingPolicy
 from pondtiller.core.world import Mechanisms
 from pondtiller.simulation.checks import CheckSettings, Property, Violation, check_all
-from pondtiller.simulation.cluster import Cluster, ClusterSettings
+from pondtiller.simulation.cluster import Cluster
+from pondtiller.simulation.cluster_settings import ClusterSettings
 from pondtiller.simulation.faults import CrashDaemon, CutZones, Fault, PauseDaemon, StoreOutage
 from pondtiller.simulation.faults import schedule as schedule_faults
 from pondtiller.simulation.measures import Measures, measure
@@ -32,6 +34,7 @@
     seed: int
     seconds: float = 180.0
     count_bytes: bool = False
+    routing_policy: RoutingPolicy = RoutingPolicy.FAIR_TWO_CHOICES
 
 
 class FoundViolation(BaseModel):
@@ -68,6 +71,7 @@
             seed=settings.seed,
             mechanisms=mechanisms or Mechanisms(),
             count_bytes=settings.count_bytes,
+            routing_policy=settings.routing_policy,
         ),
     )
     return run_faults(cluster, settings, faults)
--- a/src/pondtiller/simulation/tests/test_checks.py
+++ b/src/pondtiller/simulation/tests/test_checks.py
@@ -7,7 +7,8 @@
 from pondtiller.config.deployment import load_deployment
 from pondtiller.core.world import Mechanisms
 from pondtiller.simulation.checks import Property
-from pondtiller.simulation.cluster import Cluster, ClusterSettings
+from pondtiller.simulation.cluster import Cluster
+from pondtiller.simulation.cluster_settings import ClusterSettings
 from pondtiller.simulation.faults import (
     CrashDaemon,
     CrashEngine,
--- a/src/pondtiller/systems/dispatch.py
+++ b/src/pondtiller/systems/dispatch.py
@@ -4,8 +4,8 @@
 from pondtiller.core.entities import Attempt, Engine, Request, RequestState
 from pondtiller.core.events import RequestQueued
 from pondtiller.core.instructions import EngineRequest, StartAttempt
-from pondtiller.core.world import TimerKind, World
-from pondtiller.hashing import score
+from pondtiller.core.world import PrefixHint, TimerKind, World
+from pondtiller.systems import policies
 from pondtiller.systems.fleet import is_usable
 
 RETRY_SECONDS = 0.25
@@ -36,7 +36,8 @@
 
 
 def choose_engine(world: World, request: Request, now: float) -> Engine | None:
-    """Return the better of two engines drawn among those with room, or None."""
+    """Return the engine for a request by the policy in force, or None where none is able."""
+    policy = world.settings.routing_policy
     model = request.spec.model
     is_urgent = request.priority >= constants.URGENT_PRIORITY
     able: list[Engine] = []
@@ -46,15 +47,13 @@
             continue
         if engine.versions.get(model, 0) < request.spec.minimum_version:
             continue
-        if _has_room(engine, is_urgent):
+        if not policies.needs_room(policy) or _has_room(engine, is_urgent):
             able.append(engine)
     others = [engine for engine in able if engine.name != request.avoid]
     drawn = others or able
     if not drawn:
         return None
-    if len(drawn) > 2:
-        drawn = world.source.sample(drawn, 2)
-    return min(drawn, key=lambda engine: (_cost(world, engine, request, now), engine.name))
+    return policies.pick(world, policy, request, drawn, now)
 
 
 def _has_room(engine: Engine, is_urgent: bool) -> bool:
@@ -63,22 +62,6 @@
     return occupied < engine.slots
 
 
-def _cost(world: World, engine: Engine, request: Request, now: float) -> float:
-    cost = engine.estimate() / engine.slots
-    if engine.zone != world.zone:
-        cost += constants.OTHER_ZONE_PENALTY
-    hint = world.prefix_hints.get(_prefix_key(request))
-    if hint is not None and hint[0] == engine.name:
-        age = now - hint[1]
-        cost -= constants.PREFIX_BONUS * max(0.0, 1 - age / constants.PREFIX_HINT_SECONDS)
-    return cost
-
-
-def _prefix_key(request: Request) -> int:
-    spec = request.spec
-    return score(spec.model, spec.prompt[: constants.PREFIX_HINT_CHARACTERS])
-
-
 def _start(world: World, request: Request, engine: Engine, now: float) -> None:
     spec = request.spec
     is_urgent = request.priority >= constants.URGENT_PRIORITY
@@ -103,7 +86,10 @@
     world.set_timer(TimerKind.ATTEMPT_SILENCE, due, attempt.attempt_id)
     world.do(
         StartAttempt(
-            attempt.attempt_id, engine.name, engine.address, _engine_request(request, attempt)
+            attempt.attempt_id,
+            engine.name,
+            engine.address,
+            _engine_request(world, request, attempt),
         )
     )
 
@@ -119,14 +105,14 @@
             budget.note_first_try()
 
 
-def _engine_request(request: Request, attempt: Attempt) -> EngineRequest:
+def _engine_request(world: World, request: Request, attempt: Attempt) -> EngineRequest:
     spec = request.spec
     return EngineRequest(
         request_id=attempt.attempt_id,
         model=spec.model,
         prompt=spec.prompt,
         maximum_tokens=spec.maximum_tokens,
-        priority=request.priority,
+        priority=policies.engine_priority(world.settings.routing_policy, request),
         resume_text=request.text(),
         resume_tokens=request.token_count,
         minimum_version=spec.minimum_version,
@@ -136,4 +122,4 @@
 def _remember_prefix(world: World, request: Request, engine: Engine, now: float) -> None:
     if len(world.prefix_hints) >= KEPT_HINTS:
         world.prefix_hints.clear()
-    world.prefix_hints[_prefix_key(request)] = (engine.name, now)
+    world.prefix_hints[policies.prefix_key(request)] = PrefixHint(engine.name, now)
--- a/src/pondtiller/systems/peers.py
+++ b/src/pondtiller/systems/peers.py
@@ -88,10 +88,20 @@
 def _receive_gossip(world: World, sender: str, gossip: wire.Gossip, now: float) -> None:
     world.membership.receive_updates(sender, gossip.members, now)
     world.membership.receive_digest(sender, gossip.view_digest)
-    world.documents.receive_digests(sender, gossip.documents, now)
-    for version in gossip.versions:
+    if gossip.facts != encoded_facts(world):
+        _receive_facts(world, sender, gossip.facts, now)
+
+
+def _receive_facts(world: World, sender: str, data: bytes, now: float) -> None:
+    try:
+        facts = wire.Facts().parse(data)
+    except Exception:
+        # The decoder raises many kinds; whatever came are no facts of ours.
+        return
+    world.documents.receive_digests(sender, facts.documents, now)
+    for version in facts.versions:
         note_version(world, version.model, version.version, now)
-    for mark in gossip.leaving_engines:
+    for mark in facts.leaving_engines:
         note_leaving(world, mark.engine, mark.generation)
 
 
@@ -167,14 +177,34 @@
 def _gossip(world: World, target: str) -> wire.Gossip:
     return wire.Gossip(
         members=world.membership.updates_for(target),
+        facts=encoded_facts(world),
         view_digest=world.membership.digest_for(target),
+    )
+
+
+def encoded_facts(world: World) -> bytes:
+    """Return this daemon's facts, encoded again only where one has changed."""
+    basis = (
+        world.documents.adoptions,
+        sum(world.model_versions.values()),
+        len(world.model_versions),
+        tuple(world.leaving_engines.items()),
+    )
+    if world.facts_basis != basis:
+        world.facts_basis = basis
+        world.facts = bytes(_facts(world))
+    return world.facts
+
+
+def _facts(world: World) -> wire.Facts:
+    return wire.Facts(
         documents=world.documents.digests(),
         versions=[
             wire.ModelVersion(model=model, version=version)
-            for model, version in world.model_versions.items()
+            for model, version in sorted(world.model_versions.items())
         ],
         leaving_engines=[
             wire.EngineMark(engine=engine, generation=generation)
-            for engine, generation in world.leaving_engines.items()
+            for engine, generation in sorted(world.leaving_engines.items())
         ],
     )
--- a/src/pondtiller/wire/pondtiller/__init__.py
+++ b/src/pondtiller/wire/pondtiller/__init__.py
@@ -77,15 +77,29 @@
     generation: int = betterproto.uint64_field(2)
 
 
+@dataclass(eq=False, repr=False)
+class Facts(betterproto.Message):
+    """Facts that only grow, and which every member comes to hold alike."""
+
+    documents: List["DocumentDigest"] = betterproto.message_field(1)
+    versions: List["ModelVersion"] = betterproto.message_field(2)
+    leaving_engines: List["EngineMark"] = betterproto.message_field(3)
+
+
 @dataclass(eq=False, repr=False)
 class Gossip(betterproto.Message):
-    """Facts that only grow, carried on the back of every probe."""
+    """
+    Carried on the back of every probe. What is most often known already stays encoded: a
+     receiver that holds the same bytes need not read them.
+    """
+
+    members: List[bytes] = betterproto.bytes_field(1)
+    """Each an encoded `Member`."""
+
+    facts: bytes = betterproto.bytes_field(2)
+    """Encoded `Facts`."""
 
-    members: List["Member"] = betterproto.message_field(1)
-    documents: List["DocumentDigest"] = betterproto.message_field(2)
-    versions: List["ModelVersion"] = betterproto.message_field(3)
-    leaving_engines: List["EngineMark"] = betterproto.message_field(4)
-    view_digest: int = betterproto.fixed64_field(5)
+    view_digest: int = betterproto.fixed64_field(3)
     """
     Digest of the sender's view of all members, now and then; 0 where it is not said.
     """
