--- a/src/pondtiller/cli/emulate.py
+++ b/src/pondtiller/cli/emulate.py
@@ -9,6 +9,7 @@
 
 from pondtiller.cli.common import EXIT_OK, bad_option, print_problems, read_number
 from pondtiller.config.deployment import load_deployment
+from pondtiller.daemon import logs
 from pondtiller.daemon.signals import wait_for_stop
 from pondtiller.emulator.server import Emulator, build_emulator
 
@@ -44,6 +45,7 @@
                 for name, server in emulator.engines.items():
                     self.line(f"engine {name}: {server.address.host}:{server.address.port}")
                 sys.stdout.flush()
+                logs.set_up("error")
                 curio.run(_run, emulator)
         return EXIT_OK
 
--- a/src/pondtiller/demo/run.py
+++ b/src/pondtiller/demo/run.py
@@ -16,8 +16,9 @@
 from pondtiller.daemon.signals import wait_for_stop
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.demo.load import LiveLoad
+from pondtiller.emulator.engine_server import EngineServer
 from pondtiller.emulator.fleet import trainer_settings
-from pondtiller.emulator.server import Emulator, EngineServer, build_emulator
+from pondtiller.emulator.server import Emulator, build_emulator
 from pondtiller.emulator.trainer import TrainerModel
 from pondtiller.emulator.trainer_client import TrainerClient
 from pondtiller.simulation.checks import CheckSettings, Violation, check_all
--- a/src/pondtiller/emulator/engine.py
+++ b/src/pondtiller/emulator/engine.py
@@ -191,10 +191,14 @@
             return Submission.UNKNOWN_MODEL
         if self.versions.get(request.model, 0) < request.minimum_version:
             return Submission.OLD_WEIGHTS
-        if len(self._waiting) >= self.settings.slots * QUEUE_FACTOR:
+        if self._queued_before(request) >= self.settings.slots * QUEUE_FACTOR:
             return Submission.BUSY
         return None
 
+    def _queued_before(self, request: EngineRequest) -> int:
+        """Return how many waiting requests are at least as urgent."""
+        return sum(1 for work in self._waiting if work.request.priority >= request.priority)
+
     def cancel(self, request_id: str, now: float) -> None:
         """Drop a request; an unknown one is no error."""
         self._running.pop(request_id, None)
--- a/src/pondtiller/systems/steps.py
+++ b/src/pondtiller/systems/steps.py
@@ -8,23 +8,17 @@
 from pondtiller.core import constants
 from pondtiller.core.entities import (
     Address,
-    Request,
-    RequestSpec,
     Sample,
     SamplePoll,
     Slot,
-    SlotKey,
     SlotState,
     Step,
     StepKey,
 )
 from pondtiller.core.events import (
-    RequestFinished,
-    RolloutStarted,
     SampleCommitted,
     SamplesAcknowledged,
     SamplesRead,
-    ScoreArrived,
     StepOpened,
     TrainerLeft,
     VersionPublished,
@@ -34,32 +28,22 @@
     AnswerTrainer,
     FailTrainer,
     RedirectTrainer,
-    ScoreSample,
 )
-from pondtiller.core.tokens import oldest_version
 from pondtiller.core.world import TimerKind, World
 from pondtiller.errors import ErrorKind, Failure
 from pondtiller.hashing import digest, owner
-from pondtiller.systems import lifecycle
+from pondtiller.systems import slots
 from pondtiller.systems.peers import note_version
-from pondtiller.table.sheet import Row, RowKind
 
 IDLE_STEP_SECONDS = 60.0
-SCORE_AGAIN_SECONDS = 0.5
 
 
 def run(world: World, now: float) -> None:
-    """Open steps, fill slots, score, commit and answer the trainers' reads."""
+    """Open steps, answer the trainers' reads and take their acknowledgements."""
     for published in world.batch.of(VersionPublished):
         _publish(world, published, now)
     for opened in world.batch.of(StepOpened):
         _open(world, opened, now)
-    for finished in world.batch.of(RequestFinished):
-        _take_rollout(world, finished, now)
-    for arrived in world.batch.of(ScoreArrived):
-        _take_score(world, arrived, now)
-    for score_id in world.due_keys(TimerKind.SCORE):
-        _ask_scorer_again(world, score_id, now)
     for acknowledged in world.batch.of(SamplesAcknowledged):
         _acknowledge(world, acknowledged, now)
     for read in world.batch.of(SamplesRead):
@@ -74,21 +58,8 @@
         _drop_idle(world, trainer, now)
 
 
-def trainer_row(world: World, trainer: str) -> Row | None:
-    """Return the trainer's row in the table in force."""
-    return world.sheet.row(RowKind.TRAINER, trainer)
-
-
-def minimum_version(world: World, step: Step) -> int:
-    """Return the oldest weight version that may make a sample of a step."""
-    row = trainer_row(world, step.key.trainer)
-    if row is None or row.staleness_bound is None or not world.mechanisms.staleness_checks:
-        return 0
-    return max(0, step.version - row.staleness_bound)
-
-
 def _publish(world: World, published: VersionPublished, now: float) -> None:
-    row = trainer_row(world, published.trainer)
+    row = slots.trainer_row(world, published.trainer)
     if row is None or row.model is None:
         _fail(world, published.call_id, ErrorKind.UNKNOWN_ROW, f"trainer/{published.trainer}")
         return
@@ -107,7 +78,7 @@
     if known is not None:
         _open_again(world, opened, known, fingerprint)
         return
-    row = trainer_row(world, opened.key.trainer)
+    row = slots.trainer_row(world, opened.key.trainer)
     if not world.ready:
         _fail(world, opened.call_id, ErrorKind.NOT_READY)
     elif row is None or row.model is None:
@@ -158,132 +129,12 @@
     )
     world.steps[opened.key] = step
     for number in range(step.cursor, len(step.slots)):
-        _start_slot(world, step, number, model)
+        slots.start_slot(world, step, number, model)
     world.set_timer(TimerKind.IDLE_STEP, now + IDLE_STEP_SECONDS, opened.key.trainer)
     world.log("step_opened", trainer=opened.key.trainer, step=opened.key.step, version=version)
     world.do(AnswerTrainer(opened.call_id, version, step.cursor))
 
 
-def _start_slot(world: World, step: Step, number: int, model: str) -> None:
-    slot = step.slots[number]
-    slot.state = SlotState.RUNNING
-    slot.tries += 1
-    slot.request_id = world.next_id(f"{step.key.trainer}/{step.key.step}/{number}")
-    world.rollouts[slot.request_id] = SlotKey(step.key, number)
-    spec = RequestSpec(
-        request_id=slot.request_id,
-        row=f"{RowKind.TRAINER.value}/{step.key.trainer}",
-        caller="",
-        model=model,
-        prompt=slot.prompt,
-        maximum_tokens=step.maximum_tokens,
-        stream=False,
-        once=False,
-        idempotency_key="",
-        fingerprint="",
-        minimum_version=minimum_version(world, step),
-        is_rollout=True,
-    )
-    world.emit(RolloutStarted(spec))
-
-
-def _restart_slot(world: World, step: Step, number: int) -> None:
-    row = trainer_row(world, step.key.trainer)
-    if row is not None and row.model is not None:
-        _start_slot(world, step, number, row.model)
-
-
-def _take_rollout(world: World, event: RequestFinished, now: float) -> None:
-    request = event.finished.request
-    place = world.rollouts.pop(request.spec.request_id, None)
-    step = world.steps.get(place.step) if place is not None else None
-    if place is None or step is None:
-        return
-    slot = step.slots[place.slot]
-    if slot.request_id != request.spec.request_id or slot.state is not SlotState.RUNNING:
-        return
-    if event.finished.failure is not None:
-        _restart_slot(world, step, place.slot)
-        return
-    slot.state = SlotState.SCORING
-    slot.pending = _sample(request, place.slot)
-    _ask_scorer(world, step.key, place.slot, slot.pending, now)
-
-
-def _sample(request: Request, number: int) -> Sample:
-    return Sample(
-        slot=number,
-        sample_id=request.spec.request_id,
-        prompt=request.spec.prompt,
-        text=request.text(),
-        token_count=request.token_count,
-        finish_reason=request.finish_reason,
-        segments=tuple(request.segments),
-        score=0.0,
-    )
-
-
-def _ask_scorer(world: World, key: StepKey, number: int, sample: Sample, now: float) -> None:
-    score_id = world.next_id("score")
-    world.scoring[score_id] = SlotKey(key, number)
-    world.do(ScoreSample(score_id, sample.prompt, sample.text))
-    world.set_timer(TimerKind.SCORE, now + constants.SCORE_TIMEOUT_SECONDS, score_id)
-
-
-def _ask_scorer_again(world: World, score_id: str, now: float) -> None:
-    place = world.scoring.pop(score_id, None)
-    step = world.steps.get(place.step) if place is not None else None
-    if place is None or step is None:
-        return
-    pending = step.slots[place.slot].pending
-    if pending is not None:
-        _ask_scorer(world, place.step, place.slot, pending, now)
-
-
-def _take_score(world: World, arrived: ScoreArrived, now: float) -> None:
-    place = world.scoring.get(arrived.score_id)
-    if place is None:
-        return
-    if arrived.score is None:
-        world.set_timer(TimerKind.SCORE, now + SCORE_AGAIN_SECONDS, arrived.score_id)
-        return
-    del world.scoring[arrived.score_id]
-    world.clear_timer(TimerKind.SCORE, arrived.score_id)
-    step = world.steps.get(place.step)
-    if step is not None and step.slots[place.slot].pending is not None:
-        _commit(world, step, place.slot, arrived.score)
-
-
-def _commit(world: World, step: Step, number: int, score: float) -> None:
-    """Fill a slot, unless the bound in force now finds its weights too old."""
-    slot = step.slots[number]
-    pending, slot.pending = slot.pending, None
-    if pending is None:
-        return
-    oldest = oldest_version(list(pending.segments))
-    is_stale = oldest is not None and oldest < minimum_version(world, step)
-    if is_stale:
-        _restart_slot(world, step, number)
-        return
-    slot.state = SlotState.COMMITTED
-    slot.sample = Sample(
-        slot=pending.slot,
-        sample_id=pending.sample_id,
-        prompt=pending.prompt,
-        text=pending.text,
-        token_count=pending.token_count,
-        finish_reason=pending.finish_reason,
-        segments=pending.segments,
-        score=score,
-    )
-    step.committed += 1
-    counts = world.row_counts(f"{RowKind.TRAINER.value}/{step.key.trainer}")
-    counts.samples += 1
-    if oldest is not None:
-        counts.staleness = max(0, step.version - oldest)
-    world.emit(SampleCommitted(step.key, slot.sample))
-
-
 def _acknowledge(world: World, event: SamplesAcknowledged, now: float) -> None:
     step = world.steps.get(event.key)
     if step is None:
@@ -296,7 +147,7 @@
         slot = step.slots[number]
         slot.sample = None
         if slot.state is SlotState.RUNNING:
-            _cancel_slot(world, slot, now)
+            slots.cancel_slot(world, slot, now)
     step.cursor = max(step.cursor, event.cursor)
     step.used_at = now
     if step.cursor >= len(step.slots):
@@ -305,13 +156,6 @@
     world.do(AnswerTrainer(event.call_id, step.version, step.cursor))
 
 
-def _cancel_slot(world: World, slot: Slot, now: float) -> None:
-    world.rollouts.pop(slot.request_id, None)
-    request = world.requests.get(slot.request_id)
-    if request is not None:
-        lifecycle.fail(world, request, Failure(ErrorKind.ENGINE_FAILED, "not needed"), now)
-
-
 def _refuse_unknown(world: World, call_id: str, key: StepKey, forwarded: bool) -> None:
     home = _other_home(world, key, forwarded)
     if home is not None:
@@ -385,7 +229,7 @@
             continue
         for slot in step.slots:
             if slot.state is SlotState.RUNNING:
-                _cancel_slot(world, slot, now)
+                slots.cancel_slot(world, slot, now)
         del world.steps[key]
         world.log("step_dropped", trainer=trainer, step=key.step)
     if _open_count(world, trainer):
