--- a/src/pondtiller/cli/table_view.py
+++ b/src/pondtiller/cli/table_view.py
@@ -11,7 +11,7 @@
 from pondtiller.daemon import clock
 from pondtiller.daemon.platform_client import ListBody, to_stored
 from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
-from pondtiller.systems.status import RowFigures, ZoneStatus
+from pondtiller.systems.status import ZoneRow, ZoneStatus, add_rows
 from pondtiller.table.sheet import COLUMNS, DOCUMENT_NAME, Row, Sheet, cell_text, parse
 
 
@@ -30,28 +30,13 @@
     age_seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class RowStatusView:
-    """Figures of one row, added up over all daemons; the age is that of the oldest."""
-
-    in_flight: int
-    queued: int
-    answered: int
-    refused: int
-    failed: int
-    samples: int
-    staleness: int
-    median_seconds: float
-    age_seconds: float
-
-
 @dataclass(frozen=True, slots=True)
 class TableView:
     """Table and status at one time."""
 
     revision: int
     sheet: Sheet
-    status: dict[str, RowStatusView]
+    status: dict[str, ZoneRow]
     daemons: tuple[DaemonView, ...]
 
 
@@ -92,30 +77,13 @@
             raise PlatformUnavailableError(f"the table cannot be read: {problem}")
 
 
-def _sum_rows(zones: list[tuple[ZoneStatus, float]]) -> dict[str, RowStatusView]:
-    figures: dict[str, list[tuple[RowFigures, float]]] = {}
-    for zone, age in zones:
-        for daemon in zone.daemons:
-            for row in daemon.rows:
-                figures.setdefault(row.row, []).append((row, age + daemon.age_seconds))
-    return {row: _sum_row(entries) for row, entries in figures.items()}
-
-
-def _sum_row(entries: list[tuple[RowFigures, float]]) -> RowStatusView:
-    rows = [row for row, _ in entries]
-    answered = sum(row.answered for row in rows)
-    weighted = sum(row.median_seconds * row.answered for row in rows)
-    return RowStatusView(
-        in_flight=sum(row.in_flight for row in rows),
-        queued=sum(row.queued for row in rows),
-        answered=answered,
-        refused=sum(row.refused for row in rows),
-        failed=sum(row.failed for row in rows),
-        samples=sum(row.samples for row in rows),
-        staleness=max(row.staleness for row in rows),
-        median_seconds=weighted / answered if answered else 0.0,
-        age_seconds=max(age for _, age in entries),
-    )
+def _sum_rows(zones: list[tuple[ZoneStatus, float]]) -> dict[str, ZoneRow]:
+    aged = [
+        ZoneRow(figures=row.figures, age_seconds=row.age_seconds + age)
+        for zone, age in zones
+        for row in zone.rows
+    ]
+    return {row.figures.row: row for row in add_rows(aged)}
 
 
 def _daemons(zones: list[tuple[ZoneStatus, float]]) -> tuple[DaemonView, ...]:
@@ -160,20 +128,21 @@
     return "\n".join(parts)
 
 
-def _line(row: Row, status: RowStatusView | None) -> list[str]:
+def _line(row: Row, status: ZoneRow | None) -> list[str]:
     cells = [row.key, *(cell_text(row, column) or "-" for column in COLUMNS), "|"]
     if status is None:
         return cells + ["-"] * len(STATUS_COLUMNS)
+    figures = status.figures
     counts = (
-        status.in_flight,
-        status.queued,
-        status.answered,
-        status.refused,
-        status.failed,
-        status.samples,
-        status.staleness,
+        figures.in_flight,
+        figures.queued,
+        figures.answered,
+        figures.refused,
+        figures.failed,
+        figures.samples,
+        figures.staleness,
     )
-    median, age = f"{status.median_seconds:.3f}", f"{status.age_seconds:.0f}"
+    median, age = f"{figures.median_seconds:.3f}", f"{status.age_seconds:.0f}"
     return [*cells, *map(str, counts), median, age]
 
 
--- a/src/pondtiller/core/entities.py
+++ b/src/pondtiller/core/entities.py
@@ -108,6 +108,11 @@
     minimum_version: int = 0
     is_rollout: bool = False
 
+    @property
+    def rows(self) -> tuple[str, ...]:
+        """Keys of all rows that the request counts against."""
+        return (self.row, f"caller/{self.caller}") if self.caller else (self.row,)
+
 
 @dataclass(slots=True)
 class Request:
--- a/src/pondtiller/core/world.py
+++ b/src/pondtiller/core/world.py
@@ -6,8 +6,6 @@
 from enum import StrEnum
 from typing import Any, TypeVar
 
-from pydantic import BaseModel
-
 from pondtiller.coordination.deadlines import DeadlineIndex
 from pondtiller.coordination.documents import DocumentReplica
 from pondtiller.coordination.fair_queue import FairQueue
@@ -32,6 +30,7 @@
     StepKey,
 )
 from pondtiller.core.instructions import EngineOrder, Instruction, LogEvent, LogField, WriteStore
+from pondtiller.core.reports import DaemonReport
 from pondtiller.core.routing_policy import RoutingPolicy
 from pondtiller.table.sheet import Row, Sheet
 
@@ -195,7 +194,7 @@
 class MemberReport:
     """Latest status report of a member, kept by the zone's status writer."""
 
-    report: BaseModel
+    report: DaemonReport
     heard_at: float
 
 
--- a/src/pondtiller/systems/admission.py
+++ b/src/pondtiller/systems/admission.py
@@ -92,7 +92,7 @@
 
 def _continue(world: World, request: Request, now: float) -> None:
     """Obtain the missing shares one after the other, then claim or queue."""
-    for row in _limited_rows(world, request.spec):
+    for row in request.spec.rows:
         if row in request.held_rows:
             continue
         if not limits.may_start(world, row, now):
@@ -107,10 +107,3 @@
         world.emit(ClaimNeeded(request.spec.request_id))
     else:
         lifecycle.enqueue(world, request)
-
-
-def _limited_rows(world: World, spec: RequestSpec) -> list[str]:
-    rows = [spec.row]
-    if spec.caller:
-        rows.append(f"{RowKind.CALLER.value}/{spec.caller}")
-    return rows
--- a/src/pondtiller/systems/lifecycle.py
+++ b/src/pondtiller/systems/lifecycle.py
@@ -49,11 +49,12 @@
 
 def _answer(world: World, request: Request, now: float) -> None:
     spec = request.spec
-    counts = world.row_counts(spec.row)
-    counts.answered += 1
-    counts.tokens += request.token_count
-    counts.latencies.append(now - request.arrived_at)
-    del counts.latencies[:-KEPT_LATENCIES]
+    for row in spec.rows:
+        counts = world.row_counts(row)
+        counts.answered += 1
+        counts.tokens += request.token_count
+        counts.latencies.append(now - request.arrived_at)
+        del counts.latencies[:-KEPT_LATENCIES]
     _remove(world, request, now)
     if spec.is_rollout:
         world.emit(RequestFinished(FinishedRequest(request, None)))
@@ -74,11 +75,12 @@
 def fail(world: World, request: Request, failure: Failure, now: float) -> None:
     """End a request with an error that says truthfully whether it ran."""
     failure = truthful(world, request, failure)
-    counts = world.row_counts(request.spec.row)
-    if failure.answer.ran is Ran.NO:
-        counts.refused += 1
-    else:
-        counts.failed += 1
+    for row in request.spec.rows:
+        counts = world.row_counts(row)
+        if failure.answer.ran is Ran.NO:
+            counts.refused += 1
+        else:
+            counts.failed += 1
     drop_attempt(world, request, cancel=True)
     _settle_claim(world, request, now)
     _remove(world, request, now)
--- a/src/pondtiller/systems/status.py
+++ b/src/pondtiller/systems/status.py
@@ -9,6 +9,7 @@
 from pondtiller.core import constants
 from pondtiller.core.entities import RowCounts
 from pondtiller.core.instructions import WriteStore
+from pondtiller.core.reports import DaemonReport, RowFigures
 from pondtiller.core.world import MemberReport, TimerKind, World
 from pondtiller.hashing import owner
 from pondtiller.systems.peers import StatusMessageArrived
@@ -17,51 +18,73 @@
 FORGET_SECONDS = 60.0
 
 
-class RowFigures(BaseModel):
-    """Figures of one row on one daemon, since that daemon started."""
-
-    model_config = ConfigDict(frozen=True)
-
-    row: str
-    in_flight: int
-    queued: int
-    answered: int
-    refused: int
-    failed: int
-    tokens: int
-    median_seconds: float
-    slowest_seconds: float
-    samples: int
-    staleness: int
-    limit_share: int
-
-
-class DaemonReport(BaseModel):
-    """What one daemon says of itself."""
+class DaemonStatus(BaseModel):
+    """What is known of one daemon, and how old that is."""
 
     model_config = ConfigDict(frozen=True)
 
+    daemon: str
+    age_seconds: float
     table_revision: int
     table_age_seconds: float
     ready: bool
-    rows: tuple[RowFigures, ...]
 
 
-class DaemonStatus(DaemonReport):
-    """What one daemon reported, and how old that is."""
+class ZoneRow(BaseModel):
+    """Figures of one row, added up over the daemons of a zone.
 
-    daemon: str
+    Attributes
+    ----------
+    median_seconds
+        Mean of the daemons' medians, weighted by answered requests.
+    age_seconds
+        Age of the oldest figure in it.
+    """
+
+    model_config = ConfigDict(frozen=True)
+
+    figures: RowFigures
     age_seconds: float
 
 
 class ZoneStatus(BaseModel):
-    """Status object of one zone."""
+    """Status object of one zone; its size follows rows plus daemons, not their product."""
 
     model_config = ConfigDict(frozen=True)
 
     zone: str
     writer: str
     daemons: tuple[DaemonStatus, ...]
+    rows: tuple[ZoneRow, ...]
+
+
+def add_rows(rows: list[ZoneRow]) -> list[ZoneRow]:
+    """Return one entry a row, added up."""
+    by_name: dict[str, list[ZoneRow]] = {}
+    for row in rows:
+        by_name.setdefault(row.figures.row, []).append(row)
+    return [_add(name, entries) for name, entries in sorted(by_name.items())]
+
+
+def _add(name: str, entries: list[ZoneRow]) -> ZoneRow:
+    figures = [entry.figures for entry in entries]
+    answered = sum(each.answered for each in figures)
+    weighted = sum(each.median_seconds * each.answered for each in figures)
+    total = RowFigures(
+        row=name,
+        in_flight=sum(each.in_flight for each in figures),
+        queued=sum(each.queued for each in figures),
+        answered=answered,
+        refused=sum(each.refused for each in figures),
+        failed=sum(each.failed for each in figures),
+        tokens=sum(each.tokens for each in figures),
+        median_seconds=weighted / answered if answered else 0.0,
+        slowest_seconds=max(each.slowest_seconds for each in figures),
+        samples=sum(each.samples for each in figures),
+        staleness=max(each.staleness for each in figures),
+        limit_share=sum(each.limit_share for each in figures),
+    )
+    return ZoneRow(figures=total, age_seconds=max(entry.age_seconds for entry in entries))
 
 
 def run(world: World, now: float) -> None:
@@ -141,10 +164,26 @@
         daemons=tuple(
             _daemon_status(name, known, now) for name, known in sorted(world.reports.items())
         ),
+        rows=tuple(add_rows(_reported_rows(world, now))),
     )
     name = constants.STATUS_DOCUMENT_PREFIX + world.zone
     world.do(WriteStore(name, None, status.model_dump_json().encode()))
 
 
+def _reported_rows(world: World, now: float) -> list[ZoneRow]:
+    return [
+        ZoneRow(figures=row, age_seconds=now - known.heard_at)
+        for known in world.reports.values()
+        for row in known.report.rows
+    ]
+
+
 def _daemon_status(name: str, known: MemberReport, now: float) -> DaemonStatus:
-    return DaemonStatus(daemon=name, age_seconds=now - known.heard_at, **dict(known.report))
+    report = known.report
+    return DaemonStatus(
+        daemon=name,
+        age_seconds=now - known.heard_at,
+        table_revision=report.table_revision,
+        table_age_seconds=report.table_age_seconds,
+        ready=report.ready,
+    )
--- a/tools/bench_parts.py
+++ b/tools/bench_parts.py
@@ -19,9 +19,10 @@
 )
 from pondtiller.coordination.registers.proposer import Proposer
 from pondtiller.coordination.shares import Allocator, HeldShare, HolderKey
+from pondtiller.core.reports import DaemonReport
 from pondtiller.core.world import World, WorldSettings
 from pondtiller.hashing import rank
-from pondtiller.systems.status import DaemonReport, build_report
+from pondtiller.systems.status import build_report
 from pondtiller.table.sheet import Row, RowKind, Sheet, parse
 from pondtiller.wire.envelope import Letter, PeerMessage, decode, encode
 
