Release a claim that was committed after its request had ended

Cause: a caller that left while the claim was on the way left its key claimed by a request that never ran: the release had read the register before the claim was written. Change: whoever finds its own claim committed for a request that is gone releases it. Measured: the new test ends with the claim running before, released after.

--- a/src/pondtiller/demo/run.py
+++ b/src/pondtiller/demo/run.py
@@ -112,7 +112,6 @@
             report = await self._burst(emulator, spawner, first)
             if self.settings.keep:
                 await self._stay()
-            await self._stop_all()
         return report
 
     def _observe(self, server: EngineServer) -> None:
@@ -210,10 +209,6 @@
         self.say(f"callers' URL: http://{HOST}:{port}/v1 (interrupt to end)")
         await wait_for_stop()
 
-    async def _stop_all(self) -> None:
-        for daemon in self.daemons:
-            daemon.world.drained = True
-
 
 def _outcome(model: TrainerModel) -> TrainerOutcome:
     return TrainerOutcome(
--- a/src/pondtiller/systems/claims.py
+++ b/src/pondtiller/systems/claims.py
@@ -47,11 +47,23 @@
         claimed = world.requests.get(request_id)
         if claimed is not None:
             _settle(world, claimed, outcome, now)
+        elif _is_own(outcome, request_id):
+            # The request ended while its claim was on the way, so it will never run.
+            released = lifecycle.own_claim(world, request, wire.ClaimState.CLAIM_RELEASED)
+            ignore = lifecycle.ignore_outcome
+            lifecycle.replace_own_claim(world, request, released, now, ignore)
 
     timeout = constants.CLAIM_TIMEOUT_SECONDS
     change_register(world, lifecycle.claim_key(request), change, now, timeout, settle)
 
 
+def _is_own(outcome: RegisterOutcome, request_id: str) -> bool:
+    if outcome.status is not OutcomeStatus.COMMITTED:
+        return False
+    claim = wire.Claim().parse(outcome.value)
+    return claim.request_id == request_id and claim.state is wire.ClaimState.CLAIM_RUNNING
+
+
 def _settle(world: World, request: Request, outcome: RegisterOutcome, now: float) -> None:
     if outcome.status is OutcomeStatus.UNAVAILABLE:
         lifecycle.fail(world, request, Failure(ErrorKind.CLAIMS_UNAVAILABLE), now)
--- a/src/pondtiller/systems/lifecycle.py
+++ b/src/pondtiller/systems/lifecycle.py
@@ -149,7 +149,7 @@
         if recorded is not None:
             _answer(world, recorded, now)
 
-    _replace_own_claim(world, request, claim, now, answer)
+    replace_own_claim(world, request, claim, now, answer)
 
 
 def _settle_claim(world: World, request: Request, now: float) -> None:
@@ -161,20 +161,21 @@
     state = wire.ClaimState.CLAIM_RELEASED
     if request.reached_engine:
         state = wire.ClaimState.CLAIM_LOST
-    _replace_own_claim(world, request, own_claim(world, request, state), now, ignore_outcome)
+    replace_own_claim(world, request, own_claim(world, request, state), now, ignore_outcome)
 
 
 def ignore_outcome(world: World, outcome: RegisterOutcome, now: float) -> None:
     """Take the outcome of an operation that nobody waits for."""
 
 
-def _replace_own_claim(
+def replace_own_claim(
     world: World,
     request: Request,
     claim: wire.Claim,
     now: float,
     handler: OutcomeHandler,
 ) -> None:
+    """Put `claim` in the place of this request's own; another request's is left alone."""
     new = bytes(claim)
 
     def change(current: bytes) -> bytes:
