Refuse announced bodies that are too large, and let refusals arrive

Cause: a body of 64 MB was read before it was refused, and a refusal could be lost to the reset that closing with unread data causes. Change: the announced length is checked first; after a refusal the connection lingers, within bounds. Tests for both, for endless headers and for requests cut off in their body.

--- a/src/pondtiller/daemon/tests/test_process.py
+++ b/src/pondtiller/daemon/tests/test_process.py
@@ -83,3 +83,38 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         sender.sendto(bytes(wire.Envelope(sender="nobody", incarnation=1)), address)
     assert_healthy(service)
+
+
+def exchange(service, data):
+    port = service.daemons[0].sockets.http_port
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as connection:
+        connection.sendall(data)
+        received = b""
+        while piece := connection.recv(65_536):
+            received += piece
+        return received
+
+
+def test_body_announced_as_too_large_is_refused_before_it_is_sent(service):
+    head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"
+    received = exchange(service, head)
+    assert received.startswith(b"HTTP/1.1 413 ")
+    assert b'"body_too_large"' in received
+    assert_healthy(service)
+
+
+def test_malformed_request_line_and_endless_headers_are_refused(service):
+    assert exchange(service, b"NONSENSE\r\n\r\n").startswith(b"HTTP/1.1 400 ")
+    endless = b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 20_000
+    assert exchange(service, endless).startswith(b"HTTP/1.1 400 ")
+    assert_healthy(service)
+
+
+def test_request_cut_off_in_its_body_leaves_nothing_behind(service):
+    port = service.daemons[0].sockets.http_port
+    before = len(service.daemons[0].runtime.answers)
+    for _ in range(20):
+        with socket.create_connection(("127.0.0.1", port), timeout=10) as connection:
+            connection.sendall(b"POST /v1/completions HTTP/1.1\r\nContent-Length: 50\r\n\r\n{")
+    assert_healthy(service)
+    assert len(service.daemons[0].runtime.answers) == before
--- a/src/pondtiller/httpio/server.py
+++ b/src/pondtiller/httpio/server.py
@@ -18,6 +18,8 @@
 IDLE_SECONDS = 75.0
 READ_SECONDS = 30.0
 WRITE_SECONDS = 30.0
+LINGER_SECONDS = 2.0
+LINGER_READS = 64
 
 
 class ConnectionLostError(Exception):
@@ -105,6 +107,7 @@
                 request = await self._read_request()
             except BadMessageError as bad:
                 await self._refuse(bad.failure)
+                await self._linger()
                 return
             if request is None:
                 return
@@ -119,6 +122,20 @@
         if self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             await self.send_response(failure_response(failure))
 
+    async def _linger(self) -> None:
+        """Read and drop what still comes for a moment.
+
+        Closing with unread data resets the connection, and the refusal could be lost.
+        """
+        try:
+            await self._socket.shutdown(plain_socket.SHUT_WR)
+            async with curio.ignore_after(LINGER_SECONDS):
+                for _ in range(LINGER_READS):
+                    if not await self._socket.recv(READ_BYTES):
+                        return
+        except OSError:
+            return
+
     async def _read_request(self) -> HttpRequest | None:
         head: h11.Request | None = None
         body = bytearray()
@@ -126,6 +143,7 @@
             event = await self._next_event(IDLE_SECONDS if head is None else READ_SECONDS)
             if isinstance(event, h11.Request):
                 head = event
+                _check_announced_length(head)
                 await self._answer_expectation()
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -207,6 +225,13 @@
             await curio.sleep(1.0)
 
 
+def _check_announced_length(head: h11.Request) -> None:
+    """Refuse a body that is announced as too large before any of it is read."""
+    for name, value in head.headers:
+        if name == b"content-length" and int(value) > MAXIMUM_BODY_BYTES:
+            raise BadMessageError(Failure(ErrorKind.BODY_TOO_LARGE))
+
+
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
     headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
     method = head.method.decode()
