Settle a lost table write only by the edit itself or a later table without it

The answer of its write was lost, an old read did not show it, and the conflict of the next write was taken to settle the first. Change: the editor remembers the revision that a lost write expected and ends with a refusal only once the table moved past it without the edit. Also: 405 for known paths, and dead code removed.

--- a/src/pondtiller/daemon/process.py
+++ b/src/pondtiller/daemon/process.py
@@ -25,6 +25,8 @@
 from pondtiller.table.sheet import DOCUMENT_NAME, RowKind
 
 LAST_ANSWERS_SECONDS = 0.2
+READABLE_PATHS = ("/healthz", "/readyz", "/metrics", "/v1/models")
+CALLER_PATHS = ("/v1/completions", "/v1/chat/completions")
 
 
 class BoundSockets:
@@ -151,11 +153,12 @@
             await self._callers.chat(exchange)
         elif self._trainers.matches(path):
             await self._trainers.handle(exchange)
-        elif method == "GET":
+        elif method == "GET" and path in READABLE_PATHS:
             await exchange.respond(self._read(path))
         else:
-            failure = Failure(ErrorKind.NOT_FOUND, f"{method} {path}")
-            await exchange.respond(failure_response(failure))
+            is_known = path in READABLE_PATHS or path in CALLER_PATHS
+            kind = ErrorKind.METHOD_NOT_ALLOWED if is_known else ErrorKind.NOT_FOUND
+            await exchange.respond(failure_response(Failure(kind, f"{method} {path}")))
 
     def _read(self, path: str) -> HttpResponse:
         if path == "/healthz":
@@ -165,9 +168,7 @@
         if path == "/metrics":
             body = metrics.render(self.runtime, self.peers)
             return HttpResponse(200, body, "text/plain; version=0.0.4; charset=utf-8")
-        if path == "/v1/models":
-            return self._models()
-        return failure_response(Failure(ErrorKind.NOT_FOUND, f"GET {path}"))
+        return self._models()
 
     def _readiness(self) -> HttpResponse:
         world = self.world
--- a/src/pondtiller/httpio/server.py
+++ b/src/pondtiller/httpio/server.py
@@ -63,10 +63,6 @@
         """Return once the other side closed the connection."""
         await self._connection.wait_closed()
 
-    def abort(self) -> None:
-        """Break the connection off, so that the other side sees an unfinished message."""
-        self._connection.aborted = True
-
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -98,7 +94,6 @@
     def __init__(self, stream_socket: Any) -> None:
         self._socket = stream_socket
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
-        self.aborted = False
 
     async def serve(self, handler: Handler) -> None:
         """Answer requests until the connection ends."""
@@ -112,7 +107,7 @@
             if request is None:
                 return
             await handler(Exchange(self, request))
-            if self.aborted or self._protocol.our_state is not h11.DONE:
+            if self._protocol.our_state is not h11.DONE:
                 return
             if self._protocol.their_state is not h11.DONE:
                 return
--- a/src/pondtiller/table/editor.py
+++ b/src/pondtiller/table/editor.py
@@ -67,11 +67,14 @@
         self.edit = edit
         self.command: EditorCommand = ReadTable()
         self._rounds = 0
-        self._write_is_open = False
+        self._lost_at: int | None = None
 
     def note_read(self, revision: int, body: bytes) -> None:
-        """Take the table as read; revision 0 where there is none yet."""
+        """Take the table as read, perhaps an old one; revision 0 where there is none yet."""
         self._rounds += 1
+        if self._rounds > MAXIMUM_ROUNDS:
+            self._give_up()
+            return
         sheet = Sheet()
         if revision:
             match parse(body):
@@ -84,6 +87,9 @@
         if sheet.has_edit(self.edit.edit_id):
             self.command = EditOutcome(EditStatus.ACCEPTED, revision)
             return
+        if self._lost_at is not None and revision > self._lost_at:
+            # The table moved on without the edit, so the lost write can never take effect.
+            self._lost_at = None
         self._propose(revision, sheet)
 
     def note_written(self, revision: int) -> None:
@@ -91,20 +97,24 @@
         self.command = EditOutcome(EditStatus.ACCEPTED, revision)
 
     def note_conflict(self) -> None:
-        """The table was changed meanwhile; look again."""
-        self._write_is_open = False
+        """The table was changed meanwhile; look again.
+
+        This says nothing of an earlier write whose answer was lost: it may be what changed
+        the table.
+        """
         self.command = ReadTable()
 
     def note_lost(self) -> None:
         """No answer came; after a write this leaves open whether it took effect."""
         self._rounds += 1
-        self._write_is_open = self._write_is_open or isinstance(self.command, WriteTable)
+        if isinstance(self.command, WriteTable):
+            self._lost_at = max(self._lost_at or 0, self.command.expected_revision)
         self.command = ReadTable()
         if self._rounds >= MAXIMUM_ROUNDS:
             self._give_up()
 
     def _give_up(self) -> None:
-        status = EditStatus.UNKNOWN if self._write_is_open else EditStatus.NOT_MADE
+        status = EditStatus.NOT_MADE if self._lost_at is None else EditStatus.UNKNOWN
         self.command = EditOutcome(status)
 
     def _propose(self, revision: int, sheet: Sheet) -> None:
@@ -118,7 +128,9 @@
                 self._refuse(refusal)
 
     def _refuse(self, refusal: EditRefused) -> None:
-        # A lost write may still arrive after this read; only a table that holds the edit,
-        # or one that a later write has moved, would settle it.
-        status = EditStatus.UNKNOWN if self._write_is_open else EditStatus.REFUSED
-        self.command = EditOutcome(status, refusal=refusal)
+        if self._lost_at is not None:
+            # An old read: what it says of the cell does not tell whether the lost write
+            # took effect. Only the edit itself, or a later table without it, does.
+            self.command = ReadTable()
+            return
+        self.command = EditOutcome(EditStatus.REFUSED, refusal=refusal)
