--- a/src/pondtiller/coordination/membership.py
+++ b/src/pondtiller/coordination/membership.py
@@ -70,7 +70,7 @@
     ) -> None:
         self.settings = settings
         self.name = member.name
-        self.members: dict[str, Member] = {member.name: member}
+        self.members: dict[str, Member] = {}
         self._source = source
         self._sends_left: dict[str, int] = {}
         self._probe_order: list[str] = []
@@ -82,10 +82,11 @@
         self._full_sync: set[str] = set()
         self._compare_with: set[str] = set()
         self._live: list[str] | None = None
-        self._view_digest = member.digest
-        self._encoded: dict[str, bytes] = {member.name: member.encode()}
-        self._held: set[bytes] = set(self._encoded.values())
+        self._view_digest = 0
+        self._encoded: dict[str, bytes] = {}
+        self._held: set[bytes] = set()
         self._health = 0
+        self._store(member)
         for seed in seeds:
             if seed.name != member.name:
                 self._store(seed)
--- a/src/pondtiller/coordination/registers/acceptor.py
+++ b/src/pondtiller/coordination/registers/acceptor.py
@@ -4,7 +4,7 @@
 names its own storage; and once sealed in an epoch it never votes in that epoch again.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from pondtiller import wire
 from pondtiller.coordination.registers.ballot import ZERO, Ballot
@@ -35,6 +35,16 @@
             value=self.value,
         )
 
+    @classmethod
+    def from_wire(cls, message: wire.RegisterRecord, now: float) -> "Record":
+        """Return the record in a message, counted as changed at `now`."""
+        return cls(
+            Ballot.from_wire(message.promised),
+            Ballot.from_wire(message.accepted),
+            message.value,
+            now,
+        )
+
 
 @dataclass(slots=True)
 class _Shard:
@@ -71,7 +81,7 @@
 
     shard: int
     key: str
-    record: wire.RegisterRecord
+    record: Record
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +170,8 @@
         self._note_shard(configuration.shard, with_records=True)
 
     def _note_record(self, number: int, key: str, record: Record) -> None:
-        self._changed.append(RecordChanged(number, key, record.to_wire(key)))
+        # A copy as it stands; only a member with a journal goes on to encode it.
+        self._changed.append(RecordChanged(number, key, replace(record)))
 
     def _note_shard(self, number: int, with_records: bool) -> None:
         shard = self._shards[number]
@@ -176,7 +187,7 @@
             self._keep_install(entry.install, now)
         elif isinstance(entry, RecordChanged):
             shard = self._shards.setdefault(entry.shard, _Shard())
-            shard.records[entry.key] = _from_wire(entry.record, now)
+            shard.records[entry.key] = replace(entry.record, changed_at=now)
         elif entry.epoch:
             sealed_at = now if entry.sealed else None
             self._put(entry.shard, _Shard(entry.epoch, entry.nonce, sealed_at))
@@ -287,7 +298,7 @@
 
     def _keep_install(self, message: wire.Install, now: float) -> None:
         epoch = message.epoch
-        records = {record.key: _from_wire(record, now) for record in message.records}
+        records = {each.key: Record.from_wire(each, now) for each in message.records}
         waiting = self._pending.setdefault(epoch.shard, [])
         waiting[:] = [pending for pending in waiting if pending.nonce != epoch.nonce]
         waiting.append(_Pending(epoch.epoch, epoch.nonce, records))
@@ -314,21 +325,12 @@
     )
 
 
-def _from_wire(record: wire.RegisterRecord, now: float) -> Record:
-    return Record(
-        Ballot.from_wire(record.promised),
-        Ballot.from_wire(record.accepted),
-        record.value,
-        now,
-    )
-
-
 def merge(snapshots: list[list[wire.RegisterRecord]]) -> list[wire.RegisterRecord]:
     """Return, for each key, the record with the highest accepted ballot and promise."""
     merged: dict[str, Record] = {}
     for snapshot in snapshots:
         for entry in snapshot:
-            record = _from_wire(entry, 0.0)
+            record = Record.from_wire(entry, 0.0)
             known = merged.setdefault(entry.key, Record())
             known.promised = max(known.promised, record.promised)
             if record.accepted > known.accepted:
--- a/src/pondtiller/coordination/registers/reconfigurer.py
+++ b/src/pondtiller/coordination/registers/reconfigurer.py
@@ -99,10 +99,6 @@
         self._outputs: list[Outbound] = []
         self._proposals: list[SuccessorProposal] = []
 
-    def is_busy(self) -> bool:
-        """Return whether a replacement is in progress."""
-        return bool(self._transfers)
-
     def next_deadline(self) -> float | None:
         """Return when `run` wants to be called next."""
         return self._resend_at
--- a/src/pondtiller/core/entities.py
+++ b/src/pondtiller/core/entities.py
@@ -240,7 +240,6 @@
     slots: list[Slot]
     opened_at: float
     cursor: int = 0
-    committed: int = 0
     used_at: float = 0.0
 
 
@@ -267,7 +266,6 @@
     samples: int = 0
     staleness: int = 0
     attempts: int = 0
-    first_tries: int = 0
     latencies: list[float] = field(default_factory=list)
 
 
--- a/src/pondtiller/core/world.py
+++ b/src/pondtiller/core/world.py
@@ -155,7 +155,6 @@
     listed: bool = False
     revision: int = 0
     answered_at: float | None = None
-    watching: bool = False
     is_busy: bool = False
     outdated: bool = False
 
@@ -254,7 +253,7 @@
         self.facts = b""
         self.prefix_hints: dict[int, PrefixHint] = {}
         self.duties: dict[str, EngineDuty] = {}
-        self.duties_basis: tuple[tuple[str, ...], tuple[str, ...]] | None = None
+        self.duties_basis: tuple[tuple[str, ...], int] | None = None
         self.version_learned_at: dict[str, float] = {}
 
         self.requests: dict[str, Request] = {}
--- a/src/pondtiller/daemon/journal.py
+++ b/src/pondtiller/daemon/journal.py
@@ -8,6 +8,7 @@
     Acceptor,
     InstallKept,
     JournalEntry,
+    Record,
     RecordChanged,
     ShardChanged,
 )
@@ -55,7 +56,7 @@
         for entry in entries:
             match entry:
                 case RecordChanged():
-                    self._write_record(entry.shard, entry.record)
+                    self._write_record(entry.shard, entry.record.to_wire(entry.key))
                 case ShardChanged():
                     self._write_shard(entry)
                 case InstallKept():
@@ -92,8 +93,9 @@
         held = {number for number, epoch, _, _ in shards if epoch}
         for number, body in self._database.execute("SELECT shard, body FROM record").fetchall():
             if number in held:
-                record = wire.RegisterRecord().parse(body)
-                acceptor.restore(RecordChanged(number, record.key, record), now)
+                message = wire.RegisterRecord().parse(body)
+                record = Record.from_wire(message, now)
+                acceptor.restore(RecordChanged(number, message.key, record), now)
         for (body,) in self._database.execute("SELECT body FROM install").fetchall():
             acceptor.restore(InstallKept(wire.Install().parse(body)), now)
 
--- a/src/pondtiller/demo/load.py
+++ b/src/pondtiller/demo/load.py
@@ -52,6 +52,8 @@
         Where requests go, in turn at random.
     worth
         Worth of a request by caller class.
+    sequence
+        Number of the last request; each request's prompt carries its own.
     """
 
     daemons: list[Address]
@@ -59,7 +61,7 @@
     source: random.Random
     result: LoadResult = field(default_factory=LoadResult)
     client: HttpClient = field(default_factory=HttpClient)
-    _sequence: int = 0
+    sequence: int = 0
 
     async def run(self, traffic: tuple[Traffic, ...], seconds: float) -> None:
         """Send all traffic for `seconds`, then wait for the last answers."""
@@ -81,16 +83,10 @@
                 await curio.sleep(0.05)
 
     async def _send(self, traffic: Traffic, due: float) -> None:
-        self._sequence += 1
-        request = CallerRequest(
-            prompt=f"{traffic.caller} asks number {self._sequence} " + "price " * 8,
-            maximum_tokens=traffic.maximum_tokens,
-            service=traffic.service,
-            caller=traffic.caller,
-            worth=self.worth.get(traffic.caller, 1.0),
-            once=self.source.random() < traffic.once_share,
-            arrived_at=due,
-        )
+        self.sequence += 1
+        worth = self.worth.get(traffic.caller, 1.0)
+        once = self.source.random() < traffic.once_share
+        request = CallerRequest.of(traffic, self.sequence, worth, once, due)
         self.result.requests.append(request)
         stream = self.source.random() < traffic.stream_share
         for _ in range(MAXIMUM_TRIES):
--- a/src/pondtiller/demo/run.py
+++ b/src/pondtiller/demo/run.py
@@ -160,7 +160,7 @@
     async def _burst(self, emulator: Emulator, spawner: Spawner, first: float) -> DemoReport:
         deployment = self.settings.deployment
         load = self._load()
-        load._sequence = len(self.truth.callers)
+        load.sequence = len(self.truth.callers)
         trainers = [
             TrainerClient(TrainerModel(each), load.daemons, number)
             for number, each in enumerate(trainer_settings(deployment))
--- a/src/pondtiller/emulator/engine.py
+++ b/src/pondtiller/emulator/engine.py
@@ -239,10 +239,6 @@
                 seen = load
         return seen
 
-    def in_progress(self) -> int:
-        """Return how many requests run or wait now."""
-        return len(self._running) + len(self._waiting)
-
     def next_wakeup(self) -> float | None:
         """Return when `advance` must be called next."""
         times = [pending.done_at for pending in self._orders]
--- a/src/pondtiller/scale/simulated.py
+++ b/src/pondtiller/scale/simulated.py
@@ -3,6 +3,7 @@
 import gc
 import statistics
 import time
+from dataclasses import replace
 
 from pydantic import BaseModel, ConfigDict
 
@@ -88,32 +89,24 @@
     cluster = Cluster(deployment, settings)
     cluster.start(0.0)
     cluster.run_until(SETTLE_SECONDS)
-    start = [_copy(node.costs) for node in cluster.daemons.values()]
+    start = [replace(node.costs) for node in cluster.daemons.values()]
     cluster.run_until(SETTLE_SECONDS + seconds)
-    end = [_copy(node.costs) for node in cluster.daemons.values()]
+    end = [replace(node.costs) for node in cluster.daemons.values()]
     memory = (resident_bytes() - before) // len(end)
     cluster.operators.raise_priority("caller-0")
     cluster.run_until(SETTLE_SECONDS + seconds + EDIT_SECONDS)
     version_seconds = _publish(cluster, SETTLE_SECONDS + seconds + EDIT_SECONDS)
-    spent = [
-        _Spent(
-            messages=after.messages - earlier.messages,
-            sent=after.bytes_sent - earlier.bytes_sent,
-            ticks=after.ticks - earlier.ticks,
-            busy=after.busy_seconds - earlier.busy_seconds,
-        )
-        for earlier, after in zip(start, end, strict=True)
-    ]
+    spent = [after.minus(earlier) for earlier, after in zip(start, end, strict=True)]
     delays = table_delays(cluster.truth)
     return ScaleRun(
         members=len(end),
         engines=engines,
         rows=rows,
         messages_a_second=round(statistics.fmean(each.messages for each in spent) / seconds, 2),
-        bytes_a_second=round(statistics.fmean(each.sent for each in spent) / seconds, 1),
+        bytes_a_second=round(statistics.fmean(each.bytes_sent for each in spent) / seconds, 1),
         ticks_a_second=round(statistics.fmean(each.ticks for each in spent) / seconds, 2),
-        processor_share=round(statistics.fmean(each.busy for each in spent) / seconds, 6),
-        busiest_processor_share=round(max(each.busy for each in spent) / seconds, 6),
+        processor_share=round(statistics.fmean(each.busy_seconds for each in spent) / seconds, 6),
+        busiest_processor_share=round(max(each.busy_seconds for each in spent) / seconds, 6),
         memory_bytes=memory,
         table_median_seconds=round(quantile(delays, 0.5), 3),
         table_worst_seconds=round(quantile(delays, 1.0), 3),
@@ -121,24 +114,6 @@
     )
 
 
-class _Spent(BaseModel):
-    messages: int
-    sent: int
-    ticks: int
-    busy: float
-
-
-class _Costs(BaseModel):
-    messages: int
-    bytes_sent: int
-    ticks: int
-    busy_seconds: float
-
-
-def _copy(costs: object) -> _Costs:
-    return _Costs.model_validate(costs, from_attributes=True)
-
-
 def _publish(cluster: Cluster, at: float) -> float | None:
     """Publish a version through one daemon and return when the last engine ran it."""
     node = next(iter(cluster.daemons.values()))
--- a/src/pondtiller/simulation/callers.py
+++ b/src/pondtiller/simulation/callers.py
@@ -67,15 +67,9 @@
 
     def _new_request(self, traffic: Traffic) -> None:
         self._sequence += 1
-        request = CallerRequest(
-            prompt=f"{traffic.caller} asks number {self._sequence} " + "price " * 8,
-            maximum_tokens=traffic.maximum_tokens,
-            service=traffic.service,
-            caller=traffic.caller,
-            worth=self.worth.get(traffic.caller, 1.0),
-            once=self.source.random() < traffic.once_share,
-            arrived_at=self.scheduler.now,
-        )
+        worth = self.worth.get(traffic.caller, 1.0)
+        once = self.source.random() < traffic.once_share
+        request = CallerRequest.of(traffic, self._sequence, worth, once, self.scheduler.now)
         self.truth.callers.append(request)
         self._try(request, self.source.random() < traffic.stream_share, exclude="")
 
--- a/src/pondtiller/simulation/daemon.py
+++ b/src/pondtiller/simulation/daemon.py
@@ -70,6 +70,15 @@
     ticks: int = 0
     busy_seconds: float = 0.0
 
+    def minus(self, earlier: "ControlCosts") -> "ControlCosts":
+        """Return what was spent since an earlier copy."""
+        return ControlCosts(
+            self.messages - earlier.messages,
+            self.bytes_sent - earlier.bytes_sent,
+            self.ticks - earlier.ticks,
+            self.busy_seconds - earlier.busy_seconds,
+        )
+
 
 @dataclass(slots=True)
 class Surroundings:
--- a/src/pondtiller/simulation/operators.py
+++ b/src/pondtiller/simulation/operators.py
@@ -28,7 +28,6 @@
     platform: PlatformNode
     scheduler: Scheduler
     source: random.Random
-    outcomes: list[EditOutcome] = field(default_factory=list)
     accepted: list[str] = field(default_factory=list)
     refused: list[str] = field(default_factory=list)
     _sequence: int = 0
@@ -59,7 +58,6 @@
     def _continue(self, editor: TableEditor) -> None:
         command = editor.command
         if isinstance(command, EditOutcome):
-            self.outcomes.append(command)
             if command.status is EditStatus.ACCEPTED:
                 self.accepted.append(editor.edit.edit_id)
             elif command.status is EditStatus.REFUSED:
--- a/src/pondtiller/simulation/truth.py
+++ b/src/pondtiller/simulation/truth.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from pondtiller.config.deployment import Traffic
 from pondtiller.emulator.trainer import ReceivedSample
 from pondtiller.errors import ErrorKind, Ran
 
@@ -68,6 +69,21 @@
     arrived_at: float
     tries: list[CallerTry] = field(default_factory=list)
 
+    @classmethod
+    def of(
+        cls, traffic: Traffic, number: int, worth: float, once: bool, arrived_at: float
+    ) -> "CallerRequest":
+        """Return request `number` of a traffic, with a prompt that no other has."""
+        return cls(
+            prompt=f"{traffic.caller} asks number {number} " + "price " * 8,
+            maximum_tokens=traffic.maximum_tokens,
+            service=traffic.service,
+            caller=traffic.caller,
+            worth=worth,
+            once=once,
+            arrived_at=arrived_at,
+        )
+
     def answered(self) -> CallerTry | None:
         """Return the try that brought the whole answer, or None."""
         return next((each for each in self.tries if each.text is not None), None)
--- a/src/pondtiller/systems/dispatch.py
+++ b/src/pondtiller/systems/dispatch.py
@@ -99,7 +99,6 @@
     request.attempts += 1
     counts.attempts += 1
     if request.attempts == 1:
-        counts.first_tries += 1
         budget = world.budgets.get(request.spec.row)
         if budget is not None:
             budget.note_first_try()
--- a/src/pondtiller/systems/slots.py
+++ b/src/pondtiller/systems/slots.py
@@ -4,6 +4,8 @@
 that moment allows.
 """
 
+from dataclasses import replace
+
 from pondtiller.core import constants
 from pondtiller.core.entities import (
     Request,
@@ -157,17 +159,7 @@
         _restart_slot(world, step, number)
         return
     slot.state = SlotState.COMMITTED
-    slot.sample = Sample(
-        slot=pending.slot,
-        sample_id=pending.sample_id,
-        prompt=pending.prompt,
-        text=pending.text,
-        token_count=pending.token_count,
-        finish_reason=pending.finish_reason,
-        segments=pending.segments,
-        score=score,
-    )
-    step.committed += 1
+    slot.sample = replace(pending, score=score)
     counts = world.row_counts(f"{RowKind.TRAINER.value}/{step.key.trainer}")
     counts.samples += 1
     if oldest is not None:
--- a/src/pondtiller/systems/steward.py
+++ b/src/pondtiller/systems/steward.py
@@ -40,7 +40,7 @@
 
 def _choose_duties(world: World, now: float) -> None:
     members = tuple(world.membership.live_names_in(world.zone))
-    basis = (members, tuple(sorted(world.engines)))
+    basis = (members, world.documents.revision(constants.FLEET_DOCUMENT))
     if basis == world.duties_basis or world.draining:
         return
     world.duties_basis = basis
