--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,11 @@
 	$(VENV)/bin/ruff format src tools examples
 
 proto: $(READY)
+	mkdir -p build/proto
 	PATH=$(VENV)/bin:$$PATH $(PYTHON) -m grpc_tools.protoc -I proto \
-	  --python_betterproto_out=src/pondtiller/wire proto/pondtiller.proto
+	  --python_betterproto_out=build/proto proto/pondtiller.proto proto/steplog.proto
+	cp build/proto/pondtiller/__init__.py src/pondtiller/wire/pondtiller/__init__.py
+	cp build/proto/steplog/__init__.py src/pondtiller/wire/steplog/__init__.py
 
 lock:
 	pip-compile --quiet --allow-unsafe --generate-hashes --strip-extras --no-emit-index-url \
--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -4,6 +4,7 @@
 
 from pondtiller.cli.check import CheckCommand
 from pondtiller.cli.demo import DemoCommand
+from pondtiller.cli.deployed import GatewayCommand, ReplicaCommand
 from pondtiller.cli.emulate import EmulateCommand
 from pondtiller.cli.experiment import ExperimentCommand
 from pondtiller.cli.load import LoadCommand
@@ -27,6 +28,8 @@
     application = Application("pondtiller", VERSION)
     for command in (
         ServeCommand(),
+        GatewayCommand(),
+        ReplicaCommand(),
         CheckCommand(),
         EmulateCommand(),
         DemoCommand(),
--- a/src/pondtiller/daemon/clock.py
+++ b/src/pondtiller/daemon/clock.py
@@ -14,6 +14,11 @@
     return int(time.time())
 
 
+def wall() -> float:
+    """Return seconds since 1970 with fractions, for times that must outlive a process."""
+    return time.time()
+
+
 def new_incarnation() -> int:
     """Return a number that is higher at each start of a process."""
     return time.time_ns() // 1_000_000
--- a/src/pondtiller/daemon/logs.py
+++ b/src/pondtiller/daemon/logs.py
@@ -1,7 +1,9 @@
 """Logs: one line of key=value pairs an event, by logbook."""
 
 import logging
+import os
 import sys
+import time
 
 import logbook
 
@@ -32,3 +34,78 @@
         return value
     escaped = value.replace("\\", "\\\\").replace('"', '\\"')
     return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r") + '"'
+
+
+LINES_A_SECOND = 200
+MOST_UNWRITTEN_BYTES = 262_144
+WINDOW_SECONDS = 1.0
+
+
+class BoundedHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Each event has a budget of lines a second, so that one frequent event cannot push out the
+    others; what is left out is counted and told once a second.
+    """
+
+    def __init__(self, descriptor: int, level: str) -> None:
+        super().__init__(level=level.upper())
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._unwritten = bytearray()
+        self._window = 0.0
+        self._lines: dict[str, int] = {}
+        self.left_out = 0
+        self._left_out_in_window = 0
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write one line, or count it as left out."""
+        now = time.monotonic()
+        if now >= self._window + WINDOW_SECONDS:
+            self._start_window(now)
+        event = record.message.partition(" ")[0]
+        count = self._lines.get(event, 0) + 1
+        self._lines[event] = count
+        if count > LINES_A_SECOND or len(self._unwritten) > MOST_UNWRITTEN_BYTES:
+            self.left_out += 1
+            self._left_out_in_window += 1
+            return
+        self._write(record.message)
+
+    def _start_window(self, now: float) -> None:
+        self._window = now
+        self._lines.clear()
+        if self._left_out_in_window:
+            count, self._left_out_in_window = self._left_out_in_window, 0
+            self._write(f"event=lines_left_out count={count}")
+
+    def _write(self, message: str) -> None:
+        wall = time.time()
+        self._unwritten += f"t={wall:.3f} {message}\n".encode()
+        try:
+            written = os.write(self._descriptor, self._unwritten)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._unwritten.clear()
+            return
+        del self._unwritten[:written]
+
+
+def set_up_decisions(level: str) -> BoundedHandler:
+    """Send decisions to standard output, bounded."""
+    logging.getLogger("curio").setLevel(logging.ERROR)
+    handler = BoundedHandler(sys.stdout.fileno(), level)
+    handler.push_application()
+    return handler
+
+
+def decision(event: str, **fields: object) -> None:
+    """Write one decision with the inputs that decided it."""
+    pairs = [f"event={event}"]
+    pairs += [f"{key}={_quote(_short(value))}" for key, value in fields.items()]
+    LOGGER.info(" ".join(pairs))
+
+
+def _short(value: object) -> str:
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
--- a/src/pondtiller/daemon/signals.py
+++ b/src/pondtiller/daemon/signals.py
@@ -1,27 +1,50 @@
-"""Waits for the operating system's request to stop."""
+"""Waits for the operating system's requests to stop or to reload."""
 
 import signal
 import socket
+from collections.abc import AsyncIterator
+from enum import Enum
 from types import FrameType
 
 import curio
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNALS = (signal.SIGHUP,)
+
+
+class Request(Enum):
+    """What a signal asks for."""
+
+    STOP = "stop"
+    RELOAD = "reload"
 
 
 async def wait_for_stop() -> None:
-    """Return once SIGTERM or SIGINT has come; call it on the main thread only.
+    """Return once SIGTERM or SIGINT has come; call it on the main thread only."""
+    async for request in requests(STOP_SIGNALS):
+        if request is Request.STOP:
+            return
+
+
+async def requests(
+    numbers: tuple[signal.Signals, ...] = STOP_SIGNALS + RELOAD_SIGNALS,
+) -> AsyncIterator[Request]:
+    """Return each request as it comes; call it on the main thread only.
 
     The signal's number arrives on a socket pair, since the kernel of curio has no way of
     its own to be woken by a signal.
     """
     receiver, sender = socket.socketpair()
     sender.setblocking(False)
-    for number in STOP_SIGNALS:
+    for number in numbers:
         signal.signal(number, _ignore)
     signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
+    stream = curio.io.Socket(receiver)
     try:
-        await curio.io.Socket(receiver).recv(1)
+        while True:
+            for number in await stream.recv(64):
+                is_stop = number in STOP_SIGNALS
+                yield Request.STOP if is_stop else Request.RELOAD
     finally:
         signal.set_wakeup_fd(-1)
         receiver.close()
--- /dev/null
+++ b/src/pondtiller/gateway/engine_pool.py
@@ -0,0 +1,198 @@
+"""Connections to engines: kept while they are clean, and read with suspicion.
+
+An engine may send an answer late, twice, or for another request. An answer counts only if it
+names the request; a connection with bytes that belong to nobody is closed.
+"""
+
+import re
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+import h11
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock
+from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.links.link import tune
+from pondtiller.platform import engine_format
+from pondtiller.platform.engine_format import Headers
+
+READ_BYTES = 65_536
+CONNECT_SECONDS = 0.5
+IDLE_SECONDS = 20.0
+IDLE_MARGIN_SECONDS = 0.4
+MOST_STRAY_ANSWERS = 4
+KEPT_CONNECTIONS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an engine's answer."""
+
+    status: int
+    headers: Headers
+
+
+class EngineConnection:
+    """One connection to one start of an engine."""
+
+    def __init__(self, engine: str, stream: Any) -> None:
+        self.engine = engine
+        self.usable_until = clock.monotonic() + IDLE_SECONDS
+        self._stream = stream
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._request: h11.Request | None = None
+
+    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Send a request; raises `BrokenError`."""
+        kept = [each for each in headers if each[0] != "content-length"]
+        self._request = h11.Request(
+            method=method, target=target, headers=[*kept, ("content-length", str(len(body)))]
+        )
+        data = self._protocol.send(self._request) or b""
+        data += self._protocol.send(h11.Data(data=body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        try:
+            await self._stream.sendall(data)
+        except OSError as error:
+            raise BrokenError(str(error)) from error
+
+    async def read_head(self, request: str) -> AnswerHead:
+        """Read the head of the answer that names a request; raises `BrokenError`."""
+        for _ in range(MOST_STRAY_ANSWERS):
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise BrokenError("the answer did not begin")
+            headers = tuple(
+                (name.decode().lower(), value.decode("latin-1")) for name, value in event.headers
+            )
+            self._note_keep_alive(headers)
+            if not request or engine_format.names_request(headers, request):
+                return AnswerHead(event.status_code, headers)
+            await self._skip_stray_answer()
+        raise BrokenError("answers of other requests")
+
+    async def read_body(self) -> AsyncIterator[bytes]:
+        """Read the body piece by piece; an unfinished body raises `BrokenError`."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise BrokenError("the answer ended early")
+
+    def prepare_reuse(self) -> bool:
+        """Return whether another request may be sent; a connection with a rest may not."""
+        protocol = self._protocol
+        if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+            return False
+        if protocol.trailing_data[0]:
+            return False
+        protocol.start_next_cycle()
+        return clock.monotonic() < self.usable_until
+
+    def is_clean(self) -> bool:
+        """Return whether a kept connection is open and silent."""
+        if clock.monotonic() >= self.usable_until:
+            return False
+        try:
+            self._stream._socket.recv(1)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def close(self) -> None:
+        """Close the connection; the engine drops what it works on."""
+        await self._stream.close()
+
+    async def _skip_stray_answer(self) -> None:
+        async for _ in self.read_body():
+            pass
+        rest = self._protocol.trailing_data[0]
+        if self._protocol.their_state is not h11.DONE or self._request is None:
+            raise BrokenError("an answer of another request ended the connection")
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._protocol.send(self._request)
+        length = dict(self._request.headers).get(b"content-length", b"0")
+        self._protocol.send(h11.Data(data=b"\0" * int(length)))
+        self._protocol.send(h11.EndOfMessage())
+        if rest:
+            self._protocol.receive_data(rest)
+
+    def _note_keep_alive(self, headers: Headers) -> None:
+        text = engine_format.header(headers, "keep-alive") or ""
+        found = re.search(r"timeout=(\d+)", text)
+        seconds = float(found.group(1)) if found else IDLE_SECONDS
+        self.usable_until = clock.monotonic() + seconds - IDLE_MARGIN_SECONDS
+
+    async def _next_event(self) -> Any:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BrokenError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._stream.recv(READ_BYTES)
+                self._protocol.receive_data(data)
+            except (OSError, h11.RemoteProtocolError) as error:
+                raise BrokenError(str(error)) from error
+
+
+class EnginePool:
+    """Kept connections by engine.
+
+    Attributes
+    ----------
+    opened
+        New connections since the start, for `/metrics`.
+    """
+
+    def __init__(self) -> None:
+        self.opened = 0
+        self._kept: dict[str, list[EngineConnection]] = {}
+
+    def has_kept(self, engine: str) -> bool:
+        """Return whether a connection is at hand."""
+        return bool(self._kept.get(engine))
+
+    async def take(self, engine: str, address: Address) -> EngineConnection:
+        """Return a connection, kept or new; raises `NotSentError`."""
+        kept = self._kept.get(engine)
+        while kept:
+            connection = kept.pop()
+            if connection.is_clean():
+                return connection
+            await connection.close()
+        try:
+            stream = await curio.timeout_after(
+                CONNECT_SECONDS, curio.open_connection, address.host, address.port
+            )
+        except (OSError, curio.TaskTimeout) as error:
+            raise NotSentError(str(error) or "connection timed out") from error
+        tune(stream)
+        self.opened += 1
+        return EngineConnection(engine, stream)
+
+    async def give_back(self, connection: EngineConnection) -> None:
+        """Keep a connection whose answer was read whole, where it may be used again."""
+        kept = self._kept.setdefault(connection.engine, [])
+        if len(kept) < KEPT_CONNECTIONS and connection.prepare_reuse():
+            kept.append(connection)
+        else:
+            await connection.close()
+
+    async def forget(self, engines: set[str]) -> None:
+        """Close the kept connections of engines that are not among those given."""
+        for engine in [each for each in self._kept if each not in engines]:
+            for connection in self._kept.pop(engine):
+                await connection.close()
--- /dev/null
+++ b/src/pondtiller/gateway/front.py
@@ -0,0 +1,208 @@
+"""What callers and trainers meet: routing of each request to an engine or to its step."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import curio
+from result import Err
+
+from pondtiller.daemon import clock, logs
+from pondtiller.errors import ErrorKind, Failure, Ran
+from pondtiller.gateway.forward import ForwardedRequest, Forwarder, WholeAnswer, is_streamed
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.step_client import StepClient
+from pondtiller.gateway.streams import StreamForwarder
+from pondtiller.httpio.messages import HttpRequest, HttpResponse
+from pondtiller.httpio.server import Exchange
+from pondtiller.platform import engine_format, names, step_format
+from pondtiller.rollouts.steps import StepStatus
+from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
+
+Result = TypeVar("Result")
+
+RETRY_AFTER_SECONDS = 0.25
+LONGEST_READ_WAIT_SECONDS = 1.0
+
+
+class Front:
+    """Handles every exchange on the callers' address.
+
+    Attributes
+    ----------
+    table
+        Rows in force; None until the first are known.
+    open_exchanges
+        Requests that are being answered now.
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        streams: StreamForwarder,
+        steps: StepClient,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.table: RouteTable | None = None
+        self.open_exchanges = 0
+        self._forwarder = forwarder
+        self._streams = streams
+        self._steps = steps
+        self._metrics = metrics
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        self.open_exchanges += 1
+        started = clock.monotonic()
+        try:
+            await self._route(exchange)
+        finally:
+            self.open_exchanges -= 1
+            self._metrics.request_seconds.add(clock.monotonic() - started)
+
+    async def _route(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.path.startswith(names.STEPS_PATH):
+            await self._step_call(exchange)
+            return
+        if request.path.startswith(names.SAMPLES_PATH):
+            await self._sample_body(exchange)
+            return
+        table = self.table
+        if table is None:
+            await self._fail(exchange, Failure(ErrorKind.NOT_READY), "")
+            return
+        route = table.find(request.headers.get("host", ""), request.path)
+        if route is None:
+            logs.decision(
+                "no_route",
+                request=engine_format.request_id(request.raw_headers),
+                host=request.headers.get("host", ""),
+                path=request.path,
+                version=table.version,
+            )
+            await self._fail(exchange, Failure(ErrorKind.NOT_FOUND), "")
+        elif route.kind is RequestKind.STEP and request.method == "POST":
+            await self._open_step(exchange, route)
+        elif is_streamed(route):
+            await self._streams.forward(exchange, _forwarded(request, route), route)
+        else:
+            await self._forward(exchange, route)
+
+    # Callers
+
+    async def _forward(self, exchange: Exchange, route: RouteRow) -> None:
+        forwarded = _forwarded(exchange.request, route)
+        answer = await run_unless_closed(exchange, self._forwarder.whole, forwarded, route)
+        if answer is None:
+            self._metrics.count(route.name, "caller_left")
+            logs.decision("caller_left", request=forwarded.identifier, route=route.name)
+        elif isinstance(answer, WholeAnswer):
+            self._metrics.count(route.name, str(answer.status))
+            headers = engine_format.returned_headers(answer.headers)
+            await exchange.respond(HttpResponse(answer.status, answer.body, "", headers))
+        else:
+            await self._fail(exchange, answer, route.name)
+
+    async def _fail(self, exchange: Exchange, failure: Failure, route: str) -> None:
+        self._metrics.count(route, failure.kind.value)
+        await exchange.respond(_failure(failure))
+
+    # Trainers
+
+    async def _open_step(self, exchange: Exchange, route: RouteRow) -> None:
+        request = exchange.request
+        identifier = engine_format.request_id(request.raw_headers)
+        host = request.headers.get("host", "")
+        read = step_format.read_step(identifier, host, request.path, request.body)
+        if isinstance(read, Err) or not identifier:
+            reason = read.err_value if isinstance(read, Err) else "no identifier"
+            logs.decision("step_refused", step=identifier, reason=reason)
+            await self._fail(exchange, Failure(ErrorKind.BAD_REQUEST, reason), route.name)
+            return
+        seconds = engine_format.caller_seconds(request.raw_headers) or route.time_limit_seconds
+        status = await self._steps.open(read.ok_value, seconds)
+        logs.decision(
+            "step_submitted",
+            step=identifier,
+            route=route.name,
+            number=read.ok_value.number,
+            samples=len(read.ok_value.samples),
+            outcome=status.name,
+        )
+        await self._answer_status(exchange, status, 202)
+
+    async def _step_call(self, exchange: Exchange) -> None:
+        request = exchange.request
+        step = request.path.removeprefix(names.STEPS_PATH)
+        if request.method == "DELETE":
+            status = await self._steps.end(step)
+            logs.decision("step_end_asked", step=step, outcome=status.name)
+            await self._answer_status(exchange, status, 200)
+            return
+        try:
+            position = int(request.query.get("since_rev") or 0)
+            wait = float(request.headers.get(names.WAIT) or 0) / 1000.0
+        except ValueError:
+            await self._fail(exchange, Failure(ErrorKind.BAD_REQUEST), "")
+            return
+        wait = min(wait, LONGEST_READ_WAIT_SECONDS)
+        page = await run_unless_closed(exchange, self._steps.read, step, max(0, position), wait)
+        if page is None:
+            return
+        if page.status != StepStatus.OK:
+            await self._answer_status(exchange, StepStatus(page.status), 200)
+            return
+        await exchange.respond(HttpResponse(200, step_format.write_page(page)))
+
+    async def _sample_body(self, exchange: Exchange) -> None:
+        request = exchange.request
+        step = request.path.removeprefix(names.SAMPLES_PATH)
+        body = await self._steps.sample_body(step, request.query.get("id") or "")
+        if body.status != StepStatus.OK:
+            await self._answer_status(exchange, StepStatus(body.status), 200)
+            return
+        await exchange.respond(HttpResponse(200, body.body, "application/octet-stream"))
+
+    async def _answer_status(self, exchange: Exchange, status: StepStatus, success: int) -> None:
+        if status is StepStatus.OK:
+            await exchange.respond(HttpResponse(success))
+            return
+        kinds = {
+            StepStatus.UNKNOWN: ErrorKind.UNKNOWN_STEP,
+            StepStatus.UNAVAILABLE: ErrorKind.NOT_READY,
+        }
+        await self._fail(exchange, Failure(kinds.get(status, ErrorKind.OUTCOME_UNKNOWN)), "step")
+
+
+def _forwarded(request: HttpRequest, route: RouteRow) -> ForwardedRequest:
+    seconds = engine_format.caller_seconds(request.raw_headers)
+    limit = route.time_limit_seconds
+    return ForwardedRequest(
+        identifier=engine_format.request_id(request.raw_headers),
+        method=request.method,
+        target=request.target,
+        headers=request.raw_headers,
+        body=request.body,
+        deadline=clock.monotonic() + (limit if seconds is None else min(limit, seconds)),
+    )
+
+
+def _failure(failure: Failure) -> HttpResponse:
+    answer = failure.answer
+    headers: tuple[tuple[str, str], ...] = ()
+    if answer.ran is Ran.NO and answer.retry_after_seconds is not None:
+        headers = (("Retry-After", str(RETRY_AFTER_SECONDS)),)
+    return HttpResponse(answer.status, failure.describe().encode(), "text/plain", headers)
+
+
+async def run_unless_closed(
+    exchange: Exchange, function: Callable[..., Awaitable[Result]], *arguments: object
+) -> Result | None:
+    """Run a coroutine function; None where the other side leaves before it returns."""
+    async with curio.TaskGroup(wait=any) as group:
+        work = await group.spawn(function, *arguments)
+        await group.spawn(exchange.wait_closed)
+    if not work.terminated or work.cancelled:
+        return None
+    result: Result = work.result
+    return result
--- /dev/null
+++ b/src/pondtiller/gateway/leadership.py
@@ -0,0 +1,266 @@
+"""Standing for leader, and keeping the lease: the step log's leader over links."""
+
+import random
+
+import curio
+from betterproto import Message
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock, logs
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.replicas import LeaderPlace, ReplicaDirectory
+from pondtiller.hashing import score
+from pondtiller.steplog.group_policy import GroupInputs, next_members
+from pondtiller.steplog.leader import (
+    HEARTBEAT_SECONDS,
+    Committed,
+    Deposed,
+    LeaderLog,
+    Phase,
+    Send,
+    Won,
+)
+from pondtiller.wire.steplog import (
+    Append,
+    Appended,
+    Fetch,
+    Fetched,
+    Group,
+    GroupMember,
+    Prepare,
+    Promise,
+    Resign,
+)
+
+STAND_DELAY_SECONDS = 0.25
+BACKOFF_SECONDS = 0.5
+
+
+class FirstGroupSource:
+    """Agrees with the other daemons on the first group, once for the whole system."""
+
+    async def first_group(self, candidates: tuple[GroupMember, ...]) -> Group | None:
+        """Return the agreed group, or None while there is none."""
+        raise NotImplementedError
+
+
+class Duties:
+    """What a leader does; told of the log's events."""
+
+    async def begin(self, won: Won) -> None:
+        """Take over."""
+        raise NotImplementedError
+
+    async def committed(self, key: str) -> None:
+        """Take a write that is done."""
+        raise NotImplementedError
+
+    async def end(self, reason: str) -> None:
+        """Stop at once: another daemon may lead now."""
+        raise NotImplementedError
+
+    def retiring(self) -> frozenset[str]:
+        """Return the names of replicas that are to be emptied."""
+        raise NotImplementedError
+
+
+class Leadership:
+    """Drives a `LeaderLog`.
+
+    Parameters
+    ----------
+    wanted_size
+        Replicas that a group should have.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        wanted_size: int,
+        first_group: FirstGroupSource,
+        metrics: GatewayMetrics,
+    ) -> None:
+        identity = score("epoch", f"{name}/{clock.new_incarnation()}") & 0xFFFFFFFF
+        self.log = LeaderLog(name, address.host, address.port, identity)
+        self.replicas = ReplicaDirectory(name, self._connected, self._lost, self._wake_up)
+        self.may_stand = False
+        self._name = name
+        self._address = address
+        self._wanted_size = wanted_size
+        self._first_group = first_group
+        self._metrics = metrics
+        self._duties: Duties | None = None
+        self._wake = curio.Event()
+        self._stand_at: float | None = None
+        self._missing_since: dict[str, float] = {}
+        self._random = random.Random(identity)
+
+    def serve(self, duties: Duties) -> None:
+        """Set what this daemon does when it leads."""
+        self._duties = duties
+
+    def leader(self) -> LeaderPlace | None:
+        """Return the leader: this daemon where it leads, else whom the replicas name."""
+        if self.log.holds_lease(clock.monotonic()):
+            return LeaderPlace(self._name, self._address, self.log.epoch)
+        return self.replicas.leader()
+
+    async def run(self) -> None:
+        """Stand when there is no leader, renew the lease while leading; until cancelled."""
+        while True:
+            self._wake.clear()
+            now = clock.monotonic()
+            self.log.tick(now)
+            if self.log.is_leading:
+                self._change_group(now)
+                self.log.flush(now)
+            elif self.log.phase is Phase.IDLE:
+                await self._consider_standing(now)
+            await self._carry_out()
+            await curio.ignore_after(self._pause(now), self._wake.wait)
+
+    async def flush(self) -> None:
+        """Send what was written."""
+        self.log.flush(clock.monotonic())
+        await self._carry_out()
+
+    async def resign(self) -> None:
+        """Give leadership back, and do not stand again."""
+        self.may_stand = False
+        self.log.resign()
+        await self._carry_out()
+
+    def _pause(self, now: float) -> float:
+        if self.log.phase is not Phase.IDLE:
+            return HEARTBEAT_SECONDS / 3
+        if self._stand_at is not None:
+            return max(0.01, self._stand_at - now)
+        return 1.0
+
+    # Standing
+
+    async def _consider_standing(self, now: float) -> None:
+        views = self.replicas.views()
+        if not self.may_stand or not views or self.replicas.leader() is not None:
+            self._stand_at = None
+            return
+        if self._stand_at is None:
+            self._stand_at = now + self._random.random() * STAND_DELAY_SECONDS
+        if now < self._stand_at:
+            return
+        self._stand_at = now + BACKOFF_SECONDS + self._random.random() * BACKOFF_SECONDS
+        group = Group()
+        if not any(view.group.generation for view in views):
+            candidates = tuple(view.replica for view in views if view.may_form)
+            found = await self._first_group.first_group(candidates)
+            if found is None:
+                return
+            group = found
+        logs.decision(
+            "standing",
+            highest_epoch=self.replicas.highest_epoch,
+            replicas=len(views),
+            generation=max((view.group.generation for view in views), default=0),
+        )
+        self.log.stand(self.replicas.highest_epoch, group, clock.monotonic())
+
+    # Links
+
+    async def _wake_up(self) -> None:
+        await self._wake.set()
+
+    async def _connected(self, number: int, member: GroupMember) -> None:
+        self._missing_since.pop(member.name, None)
+        self.log.connected(number, member, clock.monotonic())
+        await self._carry_out()
+
+    async def _lost(self, number: int) -> None:
+        self.log.lost(number)
+        await self._carry_out()
+
+    async def _carry_out(self) -> None:
+        while True:
+            instructions = self.log.take()
+            if not instructions:
+                return
+            for instruction in instructions:
+                match instruction:
+                    case Send():
+                        await self._send(instruction)
+                    case Won():
+                        await self._won(instruction)
+                    case Committed():
+                        if self._duties is not None:
+                            await self._duties.committed(instruction.key)
+                    case Deposed():
+                        await self._deposed(instruction)
+
+    async def _won(self, won: Won) -> None:
+        self._metrics.takeovers += 1
+        logs.decision("leader_won", epoch=won.epoch, entries=len(won.entries))
+        if self._duties is not None:
+            await self._duties.begin(won)
+
+    async def _deposed(self, deposed: Deposed) -> None:
+        self.replicas.highest_epoch = max(self.replicas.highest_epoch, deposed.highest_epoch)
+        logs.decision(
+            "leader_ended", reason=deposed.reason, highest_epoch=self.replicas.highest_epoch
+        )
+        if self._duties is not None:
+            await self._duties.end(deposed.reason)
+
+    async def _send(self, send: Send) -> None:
+        link = self.replicas.link(send.link)
+        if link is None:
+            return
+        number = send.link
+        match send.message:
+            case Resign():
+                await link.send(send.message)
+            case Prepare() | Append() | Fetch():
+                epoch = self.log.epoch
+
+                async def answered(answer: Message) -> None:
+                    if self.log.epoch == epoch:
+                        await self._answered(number, answer)
+
+                await link.request(send.message, answered)
+
+    async def _answered(self, number: int, answer: Message) -> None:
+        now = clock.monotonic()
+        match answer:
+            case Promise():
+                self.log.promised(number, answer, now)
+            case Fetched():
+                self.log.fetched(number, answer, now)
+            case Appended():
+                self.log.appended(number, answer, now)
+        await self._carry_out()
+
+    # The group
+
+    def _change_group(self, now: float) -> None:
+        synced = tuple(self.log.synced_members())
+        names = {member.name for member in synced}
+        for member in self.log.group.members:
+            if member.name in names:
+                self._missing_since.pop(member.name, None)
+            else:
+                self._missing_since.setdefault(member.name, now)
+        if self.log.next_group is not None or not self.log.group.generation:
+            return
+        retiring = self._duties.retiring() if self._duties is not None else frozenset()
+        inputs = GroupInputs(
+            self.log.group, synced, dict(self._missing_since), retiring, self._wanted_size
+        )
+        members = next_members(inputs, now)
+        if members is not None:
+            logs.decision(
+                "group_change",
+                generation=self.log.group.generation + 1,
+                members=",".join(f"{each.name}/{each.disk}" for each in members),
+                missing=",".join(sorted(self._missing_since)),
+                retiring=",".join(sorted(retiring)),
+            )
+            self.log.change_group(members)
--- /dev/null
+++ b/src/pondtiller/gateway/metrics.py
@@ -0,0 +1,47 @@
+"""Counters and histograms of a gateway; rendered by prometheus-client only when scraped."""
+
+from bisect import bisect_left
+from dataclasses import dataclass, field
+
+LATENCY_BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
+
+@dataclass
+class Latencies:
+    """Counts of durations by upper bound, in seconds."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BOUNDS) + 1))
+    total_seconds: float = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count one duration."""
+        self.counts[bisect_left(LATENCY_BOUNDS, seconds)] += 1
+        self.total_seconds += seconds
+
+
+@dataclass
+class GatewayMetrics:
+    """What one gateway counts.
+
+    Attributes
+    ----------
+    answered
+        Requests by route and outcome.
+    commit_seconds
+        From a write to the log until it is on a quorum of disks.
+    """
+
+    attempts: int = 0
+    answered: dict[tuple[str, str], int] = field(default_factory=dict)
+    request_seconds: Latencies = field(default_factory=Latencies)
+    commit_seconds: Latencies = field(default_factory=Latencies)
+    samples_listed: int = 0
+    samples_given_up: int = 0
+    runs_started: int = 0
+    orders: int = 0
+    takeovers: int = 0
+
+    def count(self, route: str, outcome: str) -> None:
+        """Count a request's end."""
+        key = (route, outcome)
+        self.answered[key] = self.answered.get(key, 0) + 1
--- /dev/null
+++ b/src/pondtiller/gateway/orders.py
@@ -0,0 +1,76 @@
+"""Orders to engines, and their own reports."""
+
+from pondtiller.daemon import logs
+from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.platform import engine_format, names
+from pondtiller.platform.engine_format import EngineReport
+from pondtiller.rollouts.versions import OrderVersion
+from pondtiller.routes.engines import EngineDirectory
+
+ORDER_SECONDS = 0.7
+REPORT_SECONDS = 0.5
+
+
+class EngineOrders:
+    """Calls engines as the steward decides.
+
+    Parameters
+    ----------
+    holder
+        Name of this machine, which orders carry.
+    """
+
+    def __init__(self, holder: str, engines: EngineDirectory, client: HttpClient) -> None:
+        self._holder = holder
+        self._engines = engines
+        self._client = client
+
+    async def order(self, order: OrderVersion, fence: int) -> bool | None:
+        """Give an order; None where it is not known whether the engine took it."""
+        engine = self._engines.engines.get(order.engine)
+        if engine is None:
+            return False
+        body = engine_format.order_body(order, self._holder, fence)
+        try:
+            answer = await self._client.request(
+                engine.entry.address,
+                "POST",
+                names.ORDER_PATH,
+                body,
+                ORDER_SECONDS,
+                engine_format.order_headers(order.engine),
+            )
+        except NotSentError:
+            self._log(order, fence, "unreachable")
+            return False
+        except BrokenError:
+            self._log(order, fence, "unanswered")
+            return None
+        self._log(order, fence, str(answer.status))
+        return answer.status in (200, 202)
+
+    async def ask(self, identifier: str) -> EngineReport | None:
+        """Return an engine's report, or None."""
+        engine = self._engines.engines.get(identifier)
+        if engine is None:
+            return None
+        try:
+            answer = await self._client.request(
+                engine.entry.address, "GET", names.REPORT_PATH, b"", REPORT_SECONDS
+            )
+        except (NotSentError, BrokenError):
+            return None
+        report = engine_format.engine_report(answer.body) if answer.status == 200 else None
+        logs.decision("engine_report", engine=identifier, status=answer.status, report=report)
+        return report
+
+    def _log(self, order: OrderVersion, fence: int, outcome: str) -> None:
+        logs.decision(
+            "version_ordered",
+            engine=order.engine,
+            model=order.model,
+            version=order.version,
+            orders_taken=order.orders_taken,
+            fence=fence,
+            outcome=outcome,
+        )
--- /dev/null
+++ b/src/pondtiller/gateway/process.py
@@ -0,0 +1,187 @@
+"""One gateway process: its sockets, its parts, its start, reload and stop."""
+
+import curio
+from betterproto import Message
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock, logs
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.duties import LeaderDuties
+from pondtiller.gateway.engine_pool import EnginePool
+from pondtiller.gateway.forward import Forwarder
+from pondtiller.gateway.front import Front
+from pondtiller.gateway.leadership import Leadership
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.orders import EngineOrders
+from pondtiller.gateway.sample_runner import SampleRunner
+from pondtiller.gateway.settings import GatewaySettings, to_address
+from pondtiller.gateway.step_client import StepClient
+from pondtiller.gateway.streams import StreamForwarder
+from pondtiller.gateway.watches import GatewayWatches, LeaderWatches, StoredFirstGroup
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.messages import HttpResponse
+from pondtiller.httpio.server import Exchange, bind_tcp, serve_http
+from pondtiller.links.link import Link, serve_links
+from pondtiller.platform import names
+from pondtiller.platform.object_client import ObjectClient, StoreCallError
+from pondtiller.routes.engines import EngineDirectory
+
+METRICS_PATH = "/metrics"
+HOUSEKEEPING_SECONDS = 0.5
+NO_REPLICA_SECONDS = 2.5
+NOT_READY_SECONDS = 3.0
+STOP_MARGIN_SECONDS = 0.7
+
+
+class GatewayProcess:
+    """A gateway with all its parts."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.settings = settings
+        self.is_stopping = False
+        self.metrics = GatewayMetrics()
+        self.engines = EngineDirectory()
+        self.pool = EnginePool()
+        client = HttpClient()
+        self.store = ObjectClient(to_address(settings.store), client)
+        forwarder = Forwarder(settings.zone, self.engines, self.pool, self.metrics)
+        links: Address = to_address(settings.links)
+        self.leadership = Leadership(
+            settings.name,
+            links,
+            settings.wanted_replicas,
+            StoredFirstGroup(self.store, settings.wanted_replicas),
+            self.metrics,
+        )
+        self._steps = StepClient(settings.name, self.leadership.leader, self)
+        streams = StreamForwarder(forwarder, self.pool)
+        self.front = Front(forwarder, streams, self._steps, self.metrics)
+        self._leader_watches = LeaderWatches(self.store, self.leadership.replicas)
+        self._leader_watches.follow_members(self._is_group_member)
+        self.duties = LeaderDuties(
+            self.leadership,
+            self.engines,
+            self.front,
+            SampleRunner(self.engines, self.pool, forwarder),
+            EngineOrders(settings.name, self.engines, HttpClient()),
+            self._leader_watches,
+            self.metrics,
+            settings.durations.lease,
+            settings.durations.keep_steps,
+        )
+        self.leadership.serve(self.duties)
+        self.watches = GatewayWatches(
+            self.store, self.engines, self.front, self.duties.engines_changed
+        )
+        self._stopped = curio.Event()
+
+    async def answer(self, message: Message) -> Message:
+        """Answer a step call as the leader."""
+        return await self.duties.answer(message)
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        settings = self.settings
+        callers, readiness, links = (
+            bind_tcp(address.host, address.port)
+            for address in map(to_address, (settings.callers, settings.readiness, settings.links))
+        )
+        logs.decision(
+            "started",
+            daemon=settings.name,
+            zone=settings.zone,
+            callers=settings.callers,
+            links=settings.links,
+            store=settings.store,
+        )
+        async with Spawner() as group:
+            await group.spawn(serve_http, callers, self.front.handle, self._is_stopping)
+            await group.spawn(serve_http, readiness, self._answer_readiness)
+            await group.spawn(serve_links, links, self._serve_link)
+            await group.spawn(self.watches.configuration.run)
+            await group.spawn(self.watches.engines.run)
+            await group.spawn(self.leadership.run)
+            await group.spawn(self._keep_house)
+            await self._stopped.wait()
+        logs.decision("stopped", daemon=settings.name, open=self.front.open_exchanges)
+
+    async def stop(self) -> None:
+        """Stop as planned: no new callers, a successor for the leader, answers to the end."""
+        if self.is_stopping:
+            return
+        self.is_stopping = True
+        logs.decision("stopping", daemon=self.settings.name, open=self.front.open_exchanges)
+        began = clock.monotonic()
+        await self.duties.save_progress()
+        await self.leadership.resign()
+        end = began + self.settings.durations.stop - STOP_MARGIN_SECONDS
+        while clock.monotonic() < end:
+            is_quiet = self.front.open_exchanges == 0
+            if is_quiet and clock.monotonic() >= began + NOT_READY_SECONDS:
+                break
+            await curio.sleep(0.05)
+        await self._stopped.set()
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings; addresses and names stay until the next start."""
+        logs.decision("reloaded", daemon=settings.name, changed=settings != self.settings)
+        self.settings = settings
+
+    def _is_stopping(self) -> bool:
+        return self.is_stopping
+
+    def _is_group_member(self, name: str) -> bool:
+        """Return whether a replica belongs to the group, or may while it is not known."""
+        log = self.leadership.log
+        if not log.is_leading or log.next_group is not None:
+            return True
+        return any(member.name == name for member in log.group.members)
+
+    async def _answer_readiness(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.path == names.READY_PATH:
+            is_ready = self._is_ready()
+            await exchange.respond(HttpResponse(200 if is_ready else 503))
+        elif request.path == METRICS_PATH:
+            from pondtiller.gateway.metrics_text import render
+
+            body = render(self)
+            await exchange.respond(HttpResponse(200, body, "text/plain; version=0.0.4"))
+        else:
+            await exchange.respond(HttpResponse(404))
+
+    def _is_ready(self) -> bool:
+        return not self.is_stopping and self.front.table is not None and self.engines.is_known
+
+    async def _serve_link(self, link: Link) -> None:
+        async with Spawner() as group:
+
+            async def take(_link: Link, call: int, message: Message) -> None:
+                await group.spawn(self._answer_call, link, call, message)
+
+            await link.run(take)
+
+    async def _answer_call(self, link: Link, call: int, message: Message) -> None:
+        answer = await self.duties.answer(message)
+        await link.reply(call, answer)
+
+    async def _keep_house(self) -> None:
+        """Find replicas when none is heard, forget engines that are gone."""
+        next_search = 0.0
+        while True:
+            now = clock.monotonic()
+            heard = self.leadership.replicas.last_heard()
+            if now >= next_search and now > heard + NO_REPLICA_SECONDS:
+                next_search = now + NO_REPLICA_SECONDS
+                await self._find_replicas()
+            self.leadership.may_stand = self._is_ready()
+            self.engines.forget_gone(now)
+            await self.pool.forget(set(self.engines.engines))
+            await curio.sleep(HOUSEKEEPING_SECONDS)
+
+    async def _find_replicas(self) -> None:
+        try:
+            listing = await self.store.list_all(names.REPLICAS)
+        except StoreCallError:
+            return
+        await self._leader_watches.take_replicas(listing.objects)
--- /dev/null
+++ b/src/pondtiller/gateway/replicas.py
@@ -0,0 +1,170 @@
+"""The replicas as this daemon sees them: a link to each, and whom they take for the leader."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import curio
+from betterproto import Message
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock, logs
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.links.link import Link, LinkLostError, connect
+from pondtiller.wire.steplog import GroupMember, ReplicaView, Subscribe
+
+RETRY_SECONDS = 0.4
+SILENT_SECONDS = 2.5
+FORGET_SECONDS = 20.0
+
+
+@dataclass
+class ReplicaLink:
+    """One replica's place, with its link while there is one.
+
+    Attributes
+    ----------
+    heard_at
+        When it last said anything.
+    """
+
+    address: Address
+    number: int
+    link: Link | None = None
+    view: ReplicaView | None = None
+    heard_at: float = 0.0
+    known_since: float = field(default_factory=clock.monotonic)
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderPlace:
+    """The leader as replicas name it."""
+
+    name: str
+    address: Address
+    epoch: int
+
+
+class ReplicaDirectory:
+    """Keeps a link to each replica that is known.
+
+    Parameters
+    ----------
+    connected, lost
+        Told of each link with the replica's view, and of its end; by number of the link.
+    """
+
+    def __init__(
+        self,
+        daemon: str,
+        connected: Callable[[int, GroupMember], Awaitable[None]],
+        lost: Callable[[int], Awaitable[None]],
+        changed: Callable[[], Awaitable[None]],
+    ) -> None:
+        self.places: dict[Address, ReplicaLink] = {}
+        self.highest_epoch = 0
+        self._daemon = daemon
+        self._connected = connected
+        self._lost = lost
+        self._changed = changed
+        self._last_number = 0
+        self._group = Spawner()
+
+    async def add(self, address: Address) -> None:
+        """Take a replica's address; a link is kept open from now on."""
+        if address in self.places:
+            return
+        place = ReplicaLink(address, 0)
+        self.places[address] = place
+        await self._group.spawn(self._keep_link, place)
+
+    def leader(self) -> LeaderPlace | None:
+        """Return the leader of the highest epoch that a replica follows."""
+        best: LeaderPlace | None = None
+        for view in self.views():
+            if view.leader and (best is None or view.epoch > best.epoch):
+                address = Address(view.leader_host, view.leader_port)
+                best = LeaderPlace(view.leader, address, view.epoch)
+        return best
+
+    def views(self) -> list[ReplicaView]:
+        """Return what the connected replicas last said."""
+        return [
+            place.view
+            for place in self.places.values()
+            if place.link is not None and place.view is not None
+        ]
+
+    def link(self, number: int) -> Link | None:
+        """Return an open link by its number."""
+        for place in self.places.values():
+            if place.number == number:
+                return place.link
+        return None
+
+    def last_heard(self) -> float:
+        """Return when any replica was last heard."""
+        return max((place.heard_at for place in self.places.values()), default=0.0)
+
+    async def _keep_link(self, place: ReplicaLink) -> None:
+        while True:
+            heard = max(place.heard_at, place.known_since)
+            if place.link is None and clock.monotonic() > heard + FORGET_SECONDS:
+                self.places.pop(place.address, None)
+                return
+            try:
+                link = await connect(place.address)
+            except LinkLostError:
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            await self._use(place, link)
+            await curio.sleep(RETRY_SECONDS)
+
+    async def _use(self, place: ReplicaLink, link: Link) -> None:
+        self._last_number += 1
+        place.number = self._last_number
+        place.link = link
+        place.view = None
+        place.heard_at = clock.monotonic()
+        watch = await curio.spawn(self._drop_silent, place, link, daemon=True)
+
+        async def take(_link: Link, _call: int, message: Message) -> None:
+            await self._take(place, message)
+
+        try:
+            await link.send(Subscribe(daemon=self._daemon))
+            await link.run(take)
+        finally:
+            await watch.cancel(blocking=False)
+            had_view = place.view is not None
+            place.link, place.view = None, None
+            if had_view:
+                logs.decision("replica_lost", host=place.address.host, port=place.address.port)
+            await self._lost(place.number)
+            await self._changed()
+
+    async def _drop_silent(self, place: ReplicaLink, link: Link) -> None:
+        while clock.monotonic() < place.heard_at + SILENT_SECONDS:
+            await curio.sleep(SILENT_SECONDS / 4)
+        await link.drop()
+
+    async def _take(self, place: ReplicaLink, message: Message) -> None:
+        place.heard_at = clock.monotonic()
+        if not isinstance(message, ReplicaView):
+            return
+        is_first = place.view is None
+        is_change = place.view != message
+        place.view = message
+        self.highest_epoch = max(self.highest_epoch, message.epoch)
+        for member in message.group.members:
+            await self.add(Address(member.host, member.port))
+        if is_first:
+            logs.decision(
+                "replica_found",
+                replica=message.replica.name,
+                disk=message.replica.disk,
+                epoch=message.epoch,
+                leader=message.leader,
+            )
+            await self._connected(place.number, message.replica)
+        if is_change:
+            await self._changed()
--- /dev/null
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -0,0 +1,130 @@
+"""Carries out samples' runs and their scorers' requests."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from pondtiller.daemon import clock
+from pondtiller.errors import Failure
+from pondtiller.gateway.engine_pool import EngineConnection, EnginePool
+from pondtiller.gateway.forward import ForwardedRequest, Forwarder
+from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.platform import engine_format
+from pondtiller.platform.engine_format import EventReader
+from pondtiller.rollouts.samples import RunEnd, ScoreEnd, StartRun
+from pondtiller.routes.engines import EngineDirectory
+from pondtiller.routes.table import RouteTable
+from pondtiller.wire.steplog import Sample
+
+SCORER_OBJECTIVES = 4.0
+SHORTEST_SCORER_SECONDS = 0.6
+
+EventSink = Callable[[int, int, str, int, float], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class RunOutcome:
+    """How a run ended, with the status where an engine gave one."""
+
+    end: RunEnd
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreOutcome:
+    """How a scorer's request ended."""
+
+    end: ScoreEnd
+    score: str
+    detail: str
+    attempts: int = 1
+
+
+class SampleRunner:
+    """Sends samples to engines and finished texts to scorers."""
+
+    def __init__(self, engines: EngineDirectory, pool: EnginePool, forwarder: Forwarder) -> None:
+        self._engines = engines
+        self._pool = pool
+        self._forwarder = forwarder
+
+    async def run(self, start: StartRun, host: str, take: EventSink) -> RunOutcome:
+        """Run a sample on an engine; `take` gets each event and says whether to go on."""
+        engine = self._engines.engines.get(start.engine)
+        if engine is None:
+            return RunOutcome(RunEnd.REFUSED, "gone")
+        connection: EngineConnection | None = None
+        try:
+            connection = await self._pool.take(start.engine, engine.entry.address)
+            outcome = await self._stream(start, host, connection, take)
+            if outcome.end is not RunEnd.STALE:
+                await self._pool.give_back(connection)
+                connection = None
+            return outcome
+        except NotSentError as error:
+            return RunOutcome(RunEnd.BROKEN, f"unreachable({error})")
+        except BrokenError as error:
+            return RunOutcome(RunEnd.BROKEN, str(error))
+        finally:
+            if connection is not None:
+                await connection.close()
+
+    async def _stream(
+        self, start: StartRun, host: str, connection: EngineConnection, take: EventSink
+    ) -> RunOutcome:
+        headers = engine_format.sample_headers(
+            start.sample,
+            host,
+            start.engine,
+            start.last_event,
+            start.expected_version,
+            start.route.priority,
+        )
+        await connection.send("POST", start.sample.path, headers, start.sample.body)
+        head = await connection.read_head(start.sample.id)
+        if not 200 <= head.status < 300:
+            async for _ in connection.read_body():
+                pass
+            return _refusal(head.status, head.headers)
+        version = engine_format.answer_version(head.headers)
+        reader = EventReader()
+        async for piece in connection.read_body():
+            for event in reader.feed(piece):
+                version = event.version if event.version is not None else version
+                if not take(start.run, event.number, event.data, version, clock.monotonic()):
+                    return RunOutcome(RunEnd.STALE, f"event={event.number} version={version}")
+        if reader.has_rest:
+            raise BrokenError("the stream ended within an event")
+        return RunOutcome(RunEnd.WHOLE, str(head.status))
+
+    async def score(self, sample: Sample, table: RouteTable | None) -> ScoreOutcome:
+        """Have a finished sample judged, one attempt."""
+        scorer = sample.scorer
+        route = table.find(scorer.host, scorer.path) if table is not None else None
+        if route is None:
+            return ScoreOutcome(ScoreEnd.LOST, "", "no route")
+        seconds = max(SHORTEST_SCORER_SECONDS, SCORER_OBJECTIVES * route.objective_seconds)
+        request = ForwardedRequest(
+            identifier=scorer.id,
+            method="POST",
+            target=scorer.path,
+            headers=engine_format.scorer_headers(scorer.id, scorer.host, scorer.body),
+            body=scorer.body,
+            deadline=clock.monotonic() + seconds,
+        )
+        answer = await self._forwarder.whole(request, replace(route, attempts=1))
+        if isinstance(answer, Failure):
+            return ScoreOutcome(ScoreEnd.LOST, "", answer.kind.value, route.attempts)
+        signature = engine_format.signature(answer.headers)
+        if 200 <= answer.status < 300 and signature is not None:
+            return ScoreOutcome(ScoreEnd.SCORED, signature, str(answer.status))
+        return ScoreOutcome(ScoreEnd.FAILED, "", str(answer.status), route.attempts)
+
+
+def _refusal(status: int, headers: engine_format.Headers) -> RunOutcome:
+    if engine_format.is_not_run(status, headers):
+        return RunOutcome(RunEnd.REFUSED, str(status))
+    if status == 422:
+        return RunOutcome(RunEnd.IMPOSSIBLE, str(status))
+    if status == 500:
+        return RunOutcome(RunEnd.FAILED, str(status))
+    return RunOutcome(RunEnd.BROKEN, str(status))
--- /dev/null
+++ b/src/pondtiller/gateway/settings.py
@@ -0,0 +1,102 @@
+"""Settings of a gateway and of a replica: a TOML file, checked on entry."""
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from pondtiller.core.entities import Address
+
+Port = Annotated[int, Field(ge=1, le=65_535)]
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise ValueError("give IP:PORT")
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+
+
+def to_address(text: str) -> Address:
+    """Return a checked address as a value."""
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+class Section(BaseModel):
+    """Base of all sections: unknown keys are refused."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+
+class Durations(Section):
+    """How long things may take, in seconds.
+
+    Attributes
+    ----------
+    stop
+        From the request to stop until the process must have ended.
+    lease
+        Least time between orders of two holders to one engine.
+    keep_steps
+        How long a closed step stays readable.
+    """
+
+    stop: float = Field(default=8.0, gt=0, le=3600)
+    lease: float = Field(default=3.0, gt=0, le=60)
+    keep_steps: float = Field(default=120.0, gt=0, le=86_400)
+
+
+class GatewaySettings(Section):
+    """Settings of one gateway.
+
+    Attributes
+    ----------
+    callers, readiness, links
+        Addresses to listen on: for callers and trainers, for readiness and metrics, for the
+        other daemons.
+    store
+        Address of the platform's object store.
+    losses
+        Replicas with their disks that may be lost at one time.
+    """
+
+    name: str
+    zone: str
+    callers: AddressText
+    readiness: AddressText
+    links: AddressText
+    store: AddressText
+    losses: int = Field(default=1, ge=0, le=5)
+    log_level: str = "info"
+    durations: Durations = Durations()
+
+    @property
+    def wanted_replicas(self) -> int:
+        """Replicas that a group should have."""
+        return 2 * self.losses + 1
+
+
+class ReplicaSettings(Section):
+    """Settings of one replica.
+
+    Attributes
+    ----------
+    links
+        Address to listen on for the daemons.
+    data_folder
+        Folder on the small disk.
+    first_start
+        Whether this is the first start of the whole system.
+    """
+
+    name: str
+    zone: str
+    links: AddressText
+    store: AddressText
+    data_folder: Path
+    first_start: bool = False
+    log_level: str = "info"
--- /dev/null
+++ b/src/pondtiller/gateway/step_client.py
@@ -0,0 +1,135 @@
+"""Step calls at any daemon: answered here where it leads, else by the leader over a link."""
+
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+import curio
+from betterproto import Message
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock, logs
+from pondtiller.gateway.replicas import LeaderPlace
+from pondtiller.links.link import Link, LinkLostError, connect
+from pondtiller.rollouts.steps import StepStatus
+from pondtiller.wire.steplog import (
+    EndStep,
+    OpenStep,
+    ReadResults,
+    ReadSample,
+    ResultsPage,
+    SampleBody,
+    Step,
+    StepAnswer,
+)
+
+ANSWER_SECONDS = 3.0
+NO_LEADER_SECONDS = 4.0
+READ_NO_LEADER_SECONDS = 1.0
+POLL_SECONDS = 0.05
+
+AnswerType = TypeVar("AnswerType", bound=Message)
+
+
+class StepService(Protocol):
+    """Answers step calls where this daemon leads."""
+
+    async def answer(self, message: Message) -> Message:
+        """Answer one call."""
+
+
+class StepClient:
+    """Finds the leader and calls it.
+
+    Parameters
+    ----------
+    find_leader
+        Returns the leader as far as it is known.
+    """
+
+    def __init__(
+        self, name: str, find_leader: Callable[[], LeaderPlace | None], local: StepService
+    ) -> None:
+        self._name = name
+        self._find_leader = find_leader
+        self._local = local
+        self._link: Link | None = None
+        self._link_address: Address | None = None
+
+    async def open(self, step: Step, seconds: float) -> StepStatus:
+        """Submit a step; waits a moment for a leader."""
+        wait = min(NO_LEADER_SECONDS, seconds / 2)
+        answer = await self._call(OpenStep(step=step), StepAnswer, wait, ANSWER_SECONDS)
+        return StepStatus(answer.status) if isinstance(answer, StepAnswer) else answer
+
+    async def end(self, step: str) -> StepStatus:
+        """End a step."""
+        answer = await self._call(EndStep(id=step), StepAnswer, NO_LEADER_SECONDS, ANSWER_SECONDS)
+        if isinstance(answer, StepAnswer):
+            return StepStatus(answer.status)
+        return answer
+
+    async def read(self, step: str, position: int, wait: float) -> ResultsPage:
+        """Read results from a position; may be held until there is one."""
+        message = ReadResults(id=step, position=position, wait_milliseconds=int(wait * 1000))
+        seconds = wait + ANSWER_SECONDS / 2
+        answer = await self._call(message, ResultsPage, READ_NO_LEADER_SECONDS, seconds)
+        if isinstance(answer, ResultsPage):
+            return answer
+        return ResultsPage(status=StepStatus.UNAVAILABLE)
+
+    async def sample_body(self, step: str, sample: str) -> SampleBody:
+        """Read the body of a sample."""
+        message = ReadSample(step=step, id=sample)
+        seconds = ANSWER_SECONDS / 2
+        answer = await self._call(message, SampleBody, READ_NO_LEADER_SECONDS, seconds)
+        if isinstance(answer, SampleBody):
+            return answer
+        return SampleBody(status=StepStatus.UNAVAILABLE)
+
+    async def _call(
+        self, message: Message, expected: type[AnswerType], leader_wait: float, seconds: float
+    ) -> AnswerType | StepStatus:
+        """Call the leader; `UNCERTAIN` where it may have acted and its answer is lost."""
+        give_up = clock.monotonic() + leader_wait
+        while True:
+            leader = self._find_leader()
+            if leader is not None:
+                answer = await self._call_once(leader, message, seconds)
+                if isinstance(answer, expected):
+                    if getattr(answer, "status", None) != StepStatus.UNAVAILABLE:
+                        return answer
+                elif answer is StepStatus.UNCERTAIN:
+                    logs.decision("leader_silent", leader=leader.name, epoch=leader.epoch)
+                    return StepStatus.UNCERTAIN
+            if clock.monotonic() >= give_up:
+                return StepStatus.UNAVAILABLE
+            await curio.sleep(POLL_SECONDS)
+
+    async def _call_once(
+        self, leader: LeaderPlace, message: Message, seconds: float
+    ) -> Message | StepStatus:
+        if leader.name == self._name:
+            return await self._local.answer(message)
+        try:
+            link = await self._link_to(leader.address)
+        except LinkLostError:
+            return StepStatus.UNAVAILABLE
+        try:
+            return await link.call(message, seconds)
+        except LinkLostError:
+            return StepStatus.UNCERTAIN
+
+    async def _link_to(self, address: Address) -> Link:
+        link = self._link
+        if link is not None and not link.is_lost and self._link_address == address:
+            return link
+        if link is not None:
+            await link.drop()
+        fresh = await connect(address)
+        self._link, self._link_address = fresh, address
+        await curio.spawn(fresh.run, _ignore, daemon=True)
+        return fresh
+
+
+async def _ignore(_link: Link, _call: int, _message: Message) -> None:
+    """Take what a leader sends unasked: nothing."""
--- /dev/null
+++ b/src/pondtiller/gateway/streams.py
@@ -0,0 +1,163 @@
+"""Streams of events from an engine to a caller, continued on another engine where allowed."""
+
+import curio
+
+from pondtiller.daemon import clock, logs
+from pondtiller.errors import ErrorKind, Failure, Ran
+from pondtiller.gateway.engine_pool import AnswerHead, EngineConnection, EnginePool
+from pondtiller.gateway.forward import ForwardedRequest, Forwarder, Tries
+from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.httpio.messages import HttpResponse
+from pondtiller.httpio.server import ConnectionLostError, Exchange, failure_response
+from pondtiller.platform import engine_format
+from pondtiller.platform.engine_format import EventReader
+from pondtiller.routes.engines import Engine
+from pondtiller.routes.table import RouteRow
+
+
+class StreamState:
+    """What the caller has of one stream."""
+
+    def __init__(self) -> None:
+        self.is_begun = False
+        self.last_event = 0
+        self.tries = Tries()
+
+
+class StreamForwarder:
+    """Passes streams on, event by event."""
+
+    def __init__(self, forwarder: Forwarder, pool: EnginePool) -> None:
+        self._forwarder = forwarder
+        self._pool = pool
+
+    async def forward(self, exchange: Exchange, request: ForwardedRequest, route: RouteRow) -> None:
+        """Answer a request with a stream; the caller's leaving ends the engine's work."""
+        state = StreamState()
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._run, exchange, request, route, state)
+            await group.spawn(exchange.wait_closed)
+        logs.decision(
+            "stream_ended",
+            request=request.identifier,
+            route=route.name,
+            last_event=state.last_event,
+            tried=";".join(state.tries.details),
+        )
+
+    async def _run(
+        self, exchange: Exchange, request: ForwardedRequest, route: RouteRow, state: StreamState
+    ) -> None:
+        service = route.choose_service(request.identifier)
+        while True:
+            failure = await self._next_try(exchange, request, route, service, state)
+            if failure is None:
+                return
+            is_over = failure is not RETRY
+            if is_over and not state.is_begun:
+                await exchange.respond(failure_response(failure))
+                return
+            if is_over:
+                # The caller must not take what it has for the whole.
+                raise ConnectionLostError("the stream could not be continued")
+
+    async def _next_try(
+        self,
+        exchange: Exchange,
+        request: ForwardedRequest,
+        route: RouteRow,
+        service: str,
+        state: StreamState,
+    ) -> Failure | None:
+        tries = state.tries
+        engine = self._forwarder.choose(service, tries.engines)
+        if engine is None or len(tries.engines) >= route.attempts:
+            return Failure(
+                ErrorKind.ENGINE_FAILED if tries.ran.value != "no" else ErrorKind.NO_ENGINE
+            )
+        if clock.monotonic() >= request.deadline:
+            return Failure(ErrorKind.DEADLINE_EXCEEDED)
+        tries.engines.add(engine.identifier)
+        engine.running += 1
+        connection: EngineConnection | None = None
+        try:
+            connection = await self._pool.take(engine.identifier, engine.entry.address)
+            return await self._pass_on(exchange, request, route, engine, connection, state)
+        except NotSentError:
+            engine.note_failure(clock.monotonic())
+            tries.details.append(f"{engine.identifier}:unreachable")
+            return RETRY
+        except BrokenError as error:
+            engine.note_failure(clock.monotonic())
+            tries.details.append(f"{engine.identifier}:broken({error})")
+            return RETRY if route.may_resume else Failure(ErrorKind.OUTCOME_UNKNOWN)
+        finally:
+            engine.running = max(0, engine.running - 1)
+            if connection is not None:
+                await self._pool.give_back(connection)
+
+    async def _pass_on(
+        self,
+        exchange: Exchange,
+        request: ForwardedRequest,
+        route: RouteRow,
+        engine: Engine,
+        connection: EngineConnection,
+        state: StreamState,
+    ) -> Failure | None:
+        left = request.deadline - clock.monotonic()
+        headers = engine_format.forwarded_headers(request.headers, engine.identifier, left)
+        if state.last_event:
+            headers = engine_format.continued(headers, state.last_event)
+        await connection.send(request.method, request.target, headers, request.body)
+        before = state.tries.ran
+        state.tries.may_have_run()
+        head = await connection.read_head(request.identifier)
+        if not 200 <= head.status < 300:
+            return await self._refused(exchange, connection, head, route, state, before)
+        if not state.is_begun:
+            state.is_begun = True
+            await exchange.start_response(head.status, engine_format.returned_headers(head.headers))
+        await self._pass_events(exchange, connection, state)
+        await exchange.end_stream()
+        return None
+
+    async def _refused(
+        self,
+        exchange: Exchange,
+        connection: EngineConnection,
+        head: AnswerHead,
+        route: RouteRow,
+        state: StreamState,
+        before: Ran,
+    ) -> Failure | None:
+        body = b"".join([piece async for piece in connection.read_body()])
+        state.tries.details.append(f"{connection.engine}:status({head.status})")
+        if engine_format.is_not_run(head.status, head.headers):
+            state.tries.ran = before
+            return RETRY
+        if route.may_resume or state.is_begun:
+            return RETRY if route.may_resume else Failure(ErrorKind.ENGINE_FAILED)
+        headers = engine_format.returned_headers(head.headers)
+        await exchange.respond(HttpResponse(head.status, body, "", headers))
+        return None
+
+    async def _pass_events(
+        self, exchange: Exchange, connection: EngineConnection, state: StreamState
+    ) -> None:
+        """Pass whole events on; a part of one is held until the rest has come."""
+        reader = EventReader()
+        held = b""
+        async for piece in connection.read_body():
+            held += piece
+            for event in reader.feed(piece):
+                state.last_event = max(state.last_event, event.number)
+            whole, separator, rest = held.rpartition(b"\n\n")
+            if separator:
+                held = rest
+                await exchange.send_piece(whole + separator)
+        if held:
+            raise BrokenError("the stream ended within an event")
+
+
+RETRY = Failure(ErrorKind.INTERNAL, "try another engine")
--- a/src/pondtiller/httpio/messages.py
+++ b/src/pondtiller/httpio/messages.py
@@ -18,6 +18,8 @@
         Parameters of the query; the last of a name counts.
     headers
         Header values by lower-case name; the last of a name counts.
+    raw_headers
+        All headers as they came, with names in lower case.
     """
 
     method: str
@@ -26,6 +28,7 @@
     headers: dict[str, str]
     body: bytes
     target: str
+    raw_headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +52,11 @@
     return HttpResponse(status, json.dumps(value).encode(), headers=headers)
 
 
-def parse_target(method: str, target: str, headers: dict[str, str], body: bytes) -> HttpRequest:
+def parse_target(
+    method: str, target: str, raw_headers: tuple[tuple[str, str], ...], body: bytes
+) -> HttpRequest:
     """Return a request from its request line, headers and body."""
     parts = urlsplit(target)
     query = dict(parse_qsl(parts.query, keep_blank_values=True))
-    return HttpRequest(method, unquote(parts.path), query, headers, body, target)
+    path = unquote(parts.path)
+    return HttpRequest(method, path, query, dict(raw_headers), body, target, raw_headers)
--- a/src/pondtiller/httpio/server.py
+++ b/src/pondtiller/httpio/server.py
@@ -9,6 +9,7 @@
 import curio
 import h11
 
+from pondtiller.daemon.spawner import Spawner
 from pondtiller.errors import ErrorKind, Failure
 from pondtiller.httpio.messages import HttpRequest, HttpResponse, json_response, parse_target
 
@@ -51,6 +52,11 @@
         self.started = True
         await self._connection.start_stream(headers)
 
+    async def start_response(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Begin an answer whose body comes in pieces."""
+        self.started = True
+        await self._connection.start_response(status, headers)
+
     async def send_piece(self, data: bytes) -> None:
         """Send a piece of the stream."""
         await self._connection.send_data(data)
@@ -91,9 +97,10 @@
 class ServerConnection:
     """One accepted connection."""
 
-    def __init__(self, stream_socket: Any) -> None:
+    def __init__(self, stream_socket: Any, is_closing: Callable[[], bool]) -> None:
         self._socket = stream_socket
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
+        self._is_closing = is_closing
 
     async def serve(self, handler: Handler) -> None:
         """Answer requests until the connection ends."""
@@ -171,11 +178,11 @@
 
     async def send_response(self, response: HttpResponse) -> None:
         """Send a response with its whole body in one write."""
-        headers = [
-            ("Content-Type", response.content_type),
-            ("Content-Length", str(len(response.body))),
-            *response.headers,
-        ]
+        headers = [("Content-Length", str(len(response.body))), *response.headers]
+        if response.content_type:
+            headers.insert(0, ("Content-Type", response.content_type))
+        if self._is_closing():
+            headers.append(("Connection", "close"))
         await self._send(
             h11.Response(status_code=response.status, headers=headers),
             h11.Data(data=response.body),
@@ -187,6 +194,11 @@
         all_headers = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
         await self._send(h11.Response(status_code=200, headers=[*all_headers, *headers]))
 
+    async def start_response(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Send the head of an answer whose body comes in pieces."""
+        closing = (("Connection", "close"),) if self._is_closing() else ()
+        await self._send(h11.Response(status_code=status, headers=[*headers, *closing]))
+
     async def send_data(self, data: bytes) -> None:
         """Send a piece of a body."""
         await self._send(h11.Data(data=data))
@@ -228,7 +240,7 @@
 
 
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
-    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
     method = head.method.decode()
     target = head.target.decode("latin-1")
     try:
@@ -246,9 +258,15 @@
     return listener
 
 
-async def serve_http(listener: Any, handler: Handler) -> None:
-    """Accept connections until cancelled."""
-    async with curio.TaskGroup(wait=all) as group:
+def _never() -> bool:
+    return False
+
+
+async def serve_http(
+    listener: Any, handler: Handler, is_closing: Callable[[], bool] = _never
+) -> None:
+    """Accept connections until cancelled; answers say so once `is_closing`."""
+    async with Spawner() as group:
         while True:
             try:
                 client, _ = await listener.accept()
@@ -258,12 +276,12 @@
                     continue
                 raise
             client.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
-            await group.spawn(_serve_client, client, handler)
+            await group.spawn(_serve_client, client, handler, is_closing)
 
 
-async def _serve_client(client: Any, handler: Handler) -> None:
+async def _serve_client(client: Any, handler: Handler, is_closing: Callable[[], bool]) -> None:
     async with client:
-        connection = ServerConnection(client)
+        connection = ServerConnection(client, is_closing)
         try:
             await connection.serve(handler)
         except (ConnectionLostError, h11.LocalProtocolError):
--- /dev/null
+++ b/src/pondtiller/links/frames.py
@@ -0,0 +1,90 @@
+"""Frames: length, kind of message, call number, message."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from betterproto import Message
+
+from pondtiller.wire import steplog
+
+HEAD_BYTES = 10
+LARGEST_FRAME = 256 * 1024 * 1024
+REPLY_FLAG = 0x8000
+
+# Numbers are part of the protocol: never give one to another type.
+TYPE_BY_KIND: dict[int, type[Message]] = {
+    1: steplog.Subscribe,
+    2: steplog.ReplicaView,
+    3: steplog.Prepare,
+    4: steplog.Promise,
+    5: steplog.Fetch,
+    6: steplog.Fetched,
+    7: steplog.Append,
+    8: steplog.Appended,
+    9: steplog.Resign,
+    10: steplog.OpenStep,
+    11: steplog.EndStep,
+    12: steplog.StepAnswer,
+    13: steplog.ReadResults,
+    14: steplog.ResultsPage,
+    15: steplog.ReadSample,
+    16: steplog.SampleBody,
+    17: steplog.SaveProgress,
+    18: steplog.ReadProgress,
+    19: steplog.ProgressList,
+}
+KIND_BY_TYPE = {message_type: kind for kind, message_type in TYPE_BY_KIND.items()}
+
+
+class BadFrameError(Exception):
+    """The other side sent what is no frame."""
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One message; `call` is 0 where no answer is expected."""
+
+    call: int
+    is_reply: bool
+    message: Message
+
+
+def encode(frame: Frame) -> bytes:
+    """Return the bytes of a frame."""
+    body = bytes(frame.message)
+    kind = KIND_BY_TYPE[type(frame.message)] | (REPLY_FLAG if frame.is_reply else 0)
+    head = len(body).to_bytes(4, "big") + kind.to_bytes(2, "big") + frame.call.to_bytes(4, "big")
+    return head + body
+
+
+class FrameReader:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Take bytes and return the frames that are whole; raises `BadFrameError`."""
+        self._buffer += data
+        while len(self._buffer) >= HEAD_BYTES:
+            length = int.from_bytes(self._buffer[:4], "big")
+            if length > LARGEST_FRAME:
+                raise BadFrameError("a frame is too long")
+            if len(self._buffer) < HEAD_BYTES + length:
+                return
+            kind = int.from_bytes(self._buffer[4:6], "big")
+            call = int.from_bytes(self._buffer[6:10], "big")
+            body = bytes(self._buffer[HEAD_BYTES : HEAD_BYTES + length])
+            del self._buffer[: HEAD_BYTES + length]
+            yield Frame(call, bool(kind & REPLY_FLAG), _parse(kind & ~REPLY_FLAG, body))
+
+
+def _parse(kind: int, body: bytes) -> Message:
+    message_type = TYPE_BY_KIND.get(kind)
+    if message_type is None:
+        raise BadFrameError(f"kind {kind} is not known")
+    try:
+        return message_type().parse(body)
+    except Exception as error:
+        # The decoder raises many kinds; whatever came is no message of ours.
+        raise BadFrameError(str(error)) from error
--- /dev/null
+++ b/src/pondtiller/links/link.py
@@ -0,0 +1,186 @@
+"""A link: one connection on which both sides may call and be called."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+from betterproto import Message
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.links.frames import BadFrameError, Frame, FrameReader, encode
+
+READ_BYTES = 262_144
+CONNECT_SECONDS = 1.0
+MOST_UNSENT_BYTES = 64 * 1024 * 1024
+KEEPALIVE_SECONDS = 1
+KEEPALIVE_PROBES = 2
+USER_TIMEOUT_MILLISECONDS = 2500
+
+Handler = Callable[["Link", int, Message], Awaitable[None]]
+Answered = Callable[[Message], Awaitable[None]]
+
+
+class LinkLostError(Exception):
+    """The connection ended, or the other side is silent."""
+
+
+def tune(stream: Any) -> None:
+    """Send at once, and notice within seconds that the other side is gone."""
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+
+
+class Link:
+    """One connection.
+
+    Sending never waits for the other side: what the kernel does not take at once is sent by a
+    task. A link whose other side does not read is dropped.
+    """
+
+    def __init__(self, stream: Any) -> None:
+        self.is_lost = False
+        self.sent_bytes = 0
+        self._stream = stream
+        self._unsent = bytearray()
+        self._has_unsent = curio.Event()
+        self._last_call = 0
+        self._waiting: dict[int, Answered] = {}
+        self._calls: dict[int, Any] = {}
+
+    async def send(self, message: Message, call: int = 0, is_reply: bool = False) -> None:
+        """Send a message; one that cannot be sent is dropped with the link."""
+        if self.is_lost:
+            return
+        self._unsent += encode(Frame(call, is_reply, message))
+        self._push()
+        if self._unsent:
+            await self._has_unsent.set()
+
+    async def request(self, message: Message, answered: Answered) -> int:
+        """Call the other side; `answered` takes the answer, if one comes. Returns the call."""
+        self._last_call = self._last_call % 0x7FFFFFFF + 1
+        call = self._last_call
+        self._waiting[call] = answered
+        await self.send(message, call)
+        return call
+
+    async def reply(self, call: int, message: Message) -> None:
+        """Answer a call."""
+        await self.send(message, call, is_reply=True)
+
+    async def call(self, message: Message, seconds: float) -> Message:
+        """Call the other side and wait for the answer; raises `LinkLostError`."""
+        answers: list[Message] = []
+        done = curio.Event()
+
+        async def take(answer: Message) -> None:
+            answers.append(answer)
+            await done.set()
+
+        if self.is_lost:
+            raise LinkLostError("the connection is lost")
+        number = await self.request(message, take)
+        self._calls[number] = done
+        try:
+            await curio.ignore_after(seconds, done.wait)
+        finally:
+            self._waiting.pop(number, None)
+            self._calls.pop(number, None)
+        if not answers:
+            raise LinkLostError("no answer")
+        return answers[0]
+
+    async def run(self, handler: Handler) -> None:
+        """Read until the connection ends; then it is lost."""
+        sender = await curio.spawn(self._send_rest, daemon=True)
+        try:
+            await self._read(handler)
+        finally:
+            self.is_lost = True
+            await sender.cancel(blocking=False)
+            for done in list(self._calls.values()):
+                await done.set()
+            await self._stream.close()
+
+    async def drop(self) -> None:
+        """End the connection; `run` returns."""
+        self.is_lost = True
+        try:
+            await self._stream.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    async def _read(self, handler: Handler) -> None:
+        reader = FrameReader()
+        while not self.is_lost:
+            try:
+                data = await self._stream.recv(READ_BYTES)
+                if not data:
+                    return
+                for frame in reader.feed(data):
+                    await self._take(frame, handler)
+            except (OSError, BadFrameError):
+                return
+
+    async def _take(self, frame: Frame, handler: Handler) -> None:
+        if not frame.is_reply:
+            await handler(self, frame.call, frame.message)
+            return
+        answered = self._waiting.pop(frame.call, None)
+        if answered is not None:
+            await answered(frame.message)
+
+    def _push(self) -> None:
+        """Give the kernel what it takes without waiting."""
+        try:
+            sent = self._stream._socket.send(self._unsent, socket.MSG_NOSIGNAL)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._unsent.clear()
+            self.is_lost = True
+            return
+        self.sent_bytes += sent
+        del self._unsent[:sent]
+        if len(self._unsent) > MOST_UNSENT_BYTES:
+            self.is_lost = True
+
+    async def _send_rest(self) -> None:
+        """Send what the kernel did not take at once."""
+        while True:
+            await self._has_unsent.wait()
+            self._has_unsent.clear()
+            while self._unsent and not self.is_lost:
+                await curio.traps._write_wait(self._stream)
+                self._push()
+
+
+async def connect(address: Address) -> Link:
+    """Open a link; raises `LinkLostError`."""
+    try:
+        stream = await curio.timeout_after(
+            CONNECT_SECONDS, curio.open_connection, address.host, address.port
+        )
+    except (OSError, curio.TaskTimeout) as error:
+        raise LinkLostError(str(error) or "no connection in time") from error
+    tune(stream)
+    return Link(stream)
+
+
+async def serve_links(listener: Any, accepted: Callable[[Link], Awaitable[None]]) -> None:
+    """Accept links until cancelled; `accepted` runs each in a task of its own."""
+    async with Spawner() as group:
+        while True:
+            try:
+                stream, _ = await listener.accept()
+            except OSError:
+                await curio.sleep(0.05)
+                continue
+            tune(stream)
+            await group.spawn(accepted, Link(stream))
--- /dev/null
+++ b/src/pondtiller/platform/configuration.py
@@ -0,0 +1,86 @@
+"""The operator's configuration object as a route table."""
+
+from typing import Any
+
+from result import Err, Ok, Result
+
+from pondtiller.routes.table import (
+    RequestKind,
+    RequestLimits,
+    RouteRow,
+    RouteTable,
+    ServiceRow,
+    ServiceShare,
+)
+
+KINDS = {
+    "safe": RequestKind.SAFE,
+    "unsafe": RequestKind.UNSAFE,
+    "stream": RequestKind.STREAM,
+    "batch": RequestKind.STEP,
+    "rollout": RequestKind.STEP,
+}
+
+
+def route_table(spec: Any) -> Result[RouteTable, str]:
+    """Read a configuration; the error says what is wrong with it."""
+    try:
+        return Ok(
+            RouteTable(
+                version=int(spec["version"]),
+                routes=tuple(_route(each) for each in spec["routes"]),
+                services={each["name"]: _service(each) for each in spec["services"]},
+                limits=_limits(spec.get("limits") or {}),
+            )
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+
+
+def _route(given: dict[str, Any]) -> RouteRow:
+    return RouteRow(
+        name=given["name"],
+        host=given["host"].lower(),
+        path_prefix=given["path_prefix"],
+        kind=KINDS[given["kind"]],
+        shares=_shares(given),
+        time_limit_seconds=_seconds(given, "timeout_ms", 10_000),
+        objective_seconds=_seconds(given, "slo_ms", 1_000),
+        attempts=int(given.get("max_attempts") or 1),
+        priority=int(given.get("priority") or 0),
+        may_resume=bool(given.get("resumable")),
+        is_sticky=bool(given.get("sticky")),
+        single_version=bool(given.get("single_version")),
+        step_seconds=_seconds(given, "run_deadline_ms", 60_000),
+        queue_seconds=float(given.get("queue_ttl_s") or 120.0),
+    )
+
+
+def _shares(given: dict[str, Any]) -> tuple[ServiceShare, ...]:
+    split = given.get("traffic_split")
+    if split:
+        return tuple(ServiceShare(each["service"], float(each["weight"])) for each in split)
+    return (ServiceShare(given["service"], 1.0),)
+
+
+def _seconds(given: dict[str, Any], name: str, otherwise: float) -> float:
+    return float(given.get(name) or otherwise) / 1000.0
+
+
+def _service(given: dict[str, Any]) -> ServiceRow:
+    engine = given.get("engine") or {}
+    return ServiceRow(
+        name=given["name"],
+        health_path=given.get("health_path") or "",
+        most_connections=int(given.get("max_conns") or 100),
+        models=tuple(each["name"] for each in engine.get("models") or ()),
+    )
+
+
+def _limits(given: dict[str, Any]) -> RequestLimits:
+    return RequestLimits(
+        head_bytes=int(given.get("max_header_bytes") or 32_768),
+        body_bytes=int(given.get("max_body_bytes") or 32 * 1024 * 1024),
+        head_seconds=_seconds(given, "header_timeout_ms", 10_000),
+        idle_seconds=_seconds(given, "idle_timeout_ms", 75_000),
+    )
--- /dev/null
+++ b/src/pondtiller/platform/object_client.py
@@ -0,0 +1,176 @@
+"""Calls to the platform's object store."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+from urllib.parse import quote
+
+from pondtiller.core.entities import Address
+from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.messages import HttpResponse
+from pondtiller.platform.names import OBJECTS_PATH
+
+CALL_SECONDS = 2.0
+WATCH_MARGIN_SECONDS = 1.0
+
+
+class StoreCallError(Exception):
+    """A call was not answered, or answered with a failure."""
+
+
+class HistoryGoneError(Exception):
+    """The store does not hold the history that a watch wants."""
+
+
+class PutOutcome(Enum):
+    """What became of a write."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    MISSING = "missing"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreObject:
+    """An object: name, revision of its last change, what its owner wrote, status."""
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class StoreListing:
+    """All objects of a kind at a revision of the store."""
+
+    objects: tuple[StoreObject, ...]
+    at: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreChange:
+    """A change of an object, or its end."""
+
+    object: StoreObject
+    is_gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StoreChanges:
+    """What a watch returned: changes, and the revision to go on from."""
+
+    changes: tuple[StoreChange, ...]
+    at: int
+
+
+class ObjectClient:
+    """Calls over kept connections; every call is counted, since each has a price.
+
+    Attributes
+    ----------
+    calls
+        Calls by kind of call, for `/metrics`.
+    """
+
+    def __init__(self, address: Address, client: HttpClient) -> None:
+        self._address = address
+        self._client = client
+        self.calls: dict[str, int] = {}
+
+    async def list_all(self, kind: str) -> StoreListing:
+        """Return all objects of a kind; raises `StoreCallError`."""
+        found: list[StoreObject] = []
+        after = ""
+        while True:
+            query = f"?since_rev={quote(after)}" if after else ""
+            answer = await self._call("list", "GET", f"{kind}{query}")
+            page = _json(answer, 200)
+            objects = [_object(each) for each in page["requests"]]
+            found += objects
+            if not page.get("more") or not objects:
+                return StoreListing(tuple(found), int(page["at"]))
+            after = objects[-1].name
+
+    async def watch(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
+        """Return the changes after a revision; raises `HistoryGoneError`, `StoreCallError`."""
+        wait = int(wait_seconds * 1000)
+        target = f"{kind}?watch={at}&wait_ms={wait}"
+        seconds = wait_seconds + WATCH_MARGIN_SECONDS
+        answer = await self._call("watch", "GET", target, seconds=seconds)
+        if answer.status == 410:
+            raise HistoryGoneError
+        page = _json(answer, 200)
+        changes = tuple(_changes(page["events"]))
+        return StoreChanges(changes, int(page["at"]))
+
+    async def read(self, kind: str, name: str) -> StoreObject | None:
+        """Return one object, or None where there is none; raises `StoreCallError`."""
+        answer = await self._call("read", "GET", f"{kind}/{quote(name)}")
+        if answer.status == 404:
+            return None
+        return _object(_json(answer, 200))
+
+    async def create(self, kind: str, name: str, spec: Any) -> PutOutcome:
+        """Make an object; a conflict where it is there. Raises `StoreCallError`."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        answer = await self._call("create", "POST", f"{kind}/{quote(name)}", body)
+        return _outcome(answer)
+
+    async def replace(self, kind: str, name: str, revision: int, spec: Any) -> PutOutcome:
+        """Replace an object's spec at a revision; raises `StoreCallError`."""
+        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        return _outcome(await self._call("replace", "PUT", f"{kind}/{quote(name)}", body))
+
+    async def set_status(self, kind: str, name: str, revision: int, status: Any) -> PutOutcome:
+        """Replace an object's status at a revision; raises `StoreCallError`."""
+        body = {"metadata": {"name": name, "revision": revision}, "status": status}
+        answer = await self._call("status", "PUT", f"{kind}/{quote(name)}/status", body)
+        return _outcome(answer)
+
+    async def _call(
+        self, name: str, method: str, target: str, body: Any = None, seconds: float = CALL_SECONDS
+    ) -> HttpResponse:
+        self.calls[name] = self.calls.get(name, 0) + 1
+        content = json.dumps(body).encode() if body is not None else b""
+        try:
+            return await self._client.request(
+                self._address, method, OBJECTS_PATH + target, content, seconds
+            )
+        except (NotSentError, BrokenError) as error:
+            raise StoreCallError(str(error)) from error
+
+
+def _json(answer: HttpResponse, status: int) -> Any:
+    if answer.status != status:
+        raise StoreCallError(f"status {answer.status}")
+    try:
+        return json.loads(answer.body)
+    except ValueError as error:
+        raise StoreCallError("the answer is no JSON") from error
+
+
+def _object(given: Any) -> StoreObject:
+    try:
+        metadata = given["metadata"]
+        name, revision = str(metadata["name"]), int(metadata["revision"])
+        return StoreObject(name, revision, given.get("spec"), given.get("status"))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise StoreCallError("an object is not whole") from error
+
+
+def _changes(events: Iterable[Any]) -> Iterable[StoreChange]:
+    for event in events:
+        yield StoreChange(_object(event["object"]), bool(event.get("gone")))
+
+
+def _outcome(answer: HttpResponse) -> PutOutcome:
+    if answer.status in (200, 201):
+        return PutOutcome.DONE
+    if answer.status == 409:
+        return PutOutcome.CONFLICT
+    if answer.status == 404:
+        return PutOutcome.MISSING
+    raise StoreCallError(f"status {answer.status}")
--- /dev/null
+++ b/src/pondtiller/platform/objects.py
@@ -0,0 +1,76 @@
+"""The system's own objects, and the small ones of others, as typed values and back."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from pondtiller.platform.object_client import StoreObject
+from pondtiller.wire.steplog import Group, GroupMember
+
+GROUP_NAME = "first"
+RETIRED = "succeeded"
+RETIRING = "running"
+
+
+@dataclass(frozen=True, slots=True)
+class NamedVersion:
+    """A version of a model's weights that a trainer named."""
+
+    model: str
+    version: int
+
+
+def named_version(found: StoreObject) -> NamedVersion | None:
+    """Read a named version; None where it is not to be read."""
+    try:
+        return NamedVersion(str(found.spec["model"]), int(found.spec["version"]))
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def is_retired(found: StoreObject) -> bool:
+    """Return whether a retirement is marked as done."""
+    return isinstance(found.status, dict) and found.status.get("state") == RETIRED
+
+
+def retirement_status(is_done: bool) -> dict[str, Any]:
+    """Return the status of a retirement."""
+    return {"state": RETIRED if is_done else RETIRING}
+
+
+def replica_spec(member: GroupMember) -> dict[str, Any]:
+    """Return a replica's own object."""
+    return {"zone": member.zone, "address": f"{member.host}:{member.port}"}
+
+
+def group_spec(group: Group) -> dict[str, Any]:
+    """Return the first group as an object."""
+    members = [
+        {
+            "name": member.name,
+            "disk": member.disk,
+            "zone": member.zone,
+            "address": f"{member.host}:{member.port}",
+        }
+        for member in group.members
+    ]
+    return {"generation": group.generation, "members": members}
+
+
+def read_group(found: StoreObject) -> Group | None:
+    """Read the first group's object; None where it is not to be read."""
+    try:
+        members = []
+        for given in found.spec["members"]:
+            host, _, port = given["address"].rpartition(":")
+            members.append(
+                GroupMember(
+                    name=given["name"],
+                    disk=given["disk"],
+                    zone=given["zone"],
+                    host=host,
+                    port=int(port),
+                )
+            )
+        return Group(generation=int(found.spec["generation"]), members=members)
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/src/pondtiller/platform/step_format.py
@@ -0,0 +1,73 @@
+"""Steps as trainers submit and read them on the platform."""
+
+import base64
+import binascii
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from pondtiller.wire.steplog import Header, ResultsPage, Sample, Scorer, Step
+
+
+def read_step(identifier: str, host: str, path: str, body: bytes) -> Result[Step, str]:
+    """Read a submitted step; the error says what is wrong with it."""
+    try:
+        given = json.loads(body)
+        step = Step(
+            id=identifier,
+            host=host,
+            path=path,
+            number=int(given.get("step") or 0),
+            model=str(given.get("model") or ""),
+            oldest_version=int(given.get("min_version") or 0),
+            desired_groups=int(given.get("desired") or 0),
+            samples=[_sample(each) for each in given["requests"]],
+        )
+    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
+        return Err(f"{type(error).__name__}: {error}")
+    if len({sample.id for sample in step.samples}) != len(step.samples):
+        return Err("a sample stands twice")
+    return Ok(step)
+
+
+def _sample(given: dict[str, Any]) -> Sample:
+    scorer = given.get("scorer")
+    return Sample(
+        id=str(given["id"]),
+        path=str(given["path"]),
+        headers=[Header(name, str(value)) for name, value in (given.get("headers") or {}).items()],
+        body=base64.b64decode(given.get("body") or "", validate=True),
+        tokens=int(given.get("tokens") or 0),
+        group=str(given.get("group") or given["id"]),
+        scorer=_scorer(scorer) if scorer else Scorer(),
+    )
+
+
+def _scorer(given: dict[str, Any]) -> Scorer:
+    return Scorer(
+        id=str(given["id"]),
+        host=str(given["host"]),
+        path=str(given["path"]),
+        body=base64.b64decode(given.get("body") or "", validate=True),
+    )
+
+
+def write_page(page: ResultsPage) -> bytes:
+    """Return a page of results as trainers read it."""
+    results: list[dict[str, Any]] = []
+    for result in page.results:
+        item: dict[str, Any] = {
+            "id": result.id,
+            "state": "succeeded" if result.succeeded else "terminated",
+            "text": result.text,
+            "versions": list(result.versions),
+        }
+        if result.score:
+            item["score"] = result.score
+        results.append(item)
+    text = json.dumps(
+        {"total": page.total, "next_token": page.next_position, "results": results},
+        ensure_ascii=False,
+    )
+    return text.encode("utf-8", "surrogateescape")
--- /dev/null
+++ b/src/pondtiller/replica/__init__.py
@@ -0,0 +1,1 @@
+"""The replica program: keeps the step log on a small disk for the daemons."""
--- /dev/null
+++ b/src/pondtiller/replica/file.py
@@ -0,0 +1,100 @@
+"""The replica's file: appended and synced before an answer leaves, rewritten when it grows."""
+
+import os
+from pathlib import Path
+
+from pondtiller.steplog.disk_format import MAGIC, decode, encode
+from pondtiller.steplog.replica import Replica
+from pondtiller.wire.steplog import DiskRecord
+
+FILE_NAME = "steps.log"
+NEW_NAME = "steps.log.new"
+SMALLEST_REWRITE_BYTES = 16 * 1024 * 1024
+REWRITE_FACTOR = 3
+
+
+class LogFile:
+    """One replica's file.
+
+    Parameters
+    ----------
+    folder
+        Data folder; made where it is missing.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        folder.mkdir(parents=True, exist_ok=True)
+        self._path = folder / FILE_NAME
+        self._descriptor = -1
+        self.size = 0
+        self._size_after_rewrite = 0
+
+    def read(self) -> list[DiskRecord]:
+        """Open the file and return its records; a torn tail is cut off."""
+        (self._folder / NEW_NAME).unlink(missing_ok=True)
+        data = self._path.read_bytes() if self._path.exists() else b""
+        records: list[DiskRecord] = []
+        end = len(MAGIC)
+        for each in decode(data):
+            records.append(each.record)
+            end = each.end
+        self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT, 0o644)
+        if not data.startswith(MAGIC):
+            os.ftruncate(self._descriptor, 0)
+            os.pwrite(self._descriptor, MAGIC, 0)
+        os.ftruncate(self._descriptor, end)
+        os.lseek(self._descriptor, end, os.SEEK_SET)
+        os.fsync(self._descriptor)
+        self._sync_folder()
+        self.size = self._size_after_rewrite = end
+        return records
+
+    def append(self, records: list[DiskRecord]) -> None:
+        """Write records; returns once they are on disk."""
+        data = b"".join(encode(record) for record in records)
+        _write_all(self._descriptor, data)
+        os.fdatasync(self._descriptor)
+        self.size += len(data)
+
+    def should_rewrite(self) -> bool:
+        """Return whether much of the file is out of date."""
+        limit = max(SMALLEST_REWRITE_BYTES, REWRITE_FACTOR * self._size_after_rewrite)
+        return self.size > limit
+
+    def rewrite(self, replica: Replica) -> None:
+        """Replace the file by what the replica holds now."""
+        path = self._folder / NEW_NAME
+        descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
+        record = DiskRecord(
+            puts=list(replica.entries.values()),
+            promised=replica.promised,
+            disk=replica.member.disk,
+        )
+        data = MAGIC + encode(record)
+        _write_all(descriptor, data)
+        os.fsync(descriptor)
+        os.rename(path, self._path)
+        self._sync_folder()
+        os.close(self._descriptor)
+        self._descriptor = descriptor
+        self.size = self._size_after_rewrite = len(data)
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
--- /dev/null
+++ b/src/pondtiller/replica/process.py
@@ -0,0 +1,104 @@
+"""One replica process: its file, its socket, its object in the store."""
+
+import uuid
+
+import curio
+
+from pondtiller.daemon import clock, logs
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.settings import ReplicaSettings, to_address
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.server import bind_tcp
+from pondtiller.links.link import serve_links
+from pondtiller.platform import names, objects
+from pondtiller.platform.object_client import ObjectClient, PutOutcome, StoreCallError
+from pondtiller.replica.file import LogFile
+from pondtiller.replica.server import ReplicaServer
+from pondtiller.steplog.replica import Replica
+from pondtiller.wire.steplog import DiskRecord, GroupMember
+
+REGISTER_RETRY_SECONDS = 0.5
+
+
+class ReplicaProcess:
+    """A replica with its parts."""
+
+    def __init__(self, settings: ReplicaSettings) -> None:
+        self.settings = settings
+        self._file = LogFile(settings.data_folder)
+        self.replica = self._restore()
+        self.server = ReplicaServer(self.replica, self._file)
+        self._stopped = curio.Event()
+
+    def _restore(self) -> Replica:
+        records = self._file.read()
+        disk = next((record.disk for record in records if record.disk), "")
+        is_new = not disk
+        if is_new:
+            disk = uuid.uuid4().hex
+            self._file.append([DiskRecord(disk=disk)])
+        place = to_address(self.settings.links)
+        member = GroupMember(
+            name=self.settings.name,
+            disk=disk,
+            zone=self.settings.zone,
+            host=place.host,
+            port=place.port,
+        )
+        replica = Replica(member, self.settings.first_start, clock.monotonic())
+        for record in records:
+            replica.restore(record)
+        logs.decision(
+            "started",
+            replica=member.name,
+            disk=disk,
+            is_new=is_new,
+            entries=len(replica.entries),
+            promised=replica.promised,
+            bytes=self._file.size,
+        )
+        return replica
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        place = to_address(self.settings.links)
+        listener = bind_tcp(place.host, place.port)
+        async with Spawner() as group:
+            await group.spawn(serve_links, listener, self.server.accept)
+            await group.spawn(self.server.run)
+            await group.spawn(self._register)
+            await self._stopped.wait()
+        self._file.close()
+        logs.decision("stopped", replica=self.settings.name)
+
+    async def stop(self) -> None:
+        """End; nothing is in progress that is not on disk."""
+        await self._stopped.set()
+
+    def reload(self, settings: ReplicaSettings) -> None:
+        """Take changed settings; addresses and names stay until the next start."""
+        logs.decision("reloaded", replica=settings.name, changed=settings != self.settings)
+
+    async def _register(self) -> None:
+        """Write this replica's object, so that daemons find it."""
+        store = ObjectClient(to_address(self.settings.store), HttpClient())
+        name, spec = self.settings.name, objects.replica_spec(self.replica.member)
+        while True:
+            try:
+                if await self._is_registered(store, name, spec):
+                    logs.decision("registered", replica=name)
+                    return
+            except StoreCallError as error:
+                logs.decision("store_lost", reason=str(error))
+            await curio.sleep(REGISTER_RETRY_SECONDS)
+
+    async def _is_registered(self, store: ObjectClient, name: str, spec: dict[str, object]) -> bool:
+        if await store.create(names.REPLICAS, name, spec) is PutOutcome.DONE:
+            return True
+        found = await store.read(names.REPLICAS, name)
+        if found is None:
+            return False
+        if found.spec == spec:
+            return True
+        outcome = await store.replace(names.REPLICAS, name, found.revision, spec)
+        return outcome is PutOutcome.DONE
--- /dev/null
+++ b/src/pondtiller/replica/server.py
@@ -0,0 +1,159 @@
+"""Serves a replica over links: what arrives together is synced to disk once."""
+
+from dataclasses import dataclass
+
+import curio
+from betterproto import Message
+
+from pondtiller.daemon import clock, logs
+from pondtiller.links.link import Link
+from pondtiller.replica.file import LogFile
+from pondtiller.steplog.replica import Replica, Reply
+from pondtiller.wire.steplog import (
+    Append,
+    DiskRecord,
+    Fetch,
+    Prepare,
+    ProgressList,
+    ReadProgress,
+    ReplicaView,
+    Resign,
+    SampleProgress,
+    SaveProgress,
+    Subscribe,
+)
+
+VIEW_SECONDS = 1.0
+MOST_PROGRESS = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A message that waits for the next sync."""
+
+    link: Link
+    call: int
+    message: Message
+
+
+class ReplicaServer:
+    """Takes messages, makes them durable, answers."""
+
+    def __init__(self, replica: Replica, file: LogFile) -> None:
+        self._replica = replica
+        self._file = file
+        self._arrivals: list[Arrival] = []
+        self._arrived = curio.Event()
+        self._subscribers: dict[Link, str] = {}
+        self._progress: dict[str, SampleProgress] = {}
+        self._told = ReplicaView()
+        self.syncs = 0
+        self.messages = 0
+
+    async def accept(self, link: Link) -> None:
+        """Serve one link until it ends."""
+        try:
+            await link.run(self._take)
+        finally:
+            daemon = self._subscribers.pop(link, None)
+            if daemon is not None:
+                logs.decision("daemon_left", daemon=daemon)
+
+    async def run(self) -> None:
+        """Commit what arrives until cancelled."""
+        next_view = clock.monotonic()
+        while True:
+            due = min(next_view, self._lease_end(next_view))
+            await curio.ignore_after(max(0.0, due - clock.monotonic()), self._arrived.wait)
+            self._arrived.clear()
+            await self._commit()
+            if clock.monotonic() >= next_view:
+                next_view = clock.monotonic() + VIEW_SECONDS
+                await self._tell(only_changes=False)
+            else:
+                await self._tell(only_changes=True)
+
+    def _lease_end(self, otherwise: float) -> float:
+        """Return when the lease ends, so that subscribers hear of it at once."""
+        until = self._replica.lease.until
+        return until + 0.001 if until > clock.monotonic() else otherwise
+
+    async def _take(self, link: Link, call: int, message: Message) -> None:
+        self.messages += 1
+        self._arrivals.append(Arrival(link, call, message))
+        await self._arrived.set()
+
+    async def _commit(self) -> None:
+        arrivals, self._arrivals = self._arrivals, []
+        replies: list[tuple[Arrival, Message]] = []
+        records: list[DiskRecord] = []
+        for arrival in arrivals:
+            reply = await self._handle(arrival)
+            if reply is None:
+                continue
+            replies.append((arrival, reply.message))
+            if reply.record is not None:
+                records.append(reply.record)
+        if records:
+            self._file.append(records)
+            self.syncs += 1
+        for arrival, message in replies:
+            await arrival.link.reply(arrival.call, message)
+        if self._file.should_rewrite():
+            self._file.rewrite(self._replica)
+
+    async def _handle(self, arrival: Arrival) -> Reply | None:
+        now = clock.monotonic()
+        message = arrival.message
+        match message:
+            case Prepare():
+                reply = self._replica.prepare(message, now)
+                logs.decision(
+                    "promise",
+                    leader=message.leader,
+                    epoch=message.epoch,
+                    promised=self._replica.promised,
+                    granted=reply.record is not None,
+                )
+                return reply
+            case Append():
+                return self._replica.append(message, now)
+            case Fetch():
+                return self._replica.fetch(message)
+            case Resign():
+                self._replica.resign(message)
+            case Subscribe():
+                self._subscribers[arrival.link] = message.daemon
+                await arrival.link.send(self._replica.view(now))
+            case SaveProgress():
+                self._save_progress(message)
+            case ReadProgress():
+                found = list(self._progress.values())
+                await arrival.link.reply(arrival.call, ProgressList(samples=found))
+            case _:
+                await arrival.link.drop()
+        return None
+
+    def _save_progress(self, message: SaveProgress) -> None:
+        """Keep unfinished texts in memory only: losing them costs time, nothing else."""
+        if message.epoch < self._replica.promised:
+            return
+        for sample in message.samples:
+            self._progress[sample.id] = sample
+        while len(self._progress) > MOST_PROGRESS:
+            del self._progress[next(iter(self._progress))]
+
+    async def _tell(self, only_changes: bool) -> None:
+        view = self._replica.view(clock.monotonic())
+        if only_changes and view == self._told:
+            return
+        if view.leader != self._told.leader or view.group != self._told.group:
+            logs.decision(
+                "replica_view",
+                leader=view.leader,
+                epoch=view.epoch,
+                generation=view.group.generation,
+            )
+        self._told = view
+        for link in list(self._subscribers):
+            await link.send(view)
--- /dev/null
+++ b/src/pondtiller/rollouts/samples.py
@@ -0,0 +1,477 @@
+"""Samples on engines: which runs where, when one moves, what is given up. No I/O.
+
+Each sample goes from waiting to running to scoring to listed. A run that breaks is continued
+on another engine after its last whole event. The scheduler keeps all engines of a service
+busy, takes older steps first, within a step the groups that are cheapest to complete, and
+within these the longest samples.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from pondtiller.rollouts.steps import StepRecord
+from pondtiller.routes.engines import Engine, EngineDirectory
+from pondtiller.routes.table import RouteRow
+from pondtiller.wire.steplog import Sample, SampleProgress, SampleResult
+
+SLOW_FACTOR = 1.9
+SLOW_AFTER_SECONDS = 0.4
+SILENT_SECONDS = 0.7
+SILENT_GAPS = 8.0
+MOST_MOVES = 4
+GROUP_BONUS = 0.4
+KEPT_SAMPLES = 4000
+QUEUE_MARGIN_SECONDS = 3.0
+PRIORITY_SECONDS = 0.2
+
+
+class Stage(Enum):
+    """How far a sample is."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    SCORING = "scoring"
+    LISTED = "listed"
+
+
+class RunEnd(Enum):
+    """How a run on an engine ended."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"
+    REFUSED = "refused"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+    STALE = "stale"
+
+
+class ScoreEnd(Enum):
+    """How a scorer's request ended."""
+
+    SCORED = "scored"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class StartRun:
+    """Send a sample to an engine, after `last_event` where it is continued."""
+
+    run: int
+    sample: Sample
+    route: RouteRow
+    engine: str
+    last_event: int
+    expected_version: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRun:
+    """End a run; its engine drops it."""
+
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreText:
+    """Have a finished sample judged."""
+
+    step: str
+    sample: Sample
+
+
+@dataclass(frozen=True, slots=True)
+class ListResult:
+    """Give a sample's result its position."""
+
+    step: str
+    result: SampleResult
+
+
+Instruction = StartRun | CancelRun | ScoreText | ListResult
+
+
+@dataclass
+class Text:
+    """What was made of a sample so far.
+
+    Attributes
+    ----------
+    events
+        Data of the events from the first on.
+    versions
+        Versions that made them, without repeats.
+    last_event
+        Number of the last event; 0 before the first.
+    """
+
+    events: list[str] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+    last_event: int = 0
+    is_whole: bool = False
+
+    def add(self, number: int, data: str, version: int) -> None:
+        """Take the next event."""
+        self.events.append(data)
+        self.last_event = number
+        if version not in self.versions:
+            self.versions.append(version)
+
+    def fits(self, oldest_version: int, single_version: bool) -> bool:
+        """Return whether all of it may stand in a step's sample."""
+        if any(version < oldest_version for version in self.versions):
+            return False
+        return not single_version or len(self.versions) <= 1
+
+
+@dataclass
+class SampleWork:
+    """A sample of an open step.
+
+    Attributes
+    ----------
+    cost
+        Tokens that are expected to be made.
+    attempts_failed
+        Answers that say that the run failed.
+    score_failures
+        The same of the scorer.
+    """
+
+    step: StepRecord
+    route: RouteRow
+    sample: Sample
+    cost: float
+    order: tuple[float, ...] = ()
+    stage: Stage = Stage.WAITING
+    text: Text = field(default_factory=Text)
+    run: int = 0
+    engine: str = ""
+    run_started: float = 0.0
+    last_heard: float = 0.0
+    run_events: int = 0
+    moves: int = 0
+    attempts_failed: int = 0
+    score_failures: int = 0
+    is_routed: bool = True
+
+
+class SampleScheduler:
+    """Decides for all open steps.
+
+    Parameters
+    ----------
+    is_loading
+        Returns whether an engine, by its identifier, is changing the weights of a model.
+    """
+
+    def __init__(self, engines: EngineDirectory, is_loading: Callable[[str, str], bool]) -> None:
+        self._is_loading = is_loading
+        self.work: dict[tuple[str, str], SampleWork] = {}
+        self.runs: dict[int, SampleWork] = {}
+        self._engines = engines
+        self._kept: dict[str, Text] = {}
+        self._last_run = 0
+        self._out: list[Instruction] = []
+
+    def take(self) -> list[Instruction]:
+        """Return the instructions since the last call."""
+        taken, self._out = self._out, []
+        return taken
+
+    # Steps
+
+    def open(
+        self, record: StepRecord, route: RouteRow, costs: dict[str, float], now: float
+    ) -> None:
+        """Take an accepted step; samples that are listed already are left out."""
+        ranks = rank_groups(record, costs)
+        for sample in record.step.samples:
+            key = (record.step.id, sample.id)
+            if sample.id in record.listed or key in self.work:
+                continue
+            work = SampleWork(record, route, sample, costs[sample.id])
+            work.text = self._adopt(record, route, sample)
+            work.order = (
+                now + route.priority * PRIORITY_SECONDS,
+                ranks[sample.group],
+                -costs[sample.id],
+            )
+            self.work[key] = work
+            if work.text.is_whole:
+                self._score(work)
+
+    def refresh_routes(self, find: Callable[[str, str], RouteRow | None]) -> None:
+        """Take the rows in force; samples whose row is gone wait."""
+        for work in self.work.values():
+            route = find(work.step.step.host, work.step.step.path)
+            work.is_routed = route is not None
+            if route is not None:
+                work.route = route
+
+    def close(self, step: str) -> None:
+        """End a step: its runs stop, its unfinished texts are kept for a later step."""
+        for key in [key for key in self.work if key[0] == step]:
+            work = self.work.pop(key)
+            self._stop_run(work, now=None)
+            self._keep(work)
+
+    def keep_progress(self, progress: SampleProgress) -> None:
+        """Take a text that an earlier leader left."""
+        text = Text(list(progress.events), list(progress.versions), progress.last_event)
+        self._kept[progress.id] = text
+
+    def progress(self) -> list[SampleProgress]:
+        """Return the unfinished texts, for a successor."""
+        return [
+            SampleProgress(
+                id=work.sample.id,
+                events=work.text.events,
+                versions=work.text.versions,
+                last_event=work.text.last_event,
+            )
+            for work in self.work.values()
+            if work.text.events and not work.text.is_whole
+        ]
+
+    # Runs
+
+    def run_event(self, run: int, number: int, data: str, version: int, now: float) -> bool:
+        """Take an event of a run; False where the run is to be dropped."""
+        work = self.runs.get(run)
+        if work is None or number != work.text.last_event + 1:
+            return False
+        if version < work.step.step.oldest_version:
+            return False
+        if work.route.single_version and work.text.versions not in ([], [version]):
+            work.text = Text()
+            return False
+        engine = self._engines.engines.get(work.engine)
+        if engine is not None and work.run_events:
+            engine.note_event_gap(now - work.last_heard)
+        work.text.add(number, data, version)
+        work.run_events += 1
+        work.last_heard = now
+        return True
+
+    def run_ended(self, run: int, end: RunEnd, now: float) -> SampleWork | None:
+        """Take the end of a run; None where it was cancelled before."""
+        work = self.runs.pop(run, None)
+        if work is None:
+            return None
+        self._leave_engine(work, end, now)
+        if end is RunEnd.WHOLE:
+            work.text.is_whole = True
+            self._score(work)
+            return work
+        work.stage = Stage.WAITING
+        if end is RunEnd.FAILED:
+            work.attempts_failed += 1
+        if end is RunEnd.IMPOSSIBLE or work.attempts_failed >= work.route.attempts:
+            self._give_up(work)
+        return work
+
+    def scored(self, step: str, sample: str, end: ScoreEnd, score: str, attempts: int) -> None:
+        """Take a scorer's answer; after `attempts` failures the sample is given up."""
+        work = self.work.get((step, sample))
+        if work is None or work.stage is not Stage.SCORING:
+            return
+        if end is ScoreEnd.FAILED:
+            work.score_failures += 1
+        if end is ScoreEnd.SCORED:
+            self._list(work, self._result(work, score))
+        elif work.score_failures >= attempts:
+            self._give_up(work)
+        else:
+            self._out.append(ScoreText(step, work.sample))
+
+    def _result(self, work: SampleWork, score: str) -> SampleResult:
+        return SampleResult(
+            id=work.sample.id,
+            succeeded=True,
+            text="\n".join(work.text.events),
+            versions=work.text.versions,
+            score=score,
+        )
+
+    # Each tick
+
+    def tick(self, now: float, wall_now: float) -> None:
+        """Start what can start, move what is slow, give up what is too late."""
+        self._give_up_late(wall_now)
+        self._move_slow(now)
+        waiting = [work for work in self.work.values() if work.stage is Stage.WAITING]
+        for work in sorted(waiting, key=lambda each: each.order):
+            if work.is_routed:
+                self._try_start(work, now)
+
+    def _try_start(self, work: SampleWork, now: float) -> None:
+        engine = self._choose(work, now)
+        if engine is None:
+            return
+        self._last_run += 1
+        work.run = self._last_run
+        work.engine = engine.identifier
+        work.stage = Stage.RUNNING
+        work.run_started = work.last_heard = now
+        work.run_events = 0
+        engine.running += 1
+        self.runs[work.run] = work
+        expected = work.text.versions[0] if self._must_stay(work) else None
+        self._out.append(
+            StartRun(
+                work.run,
+                work.sample,
+                work.route,
+                engine.identifier,
+                work.text.last_event,
+                expected,
+            )
+        )
+
+    def _choose(self, work: SampleWork, now: float) -> Engine | None:
+        service = work.route.choose_service(work.sample.id)
+        candidates = [
+            engine
+            for engine in self._engines.usable(service, now)
+            if now >= engine.not_before
+            and engine.running < engine.entry.slots
+            and self._has_weights(engine, work)
+        ]
+        if not candidates:
+            return None
+        pace = self._usual_pace(service, now)
+        return min(candidates, key=lambda each: self._cost(each, work, pace))
+
+    def _has_weights(self, engine: Engine, work: SampleWork) -> bool:
+        model = work.step.step.model
+        if self._is_loading(engine.identifier, model):
+            return False
+        version = engine.entry.models.get(model)
+        if version is None:
+            return not engine.entry.models
+        if self._must_stay(work):
+            return version == work.text.versions[0]
+        return version >= work.step.step.oldest_version
+
+    def _must_stay(self, work: SampleWork) -> bool:
+        return work.route.single_version and bool(work.text.versions)
+
+    def _cost(self, engine: Engine, work: SampleWork, pace: float) -> float:
+        relative = engine.event_seconds / pace if engine.event_seconds and pace else 1.0
+        cost = (engine.running + 1) / engine.entry.slots + 1.5 * max(0.0, relative - 1.2)
+        shares_prompt = any(
+            other.engine == engine.identifier and other.sample.group == work.sample.group
+            for other in self.runs.values()
+        )
+        return cost - (GROUP_BONUS if shares_prompt else 0.0)
+
+    def _usual_pace(self, service: str, now: float) -> float:
+        paces = sorted(
+            engine.event_seconds
+            for engine in self._engines.usable(service, now)
+            if engine.event_seconds
+        )
+        return paces[(len(paces) - 1) // 2] if paces else 0.0
+
+    def _move_slow(self, now: float) -> None:
+        for work in list(self.runs.values()):
+            if work.moves < MOST_MOVES and self._should_move(work, now):
+                work.moves += 1
+                self._stop_run(work, now)
+                work.stage = Stage.WAITING
+
+    def _should_move(self, work: SampleWork, now: float) -> bool:
+        engine = self._engines.engines.get(work.engine)
+        service = work.route.choose_service(work.sample.id)
+        pace = self._usual_pace(service, now)
+        silence = now - work.last_heard
+        if silence > max(SILENT_SECONDS, SILENT_GAPS * pace):
+            if engine is not None:
+                engine.note_failure(now)
+            return True
+        if engine is None or now < work.run_started + SLOW_AFTER_SECONDS:
+            return False
+        slow = max(engine.event_seconds, silence)
+        if not pace or slow < SLOW_FACTOR * pace:
+            return False
+        return any(
+            other.running < other.entry.slots - 1
+            and other.event_seconds < slow / SLOW_FACTOR
+            and now >= other.not_before
+            and self._has_weights(other, work)
+            for other in self._engines.usable(service, now)
+            if other is not engine
+        )
+
+    def _give_up_late(self, wall_now: float) -> None:
+        for work in list(self.work.values()):
+            accepted = work.step.step.accepted_at
+            if wall_now > accepted + work.route.queue_seconds + QUEUE_MARGIN_SECONDS:
+                self._give_up(work)
+
+    # Ends
+
+    def _give_up(self, work: SampleWork) -> None:
+        self._stop_run(work, now=None)
+        self._list(work, SampleResult(id=work.sample.id, succeeded=False))
+
+    def _list(self, work: SampleWork, result: SampleResult) -> None:
+        work.stage = Stage.LISTED
+        step = work.step.step.id
+        self.work.pop((step, work.sample.id), None)
+        self._out.append(ListResult(step, result))
+
+    def _score(self, work: SampleWork) -> None:
+        work.stage = Stage.SCORING
+        self._out.append(ScoreText(work.step.step.id, work.sample))
+
+    def _stop_run(self, work: SampleWork, now: float | None) -> None:
+        if self.runs.pop(work.run, None) is None:
+            return
+        engine = self._engines.engines.get(work.engine)
+        if engine is not None:
+            engine.running = max(0, engine.running - 1)
+        self._out.append(CancelRun(work.run))
+
+    def _leave_engine(self, work: SampleWork, end: RunEnd, now: float) -> None:
+        engine = self._engines.engines.get(work.engine)
+        if engine is None:
+            return
+        engine.running = max(0, engine.running - 1)
+        if end is RunEnd.BROKEN:
+            engine.note_failure(now)
+        elif end is RunEnd.REFUSED:
+            engine.note_refusal(now)
+        elif end is RunEnd.WHOLE:
+            engine.note_success()
+
+    def _adopt(self, record: StepRecord, route: RouteRow, sample: Sample) -> Text:
+        kept = self._kept.pop(sample.id, None)
+        if kept is None or not kept.fits(record.step.oldest_version, route.single_version):
+            return Text()
+        return kept
+
+    def _keep(self, work: SampleWork) -> None:
+        if not work.text.events:
+            return
+        if len(self._kept) >= KEPT_SAMPLES:
+            del self._kept[next(iter(self._kept))]
+        self._kept[work.sample.id] = work.text
+
+
+def rank_groups(record: StepRecord, costs: dict[str, float]) -> dict[str, float]:
+    """Return an order of a step's groups: 0 for those to complete first, 1 for the others.
+
+    A trainer waits for `desired_groups` of them, whichever are whole first, so the groups
+    with the longest samples come last. Groups that are asked for again stand first in the
+    step and are among those that it waits for; up to half of the desired ones.
+    """
+    longest: dict[str, float] = {}
+    for sample in record.step.samples:
+        longest[sample.group] = max(longest.get(sample.group, 0.0), costs[sample.id])
+    desired = record.step.desired_groups or len(longest)
+    spared = max(0, len(longest) - desired)
+    by_cost = sorted(longest, key=lambda group: -longest[group])
+    return {group: float(place < spared) for place, group in enumerate(by_cost)}
--- /dev/null
+++ b/src/pondtiller/rollouts/steps.py
@@ -0,0 +1,246 @@
+"""Steps as the log keeps them: acceptance, results by position, ends. No I/O.
+
+What a step becomes is written to the step log before anyone is told. A result's position is
+final once it is written; readers see the positions up to the first that is not.
+"""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from pondtiller.wire.steplog import (
+    Entry,
+    ResultsPage,
+    Sample,
+    SampleBody,
+    SampleResult,
+    Step,
+)
+
+STEP_PREFIX = "step/"
+RESULT_PREFIX = "result/"
+END_PREFIX = "end/"
+LARGEST_PAGE_BYTES = 900_000
+
+
+class StepStatus(IntEnum):
+    """How a step call ended; the numbers are part of the protocol.
+
+    UNKNOWN says that there is no such step or sample, UNAVAILABLE that nothing is known and
+    nothing was done, UNCERTAIN that it may have been done.
+    """
+
+    OK = 1
+    UNKNOWN = 2
+    UNAVAILABLE = 3
+    UNCERTAIN = 4
+
+
+def step_key(step: str) -> str:
+    """Return the key of a step's acceptance."""
+    return f"{STEP_PREFIX}{step}"
+
+
+def result_key(step: str, position: int) -> str:
+    """Return the key of a result."""
+    return f"{RESULT_PREFIX}{step}/{position:06d}"
+
+
+def end_key(step: str) -> str:
+    """Return the key of a step's end."""
+    return f"{END_PREFIX}{step}"
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """A value that must go to the log."""
+
+    key: str
+    value: bytes
+
+
+@dataclass
+class StepRecord:
+    """One step.
+
+    Attributes
+    ----------
+    results
+        Results by position, written or on their way.
+    written
+        Positions whose results are written.
+    visible
+        Positions that readers may see, from 0.
+    """
+
+    step: Step
+    is_accepted: bool = False
+    is_ended: bool = False
+    is_end_written: bool = False
+    results: dict[int, SampleResult] = field(default_factory=dict)
+    written: set[int] = field(default_factory=set)
+    visible: int = 0
+    listed: set[str] = field(default_factory=set)
+    next_position: int = 0
+
+    @property
+    def total(self) -> int:
+        """Number of samples."""
+        return len(self.step.samples)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every sample is listed."""
+        return self.visible >= self.total
+
+    def sample(self, identifier: str) -> Sample | None:
+        """Return a sample by its identifier, or None where there is none."""
+        for sample in self.step.samples:
+            if sample.id == identifier:
+                return sample
+        return None
+
+    def claim_position(self) -> int:
+        """Return the lowest free position."""
+        while self.next_position in self.results:
+            self.next_position += 1
+        return self.next_position
+
+    def advance(self) -> None:
+        """Show readers what is written without a gap."""
+        while self.visible in self.written:
+            self.visible += 1
+
+
+class StepBook:
+    """All steps that the log holds.
+
+    Attributes
+    ----------
+    steps
+        Steps by identifier.
+    """
+
+    def __init__(self) -> None:
+        self.steps: dict[str, StepRecord] = {}
+        self._writes: list[Write] = []
+
+    def take_writes(self) -> list[Write]:
+        """Return what must be written since the last call."""
+        taken, self._writes = self._writes, []
+        return taken
+
+    def restore(self, entries: tuple[Entry, ...]) -> list[str]:
+        """Take what the log holds; return the keys of results and ends without a step."""
+        ordered = sorted(entries, key=lambda entry: not entry.key.startswith(STEP_PREFIX))
+        return [entry.key for entry in ordered if not self._restore_entry(entry)]
+
+    def _restore_entry(self, entry: Entry) -> bool:
+        kind, _, rest = entry.key.partition("/")
+        if f"{kind}/" == STEP_PREFIX:
+            self.steps[rest] = StepRecord(Step().parse(entry.value), is_accepted=True)
+            return True
+        identifier, _, position = rest.partition("/")
+        record = self.steps.get(identifier)
+        if record is None:
+            return False
+        if f"{kind}/" == END_PREFIX:
+            record.is_ended = record.is_end_written = True
+            return True
+        result = SampleResult().parse(entry.value)
+        record.results[int(position)] = result
+        record.listed.add(result.id)
+        record.written.add(int(position))
+        record.advance()
+        return True
+
+    def open(self, step: Step) -> StepRecord:
+        """Take a step, once; its acceptance is on its way to the log."""
+        record = self.steps.get(step.id)
+        if record is None:
+            record = StepRecord(step)
+            self.steps[step.id] = record
+            self._writes.append(Write(step_key(step.id), bytes(step)))
+        return record
+
+    def list_result(self, step: str, result: SampleResult) -> bool:
+        """Give a sample's result the next position; False where it has one or cannot have one."""
+        record = self.steps.get(step)
+        if record is None or record.is_ended or result.id in record.listed:
+            return False
+        position = record.claim_position()
+        record.results[position] = result
+        record.listed.add(result.id)
+        self._writes.append(Write(result_key(step, position), bytes(result)))
+        return True
+
+    def end(self, step: str) -> StepRecord | None:
+        """End a step; None where it is not known."""
+        record = self.steps.get(step)
+        if record is not None and not record.is_ended:
+            record.is_ended = True
+            self._writes.append(Write(end_key(step), b"1"))
+        return record
+
+    def committed(self, key: str) -> str:
+        """Take a write that is on a quorum of disks; return the step's identifier."""
+        kind, _, rest = key.partition("/")
+        identifier, _, position = rest.partition("/")
+        record = self.steps.get(identifier)
+        if record is None:
+            return identifier
+        if f"{kind}/" == STEP_PREFIX:
+            record.is_accepted = True
+        elif f"{kind}/" == END_PREFIX:
+            record.is_end_written = True
+        else:
+            record.written.add(int(position))
+            record.advance()
+        return identifier
+
+    def read(self, step: str, position: int) -> ResultsPage:
+        """Return the results at `position` and on, about 1 MB at most."""
+        record = self.steps.get(step)
+        if record is None or not record.is_accepted:
+            status = StepStatus.UNKNOWN if record is None else StepStatus.UNAVAILABLE
+            return ResultsPage(status=status)
+        found: list[SampleResult] = []
+        size = 0
+        for place in range(position, record.visible):
+            result = record.results[place]
+            size += len(result.text) + len(result.id) + len(result.score) + 100
+            if found and size > LARGEST_PAGE_BYTES:
+                break
+            found.append(result)
+        return ResultsPage(
+            status=StepStatus.OK,
+            total=record.total,
+            next_position=position + len(found),
+            results=found,
+        )
+
+    def sample_body(self, step: str, sample: str) -> SampleBody:
+        """Return the body of a sample of a step that is known."""
+        record = self.steps.get(step)
+        if record is not None and not record.is_accepted:
+            return SampleBody(status=StepStatus.UNAVAILABLE)
+        found = record.sample(sample) if record is not None else None
+        if found is None:
+            return SampleBody(status=StepStatus.UNKNOWN)
+        return SampleBody(status=StepStatus.OK, body=found.body)
+
+    def expired(self, wall_now: float, keep_seconds: float) -> list[str]:
+        """Return the steps that are closed and older than they must be kept."""
+        return [
+            identifier
+            for identifier, record in self.steps.items()
+            if (record.is_end_written or record.is_complete)
+            and wall_now > record.step.accepted_at + keep_seconds
+        ]
+
+    def forget(self, step: str) -> list[str]:
+        """Remove a step; return its keys in the log."""
+        record = self.steps.pop(step)
+        keys = [result_key(step, position) for position in record.written]
+        if record.is_ended:
+            keys.append(end_key(step))
+        return [*keys, step_key(step)]
--- /dev/null
+++ b/src/pondtiller/rollouts/versions.py
@@ -0,0 +1,155 @@
+"""Versions of weights: one steward brings each engine to the newest version named. No I/O.
+
+Orders carry the leader's epoch as their fence, the engine's incarnation, and the number of
+orders that the engine had taken, so one that is carried out late does nothing. A few engines
+of a model load at a time; the others serve on with the version before.
+"""
+
+from dataclasses import dataclass, field
+
+from pondtiller.routes.engines import Engine, EngineDirectory, EngineState
+
+LOADS_AT_ONCE = 2
+LOAD_SECONDS = 1.6
+UNANSWERED_SECONDS = 0.8
+REFUSED_SECONDS = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class OrderVersion:
+    """Order an engine to load a version."""
+
+    engine: str
+    model: str
+    version: int
+    orders_taken: int
+    must_wait: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AskEngine:
+    """Ask an engine for its versions and the number of orders taken."""
+
+    engine: str
+
+
+@dataclass
+class Load:
+    """An order under way.
+
+    Attributes
+    ----------
+    until
+        When the engine is asked what became of it.
+    """
+
+    model: str
+    version: int
+    until: float
+    is_taken: bool = False
+
+
+@dataclass
+class VersionSteward:
+    """Decides which engine loads what.
+
+    Attributes
+    ----------
+    newest
+        Newest version named, by model.
+    may_order_from
+        No order before this time: an earlier leader's orders may still arrive.
+    """
+
+    engines: EngineDirectory
+    newest: dict[str, int] = field(default_factory=dict)
+    single_version_models: set[str] = field(default_factory=set)
+    may_order_from: float = float("inf")
+    loads: dict[str, Load] = field(default_factory=dict)
+    known: dict[str, tuple[dict[str, int], int]] = field(default_factory=dict)
+    _pause: dict[str, float] = field(default_factory=dict)
+    _out: list[OrderVersion | AskEngine] = field(default_factory=list)
+
+    def take(self) -> list[OrderVersion | AskEngine]:
+        """Return the instructions since the last call."""
+        taken, self._out = self._out, []
+        return taken
+
+    def named(self, model: str, version: int) -> None:
+        """Take a version that a trainer named."""
+        self.newest[model] = max(version, self.newest.get(model, 0))
+
+    def answered(self, engine: str, is_taken: bool, now: float) -> None:
+        """Take an engine's consent or refusal."""
+        load = self.loads.get(engine)
+        if load is None:
+            return
+        if is_taken:
+            load.is_taken = True
+            load.until = now + LOAD_SECONDS
+        else:
+            del self.loads[engine]
+            self._pause[engine] = now + REFUSED_SECONDS
+            self._out.append(AskEngine(engine))
+
+    def reported(self, engine: str, models: dict[str, int], orders_taken: int, busy: bool) -> None:
+        """Take an engine's own report."""
+        self.known[engine] = (models, orders_taken)
+        load = self.loads.get(engine)
+        if load is not None and not busy:
+            del self.loads[engine]
+
+    def is_loading(self, engine: str, model: str) -> bool:
+        """Return whether an engine is told to change a model."""
+        load = self.loads.get(engine)
+        return load is not None and load.model == model
+
+    def tick(self, now: float) -> None:
+        """Give the orders that are due."""
+        self._finish(now)
+        if now < self.may_order_from:
+            return
+        for model, version in self.newest.items():
+            for engine in self._behind(model, version, now):
+                if len(self.loads) >= LOADS_AT_ONCE:
+                    return
+                self._order(engine, model, version, now)
+
+    def _finish(self, now: float) -> None:
+        for identifier, load in list(self.loads.items()):
+            engine = self.engines.engines.get(identifier)
+            if engine is None or engine.entry.models.get(load.model, 0) >= load.version:
+                del self.loads[identifier]
+            elif now >= load.until:
+                load.until = now + UNANSWERED_SECONDS
+                self._out.append(AskEngine(identifier))
+
+    def _behind(self, model: str, version: int, now: float) -> list[Engine]:
+        """Return the engines that need the version, those with least work first."""
+        found = [
+            engine
+            for engine in self.engines.engines.values()
+            if engine.gone_at is None
+            and engine.entry.state is EngineState.READY
+            and 0 < self._version_of(engine, model) < version
+            and engine.identifier not in self.loads
+            and now >= self._pause.get(engine.identifier, 0.0)
+        ]
+        return sorted(found, key=lambda engine: engine.running)
+
+    def _version_of(self, engine: Engine, model: str) -> int:
+        reported, _ = self.known.get(engine.identifier, ({}, 0))
+        return max(engine.entry.models.get(model, 0), reported.get(model, 0))
+
+    def _order(self, engine: Engine, model: str, version: int, now: float) -> None:
+        _, reported_orders = self.known.get(engine.identifier, ({}, 0))
+        self.loads[engine.identifier] = Load(model, version, now + UNANSWERED_SECONDS)
+        self._out.append(
+            OrderVersion(
+                engine.identifier,
+                model,
+                version,
+                max(engine.entry.orders_taken, reported_orders),
+                model in self.single_version_models,
+            )
+        )
--- /dev/null
+++ b/src/pondtiller/routes/engines.py
@@ -0,0 +1,180 @@
+"""The engines behind the services, as the platform's list and own experience tell them.
+
+An engine's identifier names one start of it; another start is another engine, also at the
+same address. What is leaving or gone gets no new work.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from pondtiller.core.entities import Address
+
+SUSPECT_SECONDS = 1.0
+FAILURE_PAUSE_SECONDS = 0.5
+LONGEST_PAUSE_SECONDS = 2.0
+REFUSAL_PAUSE_SECONDS = 0.05
+PACE_WEIGHT = 0.2
+
+
+class EngineState(StrEnum):
+    """What an engine says of itself."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEntry:
+    """An engine as the platform's list gives it.
+
+    Attributes
+    ----------
+    models
+        Version of the weights by model.
+    orders_taken
+        Number of orders that it has taken since its start.
+    """
+
+    engine: str
+    service: str
+    address: Address
+    zone: str
+    slots: int
+    state: EngineState
+    models: dict[str, int] = field(default_factory=dict)
+    orders_taken: int = 0
+    cold_seconds: float = 0.0
+
+
+@dataclass
+class Engine:
+    """An engine with what this daemon knows of it.
+
+    Attributes
+    ----------
+    running
+        Requests of this daemon that it works on.
+    failures
+        Failures one after the other.
+    not_before
+        No new work before this time, after a failure or refusal.
+    gone_at
+        When its entry went without it having said that it leaves; None while it stands.
+    event_seconds
+        Smoothed time between two events of a stream; 0 while unknown.
+    """
+
+    entry: EngineEntry
+    running: int = 0
+    failures: int = 0
+    not_before: float = 0.0
+    gone_at: float | None = None
+    event_seconds: float = 0.0
+
+    @property
+    def identifier(self) -> str:
+        """Name of this start of the engine."""
+        return self.entry.engine
+
+    def note_failure(self, now: float) -> None:
+        """Pause an engine that failed, longer each time."""
+        self.failures += 1
+        pause = min(FAILURE_PAUSE_SECONDS * self.failures, LONGEST_PAUSE_SECONDS)
+        self.not_before = now + pause
+
+    def note_refusal(self, now: float) -> None:
+        """Pause an engine that was full."""
+        self.not_before = max(self.not_before, now + REFUSAL_PAUSE_SECONDS)
+
+    def note_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+
+    def note_event_gap(self, seconds: float) -> None:
+        """Take the time between two events of one stream."""
+        if self.event_seconds == 0:
+            self.event_seconds = seconds
+        else:
+            self.event_seconds += PACE_WEIGHT * (seconds - self.event_seconds)
+
+
+class EngineDirectory:
+    """All engines by identifier.
+
+    Attributes
+    ----------
+    revision
+        Raised by each change, for the logs.
+    """
+
+    def __init__(self) -> None:
+        self.engines: dict[str, Engine] = {}
+        self.revision = 0
+        self.is_known = False
+
+    def replace(self, entries: list[EngineEntry], now: float) -> None:
+        """Take the whole list."""
+        self.is_known = True
+        self.revision += 1
+        listed = {entry.engine for entry in entries}
+        for entry in entries:
+            self._take(entry)
+        for identifier in list(self.engines):
+            if identifier not in listed:
+                self._entry_gone(identifier, now)
+
+    def changed(self, entry: EngineEntry) -> None:
+        """Take one engine's new entry."""
+        self.revision += 1
+        self._take(entry)
+
+    def gone(self, identifier: str, now: float) -> None:
+        """Take the end of an engine's entry."""
+        self.revision += 1
+        self._entry_gone(identifier, now)
+
+    def forget_gone(self, now: float) -> None:
+        """Remove engines whose entries went some time ago and that have no work left."""
+        for identifier, engine in list(self.engines.items()):
+            if engine.gone_at is None or now < engine.gone_at + SUSPECT_SECONDS:
+                continue
+            if engine.running == 0:
+                del self.engines[identifier]
+
+    def usable(self, service: str, now: float) -> list[Engine]:
+        """Return the engines of a service that may get new work now.
+
+        Those whose entry has just gone without a notice serve only where there is no other.
+        """
+        of_service = [each for each in self.engines.values() if each.entry.service == service]
+        listed = [
+            each
+            for each in of_service
+            if each.gone_at is None and each.entry.state is EngineState.READY
+        ]
+        if listed:
+            return listed
+        return [
+            each
+            for each in of_service
+            if each.entry.state is EngineState.READY
+            and each.gone_at is not None
+            and now < each.gone_at + SUSPECT_SECONDS
+        ]
+
+    def _take(self, entry: EngineEntry) -> None:
+        engine = self.engines.get(entry.engine)
+        if engine is None:
+            self.engines[entry.engine] = Engine(entry)
+            return
+        engine.gone_at = None
+        engine.entry = entry
+
+    def _entry_gone(self, identifier: str, now: float) -> None:
+        engine = self.engines.get(identifier)
+        if engine is None:
+            return
+        if engine.entry.state is EngineState.LEAVING and engine.running == 0:
+            del self.engines[identifier]
+        elif engine.gone_at is None:
+            engine.gone_at = now
--- /dev/null
+++ b/src/pondtiller/routes/table.py
@@ -0,0 +1,152 @@
+"""The rows that route requests: caller rows by host and path, service rows, limits.
+
+These are the table's rows as an operator's whole configuration gives them. They are values:
+a newer version replaces all of them at once.
+"""
+
+import re
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from pondtiller.hashing import score
+
+HASH_SPAN = 1 << 64
+
+
+class RequestKind(StrEnum):
+    """What may be done with a request that failed."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    STEP = "step"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """One part of a route's traffic."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRow:
+    """A caller's row: which requests it takes, and the cells that decide about them.
+
+    Attributes
+    ----------
+    host, path_prefix
+        Requests of this host whose path begins with the prefix.
+    shares
+        Services with their weights.
+    time_limit_seconds
+        Longest time to an answer.
+    objective_seconds
+        Time within which an answer counts in full.
+    attempts
+        Most engines that one request may be sent to.
+    priority
+        Rank, 0 first.
+    may_resume
+        Whether a stream may be continued on another engine.
+    single_version
+        Whether a sample must come from one version of the weights.
+    step_seconds, queue_seconds
+        For steps: when results are due, and when a sample may be given up.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    shares: tuple[ServiceShare, ...]
+    time_limit_seconds: float = 10.0
+    objective_seconds: float = 1.0
+    attempts: int = 1
+    priority: int = 0
+    may_resume: bool = False
+    is_sticky: bool = False
+    single_version: bool = False
+    step_seconds: float = 60.0
+    queue_seconds: float = 120.0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may have run can be sent again."""
+        return self.kind is RequestKind.SAFE or self.kind is RequestKind.STEP or self.may_resume
+
+    def choose_service(self, request: str) -> str:
+        """Return the service for a request: the same for the same request, shares by weight."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        total = sum(share.weight for share in self.shares)
+        point = score("share", request) / HASH_SPAN * total
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+    def services(self) -> frozenset[str]:
+        """Return all services that this row may use."""
+        return frozenset(share.service for share in self.shares if share.weight > 0)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRow:
+    """A service's row.
+
+    Attributes
+    ----------
+    most_connections
+        Connections that one of its engines accepts from all callers together.
+    models
+        Models that its engines hold.
+    """
+
+    name: str
+    health_path: str = ""
+    most_connections: int = 100
+    models: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What a caller may send, and how long it may take."""
+
+    head_bytes: int = 32_768
+    body_bytes: int = 32 * 1024 * 1024
+    head_seconds: float = 10.0
+    idle_seconds: float = 75.0
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """All rows of one version of the configuration."""
+
+    version: int
+    routes: tuple[RouteRow, ...] = ()
+    services: dict[str, ServiceRow] = field(default_factory=dict)
+    limits: RequestLimits = RequestLimits()
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, list[RouteRow]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for rows in by_host.values():
+            rows.sort(key=lambda row: -len(row.path_prefix))
+        object.__setattr__(self, "_by_host", by_host)
+
+    def find(self, host: str, path: str) -> RouteRow | None:
+        """Return the row with the longest prefix that begins the path."""
+        rows: list[RouteRow] = getattr(self, "_by_host").get(host_name(host), [])  # noqa: B009
+        for row in rows:
+            if path.startswith(row.path_prefix):
+                return row
+        return None
+
+
+def host_name(host: str) -> str:
+    """Return a `Host` value without its port, in lower case."""
+    return re.sub(r":\d+$", "", host).lower()
--- /dev/null
+++ b/src/pondtiller/steplog/group.py
@@ -0,0 +1,63 @@
+"""Groups of replicas and their quorums.
+
+A group of n replicas writes to a majority w, and is read through r = n - w + 1 of them, so
+that every read meets every write. A replica counts by its disk, not by its name: one that
+lost its disk is another replica, and its old disk is known to be lost.
+"""
+
+from collections.abc import Iterable
+
+from pondtiller.wire.steplog import Entry, Group, GroupMember
+
+GROUP_PREFIX = "group/"
+SMALLEST_GROUP = 2
+
+
+def write_quorum(size: int) -> int:
+    """Return how many of `size` replicas must have a value on disk."""
+    return size // 2 + 1
+
+
+def read_quorum(size: int) -> int:
+    """Return how many of `size` replicas meet every write quorum."""
+    return size - write_quorum(size) + 1
+
+
+def disks(group: Group) -> set[str]:
+    """Return the disks of a group."""
+    return {member.disk for member in group.members}
+
+
+def has_read_quorum(group: Group, answered: set[str]) -> bool:
+    """Return whether the disks that answered meet every write of the group."""
+    return len(disks(group) & answered) >= read_quorum(len(group.members))
+
+
+def has_write_quorum(group: Group, written: set[str], lost: set[str]) -> bool:
+    """Return whether enough disks of the group hold a value.
+
+    Disks known to be lost can neither hold a value nor answer a later read, so no more than
+    the remaining ones are asked for.
+    """
+    members = disks(group)
+    wanted = min(write_quorum(len(members)), len(members - lost))
+    return wanted > 0 and len(members & written) >= wanted
+
+
+def group_key(generation: int) -> str:
+    """Return the key under which a group is written; keys sort by generation."""
+    return f"{GROUP_PREFIX}{generation:012d}"
+
+
+def groups_of(entries: Iterable[Entry]) -> list[Group]:
+    """Return the groups among entries, oldest first."""
+    found = [entry for entry in entries if entry.key.startswith(GROUP_PREFIX)]
+    return [Group().parse(entry.value) for entry in sorted(found, key=lambda each: each.key)]
+
+
+def member_named(group: Group, name: str) -> GroupMember | None:
+    """Return a group's member by its name, or None where there is none."""
+    for member in group.members:
+        if member.name == name:
+            return member
+    return None
--- /dev/null
+++ b/src/pondtiller/steplog/leader.py
@@ -0,0 +1,490 @@
+"""The leader's side of the step log: takeover, writes, commits and the lease. No I/O.
+
+A driver connects to replicas, hands in what they answer, and carries out the instructions.
+Connections keep their order and are answered in order; one that breaks is handed in as lost.
+
+Takeover follows Paxos with one epoch for all keys: the candidate has a read quorum promise
+its epoch, takes each key's value of the highest epoch, and writes again what a write quorum
+does not provably hold. Only then it leads.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from pondtiller.steplog import group as groups
+from pondtiller.steplog.replica import LEASE_SECONDS
+from pondtiller.wire.steplog import (
+    Append,
+    Appended,
+    Entry,
+    Fetch,
+    Fetched,
+    Group,
+    GroupMember,
+    Prepare,
+    Promise,
+    Resign,
+)
+
+HEARTBEAT_SECONDS = 0.3
+LEASE_MARGIN_SECONDS = 0.15
+TAKEOVER_SECONDS = 3.0
+EPOCH_ROUND = 1 << 32
+
+
+def next_epoch(highest: int, identity: int) -> int:
+    """Return an epoch above `highest` that only the holder of `identity` (32 bits) uses."""
+    return (highest // EPOCH_ROUND + 1) * EPOCH_ROUND + identity % EPOCH_ROUND
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message on a link."""
+
+    link: int
+    message: Prepare | Fetch | Append | Resign
+
+
+@dataclass(frozen=True, slots=True)
+class Won:
+    """The daemon leads now; `entries` is everything that the log holds."""
+
+    epoch: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """A write is on a quorum of disks."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Deposed:
+    """The daemon does not lead any more, or failed to take over."""
+
+    reason: str
+    highest_epoch: int
+
+
+Instruction = Send | Won | Committed | Deposed
+
+
+class Phase(Enum):
+    """How far a leader is."""
+
+    IDLE = "idle"
+    PREPARING = "preparing"
+    FETCHING = "fetching"
+    REWRITING = "rewriting"
+    LEADING = "leading"
+
+
+@dataclass
+class Follower:
+    """One connected replica.
+
+    Attributes
+    ----------
+    acked
+        Number of the last write that it has on disk; -1 until it has all earlier ones too.
+    waiting
+        Number and time of sending of each message that it has not answered.
+    lease_from
+        When the last message was sent that it answered with consent.
+    """
+
+    link: int
+    member: GroupMember
+    keys: dict[str, int] | None = None
+    is_synced: bool = False
+    acked: int = -1
+    waiting: list[tuple[int, float]] = field(default_factory=list)
+    lease_from: float = float("-inf")
+    last_sent: float = float("-inf")
+
+
+class LeaderLog:
+    """Leads the step log, or tries to.
+
+    Parameters
+    ----------
+    name, host, port
+        Under which other daemons find this leader.
+    identity
+        32-bit number of this process, for epochs.
+    """
+
+    def __init__(self, name: str, host: str, port: int, identity: int) -> None:
+        self.phase = Phase.IDLE
+        self.epoch = 0
+        self.entries: dict[str, Entry] = {}
+        self.group = Group()
+        self.next_group: Group | None = None
+        self.lost_disks: set[str] = set()
+        self.followers: dict[int, Follower] = {}
+        self._name = name
+        self._host = host
+        self._port = port
+        self._identity = identity
+        self._first_group = Group()
+        self._known_groups: dict[int, Group] = {}
+        self._started_at = 0.0
+        self._sequence = 0
+        self._pending: dict[str, int] = {}
+        self._unsent_puts: list[Entry] = []
+        self._unsent_drops: list[str] = []
+        self._fetching: dict[int, list[str]] = {}
+        self._out: list[Instruction] = []
+
+    def take(self) -> list[Instruction]:
+        """Return the instructions since the last call."""
+        taken, self._out = self._out, []
+        return taken
+
+    # Links
+
+    def connected(self, link: int, member: GroupMember, now: float) -> None:
+        """Take a replica's connection; a leader brings it up to date."""
+        self.followers[link] = Follower(link, member)
+        self._note_lost_disk(member)
+        if self.phase is not Phase.IDLE:
+            self._send_prepare(self.followers[link], now)
+
+    def lost(self, link: int) -> None:
+        """Forget a connection."""
+        self.followers.pop(link, None)
+        if link in self._fetching:
+            self._depose("a replica was lost during takeover", self.epoch)
+
+    # Takeover
+
+    def stand(self, highest_seen: int, first_group: Group, now: float) -> None:
+        """Ask all connected replicas for a promise."""
+        self._reset()
+        self.phase = Phase.PREPARING
+        self.epoch = next_epoch(max(highest_seen, self.epoch), self._identity)
+        self._first_group = first_group
+        self._started_at = now
+        for follower in self.followers.values():
+            self._send_prepare(follower, now)
+
+    def promised(self, link: int, promise: Promise, now: float) -> None:
+        """Take a replica's answer to `Prepare`."""
+        follower = self.followers.get(link)
+        if follower is None or self.phase is Phase.IDLE:
+            return
+        if not promise.granted:
+            if promise.epoch > self.epoch or self.phase is Phase.PREPARING:
+                self._depose("a replica refused its promise", promise.epoch)
+            return
+        if promise.epoch != self.epoch:
+            return
+        self._answered(follower)
+        follower.keys = {each.key: each.epoch for each in promise.keys}
+        if self.phase is Phase.PREPARING:
+            self._learn_groups(promise.groups)
+            self._try_fetch()
+        elif self.phase in (Phase.REWRITING, Phase.LEADING):
+            self._bring_up_to_date(follower, now)
+
+    def fetched(self, link: int, answer: Fetched, now: float) -> None:
+        """Take values asked for during takeover."""
+        wanted = self._fetching.pop(link, None)
+        if self.phase is not Phase.FETCHING or wanted is None:
+            return
+        for entry in answer.entries:
+            self.entries[entry.key] = entry
+        if any(key not in self.entries for key in wanted):
+            self._depose("a replica lacks a value that it named", self.epoch)
+            return
+        if not self._fetching:
+            self._rewrite(now)
+
+    # Writes
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether takeover is complete."""
+        return self.phase is Phase.LEADING
+
+    def holds_lease(self, now: float) -> bool:
+        """Return whether no other daemon can lead at this moment."""
+        return self.is_leading and now < self.lease_until()
+
+    def lease_until(self) -> float:
+        """Return the time until which a write quorum keeps others from leading."""
+        untils = [self._lease_of(each) for each in self._voting_groups()]
+        return min(untils, default=float("-inf"))
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a value; `Committed` follows. A key is written once an epoch."""
+        entry = Entry(key=key, epoch=self.epoch, value=value)
+        self.entries[key] = entry
+        self._sequence += 1
+        self._pending[key] = self._sequence
+        self._unsent_puts.append(entry)
+
+    def drop(self, key: str) -> None:
+        """Remove a value that nobody needs any more."""
+        self.entries.pop(key, None)
+        self._pending.pop(key, None)
+        self._unsent_drops.append(key)
+
+    def flush(self, now: float) -> None:
+        """Send what was written since the last call, in one message a replica."""
+        if not self._unsent_puts and not self._unsent_drops:
+            return
+        puts, self._unsent_puts = self._unsent_puts, []
+        drops, self._unsent_drops = self._unsent_drops, []
+        for follower in self.followers.values():
+            if follower.is_synced:
+                self._send_append(follower, puts, drops, now)
+
+    def appended(self, link: int, answer: Appended, now: float) -> None:
+        """Take a replica's answer to `Append`."""
+        follower = self.followers.get(link)
+        if follower is None or self.phase is Phase.IDLE:
+            return
+        if not answer.accepted:
+            if answer.epoch > self.epoch:
+                self._depose("a replica follows a higher epoch", answer.epoch)
+            return
+        follower.acked = max(follower.acked, self._answered(follower))
+        self._commit()
+
+    def tick(self, now: float) -> None:
+        """Renew the lease, and give up where it has ended."""
+        if self.phase is Phase.IDLE:
+            return
+        if self.phase is not Phase.LEADING and now > self._started_at + TAKEOVER_SECONDS:
+            self._depose("takeover took too long", self.epoch)
+            return
+        if self.phase is Phase.LEADING and now >= self.lease_until():
+            self._depose("the lease ended", self.epoch)
+            return
+        for follower in self.followers.values():
+            if follower.is_synced and now >= follower.last_sent + HEARTBEAT_SECONDS:
+                self._send_append(follower, [], [], now)
+
+    def resign(self) -> None:
+        """Give the lease back."""
+        if self.phase is Phase.IDLE:
+            return
+        for follower in self.followers.values():
+            self._out.append(Send(follower.link, Resign(epoch=self.epoch)))
+        self._depose("resigned", self.epoch)
+
+    def change_group(self, members: list[GroupMember]) -> None:
+        """Begin a change of the group; only one is under way at a time."""
+        if not self.is_leading or self.next_group is not None:
+            return
+        generation = self.group.generation + 1
+        self.next_group = Group(generation=generation, members=members)
+        self.put(groups.group_key(generation), bytes(self.next_group))
+
+    def synced_members(self) -> list[GroupMember]:
+        """Return the connected replicas that hold everything."""
+        return [
+            follower.member
+            for follower in self.followers.values()
+            if follower.is_synced and follower.acked >= 0
+        ]
+
+    # Inside
+
+    def _reset(self) -> None:
+        self.phase = Phase.IDLE
+        self.entries = {}
+        self.group = Group()
+        self.next_group = None
+        self._known_groups = {}
+        self._pending = {}
+        self._unsent_puts = []
+        self._unsent_drops = []
+        self._fetching = {}
+        for follower in self.followers.values():
+            follower.keys = None
+            follower.is_synced = False
+            follower.acked = -1
+            follower.waiting = []
+            follower.lease_from = float("-inf")
+
+    def _depose(self, reason: str, highest_epoch: int) -> None:
+        self._reset()
+        self._out.append(Deposed(reason, highest_epoch))
+
+    def _send_prepare(self, follower: Follower, now: float) -> None:
+        follower.waiting.append((-1, now))
+        follower.last_sent = now
+        message = Prepare(
+            epoch=self.epoch,
+            leader=self._name,
+            leader_host=self._host,
+            leader_port=self._port,
+            first_group=self._first_group,
+        )
+        self._out.append(Send(follower.link, message))
+
+    def _answered(self, follower: Follower) -> int:
+        """Note that the oldest message was answered with consent; return its write's number."""
+        if not follower.waiting:
+            return -1
+        number, sent_at = follower.waiting.pop(0)
+        follower.lease_from = sent_at
+        return number
+
+    def _learn_groups(self, found: list[Group]) -> None:
+        for each in found:
+            self._known_groups[each.generation] = each
+
+    def _voting_groups(self) -> list[Group]:
+        """Return the groups whose quorums count: the newest, and the one that it replaces."""
+        if self.phase in (Phase.PREPARING, Phase.FETCHING):
+            newest = max(self._known_groups, default=0)
+            numbers = (newest - 1, newest)
+            return [self._known_groups[each] for each in numbers if each in self._known_groups]
+        voting = [self.group] if self.group.generation else []
+        if self.next_group is not None:
+            voting.append(self.next_group)
+        return voting
+
+    def _try_fetch(self) -> None:
+        answered = {
+            follower.member.disk
+            for follower in self.followers.values()
+            if follower.keys is not None
+        }
+        voting = self._voting_groups()
+        if not voting or not all(groups.has_read_quorum(each, answered) for each in voting):
+            return
+        self.phase = Phase.FETCHING
+        for key, link in self._best_holders().items():
+            self._fetching.setdefault(link, []).append(key)
+        for link, keys in self._fetching.items():
+            self._out.append(Send(link, Fetch(epoch=self.epoch, keys=keys)))
+
+    def _best_holders(self) -> dict[str, int]:
+        """Return for each key the link to fetch it from: one that has its highest epoch."""
+        answered = [each for each in self.followers.values() if each.keys is not None]
+        answered.sort(key=lambda each: -len(each.keys or ()))
+        highest: dict[str, int] = {}
+        holder: dict[str, int] = {}
+        for follower in answered:
+            for key, epoch in (follower.keys or {}).items():
+                if key not in highest or epoch > highest[key]:
+                    highest[key] = epoch
+                    holder[key] = follower.link
+        return holder
+
+    def _rewrite(self, now: float) -> None:
+        """Write again what a write quorum does not provably hold, then lead."""
+        # A newer group may not be written yet, so the one that it replaces counts as well.
+        voting = self._voting_groups()
+        self.group = voting[0]
+        self.next_group = voting[1] if len(voting) > 1 else None
+        self.phase = Phase.REWRITING
+        for follower in self.followers.values():
+            if follower.keys is not None:
+                self._note_lost_disk(follower.member)
+        for entry in list(self.entries.values()):
+            if not self._is_written(entry):
+                self.put(entry.key, entry.value)
+        self._unsent_puts = []
+        for follower in self.followers.values():
+            if follower.keys is not None:
+                self._bring_up_to_date(follower, now)
+        self._commit()
+
+    def _is_written(self, entry: Entry) -> bool:
+        holding = {
+            follower.member.disk
+            for follower in self.followers.values()
+            if follower.keys is not None and follower.keys.get(entry.key) == entry.epoch
+        }
+        return all(
+            groups.has_write_quorum(each, holding, self.lost_disks)
+            for each in self._voting_groups()
+        )
+
+    def _bring_up_to_date(self, follower: Follower, now: float) -> None:
+        held = follower.keys or {}
+        puts = [entry for key, entry in self.entries.items() if held.get(key, -1) < entry.epoch]
+        drops = [key for key in held if key not in self.entries]
+        follower.is_synced = True
+        self._send_append(follower, puts, drops, now)
+
+    def _send_append(
+        self, follower: Follower, puts: list[Entry], drops: list[str], now: float
+    ) -> None:
+        follower.waiting.append((self._sequence, now))
+        follower.last_sent = now
+        message = Append(epoch=self.epoch, puts=puts, drops=drops)
+        self._out.append(Send(follower.link, message))
+
+    def _commit(self) -> None:
+        for key, number in list(self._pending.items()):
+            written = {
+                follower.member.disk
+                for follower in self.followers.values()
+                if follower.is_synced and follower.acked >= number
+            }
+            if not all(
+                groups.has_write_quorum(each, written, self.lost_disks)
+                for each in self._voting_groups()
+            ):
+                break
+            del self._pending[key]
+            self._committed(key)
+        if self.phase is Phase.REWRITING and not self._pending:
+            self._lead()
+
+    def _committed(self, key: str) -> None:
+        if key.startswith(groups.GROUP_PREFIX):
+            self._finish_change(key)
+        elif self.phase is Phase.LEADING:
+            self._out.append(Committed(key))
+
+    def _finish_change(self, key: str) -> None:
+        change = self.next_group
+        if change is None or groups.group_key(change.generation) != key:
+            return
+        self.group, self.next_group = change, None
+        kept = groups.group_key(max(change.generation - 1, 0))
+        old = [each for each in self.entries if each.startswith(groups.GROUP_PREFIX)]
+        for each in old:
+            if each < kept:
+                self.drop(each)
+
+    def _lead(self) -> None:
+        if self.next_group is not None:
+            # Nothing of the newer group needed writing again, so it is in force.
+            self._finish_change(groups.group_key(self.next_group.generation))
+        self.phase = Phase.LEADING
+        entries = tuple(
+            entry for key, entry in self.entries.items() if not key.startswith(groups.GROUP_PREFIX)
+        )
+        self._out.append(Won(self.epoch, entries))
+
+    def _lease_of(self, group: Group) -> float:
+        members = groups.disks(group)
+        times = sorted(
+            (
+                follower.lease_from
+                for follower in self.followers.values()
+                if follower.member.disk in members and follower.is_synced
+            ),
+            reverse=True,
+        )
+        needed = groups.write_quorum(len(members))
+        needed = max(1, min(needed, len(members - self.lost_disks)))
+        if len(times) < needed:
+            return float("-inf")
+        return times[needed - 1] + LEASE_SECONDS - LEASE_MARGIN_SECONDS
+
+    def _note_lost_disk(self, member: GroupMember) -> None:
+        for each in self._voting_groups():
+            known = groups.member_named(each, member.name)
+            if known is not None and known.disk != member.disk:
+                self.lost_disks.add(known.disk)
--- /dev/null
+++ b/src/pondtiller/steplog/replica.py
@@ -0,0 +1,174 @@
+"""One replica of the step log: promises, values and the leader's lease. No I/O.
+
+Each handler returns the reply and the record that must be on disk before the reply leaves.
+"""
+
+from dataclasses import dataclass, field
+
+from pondtiller.steplog.group import GROUP_PREFIX, disks, group_key, groups_of
+from pondtiller.wire.steplog import (
+    Append,
+    Appended,
+    DiskRecord,
+    Entry,
+    Fetch,
+    Fetched,
+    Group,
+    GroupMember,
+    KeyEpoch,
+    Prepare,
+    Promise,
+    ReplicaView,
+    Resign,
+)
+
+LEASE_SECONDS = 1.2
+
+
+@dataclass(slots=True)
+class Lease:
+    """The leader that this replica follows, until a time on its own clock."""
+
+    epoch: int = 0
+    leader: str = ""
+    host: str = ""
+    port: int = 0
+    until: float = 0.0
+
+
+@dataclass(slots=True)
+class Reply:
+    """What a handler returns.
+
+    Attributes
+    ----------
+    message
+        The answer.
+    record
+        Must be durable before the answer leaves; None where nothing changed.
+    """
+
+    message: Promise | Appended | Fetched
+    record: DiskRecord | None = None
+
+
+@dataclass
+class Replica:
+    """State of one replica.
+
+    Attributes
+    ----------
+    member
+        Its name, place and disk.
+    may_form
+        Whether it may become part of a first group: the system's first start, empty disk.
+    promised
+        Highest epoch promised; durable.
+    entries
+        Values by key; durable.
+    """
+
+    member: GroupMember
+    may_form: bool
+    started_at: float
+    promised: int = 0
+    entries: dict[str, Entry] = field(default_factory=dict)
+    lease: Lease = field(default_factory=Lease)
+
+    def restore(self, record: DiskRecord) -> None:
+        """Take a record read back from the disk."""
+        self.promised = max(self.promised, record.promised)
+        for entry in record.puts:
+            self.entries[entry.key] = entry
+        for key in record.drops:
+            self.entries.pop(key, None)
+
+    @property
+    def groups(self) -> list[Group]:
+        """The groups that this replica holds, oldest first."""
+        held = [entry for key, entry in self.entries.items() if key.startswith(GROUP_PREFIX)]
+        return groups_of(held)
+
+    def prepare(self, message: Prepare, now: float) -> Reply:
+        """Promise an epoch to a candidate, or refuse because of a lease or a higher promise."""
+        if self._is_held_against(message, now) or message.epoch < self.promised:
+            return Reply(self._promise(granted=False))
+        record = DiskRecord(promised=message.epoch)
+        self.promised = message.epoch
+        self._form(message.first_group, message.epoch, record)
+        self.lease = Lease(
+            message.epoch,
+            message.leader,
+            message.leader_host,
+            message.leader_port,
+            now + LEASE_SECONDS,
+        )
+        return Reply(self._promise(granted=True), record)
+
+    def append(self, message: Append, now: float) -> Reply:
+        """Take the leader's writes and renew its lease."""
+        if message.epoch != self.promised:
+            return Reply(Appended(accepted=False, epoch=self.promised))
+        self.lease.until = now + LEASE_SECONDS
+        if not message.puts and not message.drops:
+            return Reply(Appended(accepted=True, epoch=self.promised))
+        record = DiskRecord(puts=message.puts, drops=message.drops)
+        self.restore(record)
+        return Reply(Appended(accepted=True, epoch=self.promised), record)
+
+    def fetch(self, message: Fetch) -> Reply:
+        """Return values to the candidate that holds the promise."""
+        if message.epoch != self.promised:
+            return Reply(Fetched())
+        found = [self.entries[key] for key in message.keys if key in self.entries]
+        return Reply(Fetched(entries=found))
+
+    def resign(self, message: Resign) -> None:
+        """End the lease of a leader that gives it back."""
+        if message.epoch == self.lease.epoch:
+            self.lease.until = 0.0
+
+    def view(self, now: float) -> ReplicaView:
+        """Return what subscribers are told."""
+        groups = self.groups
+        is_held = now < self.lease.until
+        return ReplicaView(
+            replica=self.member,
+            epoch=self.promised,
+            leader=self.lease.leader if is_held else "",
+            leader_host=self.lease.host if is_held else "",
+            leader_port=self.lease.port if is_held else 0,
+            group=groups[-1] if groups else Group(),
+            may_form=self.may_form and not groups,
+        )
+
+    def _is_held_against(self, message: Prepare, now: float) -> bool:
+        """Return whether another daemon may still believe in its lease.
+
+        A replica that starts again forgot whom it granted one, so it waits for a lease.
+        An epoch belongs to one leader, so the same epoch is the same leader again.
+        """
+        if message.epoch == self.promised:
+            return False
+        if self.promised and now < self.started_at + LEASE_SECONDS and not self.lease.leader:
+            return True
+        return now < self.lease.until and self.lease.leader != message.leader
+
+    def _promise(self, granted: bool) -> Promise:
+        return Promise(
+            granted=granted,
+            epoch=self.promised,
+            replica=self.member,
+            keys=[KeyEpoch(key=key, epoch=entry.epoch) for key, entry in self.entries.items()]
+            if granted
+            else [],
+            groups=self.groups[-2:],
+        )
+
+    def _form(self, group: Group, epoch: int, record: DiskRecord) -> None:
+        """Take the first group where this replica belongs to it and holds none."""
+        if self.groups or not self.may_form or self.member.disk not in disks(group):
+            return
+        entry = Entry(key=group_key(group.generation), epoch=epoch, value=bytes(group))
+        record.puts = [entry]
+        self.entries[entry.key] = entry
--- a/tools/check_generated.py
+++ b/tools/check_generated.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-COMMITTED = ROOT / "src" / "pondtiller" / "wire" / "pondtiller" / "__init__.py"
+WIRE = ROOT / "src" / "pondtiller" / "wire"
+PACKAGES = ("pondtiller", "steplog")
 
 
 def main() -> int:
@@ -19,12 +20,15 @@
     with tempfile.TemporaryDirectory() as folder:
         environment = {**os.environ, "PATH": f"{Path(sys.executable).parent}:{os.environ['PATH']}"}
         command = [sys.executable, "-m", "grpc_tools.protoc", "-I", str(ROOT / "proto")]
-        command += [f"--python_betterproto_out={folder}", str(ROOT / "proto" / "pondtiller.proto")]
+        command.append(f"--python_betterproto_out={folder}")
+        command += [str(ROOT / "proto" / f"{package}.proto") for package in PACKAGES]
         subprocess.run(command, check=True, env=environment, stderr=subprocess.DEVNULL)
-        made = (Path(folder) / "pondtiller" / "__init__.py").read_text(encoding="utf-8")
-    if made != COMMITTED.read_text(encoding="utf-8"):
-        print("generated code: differs from proto/; run `make proto`")
-        return 1
+        for package in PACKAGES:
+            place = Path(package) / "__init__.py"
+            made = (Path(folder) / place).read_text(encoding="utf-8")
+            if made != (WIRE / place).read_text(encoding="utf-8"):
+                print(f"generated code: {package} differs from proto/; run `make proto`")
+                return 1
     print("generated code: ok")
     return 0
 
