Count the orders that an engine took from its own report, not from its beats

Cause: the list entry's number counts beats; orders are counted only in the engine's report, so every order was refused (409) and later steps ran out of versions they may use.

--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -160,7 +160,6 @@
             service=entry.service,
             state=entry.state.value,
             models=",".join(f"{name}:{version}" for name, version in entry.models.items()),
-            orders_taken=entry.orders_taken,
             revision=self._engines.revision,
         )
 
--- a/src/pondtiller/rollouts/versions.py
+++ b/src/pondtiller/rollouts/versions.py
@@ -87,14 +87,20 @@
         if is_taken:
             load.is_taken = True
             load.until = now + LOAD_SECONDS
+            self._count_order(engine)
         else:
             del self.loads[engine]
             self._pause[engine] = now + REFUSED_SECONDS
             self._out.append(AskEngine(engine))
 
+    def _count_order(self, engine: str) -> None:
+        models, taken = self.known[engine]
+        self.known[engine] = (models, taken + 1)
+
     def reported(self, engine: str, models: dict[str, int], orders_taken: int, busy: bool) -> None:
         """Take an engine's own report."""
         self.known[engine] = (models, orders_taken)
+        self._pause.pop(engine, None)
         load = self.loads.get(engine)
         if load is not None and not busy:
             del self.loads[engine]
@@ -113,7 +119,10 @@
             for engine in self._behind(model, version, now):
                 if len(self.loads) >= LOADS_AT_ONCE:
                     return
-                self._order(engine, model, version, now)
+                if engine.identifier in self.known:
+                    self._order(engine, model, version, now)
+                else:
+                    self._ask_first(engine, now)
 
     def _finish(self, now: float) -> None:
         for identifier, load in list(self.loads.items()):
@@ -141,15 +150,20 @@
         reported, _ = self.known.get(engine.identifier, ({}, 0))
         return max(engine.entry.models.get(model, 0), reported.get(model, 0))
 
+    def _ask_first(self, engine: Engine, now: float) -> None:
+        """Learn how many orders an engine has taken; only its own report tells."""
+        self._pause[engine.identifier] = now + REFUSED_SECONDS
+        self._out.append(AskEngine(engine.identifier))
+
     def _order(self, engine: Engine, model: str, version: int, now: float) -> None:
-        _, reported_orders = self.known.get(engine.identifier, ({}, 0))
+        _, orders_taken = self.known[engine.identifier]
         self.loads[engine.identifier] = Load(model, version, now + UNANSWERED_SECONDS)
         self._out.append(
             OrderVersion(
                 engine.identifier,
                 model,
                 version,
-                max(engine.entry.orders_taken, reported_orders),
+                orders_taken,
                 model in self.single_version_models,
             )
         )
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -31,8 +31,6 @@
     ----------
     models
         Version of the weights by model.
-    orders_taken
-        Number of orders that it has taken since its start.
     """
 
     engine: str
@@ -42,7 +40,6 @@
     slots: int
     state: EngineState
     models: dict[str, int] = field(default_factory=dict)
-    orders_taken: int = 0
     cold_seconds: float = 0.0
 
 
