--- /dev/null
+++ b/src/pondtiller/steplog/tests/cluster.py
@@ -0,0 +1,311 @@
+"""A deterministic cluster of replicas and daemons on a virtual clock, for the tests.
+
+Messages may be delayed and links break at any moment; replicas lose power (what was not
+answered may be kept or lost), lose their disks, freeze and are replaced; daemons freeze and
+die. Every daemon that leads writes numbered keys and remembers, outside, what it was told is
+committed. A key's committed value must never change or vanish.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pondtiller.steplog.group_policy import GroupInputs, next_members
+from pondtiller.steplog.leader import Committed, Deposed, LeaderLog, Phase, Send, Won
+from pondtiller.steplog.replica import Replica
+from pondtiller.wire.steplog import (
+    Append,
+    DiskRecord,
+    Fetch,
+    Group,
+    GroupMember,
+    Prepare,
+    Resign,
+)
+
+
+@dataclass
+class Disk:
+    """Records on one replica's disk."""
+
+    name: str
+    records: list[DiskRecord] = field(default_factory=list)
+
+
+@dataclass
+class Node:
+    """A replica's machine."""
+
+    name: str
+    disk: Disk
+    replica: Replica | None
+    frozen_until: float = 0.0
+    may_form: bool = True
+    is_gone: bool = False
+    wipes: int = 0
+
+
+@dataclass
+class Daemon:
+    """A daemon that may lead."""
+
+    name: str
+    log: LeaderLog
+    links: dict[int, str] = field(default_factory=dict)
+    frozen_until: float = 0.0
+    written: int = 0
+    is_cut_from: set[str] = field(default_factory=set)
+
+
+class Violation(AssertionError):
+    """A promise of the step log was broken."""
+
+
+class Cluster:
+    """The whole world of one seed."""
+
+    def __init__(self, seed: int, replicas: int = 3, daemons: int = 3) -> None:
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.nodes = {f"r{number}": self._new_node(f"r{number}") for number in range(replicas)}
+        self.first_group = Group(
+            generation=1, members=[self._member(node) for node in self.nodes.values()]
+        )
+        self.daemons: list[Daemon] = []
+        self.committed: dict[str, bytes] = {}
+        self.highest = 0
+        self.terms = 0
+        self.last_link = 0
+        self.next_key = 0
+        self.stand_always = False
+        for number in range(daemons):
+            self.add_daemon(number)
+
+    # Machines
+
+    def _new_node(self, name: str) -> Node:
+        node = Node(name, Disk(f"{name}-0"), None)
+        self._start(node)
+        return node
+
+    def _member(self, node: Node) -> GroupMember:
+        return GroupMember(name=node.name, disk=node.disk.name, zone="z", host="h", port=1)
+
+    def _start(self, node: Node) -> None:
+        node.replica = Replica(self._member(node), node.may_form, self.now)
+        for record in node.disk.records:
+            node.replica.restore(record)
+
+    def add_daemon(self, number: int) -> None:
+        daemon = Daemon(f"d{number}", LeaderLog(f"d{number}", "h", 1, self.random.getrandbits(32)))
+        self.daemons.append(daemon)
+        self.after(self.random.random() * 0.2, lambda: self._daemon_turn(daemon))
+        self.after(0.0, lambda: self._connect_all(daemon))
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.events, (self.now + seconds, self.count, action))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        self.now = end
+
+    # Links: per link, messages keep their order
+
+    def _connect_all(self, daemon: Daemon) -> None:
+        connected = set(daemon.links.values())
+        for node in self.nodes.values():
+            is_up = node.replica is not None and not node.is_gone
+            if is_up and node.name not in connected and node.name not in daemon.is_cut_from:
+                self.last_link += 1
+                daemon.links[self.last_link] = node.name
+                daemon.log.connected(self.last_link, self._member(node), self.now)
+        self._carry_out(daemon)
+        self.after(0.3, lambda: self._connect_all(daemon))
+
+    def break_links(self, node_name: str, daemon: Daemon | None = None) -> None:
+        for each in [daemon] if daemon is not None else self.daemons:
+            for link in [link for link, name in each.links.items() if name == node_name]:
+                del each.links[link]
+                each.log.lost(link)
+                self._carry_out(each)
+
+    # Daemons
+
+    def _daemon_turn(self, daemon: Daemon) -> None:
+        self.after(0.1, lambda: self._daemon_turn(daemon))
+        if self.now < daemon.frozen_until:
+            return
+        log = daemon.log
+        log.tick(self.now)
+        if log.holds_lease(self.now):
+            self._lead(daemon)
+        elif log.phase is Phase.IDLE and self._may_stand():
+            log.stand(self.highest, self.first_group, self.now)
+        self._carry_out(daemon)
+
+    def _may_stand(self) -> bool:
+        held = any(
+            node.replica is not None and self.now < node.replica.lease.until
+            for node in self.nodes.values()
+        )
+        return (self.stand_always or not held) and self.random.random() < 0.3
+
+    def _lead(self, daemon: Daemon) -> None:
+        for _ in range(self.random.randrange(3)):
+            self.next_key += self.random.random() < 0.7
+            key = f"slot/{self.next_key}"
+            if key not in daemon.log.entries:
+                daemon.log.put(key, f"{daemon.name}/{daemon.log.epoch}/{self.count}".encode())
+        synced = tuple(daemon.log.synced_members())
+        missing = {
+            member.name: 0.0
+            for member in daemon.log.group.members
+            if member.name not in {each.name for each in synced}
+        }
+        inputs = GroupInputs(daemon.log.group, synced, missing, frozenset(), 3)
+        members = next_members(inputs, self.now)
+        if members is not None:
+            daemon.log.change_group(members)
+        daemon.log.flush(self.now)
+
+    def _carry_out(self, daemon: Daemon) -> None:
+        for instruction in daemon.log.take():
+            match instruction:
+                case Send():
+                    self._send(daemon, instruction)
+                case Won():
+                    self._check_won(daemon, instruction)
+                case Committed():
+                    self._note_committed(daemon, instruction.key)
+                case Deposed():
+                    self.highest = max(self.highest, instruction.highest_epoch)
+
+    def _check_won(self, daemon: Daemon, won: Won) -> None:
+        self.terms += 1
+        held = {entry.key: entry.value for entry in won.entries}
+        for key, value in self.committed.items():
+            if held.get(key) != value:
+                raise Violation(f"{daemon.name} leads with {key}={held.get(key)!r}, was {value!r}")
+
+    def _note_committed(self, daemon: Daemon, key: str) -> None:
+        value = daemon.log.entries[key].value
+        if self.committed.setdefault(key, value) != value:
+            raise Violation(f"{key} was committed as {self.committed[key]!r} and {value!r}")
+
+    # Messages
+
+    def _send(self, daemon: Daemon, send: Send) -> None:
+        delay = 0.001 + self.random.random() * (0.2 if self.random.random() < 0.05 else 0.004)
+        arrival = max(self.now + delay, self._order.get(send.link, 0.0))
+        self._order[send.link] = arrival
+        self.after(arrival - self.now, lambda: self._deliver(daemon, send))
+
+    @property
+    def _order(self) -> dict[int, float]:
+        order: dict[int, float] = self.__dict__.setdefault("_arrivals", {})
+        return order
+
+    def _deliver(self, daemon: Daemon, send: Send) -> None:
+        name = daemon.links.get(send.link)
+        node = self.nodes.get(name or "")
+        if node is None or node.replica is None or node.is_gone:
+            return
+        if self.now < node.frozen_until:
+            self.after(node.frozen_until - self.now, lambda: self._deliver(daemon, send))
+            return
+        message = send.message
+        match message:
+            case Prepare():
+                reply = node.replica.prepare(message, self.now)
+            case Append():
+                reply = node.replica.append(message, self.now)
+            case Fetch():
+                reply = node.replica.fetch(message)
+            case Resign():
+                node.replica.resign(message)
+                return
+        self.highest = max(self.highest, node.replica.promised)
+        if reply.record is not None:
+            node.disk.records.append(DiskRecord().parse(bytes(reply.record)))
+        answer, epoch, process = reply.message, daemon.log.epoch, node.replica
+        delay = 0.001 + self.random.random() * 0.004
+
+        def answered() -> None:
+            if daemon.links.get(send.link) != name or daemon.log.epoch != epoch:
+                return
+            if node.replica is not process:
+                return
+            if self.now < daemon.frozen_until:
+                self.after(daemon.frozen_until - self.now, answered)
+                return
+            if isinstance(message, Prepare):
+                daemon.log.promised(send.link, answer, self.now)
+            elif isinstance(message, Append):
+                daemon.log.appended(send.link, answer, self.now)
+            else:
+                daemon.log.fetched(send.link, answer, self.now)
+            self._carry_out(daemon)
+
+        back = max(self.now + delay, self._order.get(-send.link, 0.0))
+        self._order[-send.link] = back
+        self.after(back - self.now, answered)
+
+    # Faults
+
+    def power_off(self, name: str, seconds: float) -> None:
+        """A replica's machine loses power; its disk stays."""
+        node = self.nodes[name]
+        if node.replica is None or node.is_gone:
+            return
+        node.replica = None
+        self.break_links(name)
+        self.after(seconds, lambda: self._start(node))
+
+    def wipe(self, name: str, seconds: float) -> None:
+        """A replica's machine loses its disk and starts again with an empty one."""
+        node = self.nodes[name]
+        if node.is_gone:
+            return
+        node.replica = None
+        self.break_links(name)
+        node.wipes += 1
+        node.disk = Disk(f"{name}-{node.wipes}")
+        node.may_form = False
+        self.after(seconds, lambda: self._start(node))
+
+    def replace(self, name: str, seconds: float) -> None:
+        """A replica's machine is gone for good; an empty one comes under another name."""
+        node = self.nodes[name]
+        if node.is_gone:
+            return
+        node.is_gone = True
+        node.replica = None
+        self.break_links(name)
+        fresh = f"{name}x"
+
+        def start() -> None:
+            new = Node(fresh, Disk(f"{fresh}-0"), None, may_form=False)
+            self.nodes[fresh] = new
+            self._start(new)
+
+        self.after(seconds, start)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        self.nodes[name].frozen_until = self.now + seconds
+
+    def freeze_daemon(self, number: int, seconds: float) -> None:
+        self.daemons[number].frozen_until = self.now + seconds
+
+    def cut(self, number: int, name: str, seconds: float) -> None:
+        """Cut a daemon from a replica."""
+        daemon = self.daemons[number]
+        daemon.is_cut_from.add(name)
+        self.break_links(name, daemon)
+        self.after(seconds, lambda: daemon.is_cut_from.discard(name))
--- /dev/null
+++ b/src/pondtiller/steplog/tests/test_cluster.py
@@ -0,0 +1,94 @@
+"""The step log keeps what it committed through every fault that it must bear."""
+
+import pytest
+
+from pondtiller.steplog.tests.cluster import Cluster, Violation
+
+SEEDS = range(60)
+CALM_SECONDS = 8.0
+
+
+def test_a_calm_cluster_commits_and_keeps_one_leader() -> None:
+    cluster = Cluster(1)
+    cluster.run(20.0)
+    assert cluster.terms == 1
+    assert len(cluster.committed) > 20
+
+
+def disturb(cluster: Cluster, number: int) -> None:
+    """One fault drawn by the cluster's seed; at most one disk at a time."""
+    live = [name for name, node in cluster.nodes.items() if not node.is_gone]
+    name = cluster.random.choice(live)
+    seconds = 0.3 + cluster.random.random() * 3.0
+    match number % 9:
+        case 0:
+            cluster.power_off(name, seconds)
+        case 1:
+            cluster.freeze(name, seconds)
+        case 2:
+            cluster.freeze_daemon(cluster.random.randrange(len(cluster.daemons)), seconds)
+        case 3:
+            cluster.cut(cluster.random.randrange(len(cluster.daemons)), name, seconds)
+        case 4:
+            cluster.wipe(name, seconds)
+        case 5:
+            cluster.replace(name, seconds)
+        case 6:
+            for each in live:
+                cluster.power_off(each, 0.2 + cluster.random.random())
+        case 7:
+            cluster.break_links(name)
+        case 8:
+            cluster.stand_always = not cluster.stand_always
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_committed_values_outlive_faults(seed: int) -> None:
+    cluster = Cluster(seed)
+    cluster.run(3.0)
+    for _ in range(8):
+        fault = cluster.random.randrange(9)
+        disturb(cluster, fault)
+        if cluster.random.random() < 0.4 and fault not in (4, 5):
+            disturb(cluster, cluster.random.choice((0, 1, 2, 3, 7)))
+        cluster.run(CALM_SECONDS)
+    cluster.stand_always = False
+    before = len(cluster.committed)
+    cluster.run(20.0)
+    assert len(cluster.committed) > before, "the cluster did not recover"
+
+
+def test_a_disk_lost_right_after_a_commit_while_all_lose_power() -> None:
+    for seed in range(20):
+        cluster = Cluster(seed)
+        cluster.run(4.0 + cluster.random.random())
+        names = list(cluster.nodes)
+        cluster.wipe(names[seed % 3], 0.5)
+        for name in names:
+            if name != names[seed % 3]:
+                cluster.power_off(name, 0.5 + cluster.random.random())
+        before = len(cluster.committed)
+        cluster.run(15.0)
+        assert len(cluster.committed) > before
+
+
+def test_the_check_sees_a_replica_that_votes_after_losing_its_disk() -> None:
+    """Without disks as identities, a wiped replica would vote and values would vanish."""
+
+    def lose_and_lie(seed: int) -> None:
+        cluster = Cluster(seed)
+        cluster.run(5.0)
+        for name in list(cluster.nodes)[:2]:
+            node = cluster.nodes[name]
+            disk = node.disk.name
+            cluster.wipe(name, 0.1)
+            node.disk.name = disk
+            node.may_form = True
+        cluster.freeze(list(cluster.nodes)[2], 6.0)
+        for daemon in cluster.daemons:
+            daemon.log.resign()
+        cluster.run(15.0)
+
+    with pytest.raises(Violation):
+        for seed in range(10):
+            lose_and_lie(seed)
