Take over without the quorum of a group that is no longer in force

A candidate asked for a read quorum of the group before the newest too, whose members were gone. Now a leader drops the older group's key once the newer is written, and a replica that holds a group without the one before it says that it is in force. Ruled out: leases held against the candidates (promises were granted), lost values.

--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -97,6 +97,7 @@
 
     link: int
     member: GroupMember
+    disk: str
     keys: dict[str, int] | None = None
     is_synced: bool = False
     acked: int = -1
@@ -130,6 +131,7 @@
         self._identity = identity
         self._first_group = Group()
         self._known_groups: dict[int, Group] = {}
+        self._oldest_group = 0
         self._started_at = 0.0
         self._sequence = 0
         self._pending: dict[str, int] = {}
@@ -147,7 +149,7 @@
 
     def connected(self, link: int, member: GroupMember, now: float) -> None:
         """Take a replica's connection; a leader brings it up to date."""
-        self.followers[link] = Follower(link, member)
+        self.followers[link] = Follower(link, member, member.disk)
         self._note_lost_disk(member)
         if self.phase is not Phase.IDLE:
             self._send_prepare(self.followers[link], now)
@@ -300,6 +302,7 @@
         self.group = Group()
         self.next_group = None
         self._known_groups = {}
+        self._oldest_group = 0
         self._pending = {}
         self._unsent_puts = []
         self._unsent_drops = []
@@ -336,15 +339,17 @@
         return number
 
     def _learn_groups(self, found: list[Group]) -> None:
+        """Take the groups that one replica holds; older ones than its oldest are over."""
         for each in found:
             self._known_groups[each.generation] = each
+        if found:
+            self._oldest_group = max(self._oldest_group, found[0].generation)
 
     def _voting_groups(self) -> list[Group]:
         """Return the groups whose quorums count: the newest, and the one that it replaces."""
         if self.phase in (Phase.PREPARING, Phase.FETCHING):
-            newest = max(self._known_groups, default=0)
-            numbers = (newest - 1, newest)
-            return [self._known_groups[each] for each in numbers if each in self._known_groups]
+            known = sorted(self._known_groups)
+            return [self._known_groups[each] for each in known if each >= self._oldest_group]
         voting = [self.group] if self.group.generation else []
         if self.next_group is not None:
             voting.append(self.next_group)
@@ -352,7 +357,7 @@
 
     def _try_fetch(self) -> None:
         answered = {
-            follower.member.disk
+            follower.disk
             for follower in self.followers.values()
             if follower.keys is not None
         }
@@ -381,7 +386,7 @@
     def _rewrite(self, now: float) -> None:
         """Write again what a write quorum does not provably hold, then lead."""
         # A newer group may not be written yet, so the one that it replaces counts as well.
-        voting = self._voting_groups()
+        voting = self._voting_groups()[-2:]
         self.group = voting[0]
         self.next_group = voting[1] if len(voting) > 1 else None
         self.phase = Phase.REWRITING
@@ -399,7 +404,7 @@
 
     def _is_written(self, entry: Entry) -> bool:
         holding = {
-            follower.member.disk
+            follower.disk
             for follower in self.followers.values()
             if follower.keys is not None and follower.keys.get(entry.key) == entry.epoch
         }
@@ -426,7 +431,7 @@
     def _commit(self) -> None:
         for key, number in list(self._pending.items()):
             written = {
-                follower.member.disk
+                follower.disk
                 for follower in self.followers.values()
                 if follower.is_synced and follower.acked >= number
             }
@@ -451,10 +456,10 @@
         if change is None or groups.group_key(change.generation) != key:
             return
         self.group, self.next_group = change, None
-        kept = groups.group_key(max(change.generation - 1, 0))
+        # A replica that holds a group without the one before it says that it is in force.
         old = [each for each in self.entries if each.startswith(groups.GROUP_PREFIX)]
         for each in old:
-            if each < kept:
+            if each < key:
                 self.drop(each)
 
     def _lead(self) -> None:
@@ -473,7 +478,7 @@
             (
                 follower.lease_from
                 for follower in self.followers.values()
-                if follower.member.disk in members and follower.is_synced
+                if follower.disk in members and follower.is_synced
             ),
             reverse=True,
         )
--- a/src/pondtiller/steplog/replica.py
+++ b/src/pondtiller/steplog/replica.py
@@ -162,7 +162,7 @@
             keys=[KeyEpoch(key=key, epoch=entry.epoch) for key, entry in self.entries.items()]
             if granted
             else [],
-            groups=self.groups[-2:],
+            groups=self.groups,
         )
 
     def _form(self, group: Group, epoch: int, record: DiskRecord) -> None:
