--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -162,6 +162,7 @@
         self._waiters: dict[str, set[Any]] = {}
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
+        self._scheduled: set[str] = set()
         self._is_over = False
         self._is_first = won.epoch < FIRST_EPOCH_END
 
@@ -225,6 +226,9 @@
         if route.single_version:
             self.steward.single_version_models.add(record.step.model)
         costs = {sample.id: engine_format.expected_tokens(sample) for sample in record.step.samples}
+        if record.step.id not in self._scheduled:
+            self._scheduled.add(record.step.id)
+            self.steward.step_opened(record.step.model, sum(costs.values()))
         self.scheduler.open(record, route, costs, clock.monotonic())
 
     # Calls
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -175,7 +175,7 @@
                 next_search = now + NO_REPLICA_SECONDS
                 await self._find_replicas()
             self.leadership.may_stand = self._is_ready()
-            self.engines.forget_gone(now)
+            self.engines.keep_house(now)
             await self.pool.forget(set(self.engines.engines))
             await curio.sleep(HOUSEKEEPING_SECONDS)
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -249,7 +249,7 @@
             return False
         engine = self._engines.engines.get(work.engine)
         if engine is not None and work.run_events:
-            engine.note_event_gap(now - work.last_heard)
+            engine.note_event_gap(now - work.last_heard, now)
         work.text.add(number, data, version)
         work.run_events += 1
         work.last_heard = now
--- a/src/pondtiller/rollouts/versions.py
+++ b/src/pondtiller/rollouts/versions.py
@@ -7,12 +7,15 @@
 
 from dataclasses import dataclass, field
 
+from pondtiller.rollouts.assignment import AssignableEngine, assign
 from pondtiller.routes.engines import Engine, EngineDirectory, EngineState
 
 LOADS_AT_ONCE = 2
 LOAD_SECONDS = 1.6
 UNANSWERED_SECONDS = 0.8
 REFUSED_SECONDS = 0.4
+DEMAND_WEIGHT = 0.3
+SLOW_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,12 +62,18 @@
         Newest version named, by model.
     may_order_from
         No order before this time: an earlier leader's orders may still arrive.
+    demand
+        Tokens of a step by model, smoothed.
+    follows
+        Model whose versions an engine loads; all models where it does not stand here.
     """
 
     engines: EngineDirectory
     newest: dict[str, int] = field(default_factory=dict)
     single_version_models: set[str] = field(default_factory=set)
     may_order_from: float = float("inf")
+    demand: dict[str, float] = field(default_factory=dict)
+    follows: dict[str, str] = field(default_factory=dict)
     loads: dict[str, Load] = field(default_factory=dict)
     known: dict[str, tuple[dict[str, int], int]] = field(default_factory=dict)
     _pause: dict[str, float] = field(default_factory=dict)
@@ -79,6 +88,11 @@
         """Take a version that a trainer named."""
         self.newest[model] = max(version, self.newest.get(model, 0))
 
+    def step_opened(self, model: str, tokens: float) -> None:
+        """Take the size of a step, for the sharing of engines among models."""
+        before = self.demand.get(model, tokens)
+        self.demand[model] = before + DEMAND_WEIGHT * (tokens - before)
+
     def answered(self, engine: str, is_taken: bool, now: float) -> None:
         """Take an engine's consent or refusal."""
         load = self.loads.get(engine)
@@ -115,6 +129,7 @@
         self._finish(now)
         if now < self.may_order_from:
             return
+        self._assign()
         for model, version in self.newest.items():
             for engine in self._behind(model, version, now):
                 if len(self.loads) >= LOADS_AT_ONCE:
@@ -124,6 +139,19 @@
                 else:
                     self._ask_first(engine, now)
 
+    def _assign(self) -> None:
+        """Share the engines among the models that they hold together."""
+        shared: dict[tuple[str, ...], list[Engine]] = {}
+        for engine in self.engines.engines.values():
+            is_sound = engine.gone_at is None and engine.entry.state is EngineState.READY
+            if is_sound and engine.entry.models:
+                shared.setdefault(tuple(sorted(engine.entry.models)), []).append(engine)
+        follows: dict[str, str] = {}
+        for models, engines in shared.items():
+            demand = {model: self.demand[model] for model in models if model in self.demand}
+            follows.update(assign(_assignable(engines), demand, self.follows))
+        self.follows = follows
+
     def _finish(self, now: float) -> None:
         for identifier, load in list(self.loads.items()):
             engine = self.engines.engines.get(identifier)
@@ -142,6 +170,7 @@
             and engine.entry.state is EngineState.READY
             and 0 < self._version_of(engine, model) < version
             and engine.identifier not in self.loads
+            and self.follows.get(engine.identifier, model) == model
             and now >= self._pause.get(engine.identifier, 0.0)
         ]
         return sorted(found, key=lambda engine: engine.running)
@@ -167,3 +196,16 @@
                 model in self.single_version_models,
             )
         )
+
+
+def _assignable(engines: list[Engine]) -> list[AssignableEngine]:
+    """Return engines with the mark of those much slower than the usual one."""
+    paces = sorted(engine.event_seconds for engine in engines if engine.event_seconds)
+    usual = paces[(len(paces) - 1) // 2] if paces else 0.0
+    ordered = sorted(engines, key=lambda engine: engine.identifier)
+    return [
+        AssignableEngine(
+            engine.identifier, bool(usual) and engine.event_seconds > SLOW_FACTOR * usual
+        )
+        for engine in ordered
+    ]
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -14,6 +14,7 @@
 LONGEST_PAUSE_SECONDS = 2.0
 REFUSAL_PAUSE_SECONDS = 0.05
 PACE_WEIGHT = 0.2
+PACE_SECONDS = 3.0
 
 
 class EngineState(StrEnum):
@@ -67,6 +68,7 @@
     not_before: float = 0.0
     gone_at: float | None = None
     event_seconds: float = 0.0
+    paced_at: float = 0.0
 
     @property
     def identifier(self) -> str:
@@ -87,13 +89,19 @@
         """Forget earlier failures."""
         self.failures = 0
 
-    def note_event_gap(self, seconds: float) -> None:
+    def note_event_gap(self, seconds: float, now: float) -> None:
         """Take the time between two events of one stream."""
+        self.paced_at = now
         if self.event_seconds == 0:
             self.event_seconds = seconds
         else:
             self.event_seconds += PACE_WEIGHT * (seconds - self.event_seconds)
 
+    def forget_pace(self, now: float) -> None:
+        """Drop a pace that is out of date: a slow engine is tried again."""
+        if now > self.paced_at + PACE_SECONDS:
+            self.event_seconds = 0.0
+
 
 class EngineDirectory:
     """All engines by identifier.
@@ -130,9 +138,10 @@
         self.revision += 1
         self._entry_gone(identifier, now)
 
-    def forget_gone(self, now: float) -> None:
-        """Remove engines whose entries went some time ago and that have no work left."""
+    def keep_house(self, now: float) -> None:
+        """Drop old paces, and engines whose entries went some time ago and have no work."""
         for identifier, engine in list(self.engines.items()):
+            engine.forget_pace(now)
             if engine.gone_at is None or now < engine.gone_at + SUSPECT_SECONDS:
                 continue
             if engine.running == 0:
