--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -357,9 +357,7 @@
 
     def _try_fetch(self) -> None:
         answered = {
-            follower.disk
-            for follower in self.followers.values()
-            if follower.keys is not None
+            follower.disk for follower in self.followers.values() if follower.keys is not None
         }
         voting = self._voting_groups()
         if not voting or not all(groups.has_read_quorum(each, answered) for each in voting):
--- a/src/pondtiller/steplog/tests/cluster.py
+++ b/src/pondtiller/steplog/tests/cluster.py
@@ -192,7 +192,9 @@
         held = {entry.key: entry.value for entry in won.entries}
         for key, value in self.committed.items():
             if held.get(key) != value:
-                raise ViolationError(f"{daemon.name} leads with {key}={held.get(key)!r}, was {value!r}")
+                raise ViolationError(
+                    f"{daemon.name} leads with {key}={held.get(key)!r}, was {value!r}"
+                )
 
     def _note_committed(self, daemon: Daemon, key: str) -> None:
         value = daemon.log.entries[key].value
