Let engines take turns in loading a model's versions; read old steps only when asked

Ruled out: refused orders (1 of 51). Now a version goes to as many engines as the model's share, the most outdated first, and a step uses those with the version before as well; a new leader reads a step when it is needed.

--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -49,7 +49,7 @@
 SCORE_RETRY_SECONDS = 0.1
 ORDER_MARGIN_SECONDS = 1.0
 KEEP_MARGIN_SECONDS = 10.0
-EXPIRE_SECONDS = 5.0
+EXPIRE_SECONDS = 30.0
 
 
 class LeaderDuties(Duties):
@@ -191,7 +191,8 @@
         pause = 0.0 if self._is_first else self._duties._lease_seconds + ORDER_MARGIN_SECONDS
         self.steward.may_order_from = clock.monotonic() + pause
         await self._group.spawn(self._duties._watches.run, self.steward, self.wake)
-        next_progress = next_expiry = clock.monotonic()
+        next_progress = clock.monotonic()
+        next_expiry = next_progress + EXPIRE_SECONDS
         while True:
             self.wake.clear()
             now = clock.monotonic()
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum
+from functools import cached_property
 
 from pondtiller.wire.steplog import (
     Entry,
@@ -20,6 +21,8 @@
 RESULT_PREFIX = "result/"
 END_PREFIX = "end/"
 LARGEST_PAGE_BYTES = 900_000
+RESULT_OVERHEAD_BYTES = 100
+RESTORE_ORDER = {"step": 0, "end": 1, "result": 2}
 
 
 class StepStatus(IntEnum):
@@ -62,8 +65,13 @@
 class StepRecord:
     """One step.
 
+    What a new leader finds in the log is read when somebody asks for it, so that taking over
+    does not grow with the steps that have ended.
+
     Attributes
     ----------
+    encoded
+        The step as it stands in the log.
     results
         Results by position, written or on their way.
     written
@@ -72,16 +80,21 @@
         Positions that readers may see, from 0.
     """
 
-    step: Step
+    encoded: bytes
     is_accepted: bool = False
     is_ended: bool = False
     is_end_written: bool = False
-    results: dict[int, SampleResult] = field(default_factory=dict)
+    results: dict[int, bytes] = field(default_factory=dict)
     written: set[int] = field(default_factory=set)
     visible: int = 0
     listed: set[str] = field(default_factory=set)
     next_position: int = 0
 
+    @cached_property
+    def step(self) -> Step:
+        """The step as it was submitted."""
+        return Step().parse(self.encoded)
+
     @property
     def total(self) -> int:
         """Number of samples."""
@@ -131,13 +144,13 @@
 
     def restore(self, entries: tuple[Entry, ...]) -> list[str]:
         """Take what the log holds; return the keys of results and ends without a step."""
-        ordered = sorted(entries, key=lambda entry: not entry.key.startswith(STEP_PREFIX))
+        ordered = sorted(entries, key=lambda entry: RESTORE_ORDER[entry.key.partition("/")[0]])
         return [entry.key for entry in ordered if not self._restore_entry(entry)]
 
     def _restore_entry(self, entry: Entry) -> bool:
         kind, _, rest = entry.key.partition("/")
         if f"{kind}/" == STEP_PREFIX:
-            self.steps[rest] = StepRecord(Step().parse(entry.value), is_accepted=True)
+            self.steps[rest] = StepRecord(entry.value, is_accepted=True)
             return True
         identifier, _, position = rest.partition("/")
         record = self.steps.get(identifier)
@@ -146,9 +159,9 @@
         if f"{kind}/" == END_PREFIX:
             record.is_ended = record.is_end_written = True
             return True
-        result = SampleResult().parse(entry.value)
-        record.results[int(position)] = result
-        record.listed.add(result.id)
+        record.results[int(position)] = entry.value
+        if not record.is_ended:
+            record.listed.add(SampleResult().parse(entry.value).id)
         record.written.add(int(position))
         record.advance()
         return True
@@ -157,9 +170,10 @@
         """Take a step, once; its acceptance is on its way to the log."""
         record = self.steps.get(step.id)
         if record is None:
-            record = StepRecord(step)
+            record = StepRecord(bytes(step))
+            record.step = step
             self.steps[step.id] = record
-            self._writes.append(Write(step_key(step.id), bytes(step)))
+            self._writes.append(Write(step_key(step.id), record.encoded))
         return record
 
     def list_result(self, step: str, result: SampleResult) -> bool:
@@ -168,9 +182,9 @@
         if record is None or record.is_ended or result.id in record.listed:
             return False
         position = record.claim_position()
-        record.results[position] = result
+        record.results[position] = bytes(result)
         record.listed.add(result.id)
-        self._writes.append(Write(result_key(step, position), bytes(result)))
+        self._writes.append(Write(result_key(step, position), record.results[position]))
         return True
 
     def end(self, step: str) -> StepRecord | None:
@@ -206,11 +220,11 @@
         found: list[SampleResult] = []
         size = 0
         for place in range(position, record.visible):
-            result = record.results[place]
-            size += len(result.text) + len(result.id) + len(result.score) + 100
+            encoded = record.results[place]
+            size += len(encoded) + RESULT_OVERHEAD_BYTES
             if found and size > LARGEST_PAGE_BYTES:
                 break
-            found.append(result)
+            found.append(SampleResult().parse(encoded))
         return ResultsPage(
             status=StepStatus.OK,
             total=record.total,
--- /dev/null
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -0,0 +1,228 @@
+"""Samples on engines: order, moves, continuation, versions, giving up."""
+
+from pondtiller.core.entities import Address
+from pondtiller.rollouts.samples import (
+    CancelRun,
+    ListResult,
+    RunEnd,
+    SampleScheduler,
+    ScoreEnd,
+    ScoreText,
+    StartRun,
+    rank_groups,
+)
+from pondtiller.rollouts.steps import StepBook, StepRecord
+from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
+from pondtiller.routes.table import RequestKind, RouteRow, ServiceShare
+from pondtiller.wire.steplog import Sample, SampleProgress, Step
+
+ROUTE = RouteRow(
+    name="r",
+    host="h",
+    path_prefix="/p/",
+    kind=RequestKind.STEP,
+    shares=(ServiceShare("llm", 1.0),),
+    attempts=3,
+    queue_seconds=40.0,
+)
+
+
+def entry(name: str, version: int = 1, slots: int = 2) -> EngineEntry:
+    place = Address("10.0.0.1", 1)
+    return EngineEntry(name, "llm", place, "z", slots, EngineState.READY, {"m": version})
+
+
+class Bench:
+    """A scheduler with engines and one step."""
+
+    def __init__(self, engines: int = 2, oldest: int = 1) -> None:
+        self.directory = EngineDirectory()
+        self.directory.replace([entry(f"e{number}") for number in range(engines)], 0.0)
+        self.loading: set[str] = set()
+        self.scheduler = SampleScheduler(self.directory, lambda engine, _: engine in self.loading)
+        self.oldest = oldest
+
+    def open(self, groups: int = 1, size: int = 2, desired: int = 0, step: str = "s") -> StepRecord:
+        samples = [
+            Sample(id=f"{step}-{group}-{number}", group=f"g{group}")
+            for group in range(groups)
+            for number in range(size)
+        ]
+        book = StepBook()
+        record = book.open(
+            Step(
+                id=step,
+                model="m",
+                oldest_version=self.oldest,
+                desired_groups=desired,
+                samples=samples,
+                accepted_at=0.0,
+            )
+        )
+        costs = {sample.id: float(place) for place, sample in enumerate(samples)}
+        self.scheduler.open(record, ROUTE, costs, 0.0)
+        return record
+
+    def tick(self, now: float, wall: float = 0.0) -> list[object]:
+        self.scheduler.tick(now, wall)
+        return list(self.scheduler.take())
+
+
+def starts(instructions: list[object]) -> list[StartRun]:
+    return [each for each in instructions if isinstance(each, StartRun)]
+
+
+def test_engines_are_filled_and_never_overfilled() -> None:
+    bench = Bench(engines=2)
+    bench.open(groups=3, size=2)
+    begun = starts(bench.tick(0.0))
+    assert len(begun) == 4
+    assert {run.engine for run in begun} == {"e0", "e1"}
+
+
+def test_longest_samples_of_cheap_groups_come_first() -> None:
+    bench = Bench(engines=1)
+    bench.open(groups=3, size=2, desired=2)
+    begun = starts(bench.tick(0.0))
+    assert [run.sample.id for run in begun] == ["s-1-1", "s-1-0"]
+
+
+def test_the_groups_with_the_longest_samples_are_spared() -> None:
+    bench = Bench()
+    record = bench.open(groups=4, size=1, desired=3)
+    ranks = rank_groups(record, {f"s-{n}-0": float(n) for n in range(4)})
+    assert ranks == {"g0": 0.0, "g1": 0.0, "g2": 0.0, "g3": 1.0}
+
+
+def test_a_broken_run_goes_on_after_its_last_event_elsewhere() -> None:
+    bench = Bench(engines=2)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    assert bench.scheduler.run_event(run.run, 1, "a", 1, 0.1)
+    assert bench.scheduler.run_event(run.run, 2, "b", 1, 0.2)
+    bench.scheduler.run_ended(run.run, RunEnd.BROKEN, 0.3)
+    (again,) = starts(bench.tick(0.3))
+    assert (again.last_event, again.engine != run.engine) == (2, True)
+    assert bench.scheduler.run_event(again.run, 3, "c", 2, 0.4)
+    bench.scheduler.run_ended(again.run, RunEnd.WHOLE, 0.5)
+    assert [type(each) for each in bench.scheduler.take()] == [ScoreText]
+    bench.scheduler.scored("s", "s-0-0", ScoreEnd.SCORED, "sig", 4)
+    (listed,) = bench.scheduler.take()
+    assert isinstance(listed, ListResult)
+    assert (listed.result.text, listed.result.versions) == ("a\nb\nc", [1, 2])
+
+
+def test_an_event_out_of_order_ends_the_run() -> None:
+    bench = Bench(engines=1)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    assert bench.scheduler.run_event(run.run, 1, "a", 1, 0.1)
+    assert not bench.scheduler.run_event(run.run, 3, "c", 1, 0.2)
+    assert not bench.scheduler.run_event(run.run, 1, "a", 1, 0.2)
+
+
+def test_events_of_too_old_weights_are_not_taken() -> None:
+    bench = Bench(engines=1, oldest=1)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    bench.scheduler.work[("s", "s-0-0")].step.step.oldest_version = 2
+    assert not bench.scheduler.run_event(run.run, 1, "a", 1, 0.1)
+
+
+def test_engines_with_too_old_weights_or_loading_get_nothing() -> None:
+    bench = Bench(engines=2, oldest=2)
+    bench.open(size=1)
+    assert starts(bench.tick(0.0)) == []
+    bench.directory.changed(entry("e1", version=2))
+    bench.loading.add("e1")
+    assert starts(bench.tick(0.1)) == []
+    bench.loading.clear()
+    assert [run.engine for run in starts(bench.tick(0.2))] == ["e1"]
+
+
+def test_a_silent_run_moves() -> None:
+    bench = Bench(engines=2)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    instructions = bench.tick(2.0)
+    assert CancelRun(run.run) in instructions
+    assert [each.engine for each in starts(instructions)] != [run.engine]
+
+
+def test_a_run_moves_away_from_a_slow_engine() -> None:
+    bench = Bench(engines=3)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    for engine in bench.directory.engines.values():
+        engine.event_seconds = 0.3 if engine.identifier == run.engine else 0.03
+    bench.scheduler.run_event(run.run, 1, "a", 1, 0.5)
+    instructions = bench.tick(0.6)
+    assert CancelRun(run.run) in instructions
+    (moved,) = starts(instructions)
+    assert (moved.last_event, moved.engine != run.engine) == (1, True)
+
+
+def test_failures_end_at_the_attempts_of_the_row_and_impossible_at_once() -> None:
+    bench = Bench(engines=1)
+    bench.open(size=2)
+    now = 0.0
+    for _ in range(3):
+        now += 3.0
+        for run in starts(bench.tick(now)):
+            impossible = run.sample.id == "s-0-0"
+            end = RunEnd.IMPOSSIBLE if impossible else RunEnd.FAILED
+            bench.scheduler.run_ended(run.run, end, now)
+    assert bench.scheduler.work == {}
+
+
+def test_a_scorer_that_fails_too_often_gives_the_sample_up() -> None:
+    bench = Bench(engines=1)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    bench.scheduler.run_ended(run.run, RunEnd.WHOLE, 0.1)
+    bench.scheduler.take()
+    bench.scheduler.scored("s", "s-0-0", ScoreEnd.LOST, "", 2)
+    bench.scheduler.scored("s", "s-0-0", ScoreEnd.FAILED, "", 2)
+    assert [type(each) for each in bench.scheduler.take()] == [ScoreText, ScoreText]
+    bench.scheduler.scored("s", "s-0-0", ScoreEnd.FAILED, "", 2)
+    (listed,) = bench.scheduler.take()
+    assert isinstance(listed, ListResult) and not listed.result.succeeded
+
+
+def test_a_sample_is_not_given_up_before_its_time() -> None:
+    bench = Bench(engines=0)
+    bench.open(size=1)
+    assert bench.tick(1.0, wall=40.0) == []
+    (listed,) = bench.tick(2.0, wall=44.0)
+    assert isinstance(listed, ListResult) and not listed.result.succeeded
+
+
+def test_an_ended_step_stops_its_runs_and_keeps_their_text_for_a_later_one() -> None:
+    bench = Bench(engines=1)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    bench.scheduler.run_event(run.run, 1, "a", 1, 0.1)
+    bench.scheduler.close("s")
+    assert CancelRun(run.run) in bench.scheduler.take()
+    bench.scheduler.run_ended(run.run, RunEnd.BROKEN, 0.2)
+    bench.open(size=1, step="s")
+    (again,) = starts(bench.tick(3.0))
+    assert again.last_event == 1
+
+
+def test_a_successor_goes_on_from_the_text_that_was_left() -> None:
+    bench = Bench(engines=1)
+    progress = SampleProgress(id="s-0-0", events=["a", "b"], versions=[1], last_event=2)
+    bench.scheduler.keep_progress(progress)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    assert run.last_event == 2
+
+
+def test_a_step_whose_row_is_gone_waits_until_it_is_back() -> None:
+    bench = Bench(engines=1)
+    bench.open(size=1)
+    bench.scheduler.refresh_routes(lambda _host, _path: None)
+    assert starts(bench.tick(0.0)) == []
+    bench.scheduler.refresh_routes(lambda _host, _path: ROUTE)
+    assert len(starts(bench.tick(0.1))) == 1
--- /dev/null
+++ b/src/pondtiller/rollouts/tests/test_steps.py
@@ -0,0 +1,120 @@
+"""Steps: taken once, positions final, shown only when written, restored as they were."""
+
+from pondtiller.rollouts.steps import StepBook, StepStatus, result_key, step_key
+from pondtiller.wire.steplog import Entry, Sample, SampleResult, Step
+
+
+def make_step(identifier: str = "s1", samples: int = 3) -> Step:
+    return Step(
+        id=identifier,
+        host="h",
+        path="/p/",
+        samples=[Sample(id=f"{identifier}-{n}", body=b"b", group="g") for n in range(samples)],
+        accepted_at=100.0,
+    )
+
+
+def commit_all(book: StepBook) -> list[Entry]:
+    entries = [Entry(key=write.key, epoch=1, value=write.value) for write in book.take_writes()]
+    for entry in entries:
+        book.committed(entry.key)
+    return entries
+
+
+def result(number: int, text: str = "t") -> SampleResult:
+    return SampleResult(id=f"s1-{number}", succeeded=True, text=text, versions=[2], score="x")
+
+
+def test_a_step_is_unavailable_until_its_acceptance_is_written() -> None:
+    book = StepBook()
+    book.open(make_step())
+    assert book.read("s1", 0).status == StepStatus.UNAVAILABLE
+    commit_all(book)
+    page = book.read("s1", 0)
+    assert (page.status, page.total, page.next_position) == (StepStatus.OK, 3, 0)
+
+
+def test_a_step_that_comes_again_is_taken_once() -> None:
+    book = StepBook()
+    first = book.open(make_step())
+    assert book.open(make_step()) is first
+    assert len(book.take_writes()) == 1
+
+
+def test_results_are_shown_without_gaps_in_the_order_written() -> None:
+    book = StepBook()
+    book.open(make_step())
+    commit_all(book)
+    assert book.list_result("s1", result(2))
+    assert book.list_result("s1", result(0))
+    writes = book.take_writes()
+    book.committed(writes[1].key)
+    assert book.read("s1", 0).results == []
+    book.committed(writes[0].key)
+    assert [each.id for each in book.read("s1", 0).results] == ["s1-2", "s1-0"]
+    assert [each.id for each in book.read("s1", 1).results] == ["s1-0"]
+
+
+def test_a_sample_stands_at_one_position() -> None:
+    book = StepBook()
+    book.open(make_step())
+    commit_all(book)
+    assert book.list_result("s1", result(1))
+    assert not book.list_result("s1", result(1, "another"))
+
+
+def test_nothing_is_listed_after_the_end() -> None:
+    book = StepBook()
+    book.open(make_step())
+    commit_all(book)
+    book.end("s1")
+    assert not book.list_result("s1", result(0))
+    assert book.end("other") is None
+
+
+def test_a_new_leader_fills_the_gap_that_an_old_one_left() -> None:
+    book = StepBook()
+    book.open(make_step())
+    entries = commit_all(book)
+    book.list_result("s1", result(0))
+    book.list_result("s1", result(1))
+    lost, kept = book.take_writes()
+    entries.append(Entry(key=kept.key, epoch=1, value=kept.value))
+    successor = StepBook()
+    assert successor.restore(tuple(entries)) == []
+    assert successor.read("s1", 0).results == []
+    assert successor.list_result("s1", result(0))
+    write = successor.take_writes()[0]
+    assert write.key == lost.key == result_key("s1", 0)
+    successor.committed(write.key)
+    assert [each.id for each in successor.read("s1", 0).results] == ["s1-0", "s1-1"]
+
+
+def test_results_without_their_step_are_named_for_removal() -> None:
+    key = result_key("gone", 0)
+    assert StepBook().restore((Entry(key=key, epoch=1, value=bytes(result(0))),)) == [key]
+
+
+def test_a_closed_step_is_forgotten_only_when_it_is_old() -> None:
+    book = StepBook()
+    book.open(make_step())
+    commit_all(book)
+    assert book.expired(1000.0, 120.0) == []
+    book.end("s1")
+    commit_all(book)
+    assert book.expired(150.0, 120.0) == []
+    assert book.expired(221.0, 120.0) == ["s1"]
+    assert set(book.forget("s1")) == {step_key("s1"), "end/s1"}
+    assert book.read("s1", 0).status == StepStatus.UNKNOWN
+
+
+def test_pages_are_bounded_and_never_empty_where_there_is_a_result() -> None:
+    book = StepBook()
+    book.open(make_step())
+    commit_all(book)
+    for number in range(3):
+        book.list_result("s1", result(number, "x" * 600_000))
+    commit_all(book)
+    page = book.read("s1", 0)
+    assert page.next_position == 1
+    assert book.read("s1", 2).next_position == 3
--- a/src/pondtiller/rollouts/versions.py
+++ b/src/pondtiller/rollouts/versions.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from pondtiller.rollouts.assignment import AssignableEngine, assign
+from pondtiller.rollouts.load_shares import load_shares
 from pondtiller.routes.engines import Engine, EngineDirectory, EngineState
 
 LOADS_AT_ONCE = 2
@@ -64,8 +64,6 @@
         No order before this time: an earlier leader's orders may still arrive.
     demand
         Tokens of a step by model, smoothed.
-    follows
-        Model whose versions an engine loads; all models where it does not stand here.
     """
 
     engines: EngineDirectory
@@ -73,7 +71,6 @@
     single_version_models: set[str] = field(default_factory=set)
     may_order_from: float = float("inf")
     demand: dict[str, float] = field(default_factory=dict)
-    follows: dict[str, str] = field(default_factory=dict)
     loads: dict[str, Load] = field(default_factory=dict)
     known: dict[str, tuple[dict[str, int], int]] = field(default_factory=dict)
     _pause: dict[str, float] = field(default_factory=dict)
@@ -129,9 +126,8 @@
         self._finish(now)
         if now < self.may_order_from:
             return
-        self._assign()
-        for model, version in self.newest.items():
-            for engine in self._behind(model, version, now):
+        for model, version in self._by_need():
+            for engine in self._to_load(model, version, now):
                 if len(self.loads) >= LOADS_AT_ONCE:
                     return
                 if engine.identifier in self.known:
@@ -139,19 +135,6 @@
                 else:
                     self._ask_first(engine, now)
 
-    def _assign(self) -> None:
-        """Share the engines among the models that they hold together."""
-        shared: dict[tuple[str, ...], list[Engine]] = {}
-        for engine in self.engines.engines.values():
-            is_sound = engine.gone_at is None and engine.entry.state is EngineState.READY
-            if is_sound and engine.entry.models:
-                shared.setdefault(tuple(sorted(engine.entry.models)), []).append(engine)
-        follows: dict[str, str] = {}
-        for models, engines in shared.items():
-            demand = {model: self.demand[model] for model in models if model in self.demand}
-            follows.update(assign(_assignable(engines), demand, self.follows))
-        self.follows = follows
-
     def _finish(self, now: float) -> None:
         for identifier, load in list(self.loads.items()):
             engine = self.engines.engines.get(identifier)
@@ -161,19 +144,78 @@
                 load.until = now + UNANSWERED_SECONDS
                 self._out.append(AskEngine(identifier))
 
-    def _behind(self, model: str, version: int, now: float) -> list[Engine]:
-        """Return the engines that need the version, those with least work first."""
-        found = [
+    def _by_need(self) -> list[tuple[str, int]]:
+        """Return the newest versions, those that fewest engines have first."""
+        versions = list(self.newest.items())
+        return sorted(versions, key=lambda each: len(self._holding(each[0], each[1])))
+
+    def _to_load(self, model: str, version: int, now: float) -> list[Engine]:
+        """Return the engines that are to load a version now, the most outdated first."""
+        engines = self._engines_of(model)
+        wanted = self._wanted(model, engines)
+        missing = wanted - len(self._holding(model, version))
+        if missing <= 0:
+            return []
+        behind = [
+            engine
+            for engine in engines
+            if self._version_of(engine, model) < version
+            and engine.identifier not in self.loads
+            and now >= self._pause.get(engine.identifier, 0.0)
+        ]
+        slow = self._slow(engines)
+        behind.sort(
+            key=lambda engine: (
+                engine.identifier in slow,
+                self._version_of(engine, model),
+                engine.running,
+                engine.identifier,
+            )
+        )
+        return behind[:missing]
+
+    def _engines_of(self, model: str) -> list[Engine]:
+        return [
             engine
             for engine in self.engines.engines.values()
             if engine.gone_at is None
             and engine.entry.state is EngineState.READY
-            and 0 < self._version_of(engine, model) < version
-            and engine.identifier not in self.loads
-            and self.follows.get(engine.identifier, model) == model
-            and now >= self._pause.get(engine.identifier, 0.0)
+            and model in engine.entry.models
         ]
-        return sorted(found, key=lambda engine: engine.running)
+
+    def _wanted(self, model: str, engines: list[Engine]) -> int:
+        """Return how many engines should have a model's newest version."""
+        models = {each for engine in engines for each in engine.entry.models}
+        usual = sum(self.demand.values()) / len(self.demand) if self.demand else 1.0
+        demand = {each: self.demand.get(each, usual) for each in models}
+        sound = len(engines) - len(self._slow(engines))
+        return load_shares(max(sound, 1), demand).get(model, 1)
+
+    def _holding(self, model: str, version: int) -> set[str]:
+        """Return the sound engines that have a version, or are loading it."""
+        engines = self._engines_of(model)
+        slow = self._slow(engines)
+        holding = {
+            engine.identifier
+            for engine in engines
+            if self._version_of(engine, model) >= version and engine.identifier not in slow
+        }
+        loading = {
+            identifier
+            for identifier, load in self.loads.items()
+            if load.model == model and load.version >= version
+        }
+        return holding | loading
+
+    def _slow(self, engines: list[Engine]) -> set[str]:
+        """Return the engines that are much slower than the usual one now."""
+        paces = sorted(engine.event_seconds for engine in engines if engine.event_seconds)
+        usual = paces[(len(paces) - 1) // 2] if paces else 0.0
+        return {
+            engine.identifier
+            for engine in engines
+            if usual and engine.event_seconds > SLOW_FACTOR * usual
+        }
 
     def _version_of(self, engine: Engine, model: str) -> int:
         reported, _ = self.known.get(engine.identifier, ({}, 0))
@@ -196,16 +238,3 @@
                 model in self.single_version_models,
             )
         )
-
-
-def _assignable(engines: list[Engine]) -> list[AssignableEngine]:
-    """Return engines with the mark of those much slower than the usual one."""
-    paces = sorted(engine.event_seconds for engine in engines if engine.event_seconds)
-    usual = paces[(len(paces) - 1) // 2] if paces else 0.0
-    ordered = sorted(engines, key=lambda engine: engine.identifier)
-    return [
-        AssignableEngine(
-            engine.identifier, bool(usual) and engine.event_seconds > SLOW_FACTOR * usual
-        )
-        for engine in ordered
-    ]
