--- a/src/pondtiller/daemon/spawner.py
+++ b/src/pondtiller/daemon/spawner.py
@@ -26,6 +26,11 @@
         for task in list(self._tasks):
             await task.cancel(blocking=False)
 
+    async def cancel_all(self) -> None:
+        """Cancel the tasks that still run, and wait for their end."""
+        for task in list(self._tasks):
+            await task.cancel()
+
     async def spawn(self, function: Callable[..., Awaitable[None]], *arguments: Any) -> Any:
         """Start a task and return it."""
         holder: list[Any] = []
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -1,5 +1,7 @@
 """One gateway process: its sockets, its parts, its start, reload and stop."""
 
+from typing import Any
+
 import curio
 from betterproto import Message
 
@@ -33,6 +35,24 @@
 STOP_MARGIN_SECONDS = 0.7
 
 
+class GatewaySockets:
+    """A gateway's listeners, bound before it starts so that others can know its ports."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.callers = self._bind(settings.callers)
+        self.readiness = self._bind(settings.readiness)
+        self.links = self._bind(settings.links)
+
+    def address(self, listener: Any) -> Address:
+        """Return where a listener is bound."""
+        host, port = listener.getsockname()
+        return Address(host, port)
+
+    def _bind(self, text: str) -> Any:
+        place = to_address(text)
+        return bind_tcp(place.host, place.port)
+
+
 class GatewayProcess:
     """A gateway with all its parts."""
 
@@ -45,10 +65,10 @@
         client = HttpClient()
         self.store = ObjectClient(to_address(settings.store), client)
         forwarder = Forwarder(settings.zone, self.engines, self.pool, self.metrics)
-        links: Address = to_address(settings.links)
+        self.sockets = GatewaySockets(settings)
         self.leadership = Leadership(
             settings.name,
-            links,
+            self.sockets.address(self.sockets.links),
             settings.wanted_replicas,
             StoredFirstGroup(self.store, settings.wanted_replicas),
             self.metrics,
@@ -82,10 +102,7 @@
     async def run(self) -> None:
         """Serve until stopped."""
         settings = self.settings
-        callers, readiness, links = (
-            bind_tcp(address.host, address.port)
-            for address in map(to_address, (settings.callers, settings.readiness, settings.links))
-        )
+        sockets = self.sockets
         logs.decision(
             "started",
             daemon=settings.name,
@@ -94,15 +111,20 @@
             links=settings.links,
             store=settings.store,
         )
-        async with Spawner() as group:
-            await group.spawn(serve_http, callers, self.front.handle, self._is_stopping)
-            await group.spawn(serve_http, readiness, self._answer_readiness)
-            await group.spawn(serve_links, links, self._serve_link)
+        group = Spawner()
+        try:
+            await group.spawn(serve_http, sockets.callers, self.front.handle, self._is_stopping)
+            await group.spawn(serve_http, sockets.readiness, self._answer_readiness)
+            await group.spawn(serve_links, sockets.links, self._serve_link)
             await group.spawn(self.watches.configuration.run)
             await group.spawn(self.watches.engines.run)
             await group.spawn(self.leadership.run)
             await group.spawn(self._keep_house)
             await self._stopped.wait()
+        finally:
+            await self.leadership.replicas.close()
+            await self.duties.end("the process ends")
+            await group.cancel_all()
         logs.decision("stopped", daemon=settings.name, open=self.front.open_exchanges)
 
     async def stop(self) -> None:
--- a/src/pondtiller/gateway/replicas.py
+++ b/src/pondtiller/gateway/replicas.py
@@ -77,6 +77,10 @@
         self.places[address] = place
         await self._group.spawn(self._keep_link, place)
 
+    async def close(self) -> None:
+        """Close all links."""
+        await self._group.cancel_all()
+
     def leader(self) -> LeaderPlace | None:
         """Return the leader of the highest epoch that a replica follows."""
         best: LeaderPlace | None = None
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -7,12 +7,10 @@
 
 from pondtiller.core.entities import Address
 
-Port = Annotated[int, Field(ge=1, le=65_535)]
-
 
 def _check_address(text: str) -> str:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+    if not host or not port.isdecimal() or not 0 <= int(port) < 65_536:
         raise ValueError("give IP:PORT")
     return text
 
@@ -57,7 +55,7 @@
     ----------
     callers, readiness, links
         Addresses to listen on: for callers and trainers, for readiness and metrics, for the
-        other daemons.
+        other daemons. The kernel chooses where a port is 0.
     store
         Address of the platform's object store.
     losses
--- /dev/null
+++ b/src/pondtiller/gateway/tests/standins.py
@@ -0,0 +1,258 @@
+"""Small stand-ins of the platform for tests: an object store and engines, over real sockets."""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from pondtiller.httpio.messages import HttpResponse, json_response
+from pondtiller.httpio.server import ConnectionLostError, Exchange, bind_tcp, serve_http
+
+OBJECTS = "/pondtiller/objects/"
+
+
+class StandInStore:
+    """The platform's object store: list, watch, create, replace, status, delete."""
+
+    def __init__(self) -> None:
+        self.listener = bind_tcp("127.0.0.1", 0)
+        self.revision = 1
+        self.kinds: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.oldest = 0
+        self.is_down = False
+        self.loses_answers = False
+        self.page = 2
+        self.calls = 0
+
+    @property
+    def address(self) -> str:
+        host, port = self.listener.getsockname()
+        return f"{host}:{port}"
+
+    async def serve(self) -> None:
+        await serve_http(self.listener, self._handle)
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object as the operator, a trainer or an engine does."""
+        self._store(kind, name, spec, None)
+
+    def remove(self, kind: str, name: str) -> None:
+        gone = self.kinds[kind].pop(name)
+        self.revision += 1
+        self.history.append((self.revision, kind, gone, True))
+
+    def forget_history(self) -> None:
+        self.oldest = self.revision
+
+    def _store(self, kind: str, name: str, spec: Any, status: Any) -> dict[str, Any]:
+        self.revision += 1
+        found = {
+            "metadata": {"name": name, "revision": self.revision},
+            "spec": spec,
+            "status": status,
+        }
+        self.kinds.setdefault(kind, {})[name] = found
+        self.history.append((self.revision, kind, found, False))
+        return found
+
+    async def _handle(self, exchange: Exchange) -> None:
+        self.calls += 1
+        if self.is_down:
+            await exchange.respond(HttpResponse(503))
+            return
+        request = exchange.request
+        kind, _, name = request.path.removeprefix(OBJECTS).partition("/")
+        if request.method == "GET" and "watch" in request.query:
+            await self._watch(exchange, kind)
+        elif request.method == "GET":
+            await exchange.respond(self._read(kind, name, request.query.get("since_rev", "")))
+        else:
+            answer = self._write(request.method, kind, name, json.loads(request.body or b"{}"))
+            if self.loses_answers:
+                raise ConnectionLostError("cut")
+            await exchange.respond(answer)
+
+    def _read(self, kind: str, name: str, after: str) -> HttpResponse:
+        objects = self.kinds.get(kind, {})
+        if name:
+            found = objects.get(name)
+            return json_response(200, found) if found else HttpResponse(404)
+        names = sorted(each for each in objects if each > after)
+        page = [objects[each] for each in names[: self.page]]
+        more = len(names) > self.page
+        return json_response(200, {"requests": page, "more": more, "at": self.revision})
+
+    async def _watch(self, exchange: Exchange, kind: str) -> None:
+        at = int(exchange.request.query["watch"])
+        steps = int(exchange.request.query["wait_ms"]) // 20
+        for _ in range(max(1, steps)):
+            if at < self.oldest:
+                await exchange.respond(HttpResponse(410))
+                return
+            found = [each for each in self.history if each[0] > at and each[1] == kind]
+            if found:
+                break
+            await curio.sleep(0.02)
+        events = [{"object": found_object, "gone": gone} for _, _, found_object, gone in found]
+        await exchange.respond(json_response(200, {"events": events, "at": self.revision}))
+
+    def _write(self, method: str, kind: str, name: str, body: dict[str, Any]) -> HttpResponse:
+        name, _, part = name.partition("/")
+        found = self.kinds.get(kind, {}).get(name)
+        if method == "POST":
+            if found is not None:
+                return json_response(409, found)
+            return json_response(201, self._store(kind, name, body["spec"], None))
+        if found is None:
+            return HttpResponse(404)
+        wanted = body["metadata"].get("revision")
+        if wanted is not None and wanted != found["metadata"]["revision"]:
+            return json_response(409, found)
+        if part == "status":
+            return json_response(200, self._store(kind, name, found["spec"], body["status"]))
+        return json_response(200, self._store(kind, name, body["spec"], found["status"]))
+
+
+Behaviour = Callable[[Exchange], Awaitable[None]]
+
+
+class StandInEngine:
+    """An engine: answers whole requests, streams samples, takes orders."""
+
+    def __init__(self, identifier: str, service: str, events: int = 3) -> None:
+        self.listener = bind_tcp("127.0.0.1", 0)
+        self.identifier = identifier
+        self.service = service
+        self.events = events
+        self.event_seconds = 0.005
+        self.version = 1
+        self.orders: list[dict[str, Any]] = []
+        self.seen: list[tuple[str, str, dict[str, str]]] = []
+        self.next_behaviours: list[Behaviour] = []
+        self.models: list[str] = []
+
+    @property
+    def address(self) -> str:
+        host, port = self.listener.getsockname()
+        return f"{host}:{port}"
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        models = [{"name": name, "version": self.version} for name in self.models]
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z",
+            "slots": 4,
+            "state": state,
+            "models": models,
+            "sequence": 7,
+        }
+
+    async def serve(self) -> None:
+        await serve_http(self.listener, self._handle)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.path == "/pondtiller/report":
+            await exchange.respond(self._report())
+            return
+        if request.path == "/pondtiller/order":
+            await exchange.respond(self._order(json.loads(request.body)))
+            return
+        self.seen.append((request.headers["request-id"], request.target, request.headers))
+        if request.headers.get("expect-instance", self.identifier) != self.identifier:
+            await exchange.respond(HttpResponse(421))
+            return
+        if self.next_behaviours:
+            await self.next_behaviours.pop(0)(exchange)
+        elif "model" in request.headers:
+            await self.stream(exchange)
+        else:
+            await self.whole(exchange)
+
+    async def whole(self, exchange: Exchange) -> None:
+        """Answer like a sound engine."""
+        request = exchange.request
+        identifier = request.headers["request-id"]
+        headers = (("Request-Id", identifier), ("Response-Signature", f"sig-{identifier}"))
+        await exchange.respond(HttpResponse(200, b"answer " + request.body, "", headers))
+
+    async def stream(self, exchange: Exchange, stop_after: int = 1_000_000) -> None:
+        """Stream a sample's events from where the request wants."""
+        identifier = exchange.request.headers["request-id"]
+        first = int(exchange.request.headers.get("last-event-id", "0")) + 1
+        headers = (
+            ("Request-Id", identifier),
+            ("Response-Signature", f"sig-{identifier}"),
+            ("Weight-Versions", str(self.version)),
+            ("Content-Type", "text/event-stream"),
+        )
+        await exchange.start_response(200, headers)
+        version = self.version
+        for number in range(first, self.events + 1):
+            await curio.sleep(self.event_seconds)
+            changed = f"weight-versions: {self.version}\n" if self.version != version else ""
+            version = self.version
+            piece = f"{changed}id: {number}\ndata: {identifier}/{number}\n\n"
+            await exchange.send_piece(piece.encode())
+            if number == stop_after:
+                raise ConnectionLostError("cut")
+        await exchange.end_stream()
+
+    def _report(self) -> HttpResponse:
+        models = [{"name": name, "version": self.version} for name in self.models]
+        body = {"models": models, "sequence": len(self.orders), "busy": False}
+        return json_response(200, body)
+
+    def _order(self, order: dict[str, Any]) -> HttpResponse:
+        if order["if_rev"] != len(self.orders):
+            return HttpResponse(409)
+        self.orders.append(order)
+        self.version = order["version"]
+        return HttpResponse(202)
+
+
+def configuration(version: int, *engines: StandInEngine) -> dict[str, Any]:
+    """Return a configuration with a route for whole requests and one for steps."""
+    services = sorted({engine.service for engine in engines})
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "quotes",
+                "host": "app.example",
+                "path_prefix": "/quote/",
+                "kind": "safe",
+                "timeout_ms": 1500,
+                "slo_ms": 200,
+                "service": "app",
+                "max_attempts": 3,
+            },
+            {
+                "name": "listings",
+                "host": "app.example",
+                "path_prefix": "/list/",
+                "kind": "unsafe",
+                "timeout_ms": 1500,
+                "slo_ms": 200,
+                "service": "app",
+                "max_attempts": 3,
+            },
+            {
+                "name": "rollouts",
+                "host": "train.example",
+                "path_prefix": "/rollout/",
+                "kind": "rollout",
+                "timeout_ms": 9000,
+                "slo_ms": 400,
+                "service": "llm",
+                "max_attempts": 3,
+                "run_deadline_ms": 7500,
+                "queue_ttl_s": 40,
+            },
+        ],
+        "services": [{"name": name, "health_path": "/healthz"} for name in services],
+        "limits": {},
+    }
--- /dev/null
+++ b/src/pondtiller/gateway/tests/system.py
@@ -0,0 +1,185 @@
+"""A whole small system for tests: store, engines, replicas and gateways in one process."""
+
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.process import GatewayProcess
+from pondtiller.gateway.settings import GatewaySettings, ReplicaSettings
+from pondtiller.gateway.tests.standins import StandInEngine, StandInStore, configuration
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.messages import HttpResponse
+from pondtiller.replica.process import ReplicaProcess
+
+ANY = "127.0.0.1:0"
+
+
+class System:
+    """Everything that one test needs."""
+
+    def __init__(self, folder: Path, gateways: int = 1, replicas: int = 3) -> None:
+        self.folder = folder
+        self.group = Spawner()
+        self.store = StandInStore()
+        self.app = [StandInEngine(f"a{number}", "app") for number in range(2)]
+        self.llm = [StandInEngine(f"m{number}", "llm") for number in range(2)]
+        for engine in self.llm:
+            engine.models = ["m"]
+        self.client = HttpClient()
+        self.replicas = [self.make_replica(number) for number in range(replicas)]
+        self.gateways = [self.make_gateway(number) for number in range(gateways)]
+
+    def make_replica(self, number: int, first_start: bool = True) -> ReplicaProcess:
+        return ReplicaProcess(
+            ReplicaSettings(
+                name=f"r{number}",
+                zone="z",
+                links=ANY,
+                store=self.store.address,
+                data_folder=self.folder / f"r{number}",
+                first_start=first_start,
+            )
+        )
+
+    def make_gateway(self, number: int) -> GatewayProcess:
+        return GatewayProcess(
+            GatewaySettings(
+                name=f"g{number}",
+                zone="z",
+                callers=ANY,
+                readiness=ANY,
+                links=ANY,
+                store=self.store.address,
+            )
+        )
+
+    async def start(self, with_configuration: bool = True) -> None:
+        await self.group.spawn(self.store.serve)
+        for engine in (*self.app, *self.llm):
+            await self.group.spawn(engine.serve)
+            self.store.put("servers", engine.identifier, engine.entry())
+        if with_configuration:
+            self.store.put("config", "main", configuration(3, *self.app, *self.llm))
+        for process in (*self.replicas, *self.gateways):
+            await self.group.spawn(process.run)
+
+    async def stop(self) -> None:
+        await self.group.cancel_all()
+
+    async def until(self, is_true: Callable[[], bool], seconds: float = 8.0) -> None:
+        give_up = clock.monotonic() + seconds
+        while not is_true():
+            assert clock.monotonic() < give_up, "it did not become true in time"
+            await curio.sleep(0.02)
+
+    async def until_led(self) -> GatewayProcess:
+        await self.until(lambda: any(each.duties.term for each in self.gateways))
+        return next(each for each in self.gateways if each.duties.term)
+
+    def callers(self, gateway: int = 0) -> Address:
+        process = self.gateways[gateway]
+        return process.sockets.address(process.sockets.callers)
+
+    def readiness(self, gateway: int = 0) -> Address:
+        process = self.gateways[gateway]
+        return process.sockets.address(process.sockets.readiness)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        gateway: int = 0,
+        host: str = "app.example",
+        **headers: str,
+    ) -> HttpResponse:
+        """Call a gateway; header names are given with underscores."""
+        named = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+        connection = await self.client.open_plain(self.callers(gateway))
+        try:
+            await connection.send_plain(method, target, body, (("Host", host), *named))
+            head = await connection.read_head()
+            pieces = [piece async for piece in connection.read_body()]
+        finally:
+            await connection.close()
+        received = tuple((name.decode(), value.decode()) for name, value in head.headers)
+        return HttpResponse(head.status_code, b"".join(pieces), headers=received)
+
+    async def submit(self, step: str, samples: int = 4, oldest: int = 1, gateway: int = 0) -> int:
+        """Submit a step; return the status."""
+        body = json.dumps(step_body(step, samples, oldest)).encode()
+        answer = await self.call(
+            "POST", "/rollout/x", body, gateway, "train.example", request_id=step
+        )
+        return answer.status
+
+    async def read(self, step: str, position: int = 0, gateway: int = 0) -> Any:
+        """Read results; None where the answer is no success."""
+        target = f"/pondtiller/lots/{step}?since_rev={position}"
+        answer = await self.call("GET", target, b"", gateway, "train.example", wait_ms="300")
+        return answer.json() if answer.status == 200 else None
+
+    async def read_all(self, step: str, total: int, gateway: int = 0) -> list[Any]:
+        """Read until everything is listed."""
+        found: list[Any] = []
+        give_up = clock.monotonic() + 10.0
+        while len(found) < total:
+            assert clock.monotonic() < give_up, f"only {len(found)} of {total} were listed"
+            page = await self.read(step, len(found), gateway)
+            if page is not None:
+                found += page["results"]
+        return found
+
+
+def step_body(step: str, samples: int, oldest: int) -> dict[str, Any]:
+    """Return a step as a trainer submits it."""
+    return {
+        "step": 1,
+        "model": "m",
+        "min_version": oldest,
+        "desired": 1,
+        "requests": [
+            {
+                "id": f"{step}-{number}",
+                "path": f"/rollout/{number}",
+                "headers": {"Model": "m", "Token-Count": "10,20", "Prompt-Prefix": "aa:10"},
+                "body": base64.b64encode(b"prompt").decode(),
+                "tokens": 30,
+                "group": f"{step}-g{number // 2}",
+                "scorer": {
+                    "id": f"{step}-{number}-score",
+                    "host": "app.example",
+                    "path": "/quote/score",
+                    "body": base64.b64encode(b"judge").decode(),
+                },
+            }
+            for number in range(samples)
+        ],
+    }
+
+
+def run_system(
+    folder: Path,
+    test: Callable[[System], Awaitable[None]],
+    gateways: int = 1,
+    replicas: int = 3,
+    with_configuration: bool = True,
+) -> None:
+    """Run one test against a fresh system."""
+
+    async def main() -> None:
+        system = System(folder, gateways, replicas)
+        await system.start(with_configuration)
+        try:
+            await curio.timeout_after(40.0, test, system)
+        finally:
+            await system.stop()
+
+    curio.run(main)
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -34,16 +34,21 @@
     async def send(
         self, method: str, target: str, body: bytes, headers: tuple[tuple[str, str], ...]
     ) -> None:
-        """Send a request."""
+        """Send a request with a JSON body to this server by its address."""
+        own = (
+            ("Host", f"{self.address.host}:{self.address.port}"),
+            ("Content-Type", "application/json"),
+        )
+        await self.send_plain(method, target, body, (*own, *headers))
+
+    async def send_plain(
+        self, method: str, target: str, body: bytes, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        """Send a request with just these headers and the body's length."""
         head = h11.Request(
             method=method,
             target=target,
-            headers=[
-                ("Host", f"{self.address.host}:{self.address.port}"),
-                ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))),
-                *headers,
-            ],
+            headers=[*headers, ("Content-Length", str(len(body)))],
         )
         events = [head, h11.Data(data=body), h11.EndOfMessage()]
         data = b"".join(self._protocol.send(event) or b"" for event in events)
@@ -166,6 +171,10 @@
             raise
         return connection
 
+    async def open_plain(self, address: Address) -> ClientConnection:
+        """Return a new connection on which nothing was sent."""
+        return await self._connect(address)
+
     async def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection whose answer was read to its end."""
         kept = self._kept.setdefault(connection.address, [])
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -26,6 +26,8 @@
     def __init__(self, settings: ReplicaSettings) -> None:
         self.settings = settings
         self._file = LogFile(settings.data_folder)
+        place = to_address(settings.links)
+        self._listener = bind_tcp(place.host, place.port)
         self.replica = self._restore()
         self.server = ReplicaServer(self.replica, self._file)
         self._stopped = curio.Event()
@@ -37,13 +39,13 @@
         if is_new:
             disk = uuid.uuid4().hex
             self._file.append([DiskRecord(disk=disk)])
-        place = to_address(self.settings.links)
+        host, port = self._listener.getsockname()
         member = GroupMember(
             name=self.settings.name,
             disk=disk,
             zone=self.settings.zone,
-            host=place.host,
-            port=place.port,
+            host=host,
+            port=port,
         )
         replica = Replica(member, self.settings.first_start, clock.monotonic())
         for record in records:
@@ -61,10 +63,8 @@
 
     async def run(self) -> None:
         """Serve until stopped."""
-        place = to_address(self.settings.links)
-        listener = bind_tcp(place.host, place.port)
         async with Spawner() as group:
-            await group.spawn(serve_links, listener, self.server.accept)
+            await group.spawn(serve_links, self._listener, self.server.accept)
             await group.spawn(self.server.run)
             await group.spawn(self._register)
             await self._stopped.wait()
