--- /dev/null
+++ b/src/pondtiller/platform/tests/test_formats.py
@@ -0,0 +1,114 @@
+"""The platform's forms, read and written; what is not to be read gives a clear answer."""
+
+import json
+
+from result import Err, Ok
+
+from pondtiller.platform import engine_format, step_format
+from pondtiller.platform.configuration import route_table
+from pondtiller.platform.engine_format import EventReader
+from pondtiller.routes.engines import EngineState
+from pondtiller.routes.table import RequestKind
+from pondtiller.wire.steplog import Header, ResultsPage, Sample, SampleResult
+
+ROUTE = {
+    "name": "r",
+    "host": "H.example",
+    "path_prefix": "/p/",
+    "kind": "rollout",
+    "timeout_ms": 1500,
+    "slo_ms": 200,
+    "priority": 2,
+    "traffic_split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+    "max_attempts": 4,
+    "run_deadline_ms": 7500,
+    "queue_ttl_s": 40,
+    "single_version": True,
+}
+
+
+def test_a_configuration_becomes_rows() -> None:
+    read = route_table({"version": 7, "routes": [ROUTE], "services": [{"name": "s"}]})
+    assert isinstance(read, Ok)
+    (row,) = read.ok_value.routes
+    assert (row.host, row.kind, row.attempts, row.priority) == (
+        "h.example",
+        RequestKind.STEP,
+        4,
+        2,
+    )
+    assert (row.time_limit_seconds, row.step_seconds, row.queue_seconds) == (1.5, 7.5, 40.0)
+    assert row.services() == {"s", "t"}
+    assert row.single_version
+
+
+def test_nonsense_is_refused_with_a_reason() -> None:
+    for spec in (None, [], {}, {"version": 1}, {"version": 1, "routes": [{}], "services": []}):
+        assert isinstance(route_table(spec), Err)
+
+
+def test_engine_entries_that_are_no_entries_are_left_out() -> None:
+    good = {"service": "s", "address": "10.0.0.1:80", "state": "draining", "sequence": 9}
+    entry = engine_format.engine_entry("e", good)
+    assert entry is not None and entry.state is EngineState.LEAVING
+    for bad in (None, 3, {}, {"service": "s"}, {"service": "s", "address": "x"}):
+        assert engine_format.engine_entry("e", bad) is None
+    assert engine_format.engine_report(b"{]") is None
+
+
+def test_events_are_read_whole_whatever_the_pieces() -> None:
+    stream = b"id: 1\ndata: a\n\nweight-versions: 7\nid: 2\ndata: b\ndata: c\n\nid: 3\nda"
+    whole = list(EventReader().feed(stream))
+    reader = EventReader()
+    in_bytes = [event for byte in stream for event in reader.feed(bytes([byte]))]
+    assert whole == in_bytes
+    assert [(each.number, each.data, each.version) for each in whole] == [
+        (1, "a", None),
+        (2, "b\nc", 7),
+    ]
+    assert reader.has_rest
+
+
+def test_hop_headers_stay_and_own_ones_are_set() -> None:
+    received = (("connection", "x"), ("request-id", "q"), ("request-deadline", "9"), ("a", "b"))
+    sent = engine_format.forwarded_headers(received, "e1", 0.25)
+    assert sent == (
+        ("request-id", "q"),
+        ("a", "b"),
+        ("request-deadline", "250"),
+        ("expect-instance", "e1"),
+    )
+
+
+def test_tokens_are_guessed_from_the_hint_or_the_most() -> None:
+    most = Sample(headers=[Header("Token-Count", "10,400")])
+    hinted = Sample(headers=[Header("Token-Count", "10,400"), Header("Length-Hint", "50")])
+    assert engine_format.expected_tokens(most) == 400.0
+    assert engine_format.expected_tokens(hinted) == 50.0
+    assert engine_format.expected_tokens(Sample(tokens=7)) == 7.0
+
+
+def test_a_submitted_step_is_read_and_bad_ones_refused() -> None:
+    body = {"step": 1, "model": "m", "min_version": 6, "desired": 2}
+    item = {"id": "i", "path": "/p/1", "headers": {"Model": "m"}, "body": "q83v", "tokens": 9}
+    read = step_format.read_step("s", "h", "/p/", json.dumps({**body, "requests": [item]}).encode())
+    assert isinstance(read, Ok)
+    assert read.ok_value.samples[0].body == b"\xab\xcd\xef"
+    twice = json.dumps({**body, "requests": [item, item]}).encode()
+    for bad in (b"", b"3", b"{}", twice, json.dumps({"requests": [{"id": "i"}]}).encode()):
+        assert isinstance(step_format.read_step("s", "h", "/p/", bad), Err)
+
+
+def test_results_are_written_as_trainers_read_them() -> None:
+    good = SampleResult(id="a", succeeded=True, text="x\ny", versions=[6, 7], score="sig")
+    page = ResultsPage(total=5, next_position=3, results=[good, SampleResult(id="b")])
+    written = json.loads(step_format.write_page(page))
+    assert written["total"] == 5 and written["next_token"] == 3
+    assert written["results"][0] == {
+        "id": "a",
+        "state": "succeeded",
+        "text": "x\ny",
+        "versions": [6, 7],
+        "score": "sig",
+    }
+    assert written["results"][1]["state"] == "terminated"
--- /dev/null
+++ b/src/pondtiller/rollouts/tests/test_versions.py
@@ -0,0 +1,125 @@
+"""Orders for versions: who loads, when, how often, and what a late order can do."""
+
+from pondtiller.core.entities import Address
+from pondtiller.rollouts.load_shares import load_shares
+from pondtiller.rollouts.versions import AskEngine, OrderVersion, VersionSteward
+from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
+
+
+def entry(name: str, models: dict[str, int], state: EngineState = EngineState.READY) -> EngineEntry:
+    return EngineEntry(name, "llm", Address("10.0.0.1", 1), "z", 8, state, models)
+
+
+def steward(engines: int, models: dict[str, int]) -> VersionSteward:
+    directory = EngineDirectory()
+    directory.replace([entry(f"e{number}", dict(models)) for number in range(engines)], 0.0)
+    made = VersionSteward(directory)
+    made.may_order_from = 0.0
+    for number in range(engines):
+        made.reported(f"e{number}", dict(models), 0, busy=False)
+    return made
+
+
+def orders(made: VersionSteward, now: float) -> list[OrderVersion]:
+    made.tick(now)
+    return [each for each in made.take() if isinstance(each, OrderVersion)]
+
+
+def load_all(made: VersionSteward, now: float) -> list[OrderVersion]:
+    """Give all orders that are due, each carried out at once."""
+    given: list[OrderVersion] = []
+    while found := orders(made, now):
+        for order in found:
+            made.answered(order.engine, True, now)
+            engine = made.engines.engines[order.engine]
+            models = {**engine.entry.models, order.model: order.version}
+            made.engines.changed(entry(order.engine, models))
+            given.append(order)
+    return given
+
+
+def test_all_engines_of_a_single_model_load_each_version_two_at_a_time() -> None:
+    made = steward(4, {"m": 1})
+    made.named("m", 2)
+    assert len(orders(made, 0.0)) == 2
+    assert orders(made, 0.1) == []
+    for name in list(made.loads):
+        made.answered(name, True, 0.1)
+        made.engines.changed(entry(name, {"m": 2}))
+    assert len(orders(made, 1.0)) == 2
+
+
+def test_models_that_share_engines_share_the_loads_and_take_turns() -> None:
+    made = steward(5, {"a": 1, "b": 1, "c": 1})
+    for model in ("a", "b", "c"):
+        made.step_opened(model, 100.0)
+    loaded: dict[int, set[str]] = {}
+    for version in (2, 3):
+        made.named("a", version)
+        loaded[version] = {order.engine for order in load_all(made, float(version))}
+    assert all(len(engines) <= 2 for engines in loaded.values())
+    assert not loaded[2] & loaded[3]
+
+
+def test_shares_give_every_model_one_and_the_rest_by_demand() -> None:
+    assert load_shares(5, {"a": 1.0, "b": 2.0, "c": 2.0}) == {"a": 1, "b": 2, "c": 2}
+    assert load_shares(2, {"a": 1.0, "b": 1.0, "c": 1.0}) == {"a": 1, "b": 1, "c": 1}
+    assert load_shares(4, {"a": 1.0}) == {"a": 4}
+
+
+def test_no_order_before_an_earlier_leader_is_surely_silent() -> None:
+    made = steward(1, {"m": 1})
+    made.may_order_from = 4.0
+    made.named("m", 2)
+    assert orders(made, 3.9) == []
+    assert len(orders(made, 4.0)) == 1
+
+
+def test_an_order_names_how_many_the_engine_had_taken_and_is_not_given_unknowing() -> None:
+    made = steward(1, {"m": 1})
+    made.known.clear()
+    made.named("m", 2)
+    made.tick(0.0)
+    assert made.take() == [AskEngine("e0")]
+    made.reported("e0", {"m": 1}, 7, busy=False)
+    (order,) = orders(made, 1.0)
+    assert order.orders_taken == 7
+
+
+def test_an_unanswered_order_is_asked_after_and_given_again() -> None:
+    made = steward(1, {"m": 1})
+    made.named("m", 2)
+    assert len(orders(made, 0.0)) == 1
+    made.tick(1.0)
+    assert AskEngine("e0") in made.take()
+    made.reported("e0", {"m": 1}, 0, busy=False)
+    (again,) = orders(made, 1.1)
+    assert again.orders_taken == 0
+
+
+def test_a_refused_order_is_given_again_with_the_right_number() -> None:
+    made = steward(1, {"m": 1})
+    made.named("m", 2)
+    orders(made, 0.0)
+    made.answered("e0", False, 0.1)
+    assert made.take() == [AskEngine("e0")]
+    made.reported("e0", {"m": 1}, 3, busy=False)
+    (again,) = orders(made, 0.2)
+    assert again.orders_taken == 3
+
+
+def test_leaving_engines_are_not_ordered_and_slow_ones_last() -> None:
+    made = steward(3, {"m": 1, "n": 1})
+    made.engines.changed(entry("e0", {"m": 1, "n": 1}, EngineState.LEAVING))
+    for number, pace in ((1, 0.3), (2, 0.03)):
+        made.engines.engines[f"e{number}"].event_seconds = pace
+    made.named("m", 2)
+    assert [order.engine for order in orders(made, 0.0)] == ["e2"]
+
+
+def test_a_version_goes_to_another_engine_when_its_engine_is_gone() -> None:
+    made = steward(3, {"m": 1, "n": 1})
+    made.named("m", 2)
+    given = load_all(made, 0.0)
+    made.engines.engines.pop(given[0].engine)
+    assert load_all(made, 1.0) or len(given) > 1
--- /dev/null
+++ b/src/pondtiller/routes/tests/test_routes.py
@@ -0,0 +1,83 @@
+"""Rows by host and path, shares by weight, and engines that come, leave and vanish."""
+
+from collections import Counter
+
+from pondtiller.core.entities import Address
+from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
+from pondtiller.routes.table import RequestKind, RouteRow, RouteTable, ServiceShare
+
+
+def row(name: str, host: str, prefix: str, *shares: ServiceShare) -> RouteRow:
+    return RouteRow(name, host, prefix, RequestKind.SAFE, shares or (ServiceShare("s", 1.0),))
+
+
+def test_the_longest_prefix_of_the_host_decides() -> None:
+    table = RouteTable(1, (row("a", "h", "/x/"), row("b", "h", "/x/y/"), row("c", "g", "/x/")))
+    assert [
+        found.name if found else None
+        for found in (
+            table.find("h", "/x/y/z"),
+            table.find("H:80", "/x/1"),
+            table.find("g", "/x/y/z"),
+            table.find("h", "/y/"),
+            table.find("none", "/x/1"),
+        )
+    ] == ["b", "a", "c", None, None]
+
+
+def test_shares_follow_their_weights_and_stay_with_a_request() -> None:
+    route = row("a", "h", "/", ServiceShare("s", 90.0), ServiceShare("t", 10.0))
+    counts = Counter(route.choose_service(f"request-{number}") for number in range(4000))
+    assert 0.07 < counts["t"] / 4000 < 0.13
+    assert len({route.choose_service("one") for _ in range(5)}) == 1
+
+
+def entry(name: str, state: EngineState = EngineState.READY) -> EngineEntry:
+    return EngineEntry(name, "s", Address("10.0.0.1", 1), "z", 4, state)
+
+
+def names(directory: EngineDirectory, now: float) -> set[str]:
+    return {engine.identifier for engine in directory.usable("s", now)}
+
+
+def test_leaving_and_gone_engines_get_no_new_work() -> None:
+    directory = EngineDirectory()
+    directory.replace([entry("a"), entry("b"), entry("c")], 0.0)
+    directory.changed(entry("b", EngineState.LEAVING))
+    directory.gone("c", 0.0)
+    assert names(directory, 0.1) == {"a"}
+
+
+def test_engines_whose_entries_vanish_all_at_once_serve_a_moment_longer() -> None:
+    directory = EngineDirectory()
+    directory.replace([entry("a"), entry("b")], 0.0)
+    directory.replace([], 10.0)
+    assert names(directory, 10.5) == {"a", "b"}
+    assert names(directory, 11.1) == set()
+    directory.keep_house(11.1)
+    assert directory.engines == {}
+    directory.replace([entry("a")], 12.0)
+    assert names(directory, 12.0) == {"a"}
+
+
+def test_a_leaving_engine_never_serves_as_a_vanished_one() -> None:
+    directory = EngineDirectory()
+    directory.replace([entry("a")], 0.0)
+    directory.changed(entry("a", EngineState.LEAVING))
+    directory.gone("a", 1.0)
+    assert names(directory, 1.1) == set()
+
+
+def test_failures_pause_an_engine_longer_each_time_and_paces_grow_old() -> None:
+    directory = EngineDirectory()
+    directory.replace([entry("a")], 0.0)
+    engine = directory.engines["a"]
+    engine.note_failure(0.0)
+    first = engine.not_before
+    engine.note_failure(0.0)
+    assert engine.not_before > first > 0.0
+    engine.note_event_gap(0.1, 1.0)
+    directory.keep_house(2.0)
+    assert engine.event_seconds == 0.1
+    directory.keep_house(5.0)
+    assert engine.event_seconds == 0.0
