--- a/Makefile
+++ b/Makefile
@@ -19,15 +19,16 @@
 	$(PYTHON) -m pytest
 
 check: $(READY)
-	$(VENV)/bin/ruff format --check src tools examples
-	$(VENV)/bin/ruff check src tools examples
+	$(VENV)/bin/ruff format --check src tools examples deploy
+	$(VENV)/bin/ruff check src tools examples deploy
 	$(VENV)/bin/mypy src/pondtiller
 	$(PYTHON) tools/check_imports.py
+	$(PYTHON) tools/check_platform_words.py
 	$(PYTHON) tools/check_generated.py
 
 format: $(READY)
-	$(VENV)/bin/ruff check --fix src tools examples
-	$(VENV)/bin/ruff format src tools examples
+	$(VENV)/bin/ruff check --fix src tools examples deploy
+	$(VENV)/bin/ruff format src tools examples deploy
 
 proto: $(READY)
 	mkdir -p build/proto
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -140,7 +140,7 @@
             await self._answer_status(exchange, status, 200)
             return
         try:
-            position = int(request.query.get("since_rev") or 0)
+            position = int(request.query.get(names.FROM_POSITION) or 0)
             wait = float(request.headers.get(names.WAIT) or 0) / 1000.0
         except ValueError:
             await self._fail(exchange, Failure(ErrorKind.BAD_REQUEST), "")
--- /dev/null
+++ b/src/pondtiller/steplog/tests/test_replica.py
@@ -0,0 +1,71 @@
+"""One replica: promises, leases, and what a deposed leader may do."""
+
+from pondtiller.steplog.group import group_key
+from pondtiller.steplog.replica import LEASE_SECONDS, Replica
+from pondtiller.wire.steplog import Append, Entry, Group, GroupMember, Prepare, Resign
+
+ME = GroupMember(name="r", disk="d", zone="z", host="h", port=1)
+GROUP = Group(generation=1, members=[ME])
+
+
+def replica(may_form: bool = True) -> Replica:
+    return Replica(ME, may_form, started_at=0.0)
+
+
+def prepare(epoch: int, leader: str = "a", group: Group = GROUP) -> Prepare:
+    return Prepare(epoch=epoch, leader=leader, first_group=group)
+
+
+def test_a_lease_holds_others_off_until_it_ends_or_is_given_back() -> None:
+    one = replica()
+    assert one.prepare(prepare(1), 5.0).message.granted
+    assert not one.prepare(prepare(2, "b"), 5.1).message.granted
+    assert one.prepare(prepare(2, "b"), 5.1 + LEASE_SECONDS).message.granted
+    one.resign(Resign(epoch=2))
+    assert one.prepare(prepare(3, "c"), 5.2 + LEASE_SECONDS).message.granted
+
+
+def test_a_deposed_leader_is_refused_and_told_why() -> None:
+    one = replica()
+    one.prepare(prepare(1), 5.0)
+    one.prepare(prepare(2, "b"), 9.0)
+    late = one.append(Append(epoch=1, puts=[Entry(key="k", epoch=1, value=b"v")]), 9.1)
+    assert (late.message.accepted, late.message.epoch, late.record) == (False, 2, None)
+    assert "k" not in one.entries
+
+
+def test_a_replica_that_starts_again_waits_for_a_lease_that_it_may_have_granted() -> None:
+    one = replica()
+    reply = one.prepare(prepare(5), 5.0)
+    assert reply.record is not None
+    again = Replica(ME, may_form=True, started_at=6.0)
+    again.restore(reply.record)
+    assert not again.prepare(prepare(6, "b"), 6.1).message.granted
+    assert again.prepare(prepare(5), 6.1).message.granted
+    other = Replica(ME, may_form=True, started_at=6.0)
+    other.restore(reply.record)
+    assert other.prepare(prepare(6, "b"), 6.1 + LEASE_SECONDS).message.granted
+
+
+def test_a_first_group_is_taken_once_and_only_by_its_members_at_the_first_start() -> None:
+    one = replica()
+    one.prepare(prepare(1), 5.0)
+    assert [group.generation for group in one.groups] == [1]
+    later = Group(generation=1, members=[ME, ME])
+    one.prepare(prepare(2, "a", later), 9.0)
+    assert len(one.groups[0].members) == 1
+    stranger = replica()
+    other = GroupMember(name="x", disk="y")
+    stranger.prepare(prepare(1, "a", Group(generation=1, members=[other])), 5.0)
+    assert stranger.groups == []
+    wiped = replica(may_form=False)
+    wiped.prepare(prepare(1), 5.0)
+    assert wiped.groups == [] and not wiped.view(5.0).may_form
+
+
+def test_the_view_names_a_leader_only_while_its_lease_lasts() -> None:
+    one = replica()
+    one.prepare(prepare(1), 5.0)
+    assert one.view(5.1).leader == "a"
+    assert one.view(5.1 + LEASE_SECONDS).leader == ""
+    assert group_key(1) in one.entries
