--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -19,6 +19,7 @@
     TableShowCommand,
     TableWatchCommand,
 )
+from pondtiller.cli.table_status import TableStatusCommand
 
 VERSION = "0.1.0"
 
@@ -38,6 +39,7 @@
         ExperimentCommand(),
         ScaleCommand(),
         TableShowCommand(),
+        TableStatusCommand(),
         TableSetCommand(),
         TableApplyCommand(),
         TableExportCommand(),
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -29,6 +29,7 @@
 from pondtiller.routes.engines import EngineDirectory
 
 METRICS_PATH = "/metrics"
+TABLE_PATH = "/table"
 HOUSEKEEPING_SECONDS = 0.5
 NO_REPLICA_SECONDS = 2.5
 NOT_READY_SECONDS = 3.0
@@ -169,6 +170,10 @@
 
             body = render(self)
             await exchange.respond(HttpResponse(200, body, "text/plain; version=0.0.4"))
+        elif request.path == TABLE_PATH:
+            from pondtiller.gateway import table_view
+
+            await exchange.respond(HttpResponse(200, table_view.render(self), "text/plain"))
         else:
             await exchange.respond(HttpResponse(404))
 
--- /dev/null
+++ b/src/pondtiller/routes/sheet_rows.py
@@ -0,0 +1,73 @@
+"""The rows that route, as rows of the operators' table and back."""
+
+from pondtiller.routes.table import RequestKind, RouteRow, RouteTable, ServiceRow, ServiceShare
+from pondtiller.table.sheet import Row, RowKind, Sheet
+
+HIGHEST_PRIORITY = 9
+
+
+def sheet_of(table: RouteTable) -> Sheet:
+    """Return the operators' table that a route table stands for."""
+    callers = [_caller_row(route) for route in table.routes]
+    services = [
+        Row(kind=RowKind.SERVICE, name=each.name, model=(each.models or (each.name,))[0])
+        for each in table.services.values()
+    ]
+    return Sheet(rows=tuple(sorted([*services, *callers], key=lambda row: (row.kind, row.name))))
+
+
+def routes_of(sheet: Sheet, version: int) -> RouteTable:
+    """Return the route table that an operators' table stands for."""
+    routes = tuple(_route(row) for row in sheet.rows_of(RowKind.CALLER) if row.host is not None)
+    services = {
+        row.name: ServiceRow(row.name, models=(row.model or row.name,))
+        for row in sheet.rows_of(RowKind.SERVICE)
+    }
+    return RouteTable(version, routes, services)
+
+
+def _caller_row(route: RouteRow) -> Row:
+    is_step = route.kind is RequestKind.STEP
+    return Row(
+        kind=RowKind.CALLER,
+        name=route.name,
+        priority=HIGHEST_PRIORITY - min(route.priority, HIGHEST_PRIORITY),
+        deadline_seconds=route.time_limit_seconds,
+        host=route.host,
+        path=route.path_prefix,
+        request=route.kind.value,
+        split=" ".join(f"{share.service}:{share.weight:g}" for share in route.shares),
+        objective_seconds=route.objective_seconds,
+        attempts=route.attempts,
+        resumes=route.may_resume or None,
+        sticky=route.is_sticky or None,
+        single_version=route.single_version or None,
+        step_seconds=route.step_seconds if is_step else None,
+        queue_seconds=route.queue_seconds if is_step else None,
+    )
+
+
+def _route(row: Row) -> RouteRow:
+    defaults = RouteRow("", "", "", RequestKind.SAFE, ())
+    rank = HIGHEST_PRIORITY - (row.priority if row.priority is not None else HIGHEST_PRIORITY)
+    return RouteRow(
+        name=row.name,
+        host=row.host or "",
+        path_prefix=row.path or "/",
+        kind=RequestKind(row.request or "safe"),
+        shares=_shares(row.split or ""),
+        time_limit_seconds=row.deadline_seconds or defaults.time_limit_seconds,
+        objective_seconds=row.objective_seconds or defaults.objective_seconds,
+        attempts=row.attempts or defaults.attempts,
+        priority=rank,
+        may_resume=bool(row.resumes),
+        is_sticky=bool(row.sticky),
+        single_version=bool(row.single_version),
+        step_seconds=row.step_seconds or defaults.step_seconds,
+        queue_seconds=row.queue_seconds or defaults.queue_seconds,
+    )
+
+
+def _shares(split: str) -> tuple[ServiceShare, ...]:
+    parts = [part.rpartition(":") for part in split.split()]
+    return tuple(ServiceShare(service, float(weight)) for service, _, weight in parts)
--- /dev/null
+++ b/src/pondtiller/routes/tests/test_sheet_rows.py
@@ -0,0 +1,80 @@
+"""The operators' table and the rows that route stand for each other."""
+
+from pathlib import Path
+
+import pytest
+from pydantic import ValidationError
+from result import Ok
+
+from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.routes.sheet_rows import routes_of, sheet_of
+from pondtiller.routes.table import RequestKind, RouteRow, RouteTable, ServiceRow, ServiceShare
+from pondtiller.table.csv_format import from_csv, to_csv
+from pondtiller.table.sheet import Row, RowKind
+
+TABLE = RouteTable(
+    7,
+    (
+        RouteRow(
+            name="quotes",
+            host="app.example",
+            path_prefix="/q/",
+            kind=RequestKind.SAFE,
+            shares=(ServiceShare("a", 90.0), ServiceShare("b", 10.0)),
+            time_limit_seconds=1.5,
+            objective_seconds=0.2,
+            attempts=2,
+            priority=2,
+        ),
+        RouteRow(
+            name="rollouts",
+            host="train.example",
+            path_prefix="/r/",
+            kind=RequestKind.STEP,
+            shares=(ServiceShare("llm", 1.0),),
+            single_version=True,
+            step_seconds=7.5,
+            queue_seconds=40.0,
+        ),
+    ),
+    {name: ServiceRow(name, models=(name,)) for name in ("a", "b", "llm")},
+)
+
+
+def test_a_route_table_becomes_a_sheet_and_is_the_same_again() -> None:
+    again = routes_of(sheet_of(TABLE), 7)
+    assert again.routes == TABLE.routes
+    assert again.services == TABLE.services
+
+
+def test_the_sheet_with_routes_goes_through_csv() -> None:
+    sheet = sheet_of(TABLE)
+    read = from_csv(to_csv(sheet))
+    assert isinstance(read, Ok)
+    assert routes_of(read.ok_value, 7).routes == TABLE.routes
+
+
+def test_routing_cells_are_checked() -> None:
+    with pytest.raises(ValidationError, match="needs host, path, request and split"):
+        Row(kind=RowKind.CALLER, name="x", host="h")
+    with pytest.raises(ValidationError, match="only a caller row"):
+        Row(kind=RowKind.SERVICE, name="x", model="m", attempts=2)
+    with pytest.raises(ValidationError):
+        Row(kind=RowKind.CALLER, name="x", host="h", path="q", request="safe", split="a:1")
+
+
+def test_a_gateway_shows_its_table_filled_with_status(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await system.until(lambda: system.gateways[0]._is_ready())
+        await system.until(lambda: len(system.gateways[0].engines.engines) == 4)
+        await system.call("POST", "/quote/7", request_id="q1")
+        answer = await system.client.request(system.readiness(), "GET", "/table")
+        head, columns, *rows = answer.body.decode().splitlines()
+        assert "table version 3" in head
+        lines = {row.split("\t")[0]: row.split("\t") for row in rows}
+        names = columns.split("\t")
+        assert lines["caller/quotes"][names.index("answered")] == "1"
+        assert lines["caller/quotes"][names.index("split")] == "app:1"
+        assert lines["service/llm"][names.index("engines_ready")] == "2"
+
+    run_system(tmp_path, test)
--- a/src/pondtiller/table/sheet.py
+++ b/src/pondtiller/table/sheet.py
@@ -44,6 +44,20 @@
         Retries allowed as a share of first tries.
     deadline_seconds
         Longest time to an answer; None for the default of the row's kind.
+    host, path
+        Callers: requests of this host whose path begins so are this row's.
+    request
+        Callers: what may be done with a request that failed.
+    split
+        Callers: services with weights, as `service:weight` with blanks between.
+    objective_seconds
+        Callers: time within which an answer counts in full.
+    attempts
+        Callers: most engines that one request may be sent to.
+    resumes, sticky, single_version
+        Callers: whether streams may be continued, keep to an engine, or to one version.
+    step_seconds, queue_seconds
+        Callers of steps: when results are due, and when a sample may be given up.
     """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
@@ -58,6 +72,17 @@
     staleness_bound: int | None = Field(default=None, ge=0, le=1000)
     retry_ratio: float = Field(default=0.1, ge=0, le=1, allow_inf_nan=False)
     deadline_seconds: float | None = Field(default=None, gt=0, le=86_400, allow_inf_nan=False)
+    host: str | None = None
+    path: str | None = Field(default=None, pattern=r"^/([^ ]*/)?$")
+    request: Literal["safe", "unsafe", "stream", "step"] | None = None
+    split: str | None = Field(default=None, pattern=r"^[^ :]+:[0-9.]+( [^ :]+:[0-9.]+)*$")
+    objective_seconds: float | None = Field(default=None, gt=0, le=86_400, allow_inf_nan=False)
+    attempts: int | None = Field(default=None, ge=1, le=100)
+    resumes: bool | None = None
+    sticky: bool | None = None
+    single_version: bool | None = None
+    step_seconds: float | None = Field(default=None, gt=0, le=86_400, allow_inf_nan=False)
+    queue_seconds: float | None = Field(default=None, gt=0, le=86_400, allow_inf_nan=False)
 
     @property
     def key(self) -> str:
@@ -70,11 +95,29 @@
             raise ValueError("a caller row has no model")
         if self.kind is not RowKind.CALLER and self.model is None:
             raise ValueError(f"a {self.kind.value} row needs a model")
+        routing = [name for name in ROUTING_COLUMNS if getattr(self, name) is not None]
+        if self.kind is not RowKind.CALLER and routing:
+            raise ValueError(f"only a caller row has {', '.join(routing)}")
+        if routing and None in (self.host, self.path, self.request, self.split):
+            raise ValueError("a row that routes needs host, path, request and split")
         if self.kind is not RowKind.TRAINER and self.staleness_bound is not None:
             raise ValueError("only a trainer row has a staleness_bound")
         return self
 
 
+ROUTING_COLUMNS = (
+    "host",
+    "path",
+    "request",
+    "split",
+    "objective_seconds",
+    "attempts",
+    "resumes",
+    "sticky",
+    "single_version",
+    "step_seconds",
+    "queue_seconds",
+)
 COLUMNS: tuple[str, ...] = tuple(name for name in Row.model_fields if name not in ("kind", "name"))
 
 
--- a/src/pondtiller/table/tests/test_edits.py
+++ b/src/pondtiller/table/tests/test_edits.py
@@ -4,7 +4,7 @@
 from pondtiller.table.csv_format import from_csv, to_csv
 from pondtiller.table.editor import EditOutcome, EditStatus, ReadTable, TableEditor, WriteTable
 from pondtiller.table.edits import apply_edit, difference
-from pondtiller.table.sheet import CellChange, Edit, RefusalReason, Row, RowKind, Sheet
+from pondtiller.table.sheet import COLUMNS, CellChange, Edit, RefusalReason, Row, RowKind, Sheet
 
 ROWS = (
     Row(kind=RowKind.CALLER, name="app", priority=3),
@@ -80,7 +80,8 @@
 
 
 def test_csv_problems_name_their_lines():
-    text = to_csv(SHEET).replace("2.0", "-2") + "planet,x,,,,,,,,\n"
+    planet = "planet,x" + "," * len(COLUMNS)
+    text = to_csv(SHEET).replace("2.0", "-2") + planet + "\n"
     problems = from_csv(text).unwrap_err()
     assert any(problem.startswith("line 3: weight") for problem in problems)
     assert any("planet" in problem for problem in problems)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent / "src" / "pondtiller"
-PURE = ("coordination", "core", "systems", "table", "wire")
+PURE = ("coordination", "core", "rollouts", "routes", "steplog", "systems", "table", "wire")
 PURE_MODULES = ("emulator/engine.py", "emulator/object_store.py", "emulator/trainer.py")
 FORBIDDEN = {
     "asyncio",
@@ -31,7 +31,19 @@
     "time",
     "uuid",
 }
-DRIVERS = {"daemon", "httpio", "simulation", "cli", "demo", "scale", "config"}
+DRIVERS = {
+    "cli",
+    "config",
+    "daemon",
+    "demo",
+    "gateway",
+    "httpio",
+    "links",
+    "platform",
+    "replica",
+    "scale",
+    "simulation",
+}
 GLOBAL_RANDOM = {"random", "choice", "uniform", "shuffle", "sample", "randint", "getrandbits"}
 
 
