--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -7,6 +7,7 @@
 from pondtiller.cli.deployed import GatewayCommand, ReplicaCommand
 from pondtiller.cli.emulate import EmulateCommand
 from pondtiller.cli.experiment import ExperimentCommand
+from pondtiller.cli.explain import ExplainCommand
 from pondtiller.cli.load import LoadCommand
 from pondtiller.cli.scale import ScaleCommand
 from pondtiller.cli.serve import ServeCommand
@@ -29,6 +30,7 @@
     application = Application("pondtiller", VERSION)
     for command in (
         ServeCommand(),
+        ExplainCommand(),
         GatewayCommand(),
         ReplicaCommand(),
         CheckCommand(),
--- /dev/null
+++ b/src/pondtiller/cli/explain.py
@@ -0,0 +1,138 @@
+"""`pondtiller explain`: the story of one identifier from the logs of many machines."""
+
+import gzip
+import re
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from pondtiller.cli.common import EXIT_BAD_INPUT, EXIT_OK, EXIT_VIOLATION, print_problems
+from pondtiller.config.problems import Problem
+
+FIELD = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
+TIME = re.compile(r"(?:^|\s)t=(\d+\.\d+)\s")
+IDENTIFIERS = ("request", "sample", "step")
+GZIP_SUFFIX = ".gz"
+
+DECIDING_EVENTS = (
+    "sample_listed",
+    "request_failed",
+    "request_answered",
+    "no_route",
+    "caller_left",
+    "stream_ended",
+    "step_refused",
+    "step_submitted",
+    "scorer_failed",
+    "sample_run_ended",
+)
+"""Events that may decide how a request, a sample or a step ended, the strongest first."""
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One decision line.
+
+    Attributes
+    ----------
+    at
+        Seconds since 1970 on the clock of the machine that wrote it.
+    fields
+        Values by key, unquoted.
+    """
+
+    at: float
+    place: str
+    fields: dict[str, str]
+    text: str
+
+    @property
+    def event(self) -> str:
+        """Name of the event."""
+        return self.fields.get("event", "")
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """What the logs tell of an identifier."""
+
+    lines: tuple[LogLine, ...]
+    deciding: LogLine | None
+
+
+def parse_line(text: str, place: str) -> LogLine | None:
+    """Read one line; None where it is no decision line."""
+    time = TIME.search(text)
+    if time is None or "event=" not in text:
+        return None
+    start = text.index("event=")
+    fields = {key: _unquote(value) for key, value in FIELD.findall(text[start:])}
+    return LogLine(float(time.group(1)), place, fields, text[start:].strip())
+
+
+def _unquote(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    return re.sub(r"\\(.)", r"\1", value[1:-1])
+
+
+def tell(identifier: str, lines: Iterable[LogLine]) -> Story:
+    """Return the lines that concern an identifier, in order of time, and the deciding one."""
+    found = [line for line in lines if _concerns(line, identifier)]
+    found.sort(key=lambda line: line.at)
+    return Story(tuple(found), _deciding(found))
+
+
+def _concerns(line: LogLine, identifier: str) -> bool:
+    return any(line.fields.get(name) == identifier for name in IDENTIFIERS)
+
+
+def _deciding(lines: list[LogLine]) -> LogLine | None:
+    for event in DECIDING_EVENTS:
+        of_event = [line for line in lines if line.event == event]
+        if of_event:
+            return of_event[-1]
+    return lines[-1] if lines else None
+
+
+def read_lines(path: Path) -> Iterator[LogLine]:
+    """Read a log, also one that is packed or has broken lines."""
+    with path.open("rb") as raw:
+        stream = gzip.open(raw) if path.suffix == GZIP_SUFFIX else raw
+        for data in stream:
+            line = parse_line(data.decode(errors="replace"), path.name)
+            if line is not None:
+                yield line
+
+
+class ExplainCommand(Command):
+    """Tell from logs what became of a request, a sample or a step."""
+
+    name = "explain"
+    description = "Tell from logs what became of a request, a sample or a step, and why."
+    arguments = [
+        argument("id", "Identifier of a request, a sample or a step."),
+        argument("files", "Logs of any machines, also packed by gzip.", multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Print the lines in order and the deciding one."""
+        identifier = self.argument("id")
+        lines: list[LogLine] = []
+        for name in self.argument("files"):
+            try:
+                lines += read_lines(Path(name))
+            except (OSError, EOFError) as error:
+                print_problems(self, [Problem(name, "file", str(error))])
+                return EXIT_BAD_INPUT
+        story = tell(identifier, lines)
+        if story.deciding is None:
+            self.line_error(f"{identifier} stands in none of these logs", style="error")
+            return EXIT_VIOLATION
+        for line in story.lines:
+            self.line(f"{line.at:.3f} {line.place} {line.text}")
+        self.line(f"decided by: {story.deciding.text}")
+        return EXIT_OK
