Let watches wait twice as long, and ask anew together once the store is regained

A long wait alone would leave a daemon hanging on a store that was silently away. Now a process's watches share what they know of the store: the first that is answered after a failure makes the others ask anew. All kept connections notice a dead peer within 3 s.

--- a/src/pondtiller/cli/explain.py
+++ b/src/pondtiller/cli/explain.py
@@ -100,8 +100,8 @@
 
 def read_lines(path: Path) -> Iterator[LogLine]:
     """Read a log, also one that is packed or has broken lines."""
-    with path.open("rb") as raw:
-        stream = gzip.open(raw) if path.suffix == GZIP_SUFFIX else raw
+    opener = gzip.open if path.suffix == GZIP_SUFFIX else open
+    with opener(path, "rb") as stream:
         for data in stream:
             line = parse_line(data.decode(errors="replace"), path.name)
             if line is not None:
--- a/src/pondtiller/gateway/engine_pool.py
+++ b/src/pondtiller/gateway/engine_pool.py
@@ -15,7 +15,7 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.httpio.client import BrokenError, NotSentError
-from pondtiller.links.link import tune
+from pondtiller.httpio.sockets import tune
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import Headers
 
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -1,12 +1,9 @@
 """What callers and trainers meet: routing of each request to an engine or to its step."""
 
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
-
-import curio
 from result import Err
 
 from pondtiller.daemon import clock, logs
+from pondtiller.daemon.race import run_until
 from pondtiller.errors import ErrorKind, Failure, Ran
 from pondtiller.gateway.forward import ForwardedRequest, Forwarder, WholeAnswer, is_streamed
 from pondtiller.gateway.metrics import GatewayMetrics
@@ -18,8 +15,6 @@
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
 
-Result = TypeVar("Result")
-
 RETRY_AFTER_SECONDS = 0.25
 LONGEST_READ_WAIT_SECONDS = 1.0
 
@@ -92,7 +87,7 @@
 
     async def _forward(self, exchange: Exchange, route: RouteRow) -> None:
         forwarded = _forwarded(exchange.request, route)
-        answer = await run_unless_closed(exchange, self._forwarder.whole, forwarded, route)
+        answer = await run_until(exchange.wait_closed, self._forwarder.whole, forwarded, route)
         if answer is None:
             self._metrics.count(route.name, "caller_left")
             logs.decision("caller_left", request=forwarded.identifier, route=route.name)
@@ -146,7 +141,7 @@
             await self._fail(exchange, Failure(ErrorKind.BAD_REQUEST), "")
             return
         wait = min(wait, LONGEST_READ_WAIT_SECONDS)
-        page = await run_unless_closed(exchange, self._steps.read, step, max(0, position), wait)
+        page = await run_until(exchange.wait_closed, self._steps.read, step, max(0, position), wait)
         if page is None:
             return
         if page.status != StepStatus.OK:
@@ -193,16 +188,3 @@
     if answer.ran is Ran.NO and answer.retry_after_seconds is not None:
         headers = (("Retry-After", str(RETRY_AFTER_SECONDS)),)
     return HttpResponse(answer.status, failure.describe().encode(), "text/plain", headers)
-
-
-async def run_unless_closed(
-    exchange: Exchange, function: Callable[..., Awaitable[Result]], *arguments: object
-) -> Result | None:
-    """Run a coroutine function; None where the other side leaves before it returns."""
-    async with curio.TaskGroup(wait=any) as group:
-        work = await group.spawn(function, *arguments)
-        await group.spawn(exchange.wait_closed)
-    if not work.terminated or work.cancelled:
-        return None
-    result: Result = work.result
-    return result
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -19,7 +19,12 @@
 from pondtiller.gateway.settings import GatewaySettings, to_address
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.streams import StreamForwarder
-from pondtiller.gateway.watches import GatewayWatches, LeaderWatches, StoredFirstGroup
+from pondtiller.gateway.watches import (
+    GatewayWatches,
+    LeaderWatches,
+    StoredFirstGroup,
+    StoreHealth,
+)
 from pondtiller.httpio.client import HttpClient
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange, bind_tcp, serve_http
@@ -65,6 +70,7 @@
         self.pool = EnginePool()
         client = HttpClient()
         self.store = ObjectClient(to_address(settings.store), client)
+        health = StoreHealth()
         forwarder = Forwarder(settings.zone, self.engines, self.pool, self.metrics)
         self.sockets = GatewaySockets(settings)
         self.leadership = Leadership(
@@ -77,7 +83,7 @@
         self._steps = StepClient(settings.name, self.leadership.leader, self)
         streams = StreamForwarder(forwarder, self.pool)
         self.front = Front(forwarder, streams, self._steps, self.metrics)
-        self._leader_watches = LeaderWatches(self.store, self.leadership.replicas)
+        self._leader_watches = LeaderWatches(self.store, health, self.leadership.replicas)
         self._leader_watches.follow_members(self._is_group_member)
         self.duties = LeaderDuties(
             self.leadership,
@@ -92,7 +98,7 @@
         )
         self.leadership.serve(self.duties)
         self.watches = GatewayWatches(
-            self.store, self.engines, self.front, self.duties.engines_changed
+            self.store, health, self.engines, self.front, self.duties.engines_changed
         )
         self._stopped = curio.Event()
 
--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_watches.py
@@ -0,0 +1,96 @@
+"""Watches: resumed after a loss, relisted after lost history, never fooled by silence."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from pondtiller.gateway.watches import StoreHealth, Watch
+from pondtiller.platform.object_client import (
+    HistoryGoneError,
+    StoreCallError,
+    StoreChange,
+    StoreChanges,
+    StoreListing,
+    StoreObject,
+)
+
+
+class ScriptedStore:
+    """Answers each watch as the next step of its script says."""
+
+    def __init__(self, script: list[object]) -> None:
+        self.script = script
+        self.lists = 0
+        self.asked: list[int] = []
+
+    async def list_all(self, _kind: str) -> StoreListing:
+        self.lists += 1
+        return StoreListing((StoreObject(f"listed{self.lists}", 1, None),), self.lists * 100)
+
+    async def watch(self, _kind: str, at: int, _seconds: float) -> StoreChanges:
+        self.asked.append(at)
+        step = self.script.pop(0) if self.script else "hang"
+        if step == "hang":
+            await curio.sleep(1000.0)
+        if isinstance(step, Exception):
+            raise step
+        name = str(step)
+        changes = (StoreChange(StoreObject(name, at + 1, None), False),) if name else ()
+        return StoreChanges(changes, at + 1)
+
+
+class Recorder:
+    """Keeps what a watch tells."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    async def replace(self, found: tuple[StoreObject, ...]) -> None:
+        self.told += [each.name for each in found]
+
+    async def change(self, change: StoreChange) -> None:
+        self.told.append(change.object.name)
+
+
+def play(script: list[object], act: Callable[[StoreHealth], Awaitable[None]] | None = None):
+    store, recorder, health = ScriptedStore(script), Recorder(), StoreHealth()
+
+    async def main() -> None:
+        watch = Watch(store, health, "kind", recorder.replace, recorder.change)
+        task = await curio.spawn(watch.run)
+        await curio.sleep(0.05)
+        if act is not None:
+            await act(health)
+        await curio.sleep(0.6)
+        await task.cancel()
+
+    curio.run(main)
+    return store, recorder
+
+
+def test_changes_are_followed_from_where_the_last_answer_ended() -> None:
+    store, recorder = play(["a", "", "b"])
+    assert recorder.told == ["listed1", "a", "b"]
+    assert store.asked == [100, 101, 102, 103]
+
+
+def test_lost_history_is_listed_again() -> None:
+    store, recorder = play(["a", HistoryGoneError(), "b"])
+    assert recorder.told == ["listed1", "a", "listed2", "b"]
+    assert store.lists == 2
+
+
+def test_a_failed_watch_goes_on_from_the_same_place() -> None:
+    store, recorder = play([StoreCallError("down"), "a"])
+    assert recorder.told == ["listed1", "a"]
+    assert store.asked[:2] == [100, 100]
+
+
+def test_a_watch_that_hangs_asks_anew_when_the_store_is_regained() -> None:
+    async def regained(health: StoreHealth) -> None:
+        health.lost("other", StoreCallError("down"))
+        await health.heard("other", 7)
+
+    store, recorder = play(["hang", "a"], regained)
+    assert recorder.told == ["listed1", "a"]
+    assert store.asked[:2] == [100, 100]
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -1,5 +1,6 @@
 """Watches on the platform's store: what every daemon follows, and what a leader follows."""
 
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -8,6 +9,7 @@
 
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
+from pondtiller.daemon.race import run_until
 from pondtiller.gateway.front import Front
 from pondtiller.gateway.leadership import FirstGroupSource
 from pondtiller.gateway.replicas import ReplicaDirectory
@@ -18,6 +20,7 @@
     PutOutcome,
     StoreCallError,
     StoreChange,
+    StoreChanges,
     StoreObject,
 )
 from pondtiller.rollouts.versions import VersionSteward
@@ -25,28 +28,75 @@
 from pondtiller.steplog.group_policy import first_members
 from pondtiller.wire.steplog import Group, GroupMember
 
-WATCH_SECONDS = 3.0
+WATCH_SECONDS = 6.0
+SHORTEST_FIRST_WATCH_SECONDS = 1.0
 RETRY_SECONDS = 0.25
 
 Replace = Callable[[tuple[StoreObject, ...]], Awaitable[None]]
 Change = Callable[[StoreChange], Awaitable[None]]
 
 
+class StoreHealth:
+    """Whether the store answers, as all watches of a process see it together.
+
+    A watch that waits cannot tell a quiet store from one that is gone. Once the store answers
+    again after a failure, all waiting watches ask anew, so each is right within moments while
+    a quiet one may wait long.
+    """
+
+    def __init__(self) -> None:
+        self._is_lost = False
+        self._regained: set[Any] = set()
+
+    def lost(self, kind: str, error: StoreCallError) -> None:
+        """Take a failure."""
+        if not self._is_lost:
+            self._is_lost = True
+            logs.decision("store_lost", kind=kind, reason=str(error))
+
+    async def heard(self, kind: str, at: int) -> None:
+        """Take an answer."""
+        if not self._is_lost:
+            return
+        self._is_lost = False
+        logs.decision("store_regained", kind=kind, at=at)
+        for event in list(self._regained):
+            await event.set()
+
+    async def wait_regained(self) -> None:
+        """Return when the store answers again after a failure."""
+        event = curio.Event()
+        self._regained.add(event)
+        try:
+            await event.wait()
+        finally:
+            self._regained.discard(event)
+
+
 class Watch:
     """Lists a kind, then follows its changes, for as long as it runs.
 
     Parameters
     ----------
+    health
+        Shared by the watches of one process.
     replace, change
         Take a whole listing, and one change.
     """
 
-    def __init__(self, store: ObjectClient, kind: str, replace: Replace, change: Change) -> None:
+    def __init__(
+        self,
+        store: ObjectClient,
+        health: StoreHealth,
+        kind: str,
+        replace: Replace,
+        change: Change,
+    ) -> None:
         self._store = store
+        self._health = health
         self._kind = kind
         self._replace = replace
         self._change = change
-        self._is_lost = False
         self.heard_at = 0.0
 
     async def run(self) -> None:
@@ -57,38 +107,41 @@
             except HistoryGoneError:
                 logs.decision("history_gone", kind=self._kind)
             except StoreCallError as error:
-                if not self._is_lost:
-                    self._is_lost = True
-                    logs.decision("store_lost", kind=self._kind, reason=str(error))
+                self._health.lost(self._kind, error)
                 await curio.sleep(RETRY_SECONDS)
 
     async def _follow(self) -> None:
         listing = await self._store.list_all(self._kind)
-        self._heard(listing.at)
+        await self._heard(listing.at)
         await self._replace(listing.objects)
         at = listing.at
+        # The watches of a process end at different times, so one of them soon notices a loss.
+        seconds = random.uniform(SHORTEST_FIRST_WATCH_SECONDS, WATCH_SECONDS)
         while True:
             try:
-                found = await self._store.watch(self._kind, at, WATCH_SECONDS)
+                found = await self._ask(at, seconds)
             except StoreCallError as error:
-                self._note_lost(error)
+                self._health.lost(self._kind, error)
                 await curio.sleep(RETRY_SECONDS)
+                seconds = SHORTEST_FIRST_WATCH_SECONDS
+                continue
+            seconds = WATCH_SECONDS
+            if found is None:
                 continue
-            self._heard(found.at)
+            await self._heard(found.at)
             at = found.at
             for change in found.changes:
                 await self._change(change)
 
-    def _note_lost(self, error: StoreCallError) -> None:
-        if not self._is_lost:
-            self._is_lost = True
-            logs.decision("store_lost", kind=self._kind, reason=str(error))
+    async def _ask(self, at: int, seconds: float) -> StoreChanges | None:
+        """Return what changed; None where the store was lost and regained meanwhile."""
+        return await run_until(
+            self._health.wait_regained, self._store.watch, self._kind, at, seconds
+        )
 
-    def _heard(self, at: int) -> None:
+    async def _heard(self, at: int) -> None:
         self.heard_at = clock.monotonic()
-        if self._is_lost:
-            self._is_lost = False
-            logs.decision("store_regained", kind=self._kind, at=at)
+        await self._health.heard(self._kind, at)
 
 
 class GatewayWatches:
@@ -97,6 +150,7 @@
     def __init__(
         self,
         store: ObjectClient,
+        health: StoreHealth,
         engines: EngineDirectory,
         front: Front,
         changed: Callable[[], Awaitable[None]],
@@ -105,9 +159,13 @@
         self._front = front
         self._changed = changed
         self.configuration = Watch(
-            store, names.CONFIGURATIONS, self._take_configurations, self._configuration_changed
+            store,
+            health,
+            names.CONFIGURATIONS,
+            self._take_configurations,
+            self._configuration_changed,
         )
-        self.engines = Watch(store, names.ENGINES, self._take_engines, self._engine_changed)
+        self.engines = Watch(store, health, names.ENGINES, self._take_engines, self._engine_changed)
 
     async def _take_configurations(self, found: tuple[StoreObject, ...]) -> None:
         for each in found:
@@ -167,8 +225,11 @@
 class LeaderWatches:
     """What a leader follows: named versions, retirements of replicas, new replicas."""
 
-    def __init__(self, store: ObjectClient, replicas: ReplicaDirectory) -> None:
+    def __init__(
+        self, store: ObjectClient, health: StoreHealth, replicas: ReplicaDirectory
+    ) -> None:
         self._store = store
+        self._health = health
         self._replicas = replicas
         self._retirements: dict[str, StoreObject] = {}
         self._is_member: Callable[[str], bool] = _is_nobody
@@ -199,11 +260,19 @@
             if not change.is_gone:
                 await take_version(change.object)
 
-        versions = Watch(self._store, names.VERSIONS_NAMED, take_versions, version_changed)
+        versions = Watch(
+            self._store, self._health, names.VERSIONS_NAMED, take_versions, version_changed
+        )
         retirements = Watch(
-            self._store, names.RETIREMENTS, self._take_retirements, self._retirement_changed
+            self._store,
+            self._health,
+            names.RETIREMENTS,
+            self._take_retirements,
+            self._retirement_changed,
+        )
+        replicas = Watch(
+            self._store, self._health, names.REPLICAS, self.take_replicas, self._replica_changed
         )
-        replicas = Watch(self._store, names.REPLICAS, self.take_replicas, self._replica_changed)
         async with curio.TaskGroup() as group:
             await group.spawn(versions.run)
             await group.spawn(retirements.run)
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -8,6 +8,7 @@
 
 from pondtiller.core.entities import Address
 from pondtiller.httpio.messages import HttpResponse
+from pondtiller.httpio.sockets import tune
 
 READ_BYTES = 65_536
 KEPT_CONNECTIONS = 32
@@ -198,7 +199,7 @@
             )
         except (OSError, curio.TaskTimeout) as error:
             raise NotSentError(str(error) or "connection timed out") from error
-        stream.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        tune(stream)
         return ClientConnection(address, stream)
 
 
--- a/src/pondtiller/links/link.py
+++ b/src/pondtiller/links/link.py
@@ -9,14 +9,12 @@
 
 from pondtiller.core.entities import Address
 from pondtiller.daemon.spawner import Spawner
+from pondtiller.httpio.sockets import tune
 from pondtiller.links.frames import BadFrameError, Frame, FrameReader, encode
 
 READ_BYTES = 262_144
 CONNECT_SECONDS = 1.0
 MOST_UNSENT_BYTES = 64 * 1024 * 1024
-KEEPALIVE_SECONDS = 1
-KEEPALIVE_PROBES = 2
-USER_TIMEOUT_MILLISECONDS = 2500
 
 Handler = Callable[["Link", int, Message], Awaitable[None]]
 Answered = Callable[[Message], Awaitable[None]]
@@ -26,16 +24,6 @@
     """The connection ended, or the other side is silent."""
 
 
-def tune(stream: Any) -> None:
-    """Send at once, and notice within seconds that the other side is gone."""
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
-
-
 class Link:
     """One connection.
 
