Keep a process's parts going after a bug, and answer where one strikes

Cause: an exception in a watch or in the leader's loop would have ended that task and left a process that looks alive.

--- /dev/null
+++ b/src/pondtiller/daemon/tests/test_supervise.py
@@ -0,0 +1,33 @@
+"""A part that fails is begun again, and one that ends is not."""
+
+import curio
+
+from pondtiller.daemon.race import run_until
+from pondtiller.daemon.supervise import keep_running
+
+
+def test_a_task_that_fails_is_begun_again_until_it_ends() -> None:
+    begun: list[int] = []
+
+    async def part() -> None:
+        begun.append(1)
+        if len(begun) < 3:
+            raise ValueError("a bug")
+
+    curio.run(keep_running, "part", part)
+    assert len(begun) == 3
+
+
+def test_the_first_of_two_decides() -> None:
+    async def slow(seconds: float) -> str:
+        await curio.sleep(seconds)
+        return "done"
+
+    async def never() -> None:
+        await curio.sleep(100.0)
+
+    async def main() -> None:
+        assert await run_until(never, slow, 0.01) == "done"
+        assert await run_until(lambda: curio.sleep(0.01), slow, 100.0) is None
+
+    curio.run(main)
--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -7,6 +7,7 @@
 
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
+from pondtiller.daemon.supervise import keep_running
 from pondtiller.gateway.front import Front
 from pondtiller.gateway.leadership import Duties, Leadership
 from pondtiller.gateway.metrics import GatewayMetrics
@@ -158,6 +159,7 @@
         self.wake = curio.Event()
         self._entries = won.entries
         self._group = Spawner()
+        self._watch_group = Spawner()
         self._runs: dict[int, Any] = {}
         self._waiters: dict[str, set[Any]] = {}
         self._written_at: dict[str, float] = {}
@@ -171,7 +173,7 @@
         for key in self.book.restore(self._entries):
             self._leadership.log.drop(key)
         self._entries = ()
-        await self._group.spawn(self._run)
+        await self._group.spawn(keep_running, "duties", self._run)
 
     async def stop(self) -> None:
         """Cancel everything; calls that wait learn that their outcome is not known."""
@@ -179,18 +181,21 @@
         for task in list(self._runs.values()):
             await task.cancel(blocking=False)
         await self._group.__aexit__()
+        await self._watch_group.__aexit__()
         for waiters in self._waiters.values():
             for waiter in waiters:
                 await waiter.set()
 
     async def _run(self) -> None:
+        """Work until the term ends; begins again where a part of it fails."""
+        await self._watch_group.cancel_all()
         await self._read_progress()
         self._table = self._duties._front.table
         for record in self.book.steps.values():
             self._schedule(record)
         pause = 0.0 if self._is_first else self._duties._lease_seconds + ORDER_MARGIN_SECONDS
         self.steward.may_order_from = clock.monotonic() + pause
-        await self._group.spawn(self._duties._watches.run, self.steward, self.wake)
+        await self._watch_group.spawn(self._duties._watches.run, self.steward, self.wake)
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
         while True:
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -1,5 +1,6 @@
 """What callers and trainers meet: routing of each request to an engine or to its step."""
 
+import h11
 from result import Err
 
 from pondtiller.daemon import clock, logs
@@ -10,7 +11,7 @@
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.streams import StreamForwarder
 from pondtiller.httpio.messages import HttpRequest, HttpResponse
-from pondtiller.httpio.server import Exchange
+from pondtiller.httpio.server import ConnectionLostError, Exchange
 from pondtiller.platform import engine_format, names, step_format
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
@@ -50,10 +51,26 @@
         started = clock.monotonic()
         try:
             await self._route(exchange)
+        except (ConnectionLostError, h11.LocalProtocolError):
+            raise
+        except Exception as error:
+            await self._fail_internally(exchange, error)
         finally:
             self.open_exchanges -= 1
             self._metrics.request_seconds.add(clock.monotonic() - started)
 
+    async def _fail_internally(self, exchange: Exchange, error: Exception) -> None:
+        """Answer where a bug would otherwise close the connection without a word."""
+        logs.decision(
+            "internal_error",
+            request=engine_format.request_id(exchange.request.raw_headers),
+            error=type(error).__name__,
+            reason=str(error),
+        )
+        if exchange.started:
+            raise ConnectionLostError(str(error)) from error
+        await self._fail(exchange, Failure(ErrorKind.INTERNAL), "")
+
     async def _route(self, exchange: Exchange) -> None:
         request = exchange.request
         if request.path.startswith(names.STEPS_PATH):
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -8,6 +8,7 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
+from pondtiller.daemon.supervise import keep_running
 from pondtiller.gateway.duties import LeaderDuties
 from pondtiller.gateway.engine_pool import EnginePool
 from pondtiller.gateway.forward import Forwarder
@@ -120,13 +121,22 @@
         )
         group = Spawner()
         try:
-            await group.spawn(serve_http, sockets.callers, self.front.handle, self._is_stopping)
-            await group.spawn(serve_http, sockets.readiness, self._answer_readiness)
-            await group.spawn(serve_links, sockets.links, self._serve_link)
-            await group.spawn(self.watches.configuration.run)
-            await group.spawn(self.watches.engines.run)
-            await group.spawn(self.leadership.run)
-            await group.spawn(self._keep_house)
+            await group.spawn(
+                keep_running,
+                "callers",
+                serve_http,
+                sockets.callers,
+                self.front.handle,
+                self._is_stopping,
+            )
+            await group.spawn(
+                keep_running, "readiness", serve_http, sockets.readiness, self._answer_readiness
+            )
+            await group.spawn(keep_running, "links", serve_links, sockets.links, self._serve_link)
+            await group.spawn(keep_running, "configuration", self.watches.configuration.run)
+            await group.spawn(keep_running, "engines", self.watches.engines.run)
+            await group.spawn(keep_running, "leadership", self.leadership.run)
+            await group.spawn(keep_running, "housekeeping", self._keep_house)
             await self._stopped.wait()
         finally:
             await self.leadership.replicas.close()
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -6,6 +6,7 @@
 
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
+from pondtiller.daemon.supervise import keep_running
 from pondtiller.gateway.settings import ReplicaSettings, to_address
 from pondtiller.httpio.client import HttpClient
 from pondtiller.httpio.server import bind_tcp
@@ -64,9 +65,11 @@
     async def run(self) -> None:
         """Serve until stopped."""
         async with Spawner() as group:
-            await group.spawn(serve_links, self._listener, self.server.accept)
-            await group.spawn(self.server.run)
-            await group.spawn(self._register)
+            await group.spawn(
+                keep_running, "links", serve_links, self._listener, self.server.accept
+            )
+            await group.spawn(keep_running, "commits", self.server.run)
+            await group.spawn(keep_running, "registration", self._register)
             await self._stopped.wait()
         self._file.close()
         logs.decision("stopped", replica=self.settings.name)
