--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -319,15 +319,26 @@
                         self._run_sample, instruction
                     )
                 case CancelRun():
-                    task = self._runs.pop(instruction.run, None)
-                    if task is not None:
-                        await task.cancel(blocking=False)
+                    await self._cancel_run(instruction)
                 case ScoreText():
                     await self._group.spawn(self._score, instruction, 0.0)
                 case ListResult():
                     self._list(instruction)
         await self._flush()
 
+    async def _cancel_run(self, instruction: CancelRun) -> None:
+        task = self._runs.pop(instruction.run, None)
+        if task is not None:
+            await task.cancel(blocking=False)
+        logs.decision(
+            "sample_run_cancelled",
+            sample=instruction.sample,
+            engine=instruction.engine,
+            run=instruction.run,
+            reason=instruction.reason.value,
+            epoch=self.epoch,
+        )
+
     def _list(self, instruction: ListResult) -> None:
         result = instruction.result
         is_listed = self.book.list_result(instruction.step, result)
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -54,6 +54,15 @@
     LOST = "lost"
 
 
+class CancelReason(Enum):
+    """Why a run is ended before its engine does."""
+
+    SILENT = "silent"
+    SLOW = "slow"
+    STEP_ENDED = "step_ended"
+    GIVEN_UP = "given_up"
+
+
 @dataclass(frozen=True, slots=True)
 class StartRun:
     """Send a sample to an engine, after `last_event` where it is continued."""
@@ -68,9 +77,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelRun:
-    """End a run; its engine drops it."""
+    """End a run; its engine drops it.
+
+    Attributes
+    ----------
+    reason
+        Why, for the logs.
+    """
 
     run: int
+    sample: str
+    engine: str
+    reason: CancelReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,7 +232,7 @@
         """End a step: its runs stop, its unfinished texts are kept for a later step."""
         for key in [key for key in self.work if key[0] == step]:
             work = self.work.pop(key)
-            self._stop_run(work, now=None)
+            self._stop_run(work, CancelReason.STEP_ENDED)
             self._keep(work)
 
     def keep_progress(self, progress: SampleProgress) -> None:
@@ -377,12 +395,13 @@
 
     def _move_slow(self, now: float) -> None:
         for work in list(self.runs.values()):
-            if work.moves < MOST_MOVES and self._should_move(work, now):
+            reason = self._why_move(work, now) if work.moves < MOST_MOVES else None
+            if reason is not None:
                 work.moves += 1
-                self._stop_run(work, now)
+                self._stop_run(work, reason)
                 work.stage = Stage.WAITING
 
-    def _should_move(self, work: SampleWork, now: float) -> bool:
+    def _why_move(self, work: SampleWork, now: float) -> CancelReason | None:
         engine = self._engines.engines.get(work.engine)
         service = work.route.choose_service(work.sample.id)
         pace = self._usual_pace(service, now)
@@ -390,13 +409,13 @@
         if silence > max(SILENT_SECONDS, SILENT_GAPS * pace):
             if engine is not None:
                 engine.note_failure(now)
-            return True
+            return CancelReason.SILENT
         if engine is None or now < work.run_started + SLOW_AFTER_SECONDS:
-            return False
+            return None
         slow = max(engine.event_seconds, silence)
         if not pace or slow < SLOW_FACTOR * pace:
-            return False
-        return any(
+            return None
+        has_better = any(
             other.running < other.entry.slots - 1
             and other.event_seconds < slow / SLOW_FACTOR
             and now >= other.not_before
@@ -404,6 +423,7 @@
             for other in self._engines.usable(service, now)
             if other is not engine
         )
+        return CancelReason.SLOW if has_better else None
 
     def _give_up_late(self, wall_now: float) -> None:
         for work in list(self.work.values()):
@@ -414,7 +434,7 @@
     # Ends
 
     def _give_up(self, work: SampleWork) -> None:
-        self._stop_run(work, now=None)
+        self._stop_run(work, CancelReason.GIVEN_UP)
         self._list(work, SampleResult(id=work.sample.id, succeeded=False))
 
     def _list(self, work: SampleWork, result: SampleResult) -> None:
@@ -427,13 +447,13 @@
         work.stage = Stage.SCORING
         self._out.append(ScoreText(work.step.step.id, work.sample))
 
-    def _stop_run(self, work: SampleWork, now: float | None) -> None:
+    def _stop_run(self, work: SampleWork, reason: CancelReason) -> None:
         if self.runs.pop(work.run, None) is None:
             return
         engine = self._engines.engines.get(work.engine)
         if engine is not None:
             engine.running = max(0, engine.running - 1)
-        self._out.append(CancelRun(work.run))
+        self._out.append(CancelRun(work.run, work.sample.id, work.engine, reason))
 
     def _leave_engine(self, work: SampleWork, end: RunEnd, now: float) -> None:
         engine = self._engines.engines.get(work.engine)
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -2,6 +2,7 @@
 
 from pondtiller.core.entities import Address
 from pondtiller.rollouts.samples import (
+    CancelReason,
     CancelRun,
     ListResult,
     RunEnd,
@@ -145,7 +146,7 @@
     bench.open(size=1)
     (run,) = starts(bench.tick(0.0))
     instructions = bench.tick(2.0)
-    assert CancelRun(run.run) in instructions
+    assert CancelRun(run.run, "s-0-0", run.engine, CancelReason.SILENT) in instructions
     assert [each.engine for each in starts(instructions)] != [run.engine]
 
 
@@ -157,7 +158,7 @@
         engine.event_seconds = 0.3 if engine.identifier == run.engine else 0.03
     bench.scheduler.run_event(run.run, 1, "a", 1, 0.5)
     instructions = bench.tick(0.6)
-    assert CancelRun(run.run) in instructions
+    assert CancelRun(run.run, "s-0-0", run.engine, CancelReason.SLOW) in instructions
     (moved,) = starts(instructions)
     assert (moved.last_event, moved.engine != run.engine) == (1, True)
 
@@ -203,7 +204,8 @@
     (run,) = starts(bench.tick(0.0))
     bench.scheduler.run_event(run.run, 1, "a", 1, 0.1)
     bench.scheduler.close("s")
-    assert CancelRun(run.run) in bench.scheduler.take()
+    ended = CancelRun(run.run, "s-0-0", "e0", CancelReason.STEP_ENDED)
+    assert ended in bench.scheduler.take()
     bench.scheduler.run_ended(run.run, RunEnd.BROKEN, 0.2)
     bench.open(size=1, step="s")
     (again,) = starts(bench.tick(3.0))
