Start the deployed programs without the command line; import less for logs

Cause: memory is the second largest price after the machines. The programs loaded cleo (5.1 MB), and their logs pulled in the register protocols.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -1,22 +1,27 @@
-"""Starts `pondtiller gateway` or `pondtiller replica` from a checkout, loading only these."""
+"""Starts `pondtiller gateway` or `replica` from a checkout without the rest of the product.
 
+The command line is left out, since every process of a deployment would pay for its memory.
+"""
+
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from cleo.application import Application
+from pondtiller.gateway.program import run_gateway, run_replica
 
-from pondtiller.cli.deployed import GatewayCommand, ReplicaCommand
+EXIT_BAD_INPUT = 2
+PROGRAMS = {"gateway": run_gateway, "replica": run_replica}
 
 
-def main() -> None:
-    """Run one of the two programs."""
-    application = Application("pondtiller", "0.1.0")
-    application.add(GatewayCommand())
-    application.add(ReplicaCommand())
-    application.run()
+def main() -> int:
+    """Run the program named first, with the settings that the environment names."""
+    problems = PROGRAMS[sys.argv[1]](Path(os.environ["PONDTILLER_SETTINGS"]))
+    for problem in problems:
+        print(problem.describe(), file=sys.stderr)
+    return EXIT_BAD_INPUT if problems else 0
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/src/pondtiller/daemon/logs.py
+++ b/src/pondtiller/daemon/logs.py
@@ -4,10 +4,13 @@
 import os
 import sys
 import time
+from typing import TYPE_CHECKING
 
 import logbook
 
-from pondtiller.core.instructions import LogField
+if TYPE_CHECKING:
+    from pondtiller.core.instructions import LogField
+
 
 LOGGER = logbook.Logger("pondtiller")
 FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} {record.message}"
@@ -22,7 +25,7 @@
     handler.push_application()
 
 
-def write(daemon: str, event: str, fields: tuple[LogField, ...] = ()) -> None:
+def write(daemon: str, event: str, fields: "tuple[LogField, ...]" = ()) -> None:
     """Write one event."""
     pairs = [f"event={event}", f"daemon={daemon}"]
     pairs += [f"{field.key}={_quote(str(field.value))}" for field in fields]
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -115,8 +115,9 @@
             "started",
             daemon=settings.name,
             zone=settings.zone,
-            callers=settings.callers,
-            links=settings.links,
+            callers=_text(sockets.address(sockets.callers)),
+            readiness=_text(sockets.address(sockets.readiness)),
+            links=_text(sockets.address(sockets.links)),
             store=settings.store,
         )
         group = Spawner()
@@ -228,3 +229,7 @@
         except StoreCallError:
             return
         await self._leader_watches.take_replicas(listing.objects)
+
+
+def _text(address: Address) -> str:
+    return f"{address.host}:{address.port}"
