--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	$(VENV)/bin/mypy src/pondtiller
 	$(PYTHON) tools/check_imports.py
 	$(PYTHON) tools/check_platform_words.py
+	$(PYTHON) tools/check_events.py
 	$(PYTHON) tools/check_generated.py
 
 format: $(READY)
--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -1,95 +1,39 @@
-"""What the leader does: keeps steps, runs their samples, brings engines to new versions."""
+"""What a daemon does when it leads, and how its terms begin and end."""
 
-from typing import Any
-
-import curio
 from betterproto import Message
 
-from pondtiller.daemon import clock, logs
-from pondtiller.daemon.spawner import Spawner
-from pondtiller.daemon.supervise import keep_running
-from pondtiller.gateway.front import Front
-from pondtiller.gateway.leadership import Duties, Leadership
-from pondtiller.gateway.metrics import GatewayMetrics
-from pondtiller.gateway.orders import EngineOrders
-from pondtiller.gateway.sample_runner import SampleRunner
-from pondtiller.gateway.watches import LeaderWatches
-from pondtiller.links.link import LinkLostError
-from pondtiller.platform import engine_format
-from pondtiller.rollouts.samples import (
-    CancelRun,
-    ListResult,
-    SampleScheduler,
-    ScoreEnd,
-    ScoreText,
-    StartRun,
-)
-from pondtiller.rollouts.steps import StepBook, StepRecord, StepStatus
-from pondtiller.rollouts.versions import AskEngine, OrderVersion, VersionSteward
-from pondtiller.routes.engines import EngineDirectory
-from pondtiller.routes.table import RouteTable
+from pondtiller.daemon import clock
+from pondtiller.gateway.leadership import Duties
+from pondtiller.gateway.term import DutyParts, Term
+from pondtiller.rollouts.steps import StepStatus
 from pondtiller.steplog.leader import Won
 from pondtiller.wire.steplog import (
     EndStep,
     OpenStep,
-    ProgressList,
-    ReadProgress,
     ReadResults,
     ReadSample,
     ResultsPage,
     SampleBody,
-    SaveProgress,
-    Step,
     StepAnswer,
 )
 
-TICK_SECONDS = 0.1
-COMMIT_SECONDS = 2.5
-PROGRESS_SECONDS = 1.0
-PROGRESS_CALL_SECONDS = 0.3
-SCORE_RETRY_SECONDS = 0.1
-ORDER_MARGIN_SECONDS = 1.0
-KEEP_MARGIN_SECONDS = 10.0
-EXPIRE_SECONDS = 30.0
-
 
 class LeaderDuties(Duties):
     """The duties of one term; between terms there is nothing.
 
-    Parameters
+    Attributes
     ----------
-    lease_seconds
-        How long after another leader's last order the first own one may come.
-    keep_seconds
-        How long a closed step stays readable.
+    term
+        The present term; None while this daemon does not lead.
     """
 
-    def __init__(
-        self,
-        leadership: Leadership,
-        engines: EngineDirectory,
-        front: Front,
-        runner: SampleRunner,
-        orders: EngineOrders,
-        watches: LeaderWatches,
-        metrics: GatewayMetrics,
-        lease_seconds: float,
-        keep_seconds: float,
-    ) -> None:
-        self._leadership = leadership
-        self._engines = engines
-        self._front = front
-        self._runner = runner
-        self._orders = orders
-        self._watches = watches
-        self._metrics = metrics
-        self._lease_seconds = lease_seconds
-        self._keep_seconds = keep_seconds
+    def __init__(self, parts: DutyParts) -> None:
+        self._parts = parts
         self.term: Term | None = None
 
     async def begin(self, won: Won) -> None:
         """Take over: read what earlier leaders left, then serve."""
-        term = Term(self, won)
+        term = Term(self._parts, won)
         self.term = term
         await term.start()
 
@@ -106,12 +50,12 @@
 
     def retiring(self) -> frozenset[str]:
         """Return the names of replicas that are to be emptied."""
-        return self._watches.retiring()
+        return self._parts.watches.retiring()
 
     async def answer(self, message: Message) -> Message:
         """Answer a step call; unavailable where this daemon does not lead."""
         term = self.term
-        if term is None or not self._leadership.log.holds_lease(clock.monotonic()):
+        if term is None or not self._parts.leadership.log.holds_lease(clock.monotonic()):
             return _unavailable(message)
         match message:
             case OpenStep():
@@ -143,319 +87,3 @@
         case ReadSample():
             return SampleBody(status=StepStatus.UNAVAILABLE)
     return StepAnswer(status=StepStatus.UNAVAILABLE)
-
-
-class Term:
-    """One term of leadership."""
-
-    def __init__(self, duties: LeaderDuties, won: Won) -> None:
-        self._duties = duties
-        self._leadership = duties._leadership
-        self._metrics = duties._metrics
-        self.epoch = won.epoch
-        self.book = StepBook()
-        self.steward = VersionSteward(duties._engines)
-        self.scheduler = SampleScheduler(duties._engines, self.steward.is_loading)
-        self.wake = curio.Event()
-        self._entries = won.entries
-        self._group = Spawner()
-        self._watch_group = Spawner()
-        self._runs: dict[int, Any] = {}
-        self._waiters: dict[str, set[Any]] = {}
-        self._written_at: dict[str, float] = {}
-        self._table: RouteTable | None = None
-        self._scheduled: set[str] = set()
-        self._is_over = False
-        self._is_first = won.epoch < FIRST_EPOCH_END
-
-    async def start(self) -> None:
-        """Restore the steps, then begin to work."""
-        for key in self.book.restore(self._entries):
-            self._leadership.log.drop(key)
-        self._entries = ()
-        await self._group.spawn(keep_running, "duties", self._run)
-
-    async def stop(self) -> None:
-        """Cancel everything; calls that wait learn that their outcome is not known."""
-        self._is_over = True
-        for task in list(self._runs.values()):
-            await task.cancel(blocking=False)
-        await self._group.__aexit__()
-        await self._watch_group.__aexit__()
-        for waiters in self._waiters.values():
-            for waiter in waiters:
-                await waiter.set()
-
-    async def _run(self) -> None:
-        """Work until the term ends; begins again where a part of it fails."""
-        await self._watch_group.cancel_all()
-        await self._read_progress()
-        self._table = self._duties._front.table
-        for record in self.book.steps.values():
-            self._schedule(record)
-        pause = 0.0 if self._is_first else self._duties._lease_seconds + ORDER_MARGIN_SECONDS
-        self.steward.may_order_from = clock.monotonic() + pause
-        await self._watch_group.spawn(self._duties._watches.run, self.steward, self.wake)
-        next_progress = clock.monotonic()
-        next_expiry = next_progress + EXPIRE_SECONDS
-        while True:
-            self.wake.clear()
-            now = clock.monotonic()
-            await self._tick(now)
-            if now >= next_progress:
-                next_progress = now + PROGRESS_SECONDS
-                await self.save_progress()
-            if now >= next_expiry:
-                next_expiry = now + EXPIRE_SECONDS
-                await self._expire()
-            await curio.ignore_after(TICK_SECONDS, self.wake.wait)
-
-    async def _tick(self, now: float) -> None:
-        if not self._leadership.log.holds_lease(now):
-            return
-        table = self._duties._front.table
-        if table is not None and table is not self._table:
-            self._table = table
-            self.scheduler.refresh_routes(table.find)
-            for record in self.book.steps.values():
-                self._schedule(record)
-        self.steward.tick(now)
-        self.scheduler.tick(now, clock.wall())
-        await self._carry_out()
-
-    def _schedule(self, record: StepRecord) -> None:
-        if record.is_ended or not record.is_accepted or self._table is None:
-            return
-        route = self._table.find(record.step.host, record.step.path)
-        if route is None:
-            return
-        if route.single_version:
-            self.steward.single_version_models.add(record.step.model)
-        costs = {sample.id: engine_format.expected_tokens(sample) for sample in record.step.samples}
-        if record.step.id not in self._scheduled:
-            self._scheduled.add(record.step.id)
-            self.steward.step_opened(record.step.model, sum(costs.values()))
-        self.scheduler.open(record, route, costs, clock.monotonic())
-
-    # Calls
-
-    async def open(self, step: Step) -> StepStatus:
-        """Take a step; returns once it is durable."""
-        step.accepted_at = clock.wall()
-        record = self.book.open(step)
-        await self._flush()
-        if not await self._until(step.id, lambda: record.is_accepted, COMMIT_SECONDS):
-            return StepStatus.UNCERTAIN
-        return StepStatus.OK
-
-    async def end_step(self, step: str) -> StepStatus:
-        """End a step; its samples stop at once, the answer waits for the log."""
-        record = self.book.end(step)
-        if record is None:
-            return StepStatus.UNKNOWN
-        self.scheduler.close(step)
-        await self._carry_out()
-        if not await self._until(step, lambda: record.is_end_written, COMMIT_SECONDS):
-            return StepStatus.UNCERTAIN
-        return StepStatus.OK
-
-    async def read(self, step: str, position: int, wait: float) -> ResultsPage:
-        """Return results from a position, held until there is one or the wait is over."""
-        record = self.book.steps.get(step)
-        if record is not None and wait > 0 and not record.is_end_written:
-            await self._until(step, lambda: record.visible > position, wait)
-        if self._is_over:
-            return ResultsPage(status=StepStatus.UNAVAILABLE)
-        return self.book.read(step, position)
-
-    async def _until(self, step: str, is_true: Any, seconds: float) -> bool:
-        give_up = clock.monotonic() + seconds
-        waiter = curio.Event()
-        waiters = self._waiters.setdefault(step, set())
-        waiters.add(waiter)
-        try:
-            while not is_true() and not self._is_over:
-                left = give_up - clock.monotonic()
-                if left <= 0:
-                    break
-                waiter.clear()
-                await curio.ignore_after(left, waiter.wait)
-            return bool(is_true())
-        finally:
-            waiters.discard(waiter)
-            if not waiters:
-                self._waiters.pop(step, None)
-
-    async def committed(self, key: str) -> None:
-        """Take a write that is on a quorum of disks."""
-        written_at = self._written_at.pop(key, None)
-        if written_at is not None:
-            self._metrics.commit_seconds.add(clock.monotonic() - written_at)
-        step = self.book.committed(key)
-        record = self.book.steps.get(step)
-        if key.startswith("step/") and record is not None:
-            self._schedule(record)
-            await self.wake.set()
-        for waiter in list(self._waiters.get(step, ())):
-            await waiter.set()
-
-    # Instructions
-
-    async def _flush(self) -> None:
-        now = clock.monotonic()
-        for write in self.book.take_writes():
-            self._written_at[write.key] = now
-            self._leadership.log.put(write.key, write.value)
-        await self._leadership.flush()
-
-    async def _carry_out(self) -> None:
-        for order in self.steward.take():
-            await self._group.spawn(self._order, order)
-        for instruction in self.scheduler.take():
-            match instruction:
-                case StartRun():
-                    self._metrics.runs_started += 1
-                    self._runs[instruction.run] = await self._group.spawn(
-                        self._run_sample, instruction
-                    )
-                case CancelRun():
-                    await self._cancel_run(instruction)
-                case ScoreText():
-                    await self._group.spawn(self._score, instruction, 0.0)
-                case ListResult():
-                    self._list(instruction)
-        await self._flush()
-
-    async def _cancel_run(self, instruction: CancelRun) -> None:
-        task = self._runs.pop(instruction.run, None)
-        if task is not None:
-            await task.cancel(blocking=False)
-        logs.decision(
-            "sample_run_cancelled",
-            sample=instruction.sample,
-            engine=instruction.engine,
-            run=instruction.run,
-            reason=instruction.reason.value,
-            epoch=self.epoch,
-        )
-
-    def _list(self, instruction: ListResult) -> None:
-        result = instruction.result
-        is_listed = self.book.list_result(instruction.step, result)
-        if result.succeeded:
-            self._metrics.samples_listed += 1
-        else:
-            self._metrics.samples_given_up += 1
-        logs.decision(
-            "sample_listed",
-            sample=result.id,
-            step=instruction.step,
-            succeeded=result.succeeded,
-            versions=",".join(map(str, result.versions)),
-            epoch=self.epoch,
-            listed=is_listed,
-        )
-
-    async def _run_sample(self, start: StartRun) -> None:
-        work = self.scheduler.runs.get(start.run)
-        if work is None:
-            return
-        logs.decision(
-            "sample_started",
-            sample=start.sample.id,
-            step=work.step.step.id,
-            engine=start.engine,
-            run=start.run,
-            after_event=start.last_event,
-            epoch=self.epoch,
-        )
-        began = clock.monotonic()
-        host = work.step.step.host
-        outcome = await self._duties._runner.run(start, host, self.scheduler.run_event)
-        self._runs.pop(start.run, None)
-        self.scheduler.run_ended(start.run, outcome.end, clock.monotonic())
-        logs.decision(
-            "sample_run_ended",
-            sample=start.sample.id,
-            step=work.step.step.id,
-            engine=start.engine,
-            run=start.run,
-            events=work.text.last_event,
-            seconds=clock.monotonic() - began,
-            outcome=outcome.end.value,
-            detail=outcome.detail,
-        )
-        await self.wake.set()
-
-    async def _score(self, instruction: ScoreText, delay: float) -> None:
-        sample = instruction.sample
-        if sample.scorer.id:
-            outcome = await self._duties._runner.score(sample, self._duties._front.table)
-            if outcome.end is not ScoreEnd.SCORED:
-                logs.decision(
-                    "scorer_failed",
-                    sample=sample.id,
-                    step=instruction.step,
-                    request=sample.scorer.id,
-                    outcome=outcome.end.value,
-                    detail=outcome.detail,
-                )
-                await curio.sleep(SCORE_RETRY_SECONDS)
-            self.scheduler.scored(
-                instruction.step, sample.id, outcome.end, outcome.score, outcome.attempts
-            )
-        else:
-            self.scheduler.scored(instruction.step, sample.id, ScoreEnd.SCORED, "", 1)
-        await self._carry_out()
-
-    async def _order(self, order: OrderVersion | AskEngine) -> None:
-        if isinstance(order, AskEngine):
-            report = await self._duties._orders.ask(order.engine)
-            if report is not None:
-                self.steward.reported(
-                    order.engine, report.models, report.orders_taken, report.is_busy
-                )
-        elif self._leadership.log.holds_lease(clock.monotonic()):
-            self._metrics.orders += 1
-            is_taken = await self._duties._orders.order(order, self.epoch)
-            if is_taken is not None:
-                self.steward.answered(order.engine, is_taken, clock.monotonic())
-        await self.wake.set()
-
-    # What outlives a term
-
-    async def save_progress(self) -> None:
-        """Leave unfinished texts at the replicas."""
-        samples = self.scheduler.progress()
-        if not samples:
-            return
-        message = SaveProgress(epoch=self.epoch, samples=samples)
-        for number in list(self._leadership.log.followers):
-            link = self._leadership.replicas.link(number)
-            if link is not None:
-                await link.send(message)
-
-    async def _read_progress(self) -> None:
-        for number in list(self._leadership.log.followers):
-            link = self._leadership.replicas.link(number)
-            if link is None:
-                continue
-            try:
-                answer = await link.call(ReadProgress(), PROGRESS_CALL_SECONDS)
-            except LinkLostError:
-                continue
-            if isinstance(answer, ProgressList):
-                for sample in answer.samples:
-                    self.scheduler.keep_progress(sample)
-
-    async def _expire(self) -> None:
-        keep = self._duties._keep_seconds + KEEP_MARGIN_SECONDS
-        for step in self.book.expired(clock.wall(), keep):
-            for key in self.book.forget(step):
-                self._leadership.log.drop(key)
-            self.scheduler.close(step)
-        await self._carry_out()
-
-
-FIRST_EPOCH_END = 2 << 32
-"""Epochs below this belong to the first leader that ever was: no orders came before it."""
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -20,6 +20,7 @@
 from pondtiller.gateway.settings import GatewaySettings, to_address
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.streams import StreamForwarder
+from pondtiller.gateway.term import DutyParts
 from pondtiller.gateway.watches import (
     GatewayWatches,
     LeaderWatches,
@@ -86,17 +87,18 @@
         self.front = Front(forwarder, streams, self._steps, self.metrics)
         self._leader_watches = LeaderWatches(self.store, health, self.leadership.replicas)
         self._leader_watches.follow_members(self._is_group_member)
-        self.duties = LeaderDuties(
-            self.leadership,
-            self.engines,
-            self.front,
-            SampleRunner(self.engines, self.pool, forwarder),
-            EngineOrders(settings.name, self.engines, HttpClient()),
-            self._leader_watches,
-            self.metrics,
-            settings.durations.lease,
-            settings.durations.keep_steps,
+        parts = DutyParts(
+            leadership=self.leadership,
+            engines=self.engines,
+            front=self.front,
+            runner=SampleRunner(self.engines, self.pool, forwarder),
+            orders=EngineOrders(settings.name, self.engines, HttpClient()),
+            watches=self._leader_watches,
+            metrics=self.metrics,
+            lease_seconds=settings.durations.lease,
+            keep_seconds=settings.durations.keep_steps,
         )
+        self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
         self.watches = GatewayWatches(
             self.store, health, self.engines, self.front, self.duties.engines_changed
