--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -204,8 +204,15 @@
 
     async def _deposed(self, deposed: Deposed) -> None:
         self.replicas.highest_epoch = max(self.replicas.highest_epoch, deposed.highest_epoch)
+        if deposed.wait_seconds:
+            # Nobody can lead before that lease ends; the delay keeps candidates apart.
+            delay = self._random.random() * STAND_DELAY_SECONDS
+            self._stand_at = clock.monotonic() + deposed.wait_seconds + delay
         logs.decision(
-            "leader_ended", reason=deposed.reason, highest_epoch=self.replicas.highest_epoch
+            "leader_ended",
+            reason=deposed.reason,
+            highest_epoch=self.replicas.highest_epoch,
+            wait=deposed.wait_seconds,
         )
         if self._duties is not None:
             await self._duties.end(deposed.reason)
--- a/src/pondtiller/rollouts/load_shares.py
+++ b/src/pondtiller/rollouts/load_shares.py
@@ -9,8 +9,11 @@
 def load_shares(engines: int, demand: dict[str, float]) -> dict[str, int]:
     """Return how many of `engines` load each model's next version.
 
-    Every model gets one; the others go by demand. A single model gets them all.
+    Every model gets one; the others go by demand. A single model gets them all. Without a
+    model there is nothing to share, as when the engines' entries have all lapsed.
     """
+    if not demand:
+        return {}
     models = sorted(demand)
     shares = dict.fromkeys(models, 1)
     total = sum(demand.values()) or 1.0
--- a/src/pondtiller/rollouts/tests/test_versions.py
+++ b/src/pondtiller/rollouts/tests/test_versions.py
@@ -123,3 +123,12 @@
     given = load_all(made, 0.0)
     made.engines.engines.pop(given[0].engine)
     assert load_all(made, 1.0) or len(given) > 1
+
+
+def test_engines_whose_entries_have_all_lapsed_leave_nothing_to_share() -> None:
+    """Incident 2: the steward failed here, and its daemon led on without running samples."""
+    made = steward(2, {"m": 1})
+    made.named("m", 2)
+    made.engines.replace([], 0.0)
+    assert orders(made, 0.1) == []
+    assert load_shares(3, {}) == {}
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -62,10 +62,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Deposed:
-    """The daemon does not lead any more, or failed to take over."""
+    """The daemon does not lead any more, or failed to take over.
+
+    Attributes
+    ----------
+    wait_seconds
+        How long the lease lasts that stood against it; 0 where none did.
+    """
 
     reason: str
     highest_epoch: int
+    wait_seconds: float = 0.0
 
 
 Instruction = Send | Won | Committed | Deposed
@@ -179,7 +186,8 @@
             return
         if not promise.granted:
             if promise.epoch > self.epoch or self.phase is Phase.PREPARING:
-                self._depose("a replica refused its promise", promise.epoch)
+                wait = promise.wait_milliseconds / 1000.0
+                self._depose("a replica refused its promise", promise.epoch, wait)
             return
         if promise.epoch != self.epoch:
             return
@@ -314,9 +322,9 @@
             follower.waiting = []
             follower.lease_from = float("-inf")
 
-    def _depose(self, reason: str, highest_epoch: int) -> None:
+    def _depose(self, reason: str, highest_epoch: int, wait_seconds: float = 0.0) -> None:
         self._reset()
-        self._out.append(Deposed(reason, highest_epoch))
+        self._out.append(Deposed(reason, highest_epoch, wait_seconds))
 
     def _send_prepare(self, follower: Follower, now: float) -> None:
         follower.waiting.append((-1, now))
--- a/src/pondtiller/steplog/replica.py
+++ b/src/pondtiller/steplog/replica.py
@@ -92,7 +92,9 @@
     def prepare(self, message: Prepare, now: float) -> Reply:
         """Promise an epoch to a candidate, or refuse because of a lease or a higher promise."""
         if self._is_held_against(message, now) or message.epoch < self.promised:
-            return Reply(self._promise(granted=False))
+            refusal = self._promise(granted=False)
+            refusal.wait_milliseconds = int(max(0.0, self._held_until() - now) * 1000)
+            return Reply(refusal)
         record = DiskRecord(promised=message.epoch)
         self.promised = message.epoch
         self._form(message.first_group, message.epoch, record)
@@ -150,9 +152,13 @@
         """
         if message.epoch == self.promised:
             return False
-        if self.promised and now < self.started_at + LEASE_SECONDS and not self.lease.leader:
-            return True
-        return now < self.lease.until and self.lease.leader != message.leader
+        return now < self._held_until() and self.lease.leader != message.leader
+
+    def _held_until(self) -> float:
+        """Return until when a lease may stand against a candidate."""
+        may_have_granted = bool(self.promised) and not self.lease.leader
+        guard = self.started_at + LEASE_SECONDS if may_have_granted else 0.0
+        return max(guard, self.lease.until)
 
     def _promise(self, granted: bool) -> Promise:
         return Promise(
--- a/src/pondtiller/steplog/tests/test_replica.py
+++ b/src/pondtiller/steplog/tests/test_replica.py
@@ -19,7 +19,9 @@
 def test_a_lease_holds_others_off_until_it_ends_or_is_given_back() -> None:
     one = replica()
     assert one.prepare(prepare(1), 5.0).message.granted
-    assert not one.prepare(prepare(2, "b"), 5.1).message.granted
+    refusal = one.prepare(prepare(2, "b"), 5.1).message
+    assert not refusal.granted
+    assert abs(refusal.wait_milliseconds - 1000 * (LEASE_SECONDS - 0.1)) <= 1
     assert one.prepare(prepare(2, "b"), 5.1 + LEASE_SECONDS).message.granted
     one.resign(Resign(epoch=2))
     assert one.prepare(prepare(3, "c"), 5.2 + LEASE_SECONDS).message.granted
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -95,7 +95,12 @@
     replica: "GroupMember" = betterproto.message_field(3)
     keys: List["KeyEpoch"] = betterproto.message_field(4)
     groups: List["Group"] = betterproto.message_field(5)
-    """The newest groups that the replica holds, oldest first."""
+    """The groups that the replica holds, oldest first."""
+
+    wait_milliseconds: int = betterproto.uint32_field(6)
+    """
+    With a refusal: how long the lease lasts that stands against the candidate.
+    """
 
 
 @dataclass(eq=False, repr=False)
