Look for replicas until the first group can be formed

Found by a test that failed once in fifty runs (no leader in 8 s): a gateway that had listed only the first replica to register heard that one and never looked again. Traced by 150 runs with the state printed; ruled out: refused promises, leases, a slow machine (other runs took 0.1 to 1.2 s).

--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -39,6 +39,7 @@
 TABLE_PATH = "/table"
 HOUSEKEEPING_SECONDS = 0.5
 NO_REPLICA_SECONDS = 2.5
+SEARCH_SECONDS = 1.0
 NOT_READY_SECONDS = 3.0
 STOP_MARGIN_SECONDS = 0.7
 
@@ -216,15 +217,26 @@
         next_search = 0.0
         while True:
             now = clock.monotonic()
-            heard = self.leadership.replicas.last_heard()
-            if now >= next_search and now > heard + NO_REPLICA_SECONDS:
-                next_search = now + NO_REPLICA_SECONDS
+            if now >= next_search and self._lacks_replicas(now):
+                next_search = now + SEARCH_SECONDS
                 await self._find_replicas()
             self.leadership.may_stand = self._is_ready()
             self.engines.keep_house(now)
             await self.pool.forget(set(self.engines.engines))
             await curio.sleep(HOUSEKEEPING_SECONDS)
 
+    def _lacks_replicas(self, now: float) -> bool:
+        """Return whether to look for replicas: none is heard, or too few for a first group.
+
+        Once there is a group, one replica that is heard names the others.
+        """
+        replicas = self.leadership.replicas
+        if now > replicas.last_heard() + NO_REPLICA_SECONDS:
+            return True
+        views = replicas.views()
+        has_group = any(view.group.generation for view in views)
+        return not has_group and len(views) < self.settings.wanted_replicas
+
     async def _find_replicas(self) -> None:
         try:
             listing = await self.store.list_all(names.REPLICAS)
--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -322,3 +322,16 @@
         assert "pondtiller_leads 1.0" in text
 
     run_system(tmp_path, test)
+
+
+def test_replicas_that_register_late_still_form_the_first_group(tmp_path: Path) -> None:
+    """A gateway that had listed only the first of them used to wait for the others for ever."""
+
+    async def test(system: System) -> None:
+        await system.until(lambda: len(system.gateways[0].leadership.replicas.views()) == 1)
+        for number in (1, 2):
+            late = system.make_replica(number)
+            await system.group.spawn(late.run)
+        await system.until_led()
+
+    run_system(tmp_path, test, replicas=1)
