Hedge repeatable requests at a second engine within the objective

Now a second engine is asked after half an objective while the first goes on; the loser is left at once. Scorers' requests too.

--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -2,10 +2,12 @@
 
 import random
 from dataclasses import dataclass, field
+from typing import Any
 
 import curio
 
 from pondtiller.daemon import clock, logs
+from pondtiller.daemon.spawner import Spawner
 from pondtiller.errors import ErrorKind, Failure, Ran
 from pondtiller.gateway.engine_pool import AnswerHead, EngineConnection, EnginePool
 from pondtiller.gateway.metrics import GatewayMetrics
@@ -15,13 +17,11 @@
 from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.table import RequestKind, RouteRow
 
-PATIENCE_OBJECTIVES = 1.2
-SHORTEST_PATIENCE_SECONDS = 0.25
-REFUSED_ROUND_SECONDS = 0.02
+HEDGE_OBJECTIVES = 0.5
+SHORTEST_HEDGE_SECONDS = 0.06
 ZONE_COST = 0.15
 CONNECTION_COST = 0.15
 JITTER = 0.1
-LARGEST_WHOLE_BODY = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,18 +52,38 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """How one attempt ended: an answer, or what went wrong."""
+
+    engine: Engine
+    answer: WholeAnswer | None
+    detail: str = ""
+    may_have_run: bool = False
+
+
 @dataclass
 class Tries:
-    """What was tried for one request."""
+    """What was tried for one request.
+
+    Attributes
+    ----------
+    running
+        Attempts that have not ended.
+    sent
+        Attempts that left, less those that an engine refused as not run.
+    """
 
     engines: set[str] = field(default_factory=set)
-    ran: Ran = Ran.NO
+    running: int = 0
+    sent: int = 0
     last_failure: WholeAnswer | None = None
     details: list[str] = field(default_factory=list)
 
-    def may_have_run(self) -> None:
-        """Note that an engine may have begun to work on it."""
-        self.ran = Ran.UNKNOWN
+    @property
+    def ran(self) -> Ran:
+        """Whether an engine may have begun to work on it: sent, and not refused as not run."""
+        return Ran.UNKNOWN if self.sent else Ran.NO
 
 
 class Forwarder:
@@ -99,54 +119,105 @@
         return cost
 
     async def whole(self, request: ForwardedRequest, route: RouteRow) -> WholeAnswer | Failure:
-        """Return an engine's whole answer, or why there is none."""
+        """Return an engine's whole answer, or why there is none.
+
+        What may be repeated goes to a second engine too when the first is silent for a part of
+        the objective; the first good answer counts, and the other engine is left.
+        """
         tries = Tries()
         service = route.choose_service(request.identifier)
+        ended = curio.Queue()
+        attempts = Spawner()
+        try:
+            answer = await self._race(request, route, service, tries, ended, attempts)
+        finally:
+            await attempts.cancel_all()
+        self._log(request, route, service, tries, answer)
+        return answer
+
+    async def _race(
+        self,
+        request: ForwardedRequest,
+        route: RouteRow,
+        service: str,
+        tries: Tries,
+        ended: Any,
+        attempts: Spawner,
+    ) -> WholeAnswer | Failure:
         while True:
-            answer = await self._next_try(request, route, service, tries)
+            now = clock.monotonic()
+            if now >= request.deadline:
+                return self._late(tries)
+            if not tries.running:
+                begun = await self._start(request, route, service, tries, ended, attempts)
+                if not begun:
+                    return self._exhausted(tries)
+            patience = request.deadline - now
+            if self._may_hedge(route, tries):
+                wanted = max(SHORTEST_HEDGE_SECONDS, route.objective_seconds * HEDGE_OBJECTIVES)
+                patience = min(patience, wanted)
+            try:
+                attempt = await curio.timeout_after(patience, ended.get)
+            except curio.TaskTimeout:
+                if clock.monotonic() < request.deadline:
+                    await self._start(request, route, service, tries, ended, attempts)
+                continue
+            tries.running -= 1
+            answer = self._judge(attempt, route, tries)
             if answer is not None:
-                self._log(request, route, service, tries, answer)
                 return answer
 
-    async def _next_try(
-        self, request: ForwardedRequest, route: RouteRow, service: str, tries: Tries
-    ) -> WholeAnswer | Failure | None:
-        now = clock.monotonic()
-        if now >= request.deadline:
-            return self._late(tries)
+    def _may_hedge(self, route: RouteRow, tries: Tries) -> bool:
+        return route.may_repeat and len(tries.engines) < route.attempts
+
+    async def _start(
+        self,
+        request: ForwardedRequest,
+        route: RouteRow,
+        service: str,
+        tries: Tries,
+        ended: Any,
+        attempts: Spawner,
+    ) -> bool:
+        """Begin an attempt at another engine; False where there is none left."""
+        if len(tries.engines) >= route.attempts:
+            return False
         engine = self.choose(service, tries.engines)
-        if engine is None or len(tries.engines) >= route.attempts:
-            return self._exhausted(tries)
+        if engine is None:
+            return False
+        if tries.engines:
+            tries.details.append("next")
         tries.engines.add(engine.identifier)
-        is_last = len(tries.engines) >= route.attempts
-        patience = request.deadline - now
-        if route.may_repeat and not is_last:
-            wanted = route.objective_seconds * PATIENCE_OBJECTIVES
-            patience = min(patience, max(SHORTEST_PATIENCE_SECONDS, wanted))
+        tries.running += 1
+        await attempts.spawn(self._try, engine, request, tries, ended)
+        return True
+
+    async def _try(
+        self, engine: Engine, request: ForwardedRequest, tries: Tries, ended: Any
+    ) -> None:
         try:
-            answer = await curio.timeout_after(patience, self._attempt, engine, request, tries)
-        except curio.TaskTimeout:
-            tries.details.append(f"{engine.identifier}:silent")
-            return None if route.may_repeat else self._late(tries)
+            answer = await self._attempt(engine, request, tries)
+            await ended.put(Attempt(engine, answer))
         except NotSentError:
-            engine.note_failure(clock.monotonic())
-            tries.details.append(f"{engine.identifier}:unreachable")
-            return None
+            await ended.put(Attempt(engine, None, f"{engine.identifier}:unreachable"))
         except BrokenError as error:
-            engine.note_failure(clock.monotonic())
-            tries.details.append(f"{engine.identifier}:broken({error})")
-            return None if route.may_repeat else Failure(ErrorKind.OUTCOME_UNKNOWN)
-        return self._judge(engine, answer, route, tries)
+            broken = f"{engine.identifier}:broken({error})"
+            await ended.put(Attempt(engine, None, broken, may_have_run=True))
 
     def _judge(
-        self, engine: Engine, answer: WholeAnswer, route: RouteRow, tries: Tries
+        self, attempt: Attempt, route: RouteRow, tries: Tries
     ) -> WholeAnswer | Failure | None:
         """Return an answer that goes back, or None to try another engine."""
+        engine, answer = attempt.engine, attempt.answer
+        if answer is None:
+            engine.note_failure(clock.monotonic())
+            tries.details.append(attempt.detail)
+            is_over = attempt.may_have_run and not route.may_repeat
+            return Failure(ErrorKind.OUTCOME_UNKNOWN) if is_over else None
         if engine_format.is_not_run(answer.status, answer.headers):
             engine.note_refusal(clock.monotonic())
             tries.details.append(f"{engine.identifier}:refused({answer.status})")
             return None
-        tries.may_have_run()
         is_success = 200 <= answer.status < 300
         if is_success and engine_format.signature(answer.headers) is None:
             tries.details.append(f"{engine.identifier}:unsigned")
@@ -178,11 +249,11 @@
         connection: EngineConnection | None = None
         try:
             connection = await self._pool.take(engine.identifier, engine.entry.address)
-            before, tries.ran = tries.ran, Ran.UNKNOWN
+            tries.sent += 1
             head = await self._send(connection, engine, request)
             body = b"".join([piece async for piece in connection.read_body()])
             if engine_format.is_not_run(head.status, head.headers):
-                tries.ran = before
+                tries.sent -= 1
             await self._pool.give_back(connection)
             connection = None
             return WholeAnswer(engine.identifier, head.status, head.headers, body)
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -17,6 +17,7 @@
 
 SCORER_OBJECTIVES = 4.0
 SHORTEST_SCORER_SECONDS = 0.6
+SCORER_ENGINES = 2
 
 EventSink = Callable[[int, int, str, int, float], bool]
 
@@ -97,7 +98,7 @@
         return RunOutcome(RunEnd.WHOLE, str(head.status))
 
     async def score(self, sample: Sample, table: RouteTable | None) -> ScoreOutcome:
-        """Have a finished sample judged, one attempt."""
+        """Have a finished sample judged: one request, hedged like a caller's."""
         scorer = sample.scorer
         route = table.find(scorer.host, scorer.path) if table is not None else None
         if route is None:
@@ -111,7 +112,9 @@
             body=scorer.body,
             deadline=clock.monotonic() + seconds,
         )
-        answer = await self._forwarder.whole(request, replace(route, attempts=1))
+        answer = await self._forwarder.whole(
+            request, replace(route, attempts=min(SCORER_ENGINES, route.attempts))
+        )
         if isinstance(answer, Failure):
             return ScoreOutcome(ScoreEnd.LOST, "", answer.kind.value, route.attempts)
         signature = engine_format.signature(answer.headers)
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -3,7 +3,7 @@
 import curio
 
 from pondtiller.daemon import clock, logs
-from pondtiller.errors import ErrorKind, Failure, Ran
+from pondtiller.errors import ErrorKind, Failure
 from pondtiller.gateway.engine_pool import AnswerHead, EngineConnection, EnginePool
 from pondtiller.gateway.forward import ForwardedRequest, Forwarder, Tries
 from pondtiller.httpio.client import BrokenError, NotSentError
@@ -110,11 +110,10 @@
         if state.last_event:
             headers = engine_format.continued(headers, state.last_event)
         await connection.send(request.method, request.target, headers, request.body)
-        before = state.tries.ran
-        state.tries.may_have_run()
+        state.tries.sent += 1
         head = await connection.read_head(request.identifier)
         if not 200 <= head.status < 300:
-            return await self._refused(exchange, connection, head, route, state, before)
+            return await self._refused(exchange, connection, head, route, state)
         if not state.is_begun:
             state.is_begun = True
             await exchange.start_response(head.status, engine_format.returned_headers(head.headers))
@@ -129,12 +128,11 @@
         head: AnswerHead,
         route: RouteRow,
         state: StreamState,
-        before: Ran,
     ) -> Failure | None:
         body = b"".join([piece async for piece in connection.read_body()])
         state.tries.details.append(f"{connection.engine}:status({head.status})")
         if engine_format.is_not_run(head.status, head.headers):
-            state.tries.ran = before
+            state.tries.sent -= 1
             return RETRY
         if route.may_resume or state.is_begun:
             return RETRY if route.may_resume else Failure(ErrorKind.ENGINE_FAILED)
--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -335,3 +335,37 @@
         await system.until_led()
 
     run_system(tmp_path, test, replicas=1)
+
+
+def test_a_silent_engine_is_hedged_within_the_objective(tmp_path: Path) -> None:
+    async def mute(_exchange: Exchange) -> None:
+        await curio.sleep(5.0)
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await system.call("POST", "/quote/1", request_id="warm")
+        system.app[0].next_behaviours = [mute] * 4
+        for number in range(8):
+            began = clock.monotonic()
+            answer = await system.call("POST", "/quote/7", b"x", request_id=f"q{number}")
+            assert answer.status == 200
+            assert clock.monotonic() - began < 0.4
+
+    run_system(tmp_path, test)
+
+
+def test_what_must_not_be_repeated_is_not_hedged(tmp_path: Path) -> None:
+    async def slow(exchange: Exchange) -> None:
+        await curio.sleep(0.5)
+        headers = (("Request-Id", "q1"), ("Response-Signature", "s"))
+        await exchange.respond(HttpResponse(200, b"late", "", headers))
+
+    async def test(system: System) -> None:
+        await ready(system)
+        for engine in system.app:
+            engine.next_behaviours = [slow]
+        answer = await system.call("POST", "/list/7", b"x", request_id="q1")
+        assert (answer.status, answer.body) == (200, b"late")
+        assert sum(len(engine.seen) for engine in system.app) == 1
+
+    run_system(tmp_path, test)
