--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -93,6 +93,7 @@
         self._duties: Duties | None = None
         self._wake = curio.Event()
         self._stand_at: float | None = None
+        self._not_before = 0.0
         self._missing_since: dict[str, float] = {}
         self._random = random.Random(identity)
 
@@ -135,7 +136,7 @@
         if self.log.phase is not Phase.IDLE:
             return HEARTBEAT_SECONDS / 3
         if self._stand_at is not None:
-            return max(0.01, self._stand_at - now)
+            return max(0.01, max(self._stand_at, self._not_before) - now)
         return 1.0
 
     # Standing
@@ -147,7 +148,7 @@
             return
         if self._stand_at is None:
             self._stand_at = now + self._random.random() * STAND_DELAY_SECONDS
-        if now < self._stand_at:
+        if now < max(self._stand_at, self._not_before):
             return
         self._stand_at = now + BACKOFF_SECONDS + self._random.random() * BACKOFF_SECONDS
         group = Group()
@@ -207,7 +208,7 @@
         if deposed.wait_seconds:
             # Nobody can lead before that lease ends; the delay keeps candidates apart.
             delay = self._random.random() * STAND_DELAY_SECONDS
-            self._stand_at = clock.monotonic() + deposed.wait_seconds + delay
+            self._not_before = clock.monotonic() + deposed.wait_seconds + delay
         logs.decision(
             "leader_ended",
             reason=deposed.reason,
--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_leadership.py
@@ -0,0 +1,63 @@
+"""When a gateway stands for leader, and when it must not."""
+
+import curio
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock
+from pondtiller.gateway.leadership import FirstGroupSource, Leadership
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.replicas import LeaderPlace
+from pondtiller.steplog.leader import Deposed, Phase
+from pondtiller.wire.steplog import Group, GroupMember, ReplicaView
+
+MEMBER = GroupMember(name="r0", disk="d0", zone="z", host="h", port=1)
+OTHER = LeaderPlace("other", Address("h", 2), 7)
+
+
+class Gateway:
+    """A leadership whose view of the replicas the test sets."""
+
+    def __init__(self) -> None:
+        place = Address("127.0.0.1", 1)
+        source = FirstGroupSource()
+        self.leadership = Leadership("me", place, 3, source, GatewayMetrics())
+        self.leadership.may_stand = True
+        self.leader: LeaderPlace | None = None
+        view = ReplicaView(replica=MEMBER, group=Group(generation=1, members=[MEMBER]))
+        self.leadership.replicas.views = lambda: [view]  # type: ignore[method-assign]
+        self.leadership.replicas.leader = lambda: self.leader  # type: ignore[method-assign]
+
+    async def stands(self, now: float) -> bool:
+        await self.leadership._consider_standing(now)
+        stood = self.leadership.log.phase is Phase.PREPARING
+        if stood:
+            self.leadership.log.phase = Phase.IDLE
+        return stood
+
+
+def test_a_gateway_stands_soon_after_the_leader_is_gone_and_never_beside_one() -> None:
+    async def main() -> None:
+        gateway, now = Gateway(), clock.monotonic()
+        gateway.leader = OTHER
+        assert not await gateway.stands(now + 5.0)
+        gateway.leader = None
+        assert not await gateway.stands(now + 6.0)
+        assert await gateway.stands(now + 6.3)
+
+    curio.run(main)
+
+
+def test_a_refused_candidate_waits_for_the_lease_whatever_it_sees_meanwhile() -> None:
+    """Incident 4: each lease that came and went made it stand again, at once."""
+
+    async def main() -> None:
+        gateway, now = Gateway(), clock.monotonic()
+        await gateway.leadership._deposed(Deposed("refused", 7, wait_seconds=2.0))
+        gateway.leader = OTHER
+        assert not await gateway.stands(now + 0.1)
+        gateway.leader = None
+        for step in range(2, 20):
+            assert not await gateway.stands(now + step * 0.1)
+        assert await gateway.stands(now + 2.5)
+
+    curio.run(main)
