Keep a resignation: housekeeping let a gateway that had resigned stand again

Found by test_steps_outlive_the_leader_and_all_replicas, which failed 1 in 6 runs: a gateway that resigned without stopping could lead again, since housekeeping sets every half second whether a ready gateway may stand. A planned stop was not affected (a stopping gateway is not ready). Ruled out: the connection code being changed beside it (it failed without that as well).

--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -85,6 +85,7 @@
         self.log = LeaderLog(name, address.host, address.port, identity)
         self.replicas = ReplicaDirectory(name, self._connected, self._lost, self._wake_up)
         self.may_stand = False
+        self._has_resigned = False
         self._name = name
         self._address = address
         self._wanted_size = wanted_size
@@ -128,7 +129,7 @@
 
     async def resign(self) -> None:
         """Give leadership back, and do not stand again."""
-        self.may_stand = False
+        self._has_resigned = True
         self.log.resign()
         await self._carry_out()
 
@@ -143,7 +144,8 @@
 
     async def _consider_standing(self, now: float) -> None:
         views = self.replicas.views()
-        if not self.may_stand or not views or self.replicas.leader() is not None:
+        may_stand = self.may_stand and not self._has_resigned
+        if not may_stand or not views or self.replicas.leader() is not None:
             self._stand_at = None
             return
         if self._stand_at is None:
--- a/src/pondtiller/gateway/tests/test_leadership.py
+++ b/src/pondtiller/gateway/tests/test_leadership.py
@@ -61,3 +61,16 @@
         assert await gateway.stands(now + 2.5)
 
     curio.run(main)
+
+
+def test_a_gateway_that_resigned_never_stands_again_whatever_its_readiness() -> None:
+    """Housekeeping sets again that a ready gateway may stand; that undid a resignation."""
+
+    async def main() -> None:
+        gateway, now = Gateway(), clock.monotonic()
+        await gateway.leadership.resign()
+        gateway.leadership.may_stand = True
+        assert not await gateway.stands(now + 1.0)
+        assert not await gateway.stands(now + 5.0)
+
+    curio.run(main)
