Read engines' answers by the client's own reader; remove state that nothing reads

engine_pool.py wrote again what httpio/client.py does: sending in one write, reading bodies, closing. An engine's connection is now a client connection that also checks whose answer it is. Behaviour unchanged; tests keep their assertions.

--- a/src/pondtiller/gateway/engine_pool.py
+++ b/src/pondtiller/gateway/engine_pool.py
@@ -5,7 +5,6 @@
 """
 
 import re
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,12 +13,11 @@
 
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
-from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.httpio.client import BrokenError, ClientConnection, NotSentError
 from pondtiller.httpio.sockets import tune
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import Headers
 
-READ_BYTES = 65_536
 CONNECT_SECONDS = 0.5
 IDLE_SECONDS = 20.0
 IDLE_MARGIN_SECONDS = 0.4
@@ -35,31 +33,15 @@
     headers: Headers
 
 
-class EngineConnection:
+class EngineConnection(ClientConnection):
     """One connection to one start of an engine."""
 
-    def __init__(self, engine: str, stream: Any) -> None:
+    def __init__(self, engine: str, address: Address, stream: Any) -> None:
+        super().__init__(address, stream)
         self.engine = engine
         self.usable_until = clock.monotonic() + IDLE_SECONDS
-        self._stream = stream
-        self._protocol = h11.Connection(h11.CLIENT)
-        self._request: h11.Request | None = None
-
-    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Send a request; raises `BrokenError`."""
-        kept = [each for each in headers if each[0] != "content-length"]
-        self._request = h11.Request(
-            method=method, target=target, headers=[*kept, ("content-length", str(len(body)))]
-        )
-        data = self._protocol.send(self._request) or b""
-        data += self._protocol.send(h11.Data(data=body)) or b""
-        data += self._protocol.send(h11.EndOfMessage()) or b""
-        try:
-            await self._stream.sendall(data)
-        except OSError as error:
-            raise BrokenError(str(error)) from error
 
-    async def read_head(self, request: str) -> AnswerHead:
+    async def read_answer(self, request: str) -> AnswerHead:
         """Read the head of the answer that names a request; raises `BrokenError`."""
         for _ in range(MOST_STRAY_ANSWERS):
             event = await self._next_event()
@@ -76,17 +58,6 @@
             await self._skip_stray_answer()
         raise BrokenError("answers of other requests")
 
-    async def read_body(self) -> AsyncIterator[bytes]:
-        """Read the body piece by piece; an unfinished body raises `BrokenError`."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise BrokenError("the answer ended early")
-
     def prepare_reuse(self) -> bool:
         """Return whether another request may be sent; a connection with a rest may not."""
         protocol = self._protocol
@@ -102,17 +73,13 @@
         if clock.monotonic() >= self.usable_until:
             return False
         try:
-            self._stream._socket.recv(1)
+            self._socket._socket.recv(1)
         except BlockingIOError:
             return True
         except OSError:
             return False
         return False
 
-    async def close(self) -> None:
-        """Close the connection; the engine drops what it works on."""
-        await self._stream.close()
-
     async def _skip_stray_answer(self) -> None:
         async for _ in self.read_body():
             pass
@@ -133,20 +100,6 @@
         seconds = float(found.group(1)) if found else IDLE_SECONDS
         self.usable_until = clock.monotonic() + seconds - IDLE_MARGIN_SECONDS
 
-    async def _next_event(self) -> Any:
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BrokenError(str(error)) from error
-            if event is not h11.NEED_DATA:
-                return event
-            try:
-                data = await self._stream.recv(READ_BYTES)
-                self._protocol.receive_data(data)
-            except (OSError, h11.RemoteProtocolError) as error:
-                raise BrokenError(str(error)) from error
-
 
 class EnginePool:
     """Kept connections by engine.
@@ -181,7 +134,7 @@
             raise NotSentError(str(error) or "connection timed out") from error
         tune(stream)
         self.opened += 1
-        return EngineConnection(engine, stream)
+        return EngineConnection(engine, address, stream)
 
     async def give_back(self, connection: EngineConnection) -> None:
         """Keep a connection whose answer was read whole, where it may be used again."""
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -267,8 +267,8 @@
     ) -> AnswerHead:
         seconds_left = request.deadline - clock.monotonic()
         headers = engine_format.forwarded_headers(request.headers, engine.identifier, seconds_left)
-        await connection.send(request.method, request.target, headers, request.body)
-        return await connection.read_head(request.identifier)
+        await connection.send_plain(request.method, request.target, request.body, headers)
+        return await connection.read_answer(request.identifier)
 
     def _log(
         self,
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -80,8 +80,8 @@
             start.expected_version,
             start.route.priority,
         )
-        await connection.send("POST", start.sample.path, headers, start.sample.body)
-        head = await connection.read_head(start.sample.id)
+        await connection.send_plain("POST", start.sample.path, start.sample.body, headers)
+        head = await connection.read_answer(start.sample.id)
         if not 200 <= head.status < 300:
             async for _ in connection.read_body():
                 pass
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -109,9 +109,9 @@
         headers = engine_format.forwarded_headers(request.headers, engine.identifier, left)
         if state.last_event:
             headers = engine_format.continued(headers, state.last_event)
-        await connection.send(request.method, request.target, headers, request.body)
+        await connection.send_plain(request.method, request.target, request.body, headers)
         state.tries.sent += 1
-        head = await connection.read_head(request.identifier)
+        head = await connection.read_answer(request.identifier)
         if not 200 <= head.status < 300:
             return await self._refused(exchange, connection, head, route, state)
         if not state.is_begun:
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -232,7 +232,7 @@
         self._health = health
         self._replicas = replicas
         self._retirements: dict[str, StoreObject] = {}
-        self._is_member: Callable[[str], bool] = _is_nobody
+        self._is_member: Callable[[str], bool] = _may_be_member
 
     def follow_members(self, is_member: Callable[[str], bool]) -> None:
         """Set how to tell whether a replica still belongs to the group."""
@@ -327,7 +327,7 @@
         await self._replicas.add(place)
 
 
-def _is_nobody(_name: str) -> bool:
+def _may_be_member(_name: str) -> bool:
     return True
 
 
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -31,6 +31,7 @@
         self.used = False
         self._socket = stream_socket
         self._protocol = h11.Connection(h11.CLIENT)
+        self._request: h11.Request | None = None
 
     async def send(
         self, method: str, target: str, body: bytes, headers: tuple[tuple[str, str], ...]
@@ -51,6 +52,7 @@
             target=target,
             headers=[*headers, ("Content-Length", str(len(body)))],
         )
+        self._request = head
         events = [head, h11.Data(data=body), h11.EndOfMessage()]
         data = b"".join(self._protocol.send(event) or b"" for event in events)
         try:
--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -40,7 +40,6 @@
             slots=int(spec.get("slots") or 1),
             state=EngineState.READY if spec.get("state") == "ready" else EngineState.LEAVING,
             models=_models(spec),
-            cold_seconds=float(spec.get("cold_left_ms") or 0) / 1000.0,
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
--- a/src/pondtiller/rollouts/versions.py
+++ b/src/pondtiller/rollouts/versions.py
@@ -49,7 +49,6 @@
     model: str
     version: int
     until: float
-    is_taken: bool = False
 
 
 @dataclass
@@ -96,7 +95,6 @@
         if load is None:
             return
         if is_taken:
-            load.is_taken = True
             load.until = now + LOAD_SECONDS
             self._count_order(engine)
         else:
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -41,7 +41,6 @@
     slots: int
     state: EngineState
     models: dict[str, int] = field(default_factory=dict)
-    cold_seconds: float = 0.0
 
 
 @dataclass
