--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -33,6 +33,8 @@
 )
 
 STAND_DELAY_SECONDS = 0.25
+DELAY_PER_SLOWNESS_SECONDS = 0.15
+LONGEST_HANDICAP_SECONDS = 0.5
 BACKOFF_SECONDS = 0.5
 
 
@@ -71,12 +73,16 @@
     ----------
     wanted_size
         Replicas that a group should have.
+    cores
+        Speed of this daemon's machine. A leader does the most work of all, so a slow machine
+        stands later, and leads only where no faster one does.
     """
 
     def __init__(
         self,
         name: str,
         address: Address,
+        cores: float,
         wanted_size: int,
         first_group: FirstGroupSource,
         metrics: GatewayMetrics,
@@ -86,6 +92,7 @@
         self.replicas = ReplicaDirectory(name, self._connected, self._lost, self._wake_up)
         self.may_stand = False
         self._has_resigned = False
+        self.handicap = min(LONGEST_HANDICAP_SECONDS, DELAY_PER_SLOWNESS_SECONDS / cores)
         self._name = name
         self._address = address
         self._wanted_size = wanted_size
@@ -149,7 +156,8 @@
             self._stand_at = None
             return
         if self._stand_at is None:
-            self._stand_at = now + self._random.random() * STAND_DELAY_SECONDS
+            delay = self._random.random() * STAND_DELAY_SECONDS
+            self._stand_at = now + self.handicap + delay
         if now < max(self._stand_at, self._not_before):
             return
         self._stand_at = now + BACKOFF_SECONDS + self._random.random() * BACKOFF_SECONDS
@@ -209,7 +217,7 @@
         self.replicas.highest_epoch = max(self.replicas.highest_epoch, deposed.highest_epoch)
         if deposed.wait_seconds:
             # Nobody can lead before that lease ends; the delay keeps candidates apart.
-            delay = self._random.random() * STAND_DELAY_SECONDS
+            delay = self.handicap + self._random.random() * STAND_DELAY_SECONDS
             self._not_before = clock.monotonic() + deposed.wait_seconds + delay
         logs.decision(
             "leader_ended",
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -79,6 +79,7 @@
         self.leadership = Leadership(
             settings.name,
             self.sockets.address(self.sockets.links),
+            settings.processor.speed,
             settings.wanted_replicas,
             StoredFirstGroup(self.store, settings.wanted_replicas),
             self.metrics,
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -10,7 +10,7 @@
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import EventReader
-from pondtiller.rollouts.samples import RunEnd, ScoreEnd, StartRun
+from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd, StartRun
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.table import RouteTable
 from pondtiller.wire.steplog import Sample
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -48,6 +48,26 @@
     keep_steps: float = Field(default=120.0, gt=0, le=86_400)
 
 
+class Processor(Section):
+    """What of its machine's processor the process may use.
+
+    Attributes
+    ----------
+    share
+        Part of one core's time.
+    cores
+        How many times as fast as one core that part is.
+    """
+
+    share: float = Field(default=1.0, gt=0, le=1024)
+    cores: float = Field(default=1.0, gt=0, le=1024)
+
+    @property
+    def speed(self) -> float:
+        """Cores that the process has in effect."""
+        return self.share * self.cores
+
+
 class GatewaySettings(Section):
     """Settings of one gateway.
 
@@ -71,6 +91,7 @@
     losses: int = Field(default=1, ge=0, le=5)
     log_level: str = "info"
     durations: Durations = Durations()
+    processor: Processor = Processor()
 
     @property
     def wanted_replicas(self) -> int:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -16,14 +16,8 @@
 from pondtiller.gateway.watches import LeaderWatches
 from pondtiller.links.link import LinkLostError
 from pondtiller.platform import engine_format
-from pondtiller.rollouts.samples import (
-    CancelRun,
-    ListResult,
-    SampleScheduler,
-    ScoreEnd,
-    ScoreText,
-    StartRun,
-)
+from pondtiller.rollouts.sample_work import CancelRun, ListResult, ScoreEnd, ScoreText, StartRun
+from pondtiller.rollouts.samples import SampleScheduler
 from pondtiller.rollouts.steps import STEP_PREFIX, StepBook, StepRecord, StepStatus
 from pondtiller.rollouts.versions import AskEngine, OrderVersion, VersionSteward
 from pondtiller.routes.engines import EngineDirectory
--- a/src/pondtiller/gateway/tests/test_leadership.py
+++ b/src/pondtiller/gateway/tests/test_leadership.py
@@ -17,10 +17,10 @@
 class Gateway:
     """A leadership whose view of the replicas the test sets."""
 
-    def __init__(self) -> None:
+    def __init__(self, cores: float = 4.0) -> None:
         place = Address("127.0.0.1", 1)
         source = FirstGroupSource()
-        self.leadership = Leadership("me", place, 3, source, GatewayMetrics())
+        self.leadership = Leadership("me", place, cores, 3, source, GatewayMetrics())
         self.leadership.may_stand = True
         self.leader: LeaderPlace | None = None
         view = ReplicaView(replica=MEMBER, group=Group(generation=1, members=[MEMBER]))
@@ -47,6 +47,22 @@
     curio.run(main)
 
 
+def test_a_slow_machine_stands_only_where_no_fast_one_has() -> None:
+    async def main() -> None:
+        now = clock.monotonic()
+        slow, fast = Gateway(cores=0.5), Gateway(cores=4.0)
+        for gateway in (slow, fast):
+            gateway.leader = OTHER
+            assert not await gateway.stands(now)
+            gateway.leader = None
+            assert not await gateway.stands(now + 1.0)
+        assert await fast.stands(now + 1.29)
+        assert not await slow.stands(now + 1.29)
+        assert await slow.stands(now + 1.56)
+
+    curio.run(main)
+
+
 def test_a_refused_candidate_waits_for_the_lease_whatever_it_sees_meanwhile() -> None:
     """Incident 4: each lease that came and went made it stand again, at once."""
 
--- /dev/null
+++ b/src/pondtiller/rollouts/placement.py
@@ -0,0 +1,148 @@
+"""Which engine takes a sample next. No I/O.
+
+What a choice needs of a service (its usable engines, which of them have room, the usual pace)
+is worked out once a tick, and runs are counted by engine and group as they begin and end. So
+a tick costs samples times engines with room, whatever else runs.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pondtiller.rollouts.sample_work import SampleWork
+from pondtiller.routes.engines import Engine, EngineDirectory
+
+GROUP_BONUS = 0.4
+SLOWER_THAN_USUAL = 1.2
+SLOWNESS_COST = 1.5
+
+Need = tuple[str, str, int, int | None]
+"""Service, model, oldest version, and the version that a begun text must stay with."""
+
+
+@dataclass
+class ServiceView:
+    """A service as it is during one tick.
+
+    Attributes
+    ----------
+    usable
+        Engines that may get new work.
+    with_room
+        Those of them that have a free slot and are not paused; shrinks as samples start.
+    pace
+        Usual time between two events of a stream, in seconds; 0 while unknown.
+    unmet
+        Needs for which no engine has room, so that like samples are not looked at again.
+    """
+
+    usable: list[Engine]
+    with_room: list[Engine]
+    pace: float
+    unmet: set[Need] = field(default_factory=set)
+
+
+class Placement:
+    """Chooses engines for samples.
+
+    Parameters
+    ----------
+    is_loading
+        Returns whether an engine, by its identifier, is changing the weights of a model.
+    """
+
+    def __init__(self, engines: EngineDirectory, is_loading: Callable[[str, str], bool]) -> None:
+        self.engines = engines
+        self.is_loading = is_loading
+        self.groups: dict[str, Counter[str]] = {}
+        self.views: dict[str, ServiceView] = {}
+
+    def begin_tick(self) -> None:
+        """Look at all services anew."""
+        self.views.clear()
+
+    def began(self, work: SampleWork) -> None:
+        """Count a run."""
+        self.groups.setdefault(work.engine, Counter())[work.group] += 1
+
+    def ended(self, work: SampleWork) -> None:
+        """Count the end of a run."""
+        groups = self.groups.get(work.engine)
+        if groups is None:
+            return
+        groups[work.group] -= 1
+        if groups[work.group] <= 0:
+            del groups[work.group]
+        if not groups:
+            del self.groups[work.engine]
+
+    def view(self, service: str, now: float) -> ServiceView:
+        """Return a service as it is in this tick."""
+        found = self.views.get(service)
+        if found is None:
+            usable = self.engines.usable(service, now)
+            with_room = [
+                engine
+                for engine in usable
+                if now >= engine.not_before and engine.running < engine.entry.slots
+            ]
+            found = ServiceView(usable, with_room, _usual_pace(usable))
+            self.views[service] = found
+        return found
+
+    def choose(self, work: SampleWork, now: float) -> Engine | None:
+        """Return the engine that is to take a sample now, or None while none can."""
+        service = work.service
+        view = self.view(service, now)
+        if not view.with_room:
+            return None
+        need = _need(service, work)
+        if need in view.unmet:
+            return None
+        candidates = [each for each in view.with_room if self.has_weights(each, work)]
+        if not candidates:
+            view.unmet.add(need)
+            return None
+        chosen = min(candidates, key=lambda each: self._cost(each, work, view.pace))
+        if chosen.running + 1 >= chosen.entry.slots:
+            view.with_room.remove(chosen)
+        return chosen
+
+    def has_better(self, work: SampleWork, pace: float, factor: float, now: float) -> bool:
+        """Return whether an engine with room to spare is `factor` times as fast as a pace."""
+        view = self.view(work.service, now)
+        return any(
+            other.running < other.entry.slots - 1
+            and other.event_seconds < pace / factor
+            and other.identifier != work.engine
+            and self.has_weights(other, work)
+            for other in view.with_room
+        )
+
+    def has_weights(self, engine: Engine, work: SampleWork) -> bool:
+        """Return whether an engine has weights that may make the rest of a sample."""
+        if self.is_loading(engine.identifier, work.model):
+            return False
+        version = engine.entry.models.get(work.model)
+        if version is None:
+            return not engine.entry.models
+        stays_with = work.stays_with
+        if stays_with is not None:
+            return version == stays_with
+        return version >= work.oldest_version
+
+    def _cost(self, engine: Engine, work: SampleWork, pace: float) -> float:
+        relative = engine.event_seconds / pace if engine.event_seconds and pace else 1.0
+        cost = (engine.running + 1) / engine.entry.slots
+        cost += SLOWNESS_COST * max(0.0, relative - SLOWER_THAN_USUAL)
+        shares_prompt = work.group in self.groups.get(engine.identifier, ())
+        return cost - (GROUP_BONUS if shares_prompt else 0.0)
+
+
+def _need(service: str, work: SampleWork) -> Need:
+    return service, work.model, work.oldest_version, work.stays_with
+
+
+def _usual_pace(engines: list[Engine]) -> float:
+    paces = sorted(engine.event_seconds for engine in engines if engine.event_seconds)
+    return paces[(len(paces) - 1) // 2] if paces else 0.0
--- /dev/null
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -0,0 +1,178 @@
+"""What the sample scheduler works on: a sample's stages, its text, and the instructions."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from pondtiller.rollouts.steps import StepRecord
+from pondtiller.routes.table import RouteRow
+from pondtiller.wire.steplog import Sample, SampleResult
+
+
+class Stage(Enum):
+    """How far a sample is."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    SCORING = "scoring"
+    LISTED = "listed"
+
+
+class RunEnd(Enum):
+    """How a run on an engine ended."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"
+    REFUSED = "refused"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+    STALE = "stale"
+
+
+class ScoreEnd(Enum):
+    """How a scorer's request ended."""
+
+    SCORED = "scored"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+class CancelReason(Enum):
+    """Why a run is ended before its engine does."""
+
+    SILENT = "silent"
+    SLOW = "slow"
+    STEP_ENDED = "step_ended"
+    GIVEN_UP = "given_up"
+
+
+class StartRun(NamedTuple):
+    """Send a sample to an engine, after `last_event` where it is continued."""
+
+    run: int
+    sample: Sample
+    route: RouteRow
+    engine: str
+    last_event: int
+    expected_version: int | None
+
+
+class CancelRun(NamedTuple):
+    """End a run; its engine drops it.
+
+    Attributes
+    ----------
+    reason
+        Why, for the logs.
+    """
+
+    run: int
+    sample: str
+    engine: str
+    reason: CancelReason
+
+
+class ScoreText(NamedTuple):
+    """Have a finished sample judged."""
+
+    step: str
+    sample: Sample
+
+
+class ListResult(NamedTuple):
+    """Give a sample's result its position."""
+
+    step: str
+    result: SampleResult
+
+
+Instruction = StartRun | CancelRun | ScoreText | ListResult
+
+
+@dataclass
+class Text:
+    """What was made of a sample so far.
+
+    Attributes
+    ----------
+    events
+        Data of the events from the first on.
+    versions
+        Versions that made them, without repeats.
+    last_event
+        Number of the last event; 0 before the first.
+    """
+
+    events: list[str] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+    last_event: int = 0
+    is_whole: bool = False
+
+    def add(self, number: int, data: str, version: int) -> None:
+        """Take the next event."""
+        self.events.append(data)
+        self.last_event = number
+        if version not in self.versions:
+            self.versions.append(version)
+
+    def fits(self, oldest_version: int, single_version: bool) -> bool:
+        """Return whether all of it may stand in a step's sample."""
+        if any(version < oldest_version for version in self.versions):
+            return False
+        return not single_version or len(self.versions) <= 1
+
+
+@dataclass
+class SampleWork:
+    """A sample of an open step.
+
+    Attributes
+    ----------
+    cost
+        Tokens that are expected to be made.
+    group, model, oldest_version, accepted_at
+        Copies of the sample's and the step's own: a message's fields are slow to read, and
+        these are looked at in every tick.
+    attempts_failed
+        Answers that say that the run failed.
+    score_failures
+        The same of the scorer.
+    """
+
+    step: StepRecord
+    route: RouteRow
+    sample: Sample
+    cost: float
+    order: tuple[float, ...] = ()
+    stage: Stage = Stage.WAITING
+    text: Text = field(default_factory=Text)
+    run: int = 0
+    engine: str = ""
+    run_started: float = 0.0
+    last_heard: float = 0.0
+    run_events: int = 0
+    moves: int = 0
+    attempts_failed: int = 0
+    score_failures: int = 0
+    is_routed: bool = True
+
+    def __post_init__(self) -> None:
+        step = self.step.step
+        self.step_id: str = step.id
+        self.sample_id: str = self.sample.id
+        self.group: str = self.sample.group
+        self.model: str = step.model
+        self.oldest_version: int = step.oldest_version
+        self.accepted_at: float = step.accepted_at
+
+    @property
+    def service(self) -> str:
+        """Service whose engines run it."""
+        return self.route.choose_service(self.sample_id)
+
+    @property
+    def stays_with(self) -> int | None:
+        """Version that must make the rest, where one alone may stand in the text."""
+        if self.route.single_version and self.text.versions:
+            return self.text.versions[0]
+        return None
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -7,11 +7,24 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 
+from pondtiller.rollouts.group_order import rank_groups
+from pondtiller.rollouts.placement import Placement
+from pondtiller.rollouts.sample_work import (
+    CancelReason,
+    CancelRun,
+    Instruction,
+    ListResult,
+    RunEnd,
+    SampleWork,
+    ScoreEnd,
+    ScoreText,
+    Stage,
+    StartRun,
+    Text,
+)
 from pondtiller.rollouts.steps import StepRecord
-from pondtiller.routes.engines import Engine, EngineDirectory
+from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.table import RouteRow
 from pondtiller.wire.steplog import Sample, SampleProgress, SampleResult
 
@@ -20,161 +33,11 @@
 SILENT_SECONDS = 0.7
 SILENT_GAPS = 8.0
 MOST_MOVES = 4
-GROUP_BONUS = 0.4
 KEPT_SAMPLES = 4000
 QUEUE_MARGIN_SECONDS = 3.0
 PRIORITY_SECONDS = 0.2
 
 
-class Stage(Enum):
-    """How far a sample is."""
-
-    WAITING = "waiting"
-    RUNNING = "running"
-    SCORING = "scoring"
-    LISTED = "listed"
-
-
-class RunEnd(Enum):
-    """How a run on an engine ended."""
-
-    WHOLE = "whole"
-    BROKEN = "broken"
-    REFUSED = "refused"
-    FAILED = "failed"
-    IMPOSSIBLE = "impossible"
-    STALE = "stale"
-
-
-class ScoreEnd(Enum):
-    """How a scorer's request ended."""
-
-    SCORED = "scored"
-    FAILED = "failed"
-    LOST = "lost"
-
-
-class CancelReason(Enum):
-    """Why a run is ended before its engine does."""
-
-    SILENT = "silent"
-    SLOW = "slow"
-    STEP_ENDED = "step_ended"
-    GIVEN_UP = "given_up"
-
-
-@dataclass(frozen=True, slots=True)
-class StartRun:
-    """Send a sample to an engine, after `last_event` where it is continued."""
-
-    run: int
-    sample: Sample
-    route: RouteRow
-    engine: str
-    last_event: int
-    expected_version: int | None
-
-
-@dataclass(frozen=True, slots=True)
-class CancelRun:
-    """End a run; its engine drops it.
-
-    Attributes
-    ----------
-    reason
-        Why, for the logs.
-    """
-
-    run: int
-    sample: str
-    engine: str
-    reason: CancelReason
-
-
-@dataclass(frozen=True, slots=True)
-class ScoreText:
-    """Have a finished sample judged."""
-
-    step: str
-    sample: Sample
-
-
-@dataclass(frozen=True, slots=True)
-class ListResult:
-    """Give a sample's result its position."""
-
-    step: str
-    result: SampleResult
-
-
-Instruction = StartRun | CancelRun | ScoreText | ListResult
-
-
-@dataclass
-class Text:
-    """What was made of a sample so far.
-
-    Attributes
-    ----------
-    events
-        Data of the events from the first on.
-    versions
-        Versions that made them, without repeats.
-    last_event
-        Number of the last event; 0 before the first.
-    """
-
-    events: list[str] = field(default_factory=list)
-    versions: list[int] = field(default_factory=list)
-    last_event: int = 0
-    is_whole: bool = False
-
-    def add(self, number: int, data: str, version: int) -> None:
-        """Take the next event."""
-        self.events.append(data)
-        self.last_event = number
-        if version not in self.versions:
-            self.versions.append(version)
-
-    def fits(self, oldest_version: int, single_version: bool) -> bool:
-        """Return whether all of it may stand in a step's sample."""
-        if any(version < oldest_version for version in self.versions):
-            return False
-        return not single_version or len(self.versions) <= 1
-
-
-@dataclass
-class SampleWork:
-    """A sample of an open step.
-
-    Attributes
-    ----------
-    cost
-        Tokens that are expected to be made.
-    attempts_failed
-        Answers that say that the run failed.
-    score_failures
-        The same of the scorer.
-    """
-
-    step: StepRecord
-    route: RouteRow
-    sample: Sample
-    cost: float
-    order: tuple[float, ...] = ()
-    stage: Stage = Stage.WAITING
-    text: Text = field(default_factory=Text)
-    run: int = 0
-    engine: str = ""
-    run_started: float = 0.0
-    last_heard: float = 0.0
-    run_events: int = 0
-    moves: int = 0
-    attempts_failed: int = 0
-    score_failures: int = 0
-    is_routed: bool = True
-
-
 class SampleScheduler:
     """Decides for all open steps.
 
@@ -185,7 +48,7 @@
     """
 
     def __init__(self, engines: EngineDirectory, is_loading: Callable[[str, str], bool]) -> None:
-        self._is_loading = is_loading
+        self.placement = Placement(engines, is_loading)
         self.work: dict[tuple[str, str], SampleWork] = {}
         self.runs: dict[int, SampleWork] = {}
         self._engines = engines
@@ -244,7 +107,7 @@
         """Return the unfinished texts, for a successor."""
         return [
             SampleProgress(
-                id=work.sample.id,
+                id=work.sample_id,
                 events=work.text.events,
                 versions=work.text.versions,
                 last_event=work.text.last_event,
@@ -278,6 +141,7 @@
         work = self.runs.pop(run, None)
         if work is None:
             return None
+        self.placement.ended(work)
         self._leave_engine(work, end, now)
         if end is RunEnd.WHOLE:
             work.text.is_whole = True
@@ -306,7 +170,7 @@
 
     def _result(self, work: SampleWork, score: str) -> SampleResult:
         return SampleResult(
-            id=work.sample.id,
+            id=work.sample_id,
             succeeded=True,
             text="\n".join(work.text.events),
             versions=work.text.versions,
@@ -317,15 +181,17 @@
 
     def tick(self, now: float, wall_now: float) -> None:
         """Start what can start, move what is slow, give up what is too late."""
+        self.placement.begin_tick()
         self._give_up_late(wall_now)
         self._move_slow(now)
+        self.placement.begin_tick()
         waiting = [work for work in self.work.values() if work.stage is Stage.WAITING]
         for work in sorted(waiting, key=lambda each: each.order):
             if work.is_routed:
                 self._try_start(work, now)
 
     def _try_start(self, work: SampleWork, now: float) -> None:
-        engine = self._choose(work, now)
+        engine = self.placement.choose(work, now)
         if engine is None:
             return
         self._last_run += 1
@@ -336,7 +202,7 @@
         work.run_events = 0
         engine.running += 1
         self.runs[work.run] = work
-        expected = work.text.versions[0] if self._must_stay(work) else None
+        self.placement.began(work)
         self._out.append(
             StartRun(
                 work.run,
@@ -344,55 +210,10 @@
                 work.route,
                 engine.identifier,
                 work.text.last_event,
-                expected,
+                work.stays_with,
             )
         )
 
-    def _choose(self, work: SampleWork, now: float) -> Engine | None:
-        service = work.route.choose_service(work.sample.id)
-        candidates = [
-            engine
-            for engine in self._engines.usable(service, now)
-            if now >= engine.not_before
-            and engine.running < engine.entry.slots
-            and self._has_weights(engine, work)
-        ]
-        if not candidates:
-            return None
-        pace = self._usual_pace(service, now)
-        return min(candidates, key=lambda each: self._cost(each, work, pace))
-
-    def _has_weights(self, engine: Engine, work: SampleWork) -> bool:
-        model = work.step.step.model
-        if self._is_loading(engine.identifier, model):
-            return False
-        version = engine.entry.models.get(model)
-        if version is None:
-            return not engine.entry.models
-        if self._must_stay(work):
-            return version == work.text.versions[0]
-        return version >= work.step.step.oldest_version
-
-    def _must_stay(self, work: SampleWork) -> bool:
-        return work.route.single_version and bool(work.text.versions)
-
-    def _cost(self, engine: Engine, work: SampleWork, pace: float) -> float:
-        relative = engine.event_seconds / pace if engine.event_seconds and pace else 1.0
-        cost = (engine.running + 1) / engine.entry.slots + 1.5 * max(0.0, relative - 1.2)
-        shares_prompt = any(
-            other.engine == engine.identifier and other.sample.group == work.sample.group
-            for other in self.runs.values()
-        )
-        return cost - (GROUP_BONUS if shares_prompt else 0.0)
-
-    def _usual_pace(self, service: str, now: float) -> float:
-        paces = sorted(
-            engine.event_seconds
-            for engine in self._engines.usable(service, now)
-            if engine.event_seconds
-        )
-        return paces[(len(paces) - 1) // 2] if paces else 0.0
-
     def _move_slow(self, now: float) -> None:
         for work in list(self.runs.values()):
             reason = self._why_move(work, now) if work.moves < MOST_MOVES else None
@@ -403,8 +224,7 @@
 
     def _why_move(self, work: SampleWork, now: float) -> CancelReason | None:
         engine = self._engines.engines.get(work.engine)
-        service = work.route.choose_service(work.sample.id)
-        pace = self._usual_pace(service, now)
+        pace = self.placement.view(work.service, now).pace
         silence = now - work.last_heard
         if silence > max(SILENT_SECONDS, SILENT_GAPS * pace):
             if engine is not None:
@@ -415,45 +235,38 @@
         slow = max(engine.event_seconds, silence)
         if not pace or slow < SLOW_FACTOR * pace:
             return None
-        has_better = any(
-            other.running < other.entry.slots - 1
-            and other.event_seconds < slow / SLOW_FACTOR
-            and now >= other.not_before
-            and self._has_weights(other, work)
-            for other in self._engines.usable(service, now)
-            if other is not engine
-        )
+        has_better = self.placement.has_better(work, slow, SLOW_FACTOR, now)
         return CancelReason.SLOW if has_better else None
 
     def _give_up_late(self, wall_now: float) -> None:
         for work in list(self.work.values()):
-            accepted = work.step.step.accepted_at
-            if wall_now > accepted + work.route.queue_seconds + QUEUE_MARGIN_SECONDS:
+            if wall_now > work.accepted_at + work.route.queue_seconds + QUEUE_MARGIN_SECONDS:
                 self._give_up(work)
 
     # Ends
 
     def _give_up(self, work: SampleWork) -> None:
         self._stop_run(work, CancelReason.GIVEN_UP)
-        self._list(work, SampleResult(id=work.sample.id, succeeded=False))
+        self._list(work, SampleResult(id=work.sample_id, succeeded=False))
 
     def _list(self, work: SampleWork, result: SampleResult) -> None:
         work.stage = Stage.LISTED
-        step = work.step.step.id
-        self.work.pop((step, work.sample.id), None)
+        step = work.step_id
+        self.work.pop((step, work.sample_id), None)
         self._out.append(ListResult(step, result))
 
     def _score(self, work: SampleWork) -> None:
         work.stage = Stage.SCORING
-        self._out.append(ScoreText(work.step.step.id, work.sample))
+        self._out.append(ScoreText(work.step_id, work.sample))
 
     def _stop_run(self, work: SampleWork, reason: CancelReason) -> None:
         if self.runs.pop(work.run, None) is None:
             return
+        self.placement.ended(work)
         engine = self._engines.engines.get(work.engine)
         if engine is not None:
             engine.running = max(0, engine.running - 1)
-        self._out.append(CancelRun(work.run, work.sample.id, work.engine, reason))
+        self._out.append(CancelRun(work.run, work.sample_id, work.engine, reason))
 
     def _leave_engine(self, work: SampleWork, end: RunEnd, now: float) -> None:
         engine = self._engines.engines.get(work.engine)
@@ -478,20 +291,4 @@
             return
         if len(self._kept) >= KEPT_SAMPLES:
             del self._kept[next(iter(self._kept))]
-        self._kept[work.sample.id] = work.text
-
-
-def rank_groups(record: StepRecord, costs: dict[str, float]) -> dict[str, float]:
-    """Return an order of a step's groups: 0 for those to complete first, 1 for the others.
-
-    A trainer waits for `desired_groups` of them, whichever are whole first, so the groups
-    with the longest samples come last. Groups that are asked for again stand first in the
-    step and are among those that it waits for; up to half of the desired ones.
-    """
-    longest: dict[str, float] = {}
-    for sample in record.step.samples:
-        longest[sample.group] = max(longest.get(sample.group, 0.0), costs[sample.id])
-    desired = record.step.desired_groups or len(longest)
-    spared = max(0, len(longest) - desired)
-    by_cost = sorted(longest, key=lambda group: -longest[group])
-    return {group: float(place < spared) for place, group in enumerate(by_cost)}
+        self._kept[work.sample_id] = work.text
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -1,17 +1,17 @@
 """Samples on engines: order, moves, continuation, versions, giving up."""
 
 from pondtiller.core.entities import Address
-from pondtiller.rollouts.samples import (
+from pondtiller.rollouts.group_order import rank_groups
+from pondtiller.rollouts.sample_work import (
     CancelReason,
     CancelRun,
     ListResult,
     RunEnd,
-    SampleScheduler,
     ScoreEnd,
     ScoreText,
     StartRun,
-    rank_groups,
 )
+from pondtiller.rollouts.samples import SampleScheduler
 from pondtiller.rollouts.steps import StepBook, StepRecord
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
 from pondtiller.routes.table import RequestKind, RouteRow, ServiceShare
--- a/src/pondtiller/rollouts/tests/test_versions.py
+++ b/src/pondtiller/rollouts/tests/test_versions.py
@@ -49,6 +49,12 @@
     assert len(orders(made, 1.0)) == 2
 
 
+def test_more_engines_load_together_where_there_are_more() -> None:
+    made = steward(20, {"m": 1})
+    made.named("m", 2)
+    assert len(orders(made, 0.0)) == 8
+
+
 def test_models_that_share_engines_share_the_loads_and_take_turns() -> None:
     made = steward(5, {"a": 1, "b": 1, "c": 1})
     for model in ("a", "b", "c"):
--- a/src/pondtiller/rollouts/versions.py
+++ b/src/pondtiller/rollouts/versions.py
@@ -10,7 +10,8 @@
 from pondtiller.rollouts.load_shares import load_shares
 from pondtiller.routes.engines import Engine, EngineDirectory, EngineState
 
-LOADS_AT_ONCE = 2
+LOADS_AT_ONCE_SHARE = 0.4
+FEWEST_LOADS_AT_ONCE = 2
 LOAD_SECONDS = 1.6
 UNANSWERED_SECONDS = 0.8
 REFUSED_SECONDS = 0.4
@@ -126,7 +127,7 @@
             return
         for model, version in self._by_need():
             for engine in self._to_load(model, version, now):
-                if len(self.loads) >= LOADS_AT_ONCE:
+                if len(self.loads) >= self._loads_at_once():
                     return
                 if engine.identifier in self.known:
                     self._order(engine, model, version, now)
@@ -142,6 +143,14 @@
                 load.until = now + UNANSWERED_SECONDS
                 self._out.append(AskEngine(identifier))
 
+    def _loads_at_once(self) -> int:
+        """Return how many engines may load together; the others serve on meanwhile.
+
+        The store of the weights slows down when more than a share of the engines load.
+        """
+        with_models = sum(bool(each.entry.models) for each in self.engines.engines.values())
+        return max(FEWEST_LOADS_AT_ONCE, int(with_models * LOADS_AT_ONCE_SHARE))
+
     def _by_need(self) -> list[tuple[str, int]]:
         """Return the newest versions, those that fewest engines have first."""
         versions = list(self.newest.items())
