--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -10,7 +10,8 @@
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.replicas import LeaderPlace, ReplicaDirectory
 from pondtiller.hashing import score
-from pondtiller.steplog.group_policy import GroupInputs, next_members
+from pondtiller.links.frames import Encoded, encode_message
+from pondtiller.steplog.group_policy import GroupInputs, next_members, spare_to_admit
 from pondtiller.steplog.leader import (
     HEARTBEAT_SECONDS,
     Committed,
@@ -89,7 +90,7 @@
     ) -> None:
         identity = score("epoch", f"{name}/{clock.new_incarnation()}") & 0xFFFFFFFF
         self.log = LeaderLog(name, address.host, address.port, identity)
-        self.replicas = ReplicaDirectory(name, self._connected, self._lost, self._wake_up)
+        self.replicas = ReplicaDirectory(name, self._connected, self._lost, self.wake_up)
         self.may_stand = False
         self._has_resigned = False
         self.handicap = min(LONGEST_HANDICAP_SECONDS, DELAY_PER_SLOWNESS_SECONDS / cores)
@@ -103,6 +104,7 @@
         self._stand_at: float | None = None
         self._not_before = 0.0
         self._missing_since: dict[str, float] = {}
+        self._last_encoded: tuple[Message, Encoded] | None = None
         self._random = random.Random(identity)
 
     def serve(self, duties: Duties) -> None:
@@ -162,7 +164,8 @@
             return
         self._stand_at = now + BACKOFF_SECONDS + self._random.random() * BACKOFF_SECONDS
         group = Group()
-        if not any(view.group.generation for view in views):
+        known = max((view.group for view in views), key=lambda each: each.generation)
+        if not known.generation:
             candidates = tuple(view.replica for view in views if view.may_form)
             found = await self._first_group.first_group(candidates)
             if found is None:
@@ -172,13 +175,14 @@
             "standing",
             highest_epoch=self.replicas.highest_epoch,
             replicas=len(views),
-            generation=max((view.group.generation for view in views), default=0),
+            generation=known.generation,
         )
-        self.log.stand(self.replicas.highest_epoch, group, clock.monotonic())
+        self.log.stand(self.replicas.highest_epoch, group, clock.monotonic(), known)
 
     # Links
 
-    async def _wake_up(self) -> None:
+    async def wake_up(self) -> None:
+        """Look at once whether to stand."""
         await self._wake.set()
 
     async def _connected(self, number: int, member: GroupMember) -> None:
@@ -210,6 +214,7 @@
     async def _won(self, won: Won) -> None:
         self._metrics.takeovers += 1
         logs.decision("leader_won", epoch=won.epoch, entries=len(won.entries))
+        await self.replicas.set_keeps_all(True)
         if self._duties is not None:
             await self._duties.begin(won)
 
@@ -225,6 +230,7 @@
             highest_epoch=self.replicas.highest_epoch,
             wait=deposed.wait_seconds,
         )
+        await self.replicas.set_keeps_all(False)
         if self._duties is not None:
             await self._duties.end(deposed.reason)
 
@@ -243,7 +249,13 @@
                     if self.log.epoch == epoch:
                         await self._answered(number, answer)
 
-                await link.request(send.message, answered)
+                await link.request(self._encoded(send.message), answered)
+
+    def _encoded(self, message: Message) -> Encoded:
+        """Encode a message that goes to several replicas only once."""
+        if self._last_encoded is None or self._last_encoded[0] is not message:
+            self._last_encoded = (message, encode_message(message))
+        return self._last_encoded[1]
 
     async def _answered(self, number: int, answer: Message) -> None:
         now = clock.monotonic()
@@ -270,8 +282,17 @@
             return
         retiring = self._duties.retiring() if self._duties is not None else frozenset()
         inputs = GroupInputs(
-            self.log.group, synced, dict(self._missing_since), retiring, self._wanted_size
+            self.log.group,
+            synced,
+            dict(self._missing_since),
+            retiring,
+            self._wanted_size,
+            tuple(follower.member for follower in self.log.followers.values()),
         )
+        spare = spare_to_admit(inputs, now)
+        if spare is not None and spare.name not in self.log.admitted:
+            logs.decision("replica_admitted", replica=spare.name, disk=spare.disk)
+            self.log.admit(spare.name, now)
         members = next_members(inputs, now)
         if members is not None:
             logs.decision(
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -103,10 +103,17 @@
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
         self.watches = GatewayWatches(
-            self.store, health, self.engines, self.front, self.duties.engines_changed
+            self.store, health, self.engines, self.front, self._view_changed
         )
         self._stopped = curio.Event()
 
+    async def _view_changed(self) -> None:
+        """Take a change of the engines or the table."""
+        if not self.leadership.may_stand and self._is_ready():
+            self.leadership.may_stand = True
+            await self.leadership.wake_up()
+        await self.duties.engines_changed()
+
     async def answer(self, message: Message) -> Message:
         """Answer a step call as the leader."""
         return await self.duties.answer(message)
--- a/src/pondtiller/gateway/replicas.py
+++ b/src/pondtiller/gateway/replicas.py
@@ -10,10 +10,11 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.links.link import Link, LinkLostError, connect
-from pondtiller.wire.steplog import GroupMember, ReplicaView, Subscribe
+from pondtiller.wire.steplog import Group, GroupMember, ReplicaView, Subscribe
 
 RETRY_SECONDS = 0.4
 SILENT_SECONDS = 2.5
+LONELY_SECONDS = 5.0
 FORGET_SECONDS = 20.0
 
 
@@ -45,7 +46,10 @@
 
 
 class ReplicaDirectory:
-    """Keeps a link to each replica that is known.
+    """Keeps a link to each replica of the group, or to all that are known.
+
+    All are needed while no group is known, while none of its members is heard, and by the
+    leader, who looks for spares among them.
 
     Parameters
     ----------
@@ -62,6 +66,8 @@
     ) -> None:
         self.places: dict[Address, ReplicaLink] = {}
         self.highest_epoch = 0
+        self.group = Group()
+        self.keeps_all = False
         self._daemon = daemon
         self._connected = connected
         self._lost = lost
@@ -77,6 +83,25 @@
         self.places[address] = place
         await self._group.spawn(self._keep_link, place)
 
+    def is_needed(self, place: ReplicaLink) -> bool:
+        """Return whether to keep a link to a replica."""
+        if self.keeps_all or not self.group.generation:
+            return True
+        if clock.monotonic() > self.last_heard() + LONELY_SECONDS:
+            return True
+        at = place.address
+        return any(at.host == each.host and at.port == each.port for each in self.group.members)
+
+    async def set_keeps_all(self, keeps_all: bool) -> None:
+        """Set whether links to replicas outside of the group are kept, as a leader needs."""
+        self.keeps_all = keeps_all
+        await self._drop_unneeded()
+
+    async def _drop_unneeded(self) -> None:
+        for place in list(self.places.values()):
+            if place.link is not None and not self.is_needed(place):
+                await place.link.drop()
+
     async def close(self) -> None:
         """Close all links."""
         await self._group.cancel_all()
@@ -111,6 +136,10 @@
 
     async def _keep_link(self, place: ReplicaLink) -> None:
         while True:
+            if not self.is_needed(place):
+                place.known_since = clock.monotonic()
+                await curio.sleep(RETRY_SECONDS)
+                continue
             heard = max(place.heard_at, place.known_since)
             if place.link is None and clock.monotonic() > heard + FORGET_SECONDS:
                 self.places.pop(place.address, None)
@@ -159,8 +188,11 @@
         is_change = place.view != message
         place.view = message
         self.highest_epoch = max(self.highest_epoch, message.epoch)
-        for member in message.group.members:
-            await self.add(Address(member.host, member.port))
+        if message.group.generation > self.group.generation:
+            self.group = message.group
+            for member in message.group.members:
+                await self.add(Address(member.host, member.port))
+            await self._drop_unneeded()
         if is_first:
             logs.decision(
                 "replica_found",
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -1,6 +1,5 @@
 """An HTTP/1.1 client with kept connections, whole and streamed answers."""
 
-from collections.abc import AsyncIterator
 from typing import Any
 
 import curio
@@ -69,16 +68,18 @@
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError("the answer did not begin")
 
-    async def read_body(self) -> AsyncIterator[bytes]:
-        """Read the body piece by piece; an unfinished body raises `BrokenError`."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise BrokenError("the answer ended early")
+    def read_body(self) -> "BodyPieces":
+        """Return the body piece by piece; an unfinished body raises `BrokenError`."""
+        return BodyPieces(self)
+
+    async def next_piece(self) -> bytes | None:
+        """Return the next piece of the body, or None at its end."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise BrokenError("the answer ended early")
 
     def can_be_kept(self) -> bool:
         """Return whether another request may be sent; prepares for it."""
@@ -106,6 +107,26 @@
                 raise BrokenError(str(error)) from error
 
 
+class BodyPieces:
+    """Pieces of a body for `async for`.
+
+    No asynchronous generator: a reader may stop at any piece, and curio complains of each
+    generator that is left before its end.
+    """
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self.connection = connection
+
+    def __aiter__(self) -> "BodyPieces":
+        return self
+
+    async def __anext__(self) -> bytes:
+        piece = await self.connection.next_piece()
+        if piece is None:
+            raise StopAsyncIteration
+        return piece
+
+
 class HttpClient:
     """Sends requests over kept connections."""
 
--- a/src/pondtiller/links/frames.py
+++ b/src/pondtiller/links/frames.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from betterproto import Message
 
@@ -40,6 +41,13 @@
     """The other side sent what is no frame."""
 
 
+class Encoded(NamedTuple):
+    """A message as bytes, for sending it on several links."""
+
+    kind: int
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Frame:
     """One message; `call` is 0 where no answer is expected."""
@@ -49,12 +57,17 @@
     message: Message
 
 
-def encode(frame: Frame) -> bytes:
+def encode_message(message: Message) -> Encoded:
+    """Return a message as bytes."""
+    return Encoded(KIND_BY_TYPE[type(message)], bytes(message))
+
+
+def encode(message: Encoded, call: int, is_reply: bool) -> bytes:
     """Return the bytes of a frame."""
-    body = bytes(frame.message)
-    kind = KIND_BY_TYPE[type(frame.message)] | (REPLY_FLAG if frame.is_reply else 0)
-    head = len(body).to_bytes(4, "big") + kind.to_bytes(2, "big") + frame.call.to_bytes(4, "big")
-    return head + body
+    kind = message.kind | (REPLY_FLAG if is_reply else 0)
+    size = len(message.body)
+    head = size.to_bytes(4, "big") + kind.to_bytes(2, "big") + call.to_bytes(4, "big")
+    return head + message.body
 
 
 class FrameReader:
--- a/src/pondtiller/links/link.py
+++ b/src/pondtiller/links/link.py
@@ -10,7 +10,14 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.httpio.sockets import tune
-from pondtiller.links.frames import BadFrameError, Frame, FrameReader, encode
+from pondtiller.links.frames import (
+    BadFrameError,
+    Encoded,
+    Frame,
+    FrameReader,
+    encode,
+    encode_message,
+)
 
 READ_BYTES = 262_144
 CONNECT_SECONDS = 1.0
@@ -41,16 +48,17 @@
         self._waiting: dict[int, Answered] = {}
         self._calls: dict[int, Any] = {}
 
-    async def send(self, message: Message, call: int = 0, is_reply: bool = False) -> None:
+    async def send(self, message: Message | Encoded, call: int = 0, is_reply: bool = False) -> None:
         """Send a message; one that cannot be sent is dropped with the link."""
         if self.is_lost:
             return
-        self._unsent += encode(Frame(call, is_reply, message))
+        encoded = message if isinstance(message, Encoded) else encode_message(message)
+        self._unsent += encode(encoded, call, is_reply)
         self._push()
         if self._unsent:
             await self._has_unsent.set()
 
-    async def request(self, message: Message, answered: Answered) -> int:
+    async def request(self, message: Message | Encoded, answered: Answered) -> int:
         """Call the other side; `answered` takes the answer, if one comes. Returns the call."""
         self._last_call = self._last_call % 0x7FFFFFFF + 1
         call = self._last_call
--- a/src/pondtiller/steplog/group_policy.py
+++ b/src/pondtiller/steplog/group_policy.py
@@ -16,6 +16,8 @@
     ----------
     synced
         Connected replicas that hold everything.
+    connected
+        All connected replicas.
     missing_since
         For members that are not connected, when that was noticed, by name.
     retiring
@@ -29,6 +31,18 @@
     missing_since: dict[str, float]
     retiring: frozenset[str]
     wanted_size: int
+    connected: tuple[GroupMember, ...] = ()
+
+
+def spare_to_admit(inputs: GroupInputs, now: float) -> GroupMember | None:
+    """Return the replica that is to be brought up to date, so that it can become a member."""
+    members = list(inputs.group.members)
+    leaving = next((each for each in members if _should_go(inputs, each, now)), None)
+    is_short = len(members) < inputs.wanted_size
+    if (leaving is None and not is_short) or _spares(inputs, inputs.synced, members):
+        return None
+    spares = _spares(inputs, inputs.connected, members)
+    return _best(spares, members, leaving) if spares else None
 
 
 def next_members(inputs: GroupInputs, now: float) -> list[GroupMember] | None:
@@ -42,7 +56,7 @@
         fresh = by_name.get(member.name)
         if fresh is not None and fresh != member:
             return [*members[:place], fresh, *members[place + 1 :]]
-    spares = _spares(inputs, members)
+    spares = _spares(inputs, inputs.synced, members)
     for place, member in enumerate(members):
         if not _should_go(inputs, member, now):
             continue
@@ -70,11 +84,13 @@
     return chosen
 
 
-def _spares(inputs: GroupInputs, members: list[GroupMember]) -> list[GroupMember]:
+def _spares(
+    inputs: GroupInputs, replicas: tuple[GroupMember, ...], members: list[GroupMember]
+) -> list[GroupMember]:
     names = {member.name for member in members}
     return [
         member
-        for member in inputs.synced
+        for member in replicas
         if member.name not in names and member.name not in inputs.retiring
     ]
 
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -96,6 +96,8 @@
     ----------
     acked
         Number of the last write that it has on disk; -1 until it has all earlier ones too.
+    is_asked
+        Whether it was asked for a promise in this term.
     waiting
         Number and time of sending of each message that it has not answered.
     lease_from
@@ -105,6 +107,7 @@
     link: int
     member: GroupMember
     disk: str
+    is_asked: bool = False
     keys: dict[str, int] | None = None
     is_synced: bool = False
     acked: int = -1
@@ -137,6 +140,8 @@
         self._port = port
         self._identity = identity
         self._first_group = Group()
+        self._hint = Group()
+        self.admitted: set[str] = set()
         self._known_groups: dict[int, Group] = {}
         self._oldest_group = 0
         self._started_at = 0.0
@@ -159,7 +164,12 @@
         self.followers[link] = Follower(link, member, member.disk)
         self._note_lost_disk(member)
         if self.phase is not Phase.IDLE:
-            self._send_prepare(self.followers[link], now)
+            self._ask_wanted(now)
+
+    def admit(self, name: str, now: float) -> None:
+        """Bring a connected replica up to date that is to become a member."""
+        self.admitted.add(name)
+        self._ask_wanted(now)
 
     def lost(self, link: int) -> None:
         """Forget a connection."""
@@ -169,15 +179,26 @@
 
     # Takeover
 
-    def stand(self, highest_seen: int, first_group: Group, now: float) -> None:
-        """Ask all connected replicas for a promise."""
+    def stand(
+        self, highest_seen: int, first_group: Group, now: float, known: Group | None = None
+    ) -> None:
+        """Ask the group's connected replicas for a promise.
+
+        Parameters
+        ----------
+        first_group
+            Group to form where the replicas hold none yet.
+        known
+            Newest group that any replica told of; others that promises tell of are asked too.
+            All connected replicas are asked where no group is known.
+        """
         self._reset()
+        self._hint = known if known is not None else Group()
         self.phase = Phase.PREPARING
         self.epoch = next_epoch(max(highest_seen, self.epoch), self._identity)
         self._first_group = first_group
         self._started_at = now
-        for follower in self.followers.values():
-            self._send_prepare(follower, now)
+        self._ask_wanted(now)
 
     def promised(self, link: int, promise: Promise, now: float) -> None:
         """Take a replica's answer to `Prepare`."""
@@ -199,6 +220,7 @@
         follower.keys = dict(zip(promise.keys, promise.epochs, strict=True))
         if self.phase is Phase.PREPARING:
             self._learn_groups(promise.groups)
+            self._ask_wanted(now)
             self._try_fetch()
         elif self.phase in (Phase.REWRITING, Phase.LEADING):
             self._bring_up_to_date(follower, now)
@@ -252,9 +274,10 @@
             return
         puts, self._unsent_puts = self._unsent_puts, []
         drops, self._unsent_drops = self._unsent_drops, []
+        message = Append(epoch=self.epoch, puts=puts, drops=drops)
         for follower in self.followers.values():
             if follower.is_synced:
-                self._send_append(follower, puts, drops, now)
+                self._send_append(follower, message, now)
 
     def appended(self, link: int, answer: Appended, now: float) -> None:
         """Take a replica's answer to `Append`."""
@@ -278,9 +301,10 @@
         if self.phase is Phase.LEADING and now >= self.lease_until():
             self._depose("the lease ended", self.epoch)
             return
+        heartbeat = Append(epoch=self.epoch)
         for follower in self.followers.values():
             if follower.is_synced and now >= follower.last_sent + HEARTBEAT_SECONDS:
-                self._send_append(follower, [], [], now)
+                self._send_append(follower, heartbeat, now)
 
     def resign(self) -> None:
         """Give the lease back."""
@@ -293,6 +317,7 @@
         if not self.is_leading or self.next_group is not None:
             return
         generation = self.group.generation + 1
+        self._hint = self._first_group = Group()
         self.next_group = Group(generation=generation, members=members)
         self.put(groups.group_key(generation), bytes(self.next_group))
 
@@ -311,6 +336,7 @@
         self.entries = {}
         self.group = Group()
         self.next_group = None
+        self.admitted = set()
         self._known_groups = {}
         self._oldest_group = 0
         self._pending = {}
@@ -318,6 +344,7 @@
         self._unsent_drops = []
         self._fetching = {}
         for follower in self.followers.values():
+            follower.is_asked = False
             follower.keys = None
             follower.is_synced = False
             follower.acked = -1
@@ -335,7 +362,20 @@
         self._reset()
         self._out.append(Deposed(reason, highest_epoch, wait_seconds))
 
+    def _ask_wanted(self, now: float) -> None:
+        """Ask those for a promise that belong to the group, or are to, and were not asked yet.
+
+        The other replicas cost nothing: no promise, no write and no heartbeat goes to them.
+        """
+        groups_known = [self._hint, self._first_group, *self._voting_groups()]
+        wanted = {member.name for group in groups_known for member in group.members}
+        wanted |= self.admitted
+        for follower in self.followers.values():
+            if not follower.is_asked and (not wanted or follower.member.name in wanted):
+                self._send_prepare(follower, now)
+
     def _send_prepare(self, follower: Follower, now: float) -> None:
+        follower.is_asked = True
         follower.waiting.append((-1, now))
         follower.last_sent = now
         message = Prepare(
@@ -433,14 +473,11 @@
         puts = [entry for key, entry in self.entries.items() if held.get(key, -1) < entry.epoch]
         drops = [key for key in held if key not in self.entries]
         follower.is_synced = True
-        self._send_append(follower, puts, drops, now)
+        self._send_append(follower, Append(epoch=self.epoch, puts=puts, drops=drops), now)
 
-    def _send_append(
-        self, follower: Follower, puts: list[Entry], drops: list[str], now: float
-    ) -> None:
+    def _send_append(self, follower: Follower, message: Append, now: float) -> None:
         follower.waiting.append((self._sequence, now))
         follower.last_sent = now
-        message = Append(epoch=self.epoch, puts=puts, drops=drops)
         self._out.append(Send(follower.link, message))
 
     def _commit(self) -> None:
@@ -476,6 +513,18 @@
         for each in old:
             if each < key:
                 self.drop(each)
+        self._leave_others()
+
+    def _leave_others(self) -> None:
+        """Send nothing more to replicas that no longer belong to the group."""
+        names = {member.name for member in self.group.members}
+        self.admitted.clear()
+        for follower in self.followers.values():
+            if follower.member.name not in names:
+                follower.is_synced = False
+                follower.is_asked = False
+                follower.keys = None
+                follower.acked = -1
 
     def _lead(self) -> None:
         if self.next_group is not None:
--- a/src/pondtiller/steplog/tests/cluster.py
+++ b/src/pondtiller/steplog/tests/cluster.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from pondtiller.steplog.group_policy import GroupInputs, next_members
+from pondtiller.steplog.group_policy import GroupInputs, next_members, spare_to_admit
 from pondtiller.steplog.leader import Committed, Deposed, LeaderLog, Phase, Send, Won
 from pondtiller.steplog.replica import Replica
 from pondtiller.wire.steplog import (
@@ -149,9 +149,18 @@
         if log.holds_lease(self.now):
             self._lead(daemon)
         elif log.phase is Phase.IDLE and self._may_stand(daemon):
-            log.stand(self.highest, self.first_group, self.now)
+            log.stand(self.highest, self.first_group, self.now, self._known_group(daemon))
         self._carry_out(daemon)
 
+    def _known_group(self, daemon: Daemon) -> Group:
+        """Return the newest group that a replica tells the daemon of."""
+        found = Group()
+        for name in daemon.links.values():
+            replica = self.nodes[name].replica
+            if replica is not None:
+                found = max(found, replica.view(self.now).group, key=lambda each: each.generation)
+        return found
+
     def _may_stand(self, daemon: Daemon) -> bool:
         if self.stands_like_a_gateway:
             return self._is_time_to_stand(daemon)
@@ -190,7 +199,11 @@
             for member in daemon.log.group.members
             if member.name not in {each.name for each in synced}
         }
-        inputs = GroupInputs(daemon.log.group, synced, missing, frozenset(), 3)
+        connected = tuple(each.member for each in daemon.log.followers.values())
+        inputs = GroupInputs(daemon.log.group, synced, missing, frozenset(), 3, connected)
+        spare = spare_to_admit(inputs, self.now)
+        if spare is not None:
+            daemon.log.admit(spare.name, self.now)
         members = next_members(inputs, self.now)
         if members is not None:
             daemon.log.change_group(members)
--- a/src/pondtiller/steplog/tests/test_cluster.py
+++ b/src/pondtiller/steplog/tests/test_cluster.py
@@ -3,6 +3,7 @@
 import pytest
 
 from pondtiller.steplog.tests.cluster import Cluster, ViolationError
+from pondtiller.wire.steplog import Group
 
 SEEDS = range(24)
 CALM_SECONDS = 8.0
@@ -134,3 +135,21 @@
     """A failed candidate gives its leases back; where it keeps them this takes 1.9 to 2.1 s."""
     seconds = [election_seconds(seed) for seed in range(12)]
     assert max(seconds) < 1.8, seconds
+
+
+def test_only_the_group_is_written_to_and_a_spare_gets_everything_before_it_joins() -> None:
+    cluster = Cluster(3, replicas=5)
+    cluster.first_group = Group(
+        generation=1, members=[cluster.nodes[name].replica.member for name in ("r0", "r1", "r2")]
+    )
+    cluster.run(10.0)
+    assert len(cluster.committed) > 10
+    assert cluster.nodes["r3"].disk.records == cluster.nodes["r4"].disk.records == []
+    cluster.nodes["r1"].is_gone = True
+    cluster.power_off("r1", 1e9)
+    cluster.break_links("r1")
+    cluster.run(10.0)
+    written = [name for name in ("r3", "r4") if cluster.nodes[name].disk.records]
+    assert len(written) == 1
+    held = cluster.nodes[written[0]].replica.entries
+    assert {key: held[key].value for key in cluster.committed} == cluster.committed
--- a/src/pondtiller/steplog/tests/test_group.py
+++ b/src/pondtiller/steplog/tests/test_group.py
@@ -5,7 +5,12 @@
 import pytest
 
 from pondtiller.steplog.group import has_read_quorum, has_write_quorum, read_quorum, write_quorum
-from pondtiller.steplog.group_policy import GroupInputs, first_members, next_members
+from pondtiller.steplog.group_policy import (
+    GroupInputs,
+    first_members,
+    next_members,
+    spare_to_admit,
+)
 from pondtiller.wire.steplog import Group, GroupMember
 
 
@@ -80,3 +85,16 @@
     chosen = first_members((A, same, B, C), 3)
     assert chosen is not None and {each.zone for each in chosen} == {"z-a", "z-b", "z-c"}
     assert first_members((A, B), 3) is None
+
+
+def admitted(synced: tuple[GroupMember, ...], missing: dict[str, float]) -> str:
+    connected = (*synced, D)
+    found = spare_to_admit(GroupInputs(GROUP, synced, missing, frozenset(), 3, connected), now=10.0)
+    return found.name if found is not None else ""
+
+
+def test_a_spare_is_brought_up_to_date_only_when_a_member_is_to_be_replaced() -> None:
+    assert admitted((A, B, C), {}) == ""
+    assert admitted((A, B), {"c": 9.5}) == ""
+    assert admitted((A, B), {"c": 8.0}) == "d"
+    assert admitted((A, B, D), {"c": 8.0}) == ""
--- a/tools/bench_steplog.py
+++ b/tools/bench_steplog.py
@@ -9,7 +9,7 @@
 import time
 from pathlib import Path
 
-from pondtiller.links.frames import Frame, FrameReader, encode
+from pondtiller.links.frames import FrameReader, encode, encode_message
 from pondtiller.replica.file import LogFile
 from pondtiller.rollouts.steps import StepBook, result_key, step_key
 from pondtiller.steplog.leader import LeaderLog, Send, Won
@@ -63,7 +63,7 @@
                     self.won = instruction
 
     def _deliver(self, log: LeaderLog, send: Send) -> None:
-        data = encode(Frame(1, False, send.message))
+        data = encode(encode_message(send.message), 1, False)
         self.sent_bytes += len(data)
         began = time.process_time()
         (frame,) = FrameReader().feed(data)
@@ -79,7 +79,7 @@
             return
         if reply.record is not None:
             file.append([reply.record])
-        answer = encode(Frame(1, True, reply.message))
+        answer = encode(encode_message(reply.message), 1, True)
         self.replica_seconds += time.process_time() - began
         (back,) = FrameReader().feed(answer)
         if isinstance(message, Prepare):
