Answer nothing that a full disk did not take; metrics addresses; gather engines' changes

Cause, disk: a refused write left the replica's memory ahead of its file, its messages were never answered, a later heartbeat was answered as if all were well, and the leader took that as the answer to the refused write: a value counted as held that was on no disk. A part of a record left in the file also hid everything written after it.

--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -15,6 +15,7 @@
 from pondtiller.gateway.front import Front
 from pondtiller.gateway.leadership import Leadership
 from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.metrics_server import CONTENT_TYPE, METRICS_PATH, MetricsServer
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.sample_runner import SampleRunner
 from pondtiller.gateway.settings import GatewaySettings, to_address
@@ -35,7 +36,6 @@
 from pondtiller.platform.object_client import ObjectClient, StoreCallError
 from pondtiller.routes.engines import EngineDirectory
 
-METRICS_PATH = "/metrics"
 TABLE_PATH = "/table"
 HOUSEKEEPING_SECONDS = 0.5
 NO_REPLICA_SECONDS = 2.5
@@ -103,9 +103,23 @@
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
         self.watches = GatewayWatches(
-            self.store, health, self.engines, self.front, self._view_changed
+            self.store,
+            health,
+            self.engines,
+            self.front,
+            self._view_changed,
+            lambda: self.leadership.log.is_leading,
         )
         self._stopped = curio.Event()
+        self.metrics_server = (
+            MetricsServer(settings.metrics, self.render_metrics) if settings.metrics else None
+        )
+
+    def render_metrics(self) -> bytes:
+        """Return this gateway's figures as Prometheus text."""
+        from pondtiller.gateway.metrics_text import render
+
+        return render(self)
 
     async def _view_changed(self) -> None:
         """Take a change of the engines or the table."""
@@ -149,6 +163,8 @@
             await group.spawn(keep_running, "engines", self.watches.engines.run)
             await group.spawn(keep_running, "leadership", self.leadership.run)
             await group.spawn(keep_running, "housekeeping", self._keep_house)
+            if self.metrics_server is not None:
+                await group.spawn(keep_running, "metrics", self.metrics_server.run)
             await self._stopped.wait()
         finally:
             await self.leadership.replicas.close()
@@ -194,10 +210,7 @@
             is_ready = self._is_ready()
             await exchange.respond(HttpResponse(200 if is_ready else 503))
         elif request.path == METRICS_PATH:
-            from pondtiller.gateway.metrics_text import render
-
-            body = render(self)
-            await exchange.respond(HttpResponse(200, body, "text/plain; version=0.0.4"))
+            await exchange.respond(HttpResponse(200, self.render_metrics(), CONTENT_TYPE))
         elif request.path == TABLE_PATH:
             from pondtiller.gateway import table_view
 
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -15,7 +15,12 @@
     return text
 
 
+def _check_optional(text: str) -> str:
+    return _check_address(text) if text else text
+
+
 AddressText = Annotated[str, AfterValidator(_check_address)]
+OptionalAddress = Annotated[str, AfterValidator(_check_optional)]
 
 
 def to_address(text: str) -> Address:
@@ -78,6 +83,8 @@
         other daemons. The kernel chooses where a port is 0.
     store
         Address of the platform's object store.
+    metrics
+        Address to listen on for scrapes; empty where there is none.
     losses
         Replicas with their disks that may be lost at one time.
     """
@@ -88,6 +95,7 @@
     readiness: AddressText
     links: AddressText
     store: AddressText
+    metrics: OptionalAddress = ""
     losses: int = Field(default=1, ge=0, le=5)
     log_level: str = "info"
     durations: Durations = Durations()
@@ -108,6 +116,8 @@
         Address to listen on for the daemons.
     data_folder
         Folder on the small disk.
+    metrics
+        Address to listen on for scrapes; empty where there is none.
     first_start
         Whether this is the first start of the whole system.
     """
@@ -116,6 +126,7 @@
     zone: str
     links: AddressText
     store: AddressText
+    metrics: OptionalAddress = ""
     data_folder: Path
     first_start: bool = False
     log_level: str = "info"
--- a/src/pondtiller/gateway/tests/test_watches.py
+++ b/src/pondtiller/gateway/tests/test_watches.py
@@ -52,11 +52,15 @@
         self.told.append(change.object.name)
 
 
-def play(script: list[object], act: Callable[[StoreHealth], Awaitable[None]] | None = None):
+def play(
+    script: list[object],
+    act: Callable[[StoreHealth], Awaitable[None]] | None = None,
+    rest: Callable[[], float] | None = None,
+):
     store, recorder, health = ScriptedStore(script), Recorder(), StoreHealth()
 
     async def main() -> None:
-        watch = Watch(store, health, "kind", recorder.replace, recorder.change)
+        watch = Watch(store, health, "kind", recorder.replace, recorder.change, rest)
         task = await curio.spawn(watch.run)
         await curio.sleep(0.05)
         if act is not None:
@@ -100,3 +104,9 @@
     """Incident 3: a daemon spent its processor on a store that reset each connection."""
     store, _ = play([StoreCallError("reset")] * 1000)
     assert len(store.asked) < 6
+
+
+def test_a_watch_that_rests_after_a_change_gathers_the_next_ones() -> None:
+    store, recorder = play(["a", "b"] + ["c"] * 100, rest=lambda: 0.25)
+    assert recorder.told[:3] == ["listed1", "a", "b"]
+    assert len(store.asked) <= 4
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -31,6 +31,7 @@
 WATCH_SECONDS = 6.0
 SHORTEST_FIRST_WATCH_SECONDS = 1.0
 RETRY_SECONDS = 0.25
+ENGINES_REST_SECONDS = 0.8
 
 Replace = Callable[[tuple[StoreObject, ...]], Awaitable[None]]
 Change = Callable[[StoreChange], Awaitable[None]]
@@ -82,6 +83,9 @@
         Shared by the watches of one process.
     replace, change
         Take a whole listing, and one change.
+    rest
+        Returns for how many seconds to gather further changes before asking for them. Each
+        change is otherwise a call of each daemon.
     """
 
     def __init__(
@@ -91,7 +95,9 @@
         kind: str,
         replace: Replace,
         change: Change,
+        rest: Callable[[], float] | None = None,
     ) -> None:
+        self.rest = rest
         self._store = store
         self._health = health
         self._kind = kind
@@ -132,6 +138,8 @@
             at = found.at
             for change in found.changes:
                 await self._change(change)
+            if found.changes and self.rest is not None:
+                await curio.sleep(self.rest())
 
     async def _ask(self, at: int, seconds: float) -> StoreChanges | None:
         """Return what changed; None where the store was lost and regained meanwhile."""
@@ -154,7 +162,9 @@
         engines: EngineDirectory,
         front: Front,
         changed: Callable[[], Awaitable[None]],
+        is_leading: Callable[[], bool],
     ) -> None:
+        self.is_leading = is_leading
         self._engines = engines
         self._front = front
         self._changed = changed
@@ -165,7 +175,18 @@
             self._take_configurations,
             self._configuration_changed,
         )
-        self.engines = Watch(store, health, names.ENGINES, self._take_engines, self._engine_changed)
+        self.engines = Watch(
+            store,
+            health,
+            names.ENGINES,
+            self._take_engines,
+            self._engine_changed,
+            self._engines_rest,
+        )
+
+    def _engines_rest(self) -> float:
+        """Return the pause between calls: only a leader needs each load of weights at once."""
+        return 0.0 if self.is_leading() else ENGINES_REST_SECONDS
 
     async def _take_configurations(self, found: tuple[StoreObject, ...]) -> None:
         for each in found:
--- a/src/pondtiller/replica/file.py
+++ b/src/pondtiller/replica/file.py
@@ -44,16 +44,18 @@
             os.ftruncate(self._descriptor, 0)
             os.pwrite(self._descriptor, MAGIC, 0)
         os.ftruncate(self._descriptor, end)
-        os.lseek(self._descriptor, end, os.SEEK_SET)
         os.fsync(self._descriptor)
         self._sync_folder()
         self.size = self._size_after_rewrite = end
         return records
 
     def append(self, records: list[DiskRecord]) -> None:
-        """Write records; returns once they are on disk."""
+        """Write records; returns once they are on disk.
+
+        After an `OSError` nothing of them counts: the next call writes over what may be there.
+        """
         data = b"".join(encode(record) for record in records)
-        _write_all(self._descriptor, data)
+        _write_all(self._descriptor, data, self.size)
         os.fdatasync(self._descriptor)
         self.size += len(data)
 
@@ -63,7 +65,11 @@
         return self.size > limit
 
     def rewrite(self, replica: Replica) -> None:
-        """Replace the file by what the replica holds now."""
+        """Replace the file by what the replica holds now.
+
+        After an `OSError` the old file goes on, and the next try comes when it has grown more.
+        """
+        self._size_after_rewrite = self.size
         path = self._folder / NEW_NAME
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
         record = DiskRecord(
@@ -72,9 +78,14 @@
             disk=replica.member.disk,
         )
         data = MAGIC + encode(record)
-        _write_all(descriptor, data)
-        os.fsync(descriptor)
-        os.rename(path, self._path)
+        try:
+            _write_all(descriptor, data, 0)
+            os.fsync(descriptor)
+            os.rename(path, self._path)
+        except OSError:
+            os.close(descriptor)
+            path.unlink(missing_ok=True)
+            raise
         self._sync_folder()
         os.close(self._descriptor)
         self._descriptor = descriptor
@@ -94,7 +105,8 @@
             os.close(folder)
 
 
-def _write_all(descriptor: int, data: bytes) -> None:
+def _write_all(descriptor: int, data: bytes, offset: int) -> None:
     view = memoryview(data)
     while view:
-        view = view[os.write(descriptor, view) :]
+        written = os.pwrite(descriptor, view, offset)
+        view, offset = view[written:], offset + written
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -7,6 +7,7 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.daemon.supervise import keep_running
+from pondtiller.gateway.metrics_server import MetricsServer
 from pondtiller.gateway.settings import ReplicaSettings, to_address
 from pondtiller.httpio.client import HttpClient
 from pondtiller.httpio.server import bind_tcp
@@ -26,20 +27,29 @@
 
     def __init__(self, settings: ReplicaSettings) -> None:
         self.settings = settings
-        self._file = LogFile(settings.data_folder)
+        self.file = LogFile(settings.data_folder)
         place = to_address(settings.links)
         self._listener = bind_tcp(place.host, place.port)
         self.replica = self._restore()
-        self.server = ReplicaServer(self.replica, self._file)
+        self.server = ReplicaServer(self.replica, self.file)
         self._stopped = curio.Event()
+        self.metrics_server = (
+            MetricsServer(settings.metrics, self.render_metrics) if settings.metrics else None
+        )
+
+    def render_metrics(self) -> bytes:
+        """Return this replica's figures as Prometheus text."""
+        from pondtiller.replica.metrics_text import render
+
+        return render(self)
 
     def _restore(self) -> Replica:
-        records = self._file.read()
+        records = self.file.read()
         disk = next((record.disk for record in records if record.disk), "")
         is_new = not disk
         if is_new:
             disk = uuid.uuid4().hex
-            self._file.append([DiskRecord(disk=disk)])
+            self.file.append([DiskRecord(disk=disk)])
         host, port = self._listener.getsockname()
         member = GroupMember(
             name=self.settings.name,
@@ -58,7 +68,7 @@
             is_new=is_new,
             entries=len(replica.entries),
             promised=replica.promised,
-            bytes=self._file.size,
+            bytes=self.file.size,
         )
         return replica
 
@@ -70,8 +80,10 @@
             )
             await group.spawn(keep_running, "commits", self.server.run)
             await group.spawn(keep_running, "registration", self._register)
+            if self.metrics_server is not None:
+                await group.spawn(keep_running, "metrics", self.metrics_server.run)
             await self._stopped.wait()
-        self._file.close()
+        self.file.close()
         logs.decision("stopped", replica=self.settings.name)
 
     async def stop(self) -> None:
--- a/src/pondtiller/replica/server.py
+++ b/src/pondtiller/replica/server.py
@@ -44,9 +44,12 @@
         self._file = file
         self._arrivals: list[Arrival] = []
         self._arrived = curio.Event()
-        self._subscribers: dict[Link, str] = {}
+        self.subscribers: dict[Link, str] = {}
         self._progress: dict[str, SampleProgress] = {}
         self._told = ReplicaView()
+        self._unsynced: list[DiskRecord] = []
+        self._is_refused = False
+        self.refused_writes = 0
         self.syncs = 0
         self.messages = 0
 
@@ -55,7 +58,7 @@
         try:
             await link.run(self._take)
         finally:
-            daemon = self._subscribers.pop(link, None)
+            daemon = self.subscribers.pop(link, None)
             if daemon is not None:
                 logs.decision("daemon_left", daemon=daemon)
 
@@ -94,13 +97,42 @@
             replies.append((arrival, reply.message))
             if reply.record is not None:
                 records.append(reply.record)
-        if records:
-            self._file.append(records)
-            self.syncs += 1
+        if (records or self._unsynced) and not self._sync(records):
+            await _drop_links(arrivals)
+            return
         for arrival, message in replies:
             await arrival.link.reply(arrival.call, message)
         if self._file.should_rewrite():
+            self._rewrite()
+
+    def _rewrite(self) -> None:
+        try:
             self._file.rewrite(self._replica)
+        except OSError as error:
+            logs.decision("rewrite_refused", bytes=self._file.size, reason=str(error))
+
+    def _sync(self, records: list[DiskRecord]) -> bool:
+        """Make records durable; False where the disk takes no more.
+
+        Nothing may be answered then, not even what needs no record: it might tell of what is
+        in memory only, and a leader would count it as the answer to an earlier write. The
+        records wait, and are written before any later answer leaves.
+        """
+        self._unsynced += records
+        try:
+            self._file.append(self._unsynced)
+        except OSError as error:
+            self.refused_writes += 1
+            if not self._is_refused:
+                self._is_refused = True
+                logs.decision("disk_refused", records=len(self._unsynced), reason=str(error))
+            return False
+        if self._is_refused:
+            self._is_refused = False
+            logs.decision("disk_regained", records=len(self._unsynced))
+        self._unsynced = []
+        self.syncs += 1
+        return True
 
     async def _handle(self, arrival: Arrival) -> Reply | None:
         now = clock.monotonic()
@@ -123,7 +155,7 @@
             case Resign():
                 self._replica.resign(message)
             case Subscribe():
-                self._subscribers[arrival.link] = message.daemon
+                self.subscribers[arrival.link] = message.daemon
                 await arrival.link.send(self._replica.view(now))
             case SaveProgress():
                 self._save_progress(message)
@@ -155,5 +187,11 @@
                 generation=view.group.generation,
             )
         self._told = view
-        for link in list(self._subscribers):
+        for link in list(self.subscribers):
             await link.send(view)
+
+
+async def _drop_links(arrivals: list[Arrival]) -> None:
+    """End the links whose messages stay unanswered: their senders must begin again."""
+    for link in {arrival.link for arrival in arrivals}:
+        await link.drop()
