Send unfinished texts once and to few replicas; orders at once where the same daemon leads again

Now a replica gets each event once, of runs that have lasted a second, and only as many members as may be lost and one more. Whoever orders now claims it in the log first, and where the last claimant leads again it need not wait; it stands first.

--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -77,7 +77,7 @@
     async def save_progress(self) -> None:
         """Leave unfinished texts at the replicas, for a successor."""
         if self.term is not None:
-            await self.term.save_progress()
+            await self.term.save_progress(is_last=True)
 
 
 def _unavailable(message: Message) -> Message:
--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -94,9 +94,10 @@
         self.may_stand = False
         self._has_resigned = False
         self.handicap = min(LONGEST_HANDICAP_SECONDS, DELAY_PER_SLOWNESS_SECONDS / cores)
-        self._name = name
+        self.name = name
         self._address = address
         self._wanted_size = wanted_size
+        self.losses = (wanted_size - 1) // 2
         self._first_group = first_group
         self._metrics = metrics
         self._duties: Duties | None = None
@@ -114,7 +115,7 @@
     def leader(self) -> LeaderPlace | None:
         """Return the leader: this daemon where it leads, else whom the replicas name."""
         if self.log.holds_lease(clock.monotonic()):
-            return LeaderPlace(self._name, self._address, self.log.epoch)
+            return LeaderPlace(self.name, self._address, self.log.epoch)
         return self.replicas.leader()
 
     async def run(self) -> None:
@@ -142,6 +143,15 @@
         self.log.resign()
         await self._carry_out()
 
+    def _stand_delay(self) -> float:
+        """Return how long to wait before standing.
+
+        The daemon that ordered engines last comes first: it need not wait for its own orders.
+        """
+        if any(view.order_holder == self.name for view in self.replicas.views()):
+            return 0.0
+        return self.handicap + self._random.random() * STAND_DELAY_SECONDS
+
     def _pause(self, now: float) -> float:
         if self.log.phase is not Phase.IDLE:
             return HEARTBEAT_SECONDS / 3
@@ -158,8 +168,7 @@
             self._stand_at = None
             return
         if self._stand_at is None:
-            delay = self._random.random() * STAND_DELAY_SECONDS
-            self._stand_at = now + self.handicap + delay
+            self._stand_at = now + self._stand_delay()
         if now < max(self._stand_at, self._not_before):
             return
         self._stand_at = now + BACKOFF_SECONDS + self._random.random() * BACKOFF_SECONDS
@@ -213,7 +222,12 @@
 
     async def _won(self, won: Won) -> None:
         self._metrics.takeovers += 1
-        logs.decision("leader_won", epoch=won.epoch, entries=len(won.entries))
+        logs.decision(
+            "leader_won",
+            epoch=won.epoch,
+            entries=len(won.entries),
+            order_holder=won.order_holder,
+        )
         await self.replicas.set_keeps_all(True)
         if self._duties is not None:
             await self._duties.begin(won)
@@ -222,7 +236,7 @@
         self.replicas.highest_epoch = max(self.replicas.highest_epoch, deposed.highest_epoch)
         if deposed.wait_seconds:
             # Nobody can lead before that lease ends; the delay keeps candidates apart.
-            delay = self.handicap + self._random.random() * STAND_DELAY_SECONDS
+            delay = self._stand_delay()
             self._not_before = clock.monotonic() + deposed.wait_seconds + delay
         logs.decision(
             "leader_ended",
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -16,6 +16,7 @@
 from pondtiller.gateway.watches import LeaderWatches
 from pondtiller.links.link import LinkLostError
 from pondtiller.platform import engine_format
+from pondtiller.rollouts.progress import ProgressSaver
 from pondtiller.rollouts.sample_work import CancelRun, ListResult, ScoreEnd, ScoreText, StartRun
 from pondtiller.rollouts.samples import SampleScheduler
 from pondtiller.rollouts.steps import STEP_PREFIX, StepBook, StepRecord, StepStatus
@@ -77,6 +78,7 @@
         self.book = StepBook()
         self.steward = VersionSteward(parts.engines)
         self.scheduler = SampleScheduler(parts.engines, self.steward.is_loading)
+        self.progress = ProgressSaver()
         self.wake = curio.Event()
         self._entries = won.entries
         self._group = Spawner()
@@ -88,6 +90,9 @@
         self._scheduled: set[str] = set()
         self._is_over = False
         self._is_first = won.epoch < FIRST_EPOCH_END
+        self._held_orders = won.order_holder == parts.leadership.name
+        self._claim_from = float("inf")
+        self._claim_key = ""
 
     async def start(self) -> None:
         """Restore the steps, then begin to work."""
@@ -114,8 +119,9 @@
         self._table = self._parts.front.table
         for record in self.book.steps.values():
             self._schedule(record)
-        pause = 0.0 if self._is_first else self._parts.lease_seconds + ORDER_MARGIN_SECONDS
-        self.steward.may_order_from = clock.monotonic() + pause
+        is_free = self._is_first or self._held_orders
+        pause = 0.0 if is_free else self._parts.lease_seconds + ORDER_MARGIN_SECONDS
+        self._claim_from = clock.monotonic() + pause
         await self._watch_group.spawn(self._parts.watches.run, self.steward, self.wake)
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
@@ -140,10 +146,21 @@
             self.scheduler.refresh_routes(table.find)
             for record in self.book.steps.values():
                 self._schedule(record)
+        if now >= self._claim_from:
+            self._claim_orders(now)
         self.steward.tick(now)
         self.scheduler.tick(now, clock.wall())
         await self._carry_out()
 
+    def _claim_orders(self, now: float) -> None:
+        """Begin to order engines; where another daemon did last, once the claim is committed."""
+        self._claim_from = float("inf")
+        if self._held_orders:
+            self.steward.may_order_from = now
+        else:
+            self._claim_key = self._leadership.log.claim_orders()
+        logs.decision("orders_claimed", epoch=self.epoch, held_before=self._held_orders)
+
     def _schedule(self, record: StepRecord) -> None:
         if record.is_ended or not record.is_accepted or self._table is None:
             return
@@ -209,6 +226,11 @@
 
     async def committed(self, key: str) -> None:
         """Take a write that is on a quorum of disks."""
+        if key == self._claim_key:
+            self.steward.may_order_from = clock.monotonic()
+            self._leadership.log.drop_older_claims(key)
+            await self.wake.set()
+            return
         written_at = self._written_at.pop(key, None)
         if written_at is not None:
             self._metrics.commit_seconds.add(clock.monotonic() - written_at)
@@ -345,19 +367,17 @@
 
     # What outlives a term
 
-    async def save_progress(self) -> None:
-        """Leave unfinished texts at the replicas."""
-        samples = self.scheduler.progress()
-        if not samples:
-            return
-        message = SaveProgress(epoch=self.epoch, samples=samples)
-        for number in list(self._leadership.log.followers):
+    async def save_progress(self, is_last: bool = False) -> None:
+        """Leave unfinished texts at replicas, one more than may be lost at a time."""
+        now = clock.monotonic()
+        for number in self._leadership.log.member_links()[: self._leadership.losses + 1]:
             link = self._leadership.replicas.link(number)
-            if link is not None:
-                await link.send(message)
+            samples = self.progress.news(number, self.scheduler.work.values(), now, is_last)
+            if link is not None and samples:
+                await link.send(SaveProgress(epoch=self.epoch, samples=samples))
 
     async def _read_progress(self) -> None:
-        for number in list(self._leadership.log.followers):
+        for number in self._leadership.log.member_links():
             link = self._leadership.replicas.link(number)
             if link is None:
                 continue
--- a/src/pondtiller/gateway/tests/test_leadership.py
+++ b/src/pondtiller/gateway/tests/test_leadership.py
@@ -90,3 +90,15 @@
         assert not await gateway.stands(now + 5.0)
 
     curio.run(main)
+
+
+def test_the_daemon_that_ordered_engines_last_stands_first() -> None:
+    async def main() -> None:
+        gateway, now = Gateway(cores=0.5), clock.monotonic()
+        view = ReplicaView(
+            replica=MEMBER, group=Group(generation=1, members=[MEMBER]), order_holder="me"
+        )
+        gateway.leadership.replicas.views = lambda: [view]  # type: ignore[method-assign]
+        assert await gateway.stands(now)
+
+    curio.run(main)
--- a/src/pondtiller/links/link.py
+++ b/src/pondtiller/links/link.py
@@ -134,6 +134,10 @@
 
     def _push(self) -> None:
         """Give the kernel what it takes without waiting."""
+        if self._stream._socket is None:
+            # The reader has closed the connection while data waited.
+            self.is_lost = True
+            return
         try:
             sent = self._stream._socket.send(self._unsent, socket.MSG_NOSIGNAL)
         except BlockingIOError:
@@ -155,6 +159,8 @@
             while self._unsent and not self.is_lost:
                 await curio.traps._write_wait(self._stream)
                 self._push()
+            if self.is_lost:
+                return
 
 
 async def connect(address: Address) -> Link:
--- a/src/pondtiller/replica/server.py
+++ b/src/pondtiller/replica/server.py
@@ -8,6 +8,7 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.links.link import Link
 from pondtiller.replica.file import LogFile
+from pondtiller.steplog.kept_texts import extend
 from pondtiller.steplog.replica import Replica, Reply
 from pondtiller.wire.steplog import (
     Append,
@@ -171,7 +172,9 @@
         if message.epoch < self._replica.promised:
             return
         for sample in message.samples:
-            self._progress[sample.id] = sample
+            whole = extend(self._progress.pop(sample.id, None), sample)
+            if whole is not None:
+                self._progress[sample.id] = whole
         while len(self._progress) > MOST_PROGRESS:
             del self._progress[next(iter(self._progress))]
 
--- /dev/null
+++ b/src/pondtiller/rollouts/progress.py
@@ -0,0 +1,52 @@
+"""Unfinished texts for a leader's successor: what is worth keeping, sent once. No I/O.
+
+Losing a text costs the time that it took to make, nothing else. So only runs that have lasted
+a while are kept, and each replica is sent only the events that it was not sent before.
+"""
+
+from collections.abc import Iterable
+
+from pondtiller.rollouts.sample_work import SampleWork
+from pondtiller.wire.steplog import SampleProgress
+
+WORTH_KEEPING_SECONDS = 1.0
+
+
+class ProgressSaver:
+    """Knows what each replica was sent, by the number of its link."""
+
+    def __init__(self) -> None:
+        self.sent: dict[int, dict[str, int]] = {}
+
+    def news(
+        self, link: int, works: Iterable[SampleWork], now: float, is_last: bool = False
+    ) -> list[SampleProgress]:
+        """Return what a replica lacks; before a handover (`is_last`) also of recent runs."""
+        before = self.sent.get(link, {})
+        known: dict[str, int] = {}
+        found: list[SampleProgress] = []
+        for work in works:
+            text = work.text
+            is_young = not work.moves and now < work.run_started + WORTH_KEEPING_SECONDS
+            if not text.events or text.is_whole or (is_young and not is_last):
+                continue
+            after = before.get(work.sample_id, 0)
+            if text.last_event != after:
+                found.append(_since(work, after))
+            known[work.sample_id] = text.last_event
+        self.sent[link] = known
+        return found
+
+
+def _since(work: SampleWork, after: int) -> SampleProgress:
+    """Return a text's events after one; all of them where the text was begun anew."""
+    text = work.text
+    if text.last_event < after:
+        after = 0
+    return SampleProgress(
+        id=work.sample_id,
+        events=text.events[after:],
+        versions=text.versions,
+        last_event=text.last_event,
+        after_event=after,
+    )
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -99,23 +99,13 @@
             self._keep(work)
 
     def keep_progress(self, progress: SampleProgress) -> None:
-        """Take a text that an earlier leader left."""
+        """Take a text that an earlier leader left; the longest where several replicas have one."""
+        known = self._kept.get(progress.id)
+        if known is not None and known.last_event >= progress.last_event:
+            return
         text = Text(list(progress.events), list(progress.versions), progress.last_event)
         self._kept[progress.id] = text
 
-    def progress(self) -> list[SampleProgress]:
-        """Return the unfinished texts, for a successor."""
-        return [
-            SampleProgress(
-                id=work.sample_id,
-                events=work.text.events,
-                versions=work.text.versions,
-                last_event=work.text.last_event,
-            )
-            for work in self.work.values()
-            if work.text.events and not work.text.is_whole
-        ]
-
     # Runs
 
     def run_event(self, run: int, number: int, data: str, version: int, now: float) -> bool:
--- /dev/null
+++ b/src/pondtiller/steplog/holder.py
@@ -0,0 +1,24 @@
+"""Who may order engines: the last daemon that claimed it in the log.
+
+A daemon's first order in a term comes after its claim is committed. So the last claim in the
+log names the only daemon that can have given the latest orders, and where that daemon leads
+again there is nobody's late order to wait for.
+"""
+
+from collections.abc import Iterable
+
+from pondtiller.wire.steplog import Entry
+
+HOLDER_PREFIX = "holder/"
+
+
+def holder_key(epoch: int) -> str:
+    """Return the key of a claim; keys sort by epoch."""
+    return f"{HOLDER_PREFIX}{epoch:020d}"
+
+
+def holder_of(entries: Iterable[Entry]) -> str:
+    """Return the daemon of the last claim among entries; empty where there is none."""
+    claims = [entry for entry in entries if entry.key.startswith(HOLDER_PREFIX)]
+    last = max(claims, key=lambda entry: entry.key, default=None)
+    return last.value.decode() if last is not None else ""
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from pondtiller.steplog import group as groups
+from pondtiller.steplog.holder import HOLDER_PREFIX, holder_key, holder_of
 from pondtiller.steplog.replica import LEASE_SECONDS
 from pondtiller.wire.steplog import (
     Append,
@@ -47,10 +48,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Won:
-    """The daemon leads now; `entries` is everything that the log holds."""
+    """The daemon leads now.
+
+    Attributes
+    ----------
+    entries
+        Everything that the log holds, but for groups and claims.
+    order_holder
+        Daemon of the last claim to order engines; empty where there is none.
+    """
 
     epoch: int
     entries: tuple[Entry, ...]
+    order_holder: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -329,6 +339,13 @@
             if follower.is_synced and follower.acked >= 0
         ]
 
+    def member_links(self) -> list[int]:
+        """Return the links of the group's members, the longest connected first."""
+        names = {member.name for member in self.group.members}
+        return sorted(
+            link for link, follower in self.followers.items() if follower.member.name in names
+        )
+
     # Inside
 
     def _reset(self) -> None:
@@ -532,9 +549,23 @@
             self._finish_change(groups.group_key(self.next_group.generation))
         self.phase = Phase.LEADING
         entries = tuple(
-            entry for key, entry in self.entries.items() if not key.startswith(groups.GROUP_PREFIX)
+            entry
+            for key, entry in self.entries.items()
+            if not key.startswith((groups.GROUP_PREFIX, HOLDER_PREFIX))
         )
-        self._out.append(Won(self.epoch, entries))
+        self._out.append(Won(self.epoch, entries, holder_of(self.entries.values())))
+
+    def claim_orders(self) -> str:
+        """Claim the right to order engines; return the key whose commit grants it."""
+        key = holder_key(self.epoch)
+        self.put(key, self._name.encode())
+        return key
+
+    def drop_older_claims(self, key: str) -> None:
+        """Remove the claims before one that is committed."""
+        for each in [each for each in self.entries if each.startswith(HOLDER_PREFIX)]:
+            if each < key:
+                self.drop(each)
 
     def _lease_of(self, group: Group) -> float:
         members = groups.disks(group)
--- a/src/pondtiller/steplog/replica.py
+++ b/src/pondtiller/steplog/replica.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from pondtiller.steplog.group import GROUP_PREFIX, disks, group_key, groups_of
+from pondtiller.steplog.holder import HOLDER_PREFIX, holder_of
 from pondtiller.wire.steplog import (
     Append,
     Appended,
@@ -65,6 +66,8 @@
         Highest epoch promised; durable.
     entries
         Values by key; durable.
+    special
+        Those of them that say who decides: groups, and holders of the right to order.
     """
 
     member: GroupMember
@@ -72,21 +75,27 @@
     started_at: float
     promised: int = 0
     entries: dict[str, Entry] = field(default_factory=dict)
+    special: dict[str, Entry] = field(default_factory=dict)
     lease: Lease = field(default_factory=Lease)
 
     def restore(self, record: DiskRecord) -> None:
         """Take a record read back from the disk."""
         self.promised = max(self.promised, record.promised)
         for entry in record.puts:
-            self.entries[entry.key] = entry
+            self._hold(entry)
         for key in record.drops:
             self.entries.pop(key, None)
+            self.special.pop(key, None)
+
+    def _hold(self, entry: Entry) -> None:
+        self.entries[entry.key] = entry
+        if entry.key.startswith((GROUP_PREFIX, HOLDER_PREFIX)):
+            self.special[entry.key] = entry
 
     @property
     def groups(self) -> list[Group]:
         """The groups that this replica holds, oldest first."""
-        held = [entry for key, entry in self.entries.items() if key.startswith(GROUP_PREFIX)]
-        return groups_of(held)
+        return groups_of(self.special.values())
 
     def prepare(self, message: Prepare, now: float) -> Reply:
         """Promise an epoch to a candidate, or refuse because of a lease or a higher promise."""
@@ -141,6 +150,7 @@
             leader_port=self.lease.port if is_held else 0,
             group=groups[-1] if groups else Group(),
             may_form=self.may_form and not groups,
+            order_holder=holder_of(self.special.values()),
         )
 
     def _is_held_against(self, message: Prepare, now: float) -> bool:
@@ -175,4 +185,4 @@
             return
         entry = Entry(key=group_key(group.generation), epoch=epoch, value=bytes(group))
         record.puts = [entry]
-        self.entries[entry.key] = entry
+        self._hold(entry)
--- a/src/pondtiller/steplog/tests/cluster.py
+++ b/src/pondtiller/steplog/tests/cluster.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from pondtiller.steplog.group_policy import GroupInputs, next_members, spare_to_admit
+from pondtiller.steplog.holder import HOLDER_PREFIX
 from pondtiller.steplog.leader import Committed, Deposed, LeaderLog, Phase, Send, Won
 from pondtiller.steplog.replica import Replica
 from pondtiller.wire.steplog import (
@@ -227,6 +228,9 @@
     def _check_won(self, daemon: Daemon, won: Won) -> None:
         self.terms += 1
         held = {entry.key: entry.value for entry in won.entries}
+        # Claims to order engines are told by their holder's name; the log has them as well.
+        log = daemon.log.entries
+        held |= {key: log[key].value for key in log if key.startswith(HOLDER_PREFIX)}
         for key, value in self.committed.items():
             if held.get(key) != value:
                 raise ViolationError(
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -65,6 +65,9 @@
     may_form: bool = betterproto.bool_field(7)
     """The replica holds no group, and may become part of a first one."""
 
+    order_holder: str = betterproto.string_field(8)
+    """The daemon that last claimed the right to order engines."""
+
 
 @dataclass(eq=False, repr=False)
 class Prepare(betterproto.Message):
@@ -256,6 +259,10 @@
     events: List[str] = betterproto.string_field(2)
     versions: List[int] = betterproto.uint64_field(3)
     last_event: int = betterproto.uint64_field(4)
+    after_event: int = betterproto.uint64_field(5)
+    """
+    The events follow this one, of which the replica has been told; 0 where they are all.
+    """
 
 
 @dataclass(eq=False, repr=False)
