--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -19,6 +19,8 @@
 
 HEDGE_OBJECTIVES = 0.5
 SHORTEST_HEDGE_SECONDS = 0.06
+HEDGE_FILL = 0.5
+QUEUE_FILL = 2.0
 ZONE_COST = 0.15
 CONNECTION_COST = 0.15
 JITTER = 0.1
@@ -159,7 +161,7 @@
             try:
                 attempt = await curio.timeout_after(patience, ended.get)
             except curio.TaskTimeout:
-                if clock.monotonic() < request.deadline:
+                if clock.monotonic() < request.deadline and self._has_spare(service, tries):
                     await self._start(request, route, service, tries, ended, attempts)
                 continue
             tries.running -= 1
@@ -167,6 +169,19 @@
             if answer is not None:
                 return answer
 
+    def _has_spare(self, service: str, tries: Tries) -> bool:
+        """Return whether another engine is free enough for a second try of the same request.
+
+        Where engines are slow because they are full, second tries only fill them more.
+        """
+        engine = self.choose(service, tries.engines)
+        return engine is not None and engine.running < engine.entry.slots * HEDGE_FILL
+
+    def has_room(self, service: str) -> bool:
+        """Return whether an engine of a service would begin a request soon, by own work."""
+        engine = self.choose(service, set())
+        return engine is not None and engine.running < engine.entry.slots * QUEUE_FILL
+
     def _may_hedge(self, route: RouteRow, tries: Tries) -> bool:
         return route.may_repeat and len(tries.engines) < route.attempts
 
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -74,7 +74,7 @@
         client = HttpClient()
         self.store = ObjectClient(to_address(settings.store), client)
         health = StoreHealth()
-        forwarder = Forwarder(settings.zone, self.engines, self.pool, self.metrics)
+        forwarder = self.forwarder = Forwarder(settings.zone, self.engines, self.pool, self.metrics)
         self.sockets = GatewaySockets(settings)
         self.leadership = Leadership(
             settings.name,
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -103,6 +103,8 @@
         route = table.find(scorer.host, scorer.path) if table is not None else None
         if route is None:
             return ScoreOutcome(ScoreEnd.LOST, "", "no route")
+        if not self._forwarder.has_room(route.choose_service(scorer.id)):
+            return ScoreOutcome(ScoreEnd.LOST, "", "no room")
         seconds = max(SHORTEST_SCORER_SECONDS, SCORER_OBJECTIVES * route.objective_seconds)
         request = ForwardedRequest(
             identifier=scorer.id,
--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -369,3 +369,30 @@
         assert sum(len(engine.seen) for engine in system.app) == 1
 
     run_system(tmp_path, test)
+
+
+def test_full_engines_get_no_second_tries_and_no_more_scorers(tmp_path: Path) -> None:
+    async def slow(exchange: Exchange) -> None:
+        await curio.sleep(0.4)
+        identifier = exchange.request.headers["request-id"]
+        headers = (("Request-Id", identifier), ("Response-Signature", "s"))
+        await exchange.respond(HttpResponse(200, b"late", "", headers))
+
+    async def test(system: System) -> None:
+        await ready(system)
+        gateway = system.gateways[0]
+        busy = [each for each in gateway.engines.engines.values() if not each.entry.models]
+        service = busy[0].entry.service
+        for engine in busy:
+            engine.running = engine.entry.slots
+        assert gateway.forwarder.has_room(service)
+        for stand_in in system.app:
+            stand_in.next_behaviours = [slow]
+        answer = await system.call("POST", "/quote/7", b"x", request_id="q1")
+        assert answer.status == 200
+        assert sum(len(stand_in.seen) for stand_in in system.app) == 1
+        for engine in busy:
+            engine.running = 2 * engine.entry.slots
+        assert not gateway.forwarder.has_room(service)
+
+    run_system(tmp_path, test)
