--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -6,7 +6,7 @@
 from pondtiller.gateway.leadership import Duties
 from pondtiller.gateway.term import DutyParts, Term
 from pondtiller.rollouts.steps import StepStatus
-from pondtiller.steplog.leader import Won
+from pondtiller.steplog.instructions import Won
 from pondtiller.wire.steplog import (
     EndStep,
     OpenStep,
--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -12,15 +12,8 @@
 from pondtiller.hashing import score
 from pondtiller.links.frames import Encoded, encode_message
 from pondtiller.steplog.group_policy import GroupInputs, next_members, spare_to_admit
-from pondtiller.steplog.leader import (
-    HEARTBEAT_SECONDS,
-    Committed,
-    Deposed,
-    LeaderLog,
-    Phase,
-    Send,
-    Won,
-)
+from pondtiller.steplog.instructions import Committed, Deposed, Phase, Send, Won
+from pondtiller.steplog.leader import HEARTBEAT_SECONDS, LeaderLog
 from pondtiller.wire.steplog import (
     Append,
     Appended,
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -23,7 +23,7 @@
 from pondtiller.rollouts.versions import AskEngine, OrderVersion, VersionSteward
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.table import RouteTable
-from pondtiller.steplog.leader import Won
+from pondtiller.steplog.instructions import Won
 from pondtiller.wire.steplog import (
     ProgressList,
     ReadProgress,
--- a/src/pondtiller/gateway/tests/test_leadership.py
+++ b/src/pondtiller/gateway/tests/test_leadership.py
@@ -7,7 +7,7 @@
 from pondtiller.gateway.leadership import FirstGroupSource, Leadership
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.replicas import LeaderPlace
-from pondtiller.steplog.leader import Deposed, Phase
+from pondtiller.steplog.instructions import Deposed, Phase
 from pondtiller.wire.steplog import Group, GroupMember, ReplicaView
 
 MEMBER = GroupMember(name="r0", disk="d0", zone="z", host="h", port=1)
--- /dev/null
+++ b/src/pondtiller/steplog/instructions.py
@@ -0,0 +1,62 @@
+"""What a leader of the step log tells its driver, and the phases that it goes through."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from pondtiller.wire.steplog import Append, Entry, Fetch, Prepare, Resign
+
+
+class Send(NamedTuple):
+    """Send a message on a link."""
+
+    link: int
+    message: Prepare | Fetch | Append | Resign
+
+
+class Won(NamedTuple):
+    """The daemon leads now.
+
+    Attributes
+    ----------
+    entries
+        Everything that the log holds, but for groups and claims.
+    order_holder
+        Daemon of the last claim to order engines; empty where there is none.
+    """
+
+    epoch: int
+    entries: tuple[Entry, ...]
+    order_holder: str = ""
+
+
+class Committed(NamedTuple):
+    """A write is on a quorum of disks."""
+
+    key: str
+
+
+class Deposed(NamedTuple):
+    """The daemon does not lead any more, or failed to take over.
+
+    Attributes
+    ----------
+    wait_seconds
+        How long the lease lasts that stood against it; 0 where none did.
+    """
+
+    reason: str
+    highest_epoch: int
+    wait_seconds: float = 0.0
+
+
+Instruction = Send | Won | Committed | Deposed
+
+
+class Phase(Enum):
+    """How far a leader is."""
+
+    IDLE = "idle"
+    PREPARING = "preparing"
+    FETCHING = "fetching"
+    REWRITING = "rewriting"
+    LEADING = "leading"
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -8,11 +8,10 @@
 does not provably hold. Only then it leads.
 """
 
-from dataclasses import dataclass, field
-from enum import Enum
-
 from pondtiller.steplog import group as groups
+from pondtiller.steplog.follower import HEARTBEAT, PART_OF_WRITES, Follower
 from pondtiller.steplog.holder import HOLDER_PREFIX, holder_key, holder_of
+from pondtiller.steplog.instructions import Committed, Deposed, Instruction, Phase, Send, Won
 from pondtiller.steplog.replica import LEASE_SECONDS
 from pondtiller.wire.steplog import (
     Append,
@@ -31,8 +30,6 @@
 LEASE_MARGIN_SECONDS = 0.15
 TAKEOVER_SECONDS = 3.0
 CHUNK_KEYS = 64
-PART_OF_WRITES = -1
-HEARTBEAT = -2
 EPOCH_ROUND = 1 << 32
 
 
@@ -41,95 +38,6 @@
     return (highest // EPOCH_ROUND + 1) * EPOCH_ROUND + identity % EPOCH_ROUND
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Send a message on a link."""
-
-    link: int
-    message: Prepare | Fetch | Append | Resign
-
-
-@dataclass(frozen=True, slots=True)
-class Won:
-    """The daemon leads now.
-
-    Attributes
-    ----------
-    entries
-        Everything that the log holds, but for groups and claims.
-    order_holder
-        Daemon of the last claim to order engines; empty where there is none.
-    """
-
-    epoch: int
-    entries: tuple[Entry, ...]
-    order_holder: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Committed:
-    """A write is on a quorum of disks."""
-
-    key: str
-
-
-@dataclass(frozen=True, slots=True)
-class Deposed:
-    """The daemon does not lead any more, or failed to take over.
-
-    Attributes
-    ----------
-    wait_seconds
-        How long the lease lasts that stood against it; 0 where none did.
-    """
-
-    reason: str
-    highest_epoch: int
-    wait_seconds: float = 0.0
-
-
-Instruction = Send | Won | Committed | Deposed
-
-
-class Phase(Enum):
-    """How far a leader is."""
-
-    IDLE = "idle"
-    PREPARING = "preparing"
-    FETCHING = "fetching"
-    REWRITING = "rewriting"
-    LEADING = "leading"
-
-
-@dataclass
-class Follower:
-    """One connected replica.
-
-    Attributes
-    ----------
-    acked
-        Number of the last write that it has on disk; -1 until it has all earlier ones too.
-    is_asked
-        Whether it was asked for a promise in this term.
-    waiting
-        Number and time of sending of each message that it has not answered; the number is of
-        the last write that it completes, or says that it completes none.
-    lease_from
-        When the last message was sent that it answered with consent.
-    """
-
-    link: int
-    member: GroupMember
-    disk: str
-    is_asked: bool = False
-    keys: dict[str, int] | None = None
-    is_synced: bool = False
-    acked: int = -1
-    waiting: list[tuple[int, float]] = field(default_factory=list)
-    lease_from: float = float("-inf")
-    last_sent: float = float("-inf")
-
-
 class LeaderLog:
     """Leads the step log, or tries to.
 
--- a/src/pondtiller/steplog/tests/cluster.py
+++ b/src/pondtiller/steplog/tests/cluster.py
@@ -13,7 +13,8 @@
 
 from pondtiller.steplog.group_policy import GroupInputs, next_members, spare_to_admit
 from pondtiller.steplog.holder import HOLDER_PREFIX
-from pondtiller.steplog.leader import Committed, Deposed, LeaderLog, Phase, Send, Won
+from pondtiller.steplog.instructions import Committed, Deposed, Phase, Send, Won
+from pondtiller.steplog.leader import LeaderLog
 from pondtiller.steplog.replica import Replica
 from pondtiller.wire.steplog import (
     Append,
--- a/src/pondtiller/steplog/tests/test_holder.py
+++ b/src/pondtiller/steplog/tests/test_holder.py
@@ -1,7 +1,7 @@
 """The right to order engines: the last claim is found again by whoever leads next."""
 
 from pondtiller.steplog.holder import holder_key, holder_of
-from pondtiller.steplog.leader import Won
+from pondtiller.steplog.instructions import Won
 from pondtiller.steplog.tests.cluster import Cluster, Daemon
 from pondtiller.wire.steplog import Entry
 
