--- a/src/pondtiller/coordination/tests/test_examples.py
+++ b/src/pondtiller/coordination/tests/test_examples.py
@@ -9,6 +9,10 @@
     "registers.py": "b'hello'",
     "limit_shares.py": "{'one': 6, 'two': 4}",
     "documents.py": "b'newer'",
+    "step_log.py": (
+        "first [()]\n[Committed(key='sample/1')]\n"
+        "second [(Entry(key='sample/1', epoch=4294967298, value=b'kept'),)]"
+    ),
     "retry_budget.py": "3 open True",
 }
 
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -22,8 +22,10 @@
 HEDGE_FILL = 0.5
 QUEUE_FILL = 2.0
 ZONE_COST = 0.15
-CONNECTION_COST = 0.15
+CONNECTION_COST = 0.3
 JITTER = 0.1
+SLOWER_THAN_USUAL = 2.0
+MOST_SLOWNESS_COST = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,10 +114,13 @@
         usable = self._engines.usable(service, now)
         fresh = [each for each in usable if each.identifier not in tried]
         rested = [each for each in fresh if now >= each.not_before] or fresh
-        return min(rested, key=self._cost, default=None)
+        usual = min((each.answer_seconds for each in rested if each.answer_seconds), default=0.0)
+        return min(rested, key=lambda each: self._cost(each, usual), default=None)
 
-    def _cost(self, engine: Engine) -> float:
+    def _cost(self, engine: Engine, usual: float) -> float:
         cost = engine.running / engine.entry.slots + self._random.random() * JITTER
+        if usual and engine.answer_seconds > usual * SLOWER_THAN_USUAL:
+            cost += min(MOST_SLOWNESS_COST, engine.answer_seconds / usual - SLOWER_THAN_USUAL)
         cost += 0.0 if engine.entry.zone == self._zone else ZONE_COST
         cost += 0.0 if self._pool.has_kept(engine.identifier) else CONNECTION_COST
         return cost
@@ -261,6 +266,8 @@
     ) -> WholeAnswer:
         engine.running += 1
         self._metrics.attempts += 1
+        began = clock.monotonic()
+        is_answered = False
         connection: EngineConnection | None = None
         try:
             connection = await self._pool.take(engine.identifier, engine.entry.address)
@@ -269,14 +276,23 @@
             body = b"".join([piece async for piece in connection.read_body()])
             if engine_format.is_not_run(head.status, head.headers):
                 tries.sent -= 1
+            is_answered = 200 <= head.status < 300
             await self._pool.give_back(connection)
             connection = None
             return WholeAnswer(engine.identifier, head.status, head.headers, body)
         finally:
+            self._note_time(engine, began, is_answered)
             engine.running = max(0, engine.running - 1)
             if connection is not None:
                 await connection.close()
 
+    def _note_time(self, engine: Engine, began: float, is_answered: bool) -> None:
+        """Learn how fast an engine is; one that was left tells only that it took so long."""
+        now = clock.monotonic()
+        seconds = now - began
+        if is_answered or seconds > engine.answer_seconds > 0:
+            engine.note_answer(seconds, now)
+
     async def _send(
         self, connection: EngineConnection, engine: Engine, request: ForwardedRequest
     ) -> AnswerHead:
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -59,6 +59,8 @@
         When its entry went without it having said that it leaves; None while it stands.
     event_seconds
         Smoothed time between two events of a stream; 0 while unknown.
+    answer_seconds
+        Smoothed time of a whole answer; 0 while unknown.
     """
 
     entry: EngineEntry
@@ -68,6 +70,8 @@
     gone_at: float | None = None
     event_seconds: float = 0.0
     paced_at: float = 0.0
+    answer_seconds: float = 0.0
+    answered_at: float = 0.0
 
     @property
     def identifier(self) -> str:
@@ -96,8 +100,18 @@
         else:
             self.event_seconds += PACE_WEIGHT * (seconds - self.event_seconds)
 
+    def note_answer(self, seconds: float, now: float) -> None:
+        """Take how long a whole answer took, or has taken so far when it was given up."""
+        self.answered_at = now
+        if self.answer_seconds == 0:
+            self.answer_seconds = seconds
+        else:
+            self.answer_seconds += PACE_WEIGHT * (seconds - self.answer_seconds)
+
     def forget_pace(self, now: float) -> None:
         """Drop a pace that is out of date: a slow engine is tried again."""
+        if now > self.answered_at + PACE_SECONDS:
+            self.answer_seconds = 0.0
         if now > self.paced_at + PACE_SECONDS:
             self.event_seconds = 0.0
 
--- /dev/null
+++ b/src/pondtiller/routes/tests/test_engines.py
@@ -0,0 +1,30 @@
+"""What a daemon learns of engines by itself."""
+
+from pondtiller.core.entities import Address
+from pondtiller.gateway.engine_pool import EnginePool
+from pondtiller.gateway.forward import Forwarder
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
+
+
+def directory(count: int) -> EngineDirectory:
+    made = EngineDirectory()
+    place = Address("10.0.0.1", 1)
+    entries = [
+        EngineEntry(f"e{number}", "app", place, "z", 6, EngineState.READY)
+        for number in range(count)
+    ]
+    made.replace(entries, 0.0)
+    return made
+
+
+def test_a_slow_engine_is_left_while_others_are_fast_and_tried_again_later() -> None:
+    engines = directory(3)
+    forwarder = Forwarder("z", engines, EnginePool(), GatewayMetrics())
+    for name, seconds in (("e0", 0.2), ("e1", 0.03), ("e2", 0.04)):
+        engines.engines[name].note_answer(seconds, 10.0)
+    chosen = {forwarder.choose("app", set()).identifier for _ in range(50)}  # type: ignore[union-attr]
+    assert chosen == {"e1", "e2"}
+    engines.keep_house(14.0)
+    chosen = {forwarder.choose("app", set()).identifier for _ in range(200)}  # type: ignore[union-attr]
+    assert chosen == {"e0", "e1", "e2"}
