--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -31,7 +31,7 @@
 WATCH_SECONDS = 6.0
 SHORTEST_FIRST_WATCH_SECONDS = 1.0
 RETRY_SECONDS = 0.25
-ENGINES_REST_SECONDS = 0.8
+ENGINES_REST_SECONDS = 1.2
 
 Replace = Callable[[tuple[StoreObject, ...]], Awaitable[None]]
 Change = Callable[[StoreChange], Awaitable[None]]
