--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -74,6 +74,8 @@
     ----------
     running
         Attempts that have not ended.
+    last_began
+        When the last attempt began.
     sent
         Attempts that left, less those that an engine refused as not run.
     """
@@ -81,6 +83,7 @@
     engines: set[str] = field(default_factory=set)
     running: int = 0
     sent: int = 0
+    last_began: float = 0.0
     last_failure: WholeAnswer | None = None
     details: list[str] = field(default_factory=list)
 
@@ -166,7 +169,9 @@
             try:
                 attempt = await curio.timeout_after(patience, ended.get)
             except curio.TaskTimeout:
-                if clock.monotonic() < request.deadline and self._has_spare(service, tries):
+                now = clock.monotonic()
+                is_overdue = now >= tries.last_began + route.objective_seconds
+                if now < request.deadline and (is_overdue or self._has_spare(service, tries)):
                     await self._start(request, route, service, tries, ended, attempts)
                 continue
             tries.running -= 1
@@ -175,9 +180,10 @@
                 return answer
 
     def _has_spare(self, service: str, tries: Tries) -> bool:
-        """Return whether another engine is free enough for a second try of the same request.
+        """Return whether another engine is free enough for an early second try.
 
-        Where engines are slow because they are full, second tries only fill them more.
+        Where engines are slow because they are full, second tries only fill them more. A
+        request that is overdue gets its second try all the same: its engine may be gone.
         """
         engine = self.choose(service, tries.engines)
         return engine is not None and engine.running < engine.entry.slots * HEDGE_FILL
@@ -209,6 +215,7 @@
             tries.details.append("next")
         tries.engines.add(engine.identifier)
         tries.running += 1
+        tries.last_began = clock.monotonic()
         await attempts.spawn(self._try, engine, request, tries, ended)
         return True
 
