--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -153,7 +153,7 @@
             work.score_failures += 1
         if end is ScoreEnd.SCORED:
             self._list(work, self._result(work, score))
-        elif work.score_failures >= attempts:
+        elif end is ScoreEnd.FAILED and work.score_failures >= attempts:
             self._give_up(work)
         else:
             self._out.append(ScoreText(step, work.sample))
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -228,3 +228,23 @@
     assert starts(bench.tick(0.0)) == []
     bench.scheduler.refresh_routes(lambda _host, _path: ROUTE)
     assert len(starts(bench.tick(0.1))) == 1
+
+
+def test_a_scorer_that_was_not_asked_counts_for_nothing_whatever_failed_before() -> None:
+    """Incident 10: a scorer without room ended samples after one answer that said failed."""
+    bench = Bench(engines=1)
+    bench.open(groups=1, size=1)
+    (start,) = starts(bench.tick(0.0))
+    bench.scheduler.run_ended(start.run, RunEnd.WHOLE, 0.5)
+    bench.scheduler.take()
+    bench.scheduler.scored("s", "s-0-0", ScoreEnd.FAILED, "", 3)
+    assert isinstance(bench.scheduler.take()[0], ScoreText)
+    for _ in range(5):
+        bench.scheduler.scored("s", "s-0-0", ScoreEnd.LOST, "", 1)
+        assert isinstance(bench.scheduler.take()[0], ScoreText)
+    bench.scheduler.scored("s", "s-0-0", ScoreEnd.FAILED, "", 3)
+    assert isinstance(bench.scheduler.take()[0], ScoreText)
+    bench.scheduler.scored("s", "s-0-0", ScoreEnd.FAILED, "", 3)
+    (given_up,) = bench.scheduler.take()
+    assert isinstance(given_up, ListResult)
+    assert not given_up.result.succeeded
