--- a/src/pondtiller/gateway/replicas.py
+++ b/src/pondtiller/gateway/replicas.py
@@ -35,6 +35,10 @@
     heard_at: float = 0.0
     known_since: float = field(default_factory=clock.monotonic)
 
+    def note_heard(self) -> None:
+        """Take that bytes arrived: a long answer is no silence."""
+        self.heard_at = clock.monotonic()
+
 
 @dataclass(frozen=True, slots=True)
 class LeaderPlace:
@@ -158,6 +162,7 @@
         place.link = link
         place.view = None
         place.heard_at = clock.monotonic()
+        link.heard = place.note_heard
         watch = await curio.spawn(self._drop_silent, place, link, daemon=True)
 
         async def take(_link: Link, _call: int, message: Message) -> None:
@@ -181,7 +186,6 @@
         await link.drop()
 
     async def _take(self, place: ReplicaLink, message: Message) -> None:
-        place.heard_at = clock.monotonic()
         if not isinstance(message, ReplicaView):
             return
         is_first = place.view is None
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -104,6 +104,7 @@
     async def stop(self) -> None:
         """Cancel everything; calls that wait learn that their outcome is not known."""
         self._is_over = True
+        self.scheduler.abandon()
         for task in list(self._runs.values()):
             await task.cancel(blocking=False)
         await self._group.__aexit__()
--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -415,3 +415,28 @@
             assert clock.monotonic() - began < 1.0
 
     run_system(tmp_path, test)
+
+
+def test_a_term_that_ends_gives_its_places_at_engines_back(tmp_path: Path) -> None:
+    """Incident 11: a daemon that led again took its own earlier runs for work of the engines."""
+
+    async def mute(_exchange: Exchange) -> None:
+        await curio.sleep(20.0)
+
+    async def test(system: System) -> None:
+        await ready(system)
+        for engine in system.llm:
+            engine.next_behaviours = [mute] * 8
+        assert await system.submit("s1", samples=8) == 202
+        gateway = await system.until_led()
+        engines = gateway.engines.engines.values()
+        await system.until(lambda: sum(each.running for each in engines) > 0)
+        gateway.leadership.log._depose("the lease ended", gateway.leadership.log.epoch)
+        await gateway.leadership.flush()
+        assert sum(each.running for each in engines) == 0
+        for engine in system.llm:
+            engine.next_behaviours = []
+        await system.until_led()
+        assert len(await system.read_all("s1", 8)) == 8
+
+    run_system(tmp_path, test)
--- a/src/pondtiller/links/link.py
+++ b/src/pondtiller/links/link.py
@@ -22,6 +22,8 @@
 READ_BYTES = 262_144
 CONNECT_SECONDS = 1.0
 MOST_UNSENT_BYTES = 64 * 1024 * 1024
+SEND_BYTES = 131_072
+COMPACT_BYTES = 4 * 1024 * 1024
 
 Handler = Callable[["Link", int, Message], Awaitable[None]]
 Answered = Callable[[Message], Awaitable[None]]
@@ -36,6 +38,11 @@
 
     Sending never waits for the other side: what the kernel does not take at once is sent by a
     task. A link whose other side does not read is dropped.
+
+    Attributes
+    ----------
+    heard
+        Called whenever bytes arrive, also a part of a message.
     """
 
     def __init__(self, stream: Any) -> None:
@@ -43,6 +50,8 @@
         self.sent_bytes = 0
         self._stream = stream
         self._unsent = bytearray()
+        self._begin = 0
+        self.heard: Callable[[], None] | None = None
         self._has_unsent = curio.Event()
         self._last_call = 0
         self._waiting: dict[int, Answered] = {}
@@ -119,6 +128,8 @@
                 data = await self._stream.recv(READ_BYTES)
                 if not data:
                     return
+                if self.heard is not None:
+                    self.heard()
                 for frame in reader.feed(data):
                     await self._take(frame, handler)
             except (OSError, BadFrameError):
@@ -133,21 +144,33 @@
             await answered(frame.message)
 
     def _push(self) -> None:
-        """Give the kernel what it takes without waiting."""
+        """Give the kernel what it takes without waiting, a part at a time.
+
+        What waits may be the whole log: handing all of it over, or moving it up, for each part
+        that is taken would cost its length squared.
+        """
         if self._stream._socket is None:
             # The reader has closed the connection while data waited.
             self.is_lost = True
             return
-        try:
-            sent = self._stream._socket.send(self._unsent, socket.MSG_NOSIGNAL)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            self._unsent.clear()
-            self.is_lost = True
-            return
-        self.sent_bytes += sent
-        del self._unsent[:sent]
+        while self._begin < len(self._unsent):
+            part = bytes(self._unsent[self._begin : self._begin + SEND_BYTES])
+            try:
+                sent = self._stream._socket.send(part, socket.MSG_NOSIGNAL)
+            except BlockingIOError:
+                break
+            except OSError:
+                self._unsent.clear()
+                self._begin = 0
+                self.is_lost = True
+                return
+            self.sent_bytes += sent
+            self._begin += sent
+            if sent < len(part):
+                break
+        if self._begin > COMPACT_BYTES or self._begin == len(self._unsent):
+            del self._unsent[: self._begin]
+            self._begin = 0
         if len(self._unsent) > MOST_UNSENT_BYTES:
             self.is_lost = True
 
--- a/src/pondtiller/links/tests/test_link.py
+++ b/src/pondtiller/links/tests/test_link.py
@@ -3,6 +3,7 @@
 import socket
 
 import curio
+from betterproto import Message
 
 from pondtiller.links.link import Link
 from pondtiller.wire.steplog import SampleProgress, SaveProgress
@@ -18,3 +19,31 @@
         theirs.close()
 
     curio.run(main)
+
+
+def test_a_long_message_arrives_whole_and_its_parts_are_heard() -> None:
+    async def main() -> None:
+        ours, theirs = socket.socketpair()
+        sender, receiver = Link(curio.io.Socket(ours)), Link(curio.io.Socket(theirs))
+        heard: list[None] = []
+        arrived: list[Message] = []
+        receiver.heard = lambda: heard.append(None)
+
+        async def take(_link: Link, _call: int, message: Message) -> None:
+            arrived.append(message)
+
+        reading = await curio.spawn(receiver.run, take)
+        sending = await curio.spawn(sender.run, take)
+        long = SaveProgress(epoch=1, samples=[SampleProgress(id="x" * 9_000_000)])
+        short = SaveProgress(epoch=2)
+        await sender.send(long)
+        await sender.send(short)
+        async with curio.ignore_after(10.0):
+            while len(arrived) < 2:
+                await curio.sleep(0.01)
+        assert arrived == [long, short]
+        assert len(heard) > 10
+        await sending.cancel()
+        await reading.cancel()
+
+    curio.run(main)
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -83,6 +83,11 @@
             if work.text.is_whole:
                 self._score(work)
 
+    def abandon(self) -> None:
+        """Leave all engines: another leader goes on with the samples."""
+        for work in list(self.runs.values()):
+            self._stop_run(work, CancelReason.TERM_ENDED)
+
     def refresh_routes(self, find: Callable[[str, str], RouteRow | None]) -> None:
         """Take the rows in force; samples whose row is gone wait."""
         for work in self.work.values():
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -133,7 +133,8 @@
             return
         if not promise.granted:
             if promise.epoch > self.epoch or self.phase is Phase.PREPARING:
-                wait = promise.wait_milliseconds / 1000.0
+                # A refusal tells whole milliseconds; the lease may last a part of one longer.
+                wait = (promise.wait_milliseconds + 1) / 1000.0
                 self._depose("a replica refused its promise", promise.epoch, wait)
             return
         if promise.epoch != self.epoch:
@@ -367,17 +368,21 @@
                 self._out.append(Send(link, Fetch(epoch=self.epoch, keys=keys)))
 
     def _best_holders(self) -> dict[str, int]:
-        """Return for each key the link to fetch it from: one that has its highest epoch."""
-        answered = [each for each in self.followers.values() if each.keys is not None]
-        answered.sort(key=lambda each: -len(each.keys or ()))
+        """Return for each key the link to fetch it from: one that has its highest epoch.
+
+        Where several do, they share the keys.
+        """
         highest: dict[str, int] = {}
-        holder: dict[str, int] = {}
-        for follower in answered:
+        holders: dict[str, list[int]] = {}
+        for follower in self.followers.values():
             for key, epoch in (follower.keys or {}).items():
-                if key not in highest or epoch > highest[key]:
-                    highest[key] = epoch
-                    holder[key] = follower.link
-        return holder
+                if epoch > highest.get(key, -1):
+                    highest[key], holders[key] = epoch, []
+                if epoch == highest[key]:
+                    holders[key].append(follower.link)
+        return {
+            key: links[place % len(links)] for place, (key, links) in enumerate(holders.items())
+        }
 
     def _rewrite(self, now: float) -> None:
         """Write again what a write quorum does not provably hold, then lead."""
