Leave a slow engine only for a place elsewhere, and never for a pause of one's own

Twelve runs of one engine left together because one other engine had two free places, came back, and left again every 0.4 s (seconds 9.2 to 11.6); and a pause of 0.1 s of the leader itself, 2.5 usual gaps, made all engines look slow at once (seconds 40.4 and 46.3: 37 runs each). Ruled out: loads of weights (orders were under way on two engines of seven), engines' own pauses (all seven at the same moment). Change: each move reserves a place; a silence counts against an engine after six usual gaps; a tick that comes 0.3 s late is the daemon's own stall and forgives what was not heard.

--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -33,6 +33,8 @@
 )
 
 TICK_SECONDS = 0.1
+STALL_SECONDS = 0.3
+"""A tick that comes this much late says that this daemon stood still, not its engines."""
 COMMIT_SECONDS = 2.5
 PROGRESS_SECONDS = 1.0
 PROGRESS_CALL_SECONDS = 0.3
@@ -126,9 +128,14 @@
         await self._watch_group.spawn(self._parts.watches.run, self.steward, self.wake)
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
+        due = next_progress + TICK_SECONDS
         while True:
             self.wake.clear()
             now = clock.monotonic()
+            if now > due + STALL_SECONDS:
+                logs.decision("stalled", seconds=now - due, runs=len(self.scheduler.runs))
+                self.scheduler.note_stall(now)
+            due = now + TICK_SECONDS
             await self._tick(now)
             if now >= next_progress:
                 next_progress = now + PROGRESS_SECONDS
--- a/src/pondtiller/rollouts/placement.py
+++ b/src/pondtiller/rollouts/placement.py
@@ -34,12 +34,15 @@
         Usual time between two events of a stream, in seconds; 0 while unknown.
     unmet
         Needs for which no engine has room, so that like samples are not looked at again.
+    reserved
+        Places promised to runs that move here in this tick, by engine.
     """
 
     usable: list[Engine]
     with_room: list[Engine]
     pace: float
     unmet: set[Need] = field(default_factory=set)
+    reserved: Counter[str] = field(default_factory=Counter)
 
 
 class Placement:
@@ -108,16 +111,34 @@
             view.with_room.remove(chosen)
         return chosen
 
-    def has_better(self, work: SampleWork, pace: float, factor: float, now: float) -> bool:
-        """Return whether an engine with room to spare is `factor` times as fast as a pace."""
+    def reserve_better(self, work: SampleWork, pace: float, factor: float, now: float) -> bool:
+        """Reserve a place for a run on an engine that is `factor` times as fast as a pace.
+
+        Each place is promised to one run only: a run that leaves its engine and finds no place
+        elsewhere goes back to the same engine, and has gained nothing.
+
+        Parameters
+        ----------
+        pace
+            Seconds between two events where the run is now.
+
+        Returns
+        -------
+        bool
+            False where no such engine has room to spare.
+        """
         view = self.view(work.service, now)
-        return any(
-            other.running < other.entry.slots - 1
-            and other.event_seconds < pace / factor
-            and other.identifier != work.engine
-            and self.has_weights(other, work)
-            for other in view.with_room
-        )
+        for other in view.with_room:
+            taken = other.running + view.reserved[other.identifier]
+            if (
+                taken < other.entry.slots - 1
+                and other.event_seconds < pace / factor
+                and other.identifier != work.engine
+                and self.has_weights(other, work)
+            ):
+                view.reserved[other.identifier] += 1
+                return True
+        return False
 
     def has_weights(self, engine: Engine, work: SampleWork) -> bool:
         """Return whether an engine has weights that may make the rest of a sample."""
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -32,6 +32,8 @@
 SLOW_AFTER_SECONDS = 0.4
 SILENT_SECONDS = 0.7
 SILENT_GAPS = 8.0
+SLOW_SILENT_GAPS = 6.0
+"""Events that must be missing before a silence, rather than the pace, makes an engine slow."""
 MOST_MOVES = 4
 KEPT_SAMPLES = 4000
 QUEUE_MARGIN_SECONDS = 3.0
@@ -132,6 +134,11 @@
         work.last_heard = now
         return True
 
+    def note_stall(self, now: float) -> None:
+        """Take that this daemon itself did nothing for a while: what it did not hear is its own."""
+        for work in self.runs.values():
+            work.last_heard = now
+
     def run_ended(self, run: int, end: RunEnd, now: float) -> SampleWork | None:
         """Take the end of a run; None where it was cancelled before."""
         work = self.runs.pop(run, None)
@@ -213,7 +220,7 @@
         )
 
     def _move_slow(self, now: float) -> None:
-        for work in list(self.runs.values()):
+        for work in sorted(self.runs.values(), key=lambda each: each.order):
             reason = self._why_move(work, now) if work.moves < MOST_MOVES else None
             if reason is not None:
                 work.moves += 1
@@ -230,11 +237,13 @@
             return CancelReason.SILENT
         if engine is None or now < work.run_started + SLOW_AFTER_SECONDS:
             return None
-        slow = max(engine.event_seconds, silence)
+        slow = engine.event_seconds
+        if silence > SLOW_SILENT_GAPS * pace:
+            slow = max(slow, silence)
         if not pace or slow < SLOW_FACTOR * pace:
             return None
-        has_better = self.placement.has_better(work, slow, SLOW_FACTOR, now)
-        return CancelReason.SLOW if has_better else None
+        is_placed = self.placement.reserve_better(work, slow, SLOW_FACTOR, now)
+        return CancelReason.SLOW if is_placed else None
 
     def _give_up_late(self, wall_now: float) -> None:
         for work in list(self.work.values()):
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -163,6 +163,49 @@
     assert (moved.last_event, moved.engine != run.engine) == (1, True)
 
 
+def slow_engine_bench(runs: int) -> tuple[Bench, list[StartRun]]:
+    """Return a bench whose first engine is full of slow runs, beside one with few places."""
+    bench = Bench(engines=0)
+    bench.directory.replace([entry("e0", slots=runs)], 0.0)
+    bench.open(size=runs)
+    begun = starts(bench.tick(0.0))
+    bench.directory.changed(entry("e1", slots=3))
+    bench.directory.engines["e0"].event_seconds = 0.3
+    bench.directory.engines["e1"].event_seconds = 0.03
+    for run in begun:
+        bench.scheduler.run_event(run.run, 1, "a", 1, 0.5)
+    return bench, begun
+
+
+def test_no_more_runs_leave_a_slow_engine_than_find_a_place_elsewhere() -> None:
+    """Twelve runs left at once for two places, and ten came back to the slow engine."""
+    bench, _ = slow_engine_bench(runs=8)
+    instructions = bench.tick(0.6)
+    cancelled = [each for each in instructions if isinstance(each, CancelRun)]
+    assert len(cancelled) == 2
+    assert [run.engine for run in starts(instructions)] == ["e1", "e1"]
+
+
+def test_a_short_pause_of_all_engines_moves_nothing() -> None:
+    """A daemon that pauses for a tenth of a second took all its engines for slow."""
+    bench = Bench(engines=3)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    for engine in bench.directory.engines.values():
+        engine.event_seconds = 0.04
+    bench.scheduler.run_event(run.run, 1, "a", 1, 0.5)
+    assert bench.tick(0.62) == []
+
+
+def test_a_stall_of_this_daemon_is_no_silence_of_its_engines() -> None:
+    bench = Bench(engines=3)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    bench.scheduler.run_event(run.run, 1, "a", 1, 0.5)
+    bench.scheduler.note_stall(2.0)
+    assert bench.tick(2.0) == []
+
+
 def test_failures_end_at_the_attempts_of_the_row_and_impossible_at_once() -> None:
     bench = Bench(engines=1)
     bench.open(size=2)
