Start the longest samples first, whatever their group, and the oldest step first

Groups that were not whole come again in a later step and are waited for there, and these are the longest by nature: the last sample of steps 8 and 10 was such a one, at 10.2 and 10.6 s. Also after a takeover all open steps had the same time, so they ran in the order in which the log was read. Ruled out: lack of places (half of a step's samples are done within 1.2 s, places are free then).

--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -181,7 +181,7 @@
         if record.step.id not in self._scheduled:
             self._scheduled.add(record.step.id)
             self.steward.step_opened(record.step.model, sum(costs.values()))
-        self.scheduler.open(record, route, costs, clock.monotonic())
+        self.scheduler.open(record, route, costs)
 
     # Calls
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -2,13 +2,12 @@
 
 Each sample goes from waiting to running to scoring to listed. A run that breaks is continued
 on another engine after its last whole event. The scheduler keeps all engines of a service
-busy, takes older steps first, within a step the groups that are cheapest to complete, and
-within these the longest samples.
+busy, takes older steps first, and within a step the longest samples: the last of them decides
+when a step is whole, and one that is put off comes again in a later step.
 """
 
 from collections.abc import Callable
 
-from pondtiller.rollouts.group_order import rank_groups
 from pondtiller.rollouts.placement import Placement
 from pondtiller.rollouts.sample_work import (
     CancelReason,
@@ -65,11 +64,8 @@
 
     # Steps
 
-    def open(
-        self, record: StepRecord, route: RouteRow, costs: dict[str, float], now: float
-    ) -> None:
+    def open(self, record: StepRecord, route: RouteRow, costs: dict[str, float]) -> None:
         """Take an accepted step; samples that are listed already are left out."""
-        ranks = rank_groups(record, costs)
         for sample in record.step.samples:
             key = (record.step.id, sample.id)
             if sample.id in record.listed or key in self.work:
@@ -77,8 +73,7 @@
             work = SampleWork(record, route, sample, costs[sample.id])
             work.text = self._adopt(record, route, sample)
             work.order = (
-                now + route.priority * PRIORITY_SECONDS,
-                ranks[sample.group],
+                record.step.accepted_at + route.priority * PRIORITY_SECONDS,
                 -costs[sample.id],
             )
             self.work[key] = work
