Give the longest samples the fastest engines, and move a long run to a faster one

Cause: engines of one service differ in speed by 1.3 (38 and 50 ms between events here) while a full batch costs 6 %. The cost of a place weighed fullness only up to a slowness of 1.2, and a run moved only to an engine 1.9 times as fast; so samples of 165 events ran for 8.2 s at a slow engine beside free places at fast ones, and the trainer waits 7.5 s. Change: slowness costs more the longer a sample is expected to be; a run moves where an engine is faster by a fifth and what is saved, by as much again as it has lasted, is worth the move.

--- a/src/pondtiller/rollouts/placement.py
+++ b/src/pondtiller/rollouts/placement.py
@@ -13,8 +13,9 @@
 from pondtiller.routes.engines import Engine, EngineDirectory, usual_pace
 
 GROUP_BONUS = 0.4
-SLOWER_THAN_USUAL = 1.2
 SLOWNESS_COST = 1.5
+LONGEST_SIZE = 3.0
+"""Sizes of samples, against their step's mean, above which a slow engine costs no more."""
 
 Need = tuple[str, str, int, int | None]
 """Service, model, oldest version, and the version that a begun text must stay with."""
@@ -128,7 +129,7 @@
             False where no such engine has room to spare.
         """
         view = self.view(work.service, now)
-        for other in view.with_room:
+        for other in sorted(view.with_room, key=lambda each: each.event_seconds):
             taken = other.running + view.reserved[other.identifier]
             if (
                 taken < other.entry.slots - 1
@@ -153,9 +154,10 @@
         return version >= work.oldest_version
 
     def _cost(self, engine: Engine, work: SampleWork, pace: float) -> float:
+        """Return the cost of a place: a full engine, and a slow one the more a sample is long."""
         relative = engine.event_seconds / pace if engine.event_seconds and pace else 1.0
         cost = (engine.running + 1) / engine.entry.slots
-        cost += SLOWNESS_COST * max(0.0, relative - SLOWER_THAN_USUAL)
+        cost += SLOWNESS_COST * max(0.0, relative - 1.0) * min(work.size, LONGEST_SIZE)
         shares_prompt = work.group in self.groups.get(engine.identifier, ())
         return cost - (GROUP_BONUS if shares_prompt else 0.0)
 
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -130,6 +130,8 @@
     ----------
     cost
         Tokens that are expected to be made.
+    size
+        The same against the mean of the step's samples.
     group, model, oldest_version, accepted_at
         Copies of the sample's and the step's own: a message's fields are slow to read, and
         these are looked at in every tick.
@@ -143,6 +145,7 @@
     route: RouteRow
     sample: Sample
     cost: float
+    size: float = 1.0
     order: tuple[float, ...] = ()
     stage: Stage = Stage.WAITING
     text: Text = field(default_factory=Text)
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -27,7 +27,10 @@
 from pondtiller.routes.table import RouteRow
 from pondtiller.wire.steplog import Sample, SampleProgress, SampleResult
 
-SLOW_FACTOR = 1.9
+FASTER_FACTOR = 1.2
+"""How much faster an engine must be for a run to move there; less is noise."""
+MOVE_SECONDS = 0.25
+"""What a move costs, with a margin: a connection, and reading the prompt and text anew."""
 SLOW_AFTER_SECONDS = 0.4
 SILENT_SECONDS = 0.7
 SILENT_GAPS = 8.0
@@ -66,11 +69,13 @@
 
     def open(self, record: StepRecord, route: RouteRow, costs: dict[str, float]) -> None:
         """Take an accepted step; samples that are listed already are left out."""
+        mean = sum(costs.values()) / max(len(costs), 1)
         for sample in record.step.samples:
             key = (record.step.id, sample.id)
             if sample.id in record.listed or key in self.work:
                 continue
             work = SampleWork(record, route, sample, costs[sample.id])
+            work.size = work.cost / mean if mean else 1.0
             work.text = self._adopt(record, route, sample)
             work.order = (
                 record.step.accepted_at + route.priority * PRIORITY_SECONDS,
@@ -230,15 +235,16 @@
             if engine is not None:
                 engine.note_failure(now)
             return CancelReason.SILENT
-        if engine is None or now < work.run_started + SLOW_AFTER_SECONDS:
+        if engine is None or not pace or now < work.run_started + SLOW_AFTER_SECONDS:
             return None
         slow = engine.event_seconds
         if silence > SLOW_SILENT_GAPS * pace:
             slow = max(slow, silence)
-        if not pace or slow < SLOW_FACTOR * pace:
+        # Lengths have a heavy tail: a run has about as long before it as behind it.
+        factor = max(FASTER_FACTOR, 1.0 + MOVE_SECONDS / (now - work.run_started))
+        if not slow or not self.placement.reserve_better(work, slow, factor, now):
             return None
-        is_placed = self.placement.reserve_better(work, slow, SLOW_FACTOR, now)
-        return CancelReason.SLOW if is_placed else None
+        return CancelReason.SLOW
 
     def _give_up_late(self, wall_now: float) -> None:
         for work in list(self.work.values()):
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -195,6 +195,28 @@
     assert [run.engine for run in starts(instructions)] == ["e1", "e1"]
 
 
+def test_a_long_run_goes_to_a_faster_engine_and_a_young_one_stays() -> None:
+    """Engines of one service differ by a third: a tail of seconds gains, a short rest does not."""
+    for began_before, moves in ((0.5, 0), (2.0, 1)):
+        bench = Bench(engines=2)
+        bench.open(size=1)
+        (run,) = starts(bench.tick(0.0))
+        for engine in bench.directory.engines.values():
+            engine.event_seconds = 0.05 if engine.identifier == run.engine else 0.038
+        bench.scheduler.run_event(run.run, 1, "a", 1, began_before)
+        cancelled = [each for each in bench.tick(began_before) if isinstance(each, CancelRun)]
+        assert len(cancelled) == moves
+
+
+def test_the_longest_samples_go_to_the_fastest_engines() -> None:
+    bench = Bench(engines=2)
+    bench.directory.engines["e0"].event_seconds = 0.05
+    bench.directory.engines["e1"].event_seconds = 0.038
+    bench.open(size=4)
+    begun = {run.sample.id: run.engine for run in starts(bench.tick(0.0))}
+    assert [begun[f"s-0-{number}"] for number in (3, 2)] == ["e1", "e1"]
+
+
 def test_a_short_pause_of_all_engines_moves_nothing() -> None:
     """A daemon that pauses for a tenth of a second took all its engines for slow."""
     bench = Bench(engines=3)
