Recover from a loss of all power without waiting for a lease, and with unfinished texts

Ruled out: orders to engines (the last holder claims them at once), reading the log (0.33 s). Change: a promise names its daemon on disk; that daemon is granted another epoch at once, since one that stands has ended its own lease. Texts stand in the replica's file without a sync of their own: the log's next write makes them last. A new leader asks all members at once, and only for samples still open. Texts are saved twice as often, first at the member in the leader's zone. Replaced test: the check of answers before the disk now also freezes the leader, which otherwise leads again at once with what it knows. The progress test follows the new half second.

--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -80,6 +80,7 @@
         wanted_size: int,
         first_group: FirstGroupSource,
         metrics: GatewayMetrics,
+        zone: str = "",
     ) -> None:
         identity = score("epoch", f"{name}/{clock.new_incarnation()}") & 0xFFFFFFFF
         self.log = LeaderLog(name, address.host, address.port, identity)
@@ -88,6 +89,7 @@
         self._has_resigned = False
         self.handicap = min(LONGEST_HANDICAP_SECONDS, DELAY_PER_SLOWNESS_SECONDS / cores)
         self.name = name
+        self.zone = zone
         self._address = address
         self._wanted_size = wanted_size
         self.losses = (wanted_size - 1) // 2
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -83,6 +83,7 @@
             settings.wanted_replicas,
             StoredFirstGroup(self.store, settings.wanted_replicas),
             self.metrics,
+            settings.zone,
         )
         self._steps = StepClient(settings.name, self.leadership.leader, self)
         streams = StreamForwarder(forwarder, self.pool)
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -14,7 +14,7 @@
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.sample_runner import SampleRunner
 from pondtiller.gateway.watches import LeaderWatches
-from pondtiller.links.link import LinkLostError
+from pondtiller.links.link import Link, LinkLostError
 from pondtiller.platform import engine_format
 from pondtiller.rollouts.progress import ProgressSaver
 from pondtiller.rollouts.sample_work import CancelRun, ListResult, ScoreEnd, ScoreText, StartRun
@@ -36,7 +36,7 @@
 STALL_SECONDS = 0.3
 """A tick that comes this much late says that this daemon stood still, not its engines."""
 COMMIT_SECONDS = 2.5
-PROGRESS_SECONDS = 1.0
+PROGRESS_SECONDS = 0.5
 PROGRESS_CALL_SECONDS = 0.3
 SCORE_RETRY_SECONDS = 0.1
 ORDER_MARGIN_SECONDS = 1.0
@@ -118,10 +118,20 @@
     async def _run(self) -> None:
         """Work until the term ends; begins again where a part of it fails."""
         await self._watch_group.cancel_all()
+        began = clock.monotonic()
         await self._read_progress()
+        read_at = clock.monotonic()
         self._table = self._parts.front.table
         for record in self.book.steps.values():
             self._schedule(record)
+        logs.decision(
+            "term_began",
+            epoch=self.epoch,
+            steps=len(self.book.steps),
+            samples=len(self.scheduler.work),
+            texts_seconds=read_at - began,
+            schedule_seconds=clock.monotonic() - read_at,
+        )
         is_free = self._is_first or self._held_orders
         pause = 0.0 if is_free else self._parts.lease_seconds + ORDER_MARGIN_SECONDS
         self._claim_from = clock.monotonic() + pause
@@ -378,24 +388,32 @@
     async def save_progress(self, is_last: bool = False) -> None:
         """Leave unfinished texts at replicas, one more than may be lost at a time."""
         now = clock.monotonic()
-        for number in self._leadership.log.member_links()[: self._leadership.losses + 1]:
+        links = self._leadership.log.member_links(self._leadership.zone)
+        for number in links[: self._leadership.losses + 1]:
             link = self._leadership.replicas.link(number)
             samples = self.progress.news(number, self.scheduler.work.values(), now, is_last)
             if link is not None and samples:
                 await link.send(SaveProgress(epoch=self.epoch, samples=samples))
 
     async def _read_progress(self) -> None:
-        for number in self._leadership.log.member_links():
-            link = self._leadership.replicas.link(number)
-            if link is None:
-                continue
-            try:
-                answer = await link.call(ReadProgress(), PROGRESS_CALL_SECONDS)
-            except LinkLostError:
-                continue
-            if isinstance(answer, ProgressList):
-                for sample in answer.samples:
-                    self.scheduler.keep_progress(sample)
+        """Ask all members at once for the texts of the samples that are still open."""
+        message = ReadProgress(ids=self.book.open_samples())
+        if not message.ids:
+            return
+        async with curio.TaskGroup() as group:
+            for number in self._leadership.log.member_links():
+                link = self._leadership.replicas.link(number)
+                if link is not None:
+                    await group.spawn(self._read_progress_of, link, message)
+
+    async def _read_progress_of(self, link: Link, message: ReadProgress) -> None:
+        try:
+            answer = await link.call(message, PROGRESS_CALL_SECONDS)
+        except LinkLostError:
+            return
+        if isinstance(answer, ProgressList):
+            for sample in answer.samples:
+                self.scheduler.keep_progress(sample)
 
     async def _expire(self) -> None:
         keep = self._parts.keep_seconds + KEEP_MARGIN_SECONDS
--- a/src/pondtiller/replica/file.py
+++ b/src/pondtiller/replica/file.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from pondtiller.steplog.disk_format import MAGIC, decode, encode
+from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica
 from pondtiller.wire.steplog import DiskRecord
 
@@ -54,9 +55,18 @@
 
         After an `OSError` nothing of them counts: the next call writes over what may be there.
         """
+        size = self.size
+        self.write(records)
+        try:
+            os.fdatasync(self._descriptor)
+        except OSError:
+            self.size = size
+            raise
+
+    def write(self, records: list[DiskRecord]) -> None:
+        """Write records that need not last; the next `append` makes them last too."""
         data = b"".join(encode(record) for record in records)
         _write_all(self._descriptor, data, self.size)
-        os.fdatasync(self._descriptor)
         self.size += len(data)
 
     def should_rewrite(self) -> bool:
@@ -64,8 +74,8 @@
         limit = max(SMALLEST_REWRITE_BYTES, REWRITE_FACTOR * self._size_after_rewrite)
         return self.size > limit
 
-    def rewrite(self, replica: Replica) -> None:
-        """Replace the file by what the replica holds now.
+    def rewrite(self, replica: Replica, texts: KeptTexts) -> None:
+        """Replace the file by what the replica and its unfinished texts are now.
 
         After an `OSError` the old file goes on, and the next try comes when it has grown more.
         """
@@ -75,7 +85,9 @@
         record = DiskRecord(
             puts=list(replica.entries.values()),
             promised=replica.promised,
+            promised_to=replica.promised_to,
             disk=replica.member.disk,
+            texts=list(texts.by_sample.values()),
         )
         data = MAGIC + encode(record)
         try:
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -16,6 +16,7 @@
 from pondtiller.platform.object_client import ObjectClient, PutOutcome, StoreCallError
 from pondtiller.replica.file import LogFile
 from pondtiller.replica.server import ReplicaServer
+from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica
 from pondtiller.wire.steplog import DiskRecord, GroupMember
 
@@ -30,8 +31,9 @@
         self.file = LogFile(settings.data_folder)
         place = to_address(settings.links)
         self._listener = bind_tcp(place.host, place.port)
+        self.texts = KeptTexts()
         self.replica = self._restore()
-        self.server = ReplicaServer(self.replica, self.file)
+        self.server = ReplicaServer(self.replica, self.file, self.texts)
         self._stopped = curio.Event()
         self.metrics_server = (
             MetricsServer(settings.metrics, self.render_metrics) if settings.metrics else None
@@ -61,6 +63,7 @@
         replica = Replica(member, self.settings.first_start, clock.monotonic())
         for record in records:
             replica.restore(record)
+            self.texts.save(record.texts)
         logs.decision(
             "started",
             replica=member.name,
@@ -68,6 +71,8 @@
             is_new=is_new,
             entries=len(replica.entries),
             promised=replica.promised,
+            promised_to=replica.promised_to,
+            texts=len(self.texts.by_sample),
             bytes=self.file.size,
         )
         return replica
--- a/src/pondtiller/replica/server.py
+++ b/src/pondtiller/replica/server.py
@@ -8,7 +8,7 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.links.link import Link
 from pondtiller.replica.file import LogFile
-from pondtiller.steplog.kept_texts import extend
+from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica, Reply
 from pondtiller.wire.steplog import (
     Append,
@@ -19,13 +19,11 @@
     ReadProgress,
     ReplicaView,
     Resign,
-    SampleProgress,
     SaveProgress,
     Subscribe,
 )
 
 VIEW_SECONDS = 1.0
-MOST_PROGRESS = 4000
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,13 +38,13 @@
 class ReplicaServer:
     """Takes messages, makes them durable, answers."""
 
-    def __init__(self, replica: Replica, file: LogFile) -> None:
+    def __init__(self, replica: Replica, file: LogFile, texts: KeptTexts) -> None:
         self._replica = replica
+        self._texts = texts
         self._file = file
         self._arrivals: list[Arrival] = []
         self._arrived = curio.Event()
         self.subscribers: dict[Link, str] = {}
-        self._progress: dict[str, SampleProgress] = {}
         self._told = ReplicaView()
         self._unsynced: list[DiskRecord] = []
         self._is_refused = False
@@ -108,7 +106,7 @@
 
     def _rewrite(self) -> None:
         try:
-            self._file.rewrite(self._replica)
+            self._file.rewrite(self._replica, self._texts)
         except OSError as error:
             logs.decision("rewrite_refused", bytes=self._file.size, reason=str(error))
 
@@ -161,22 +159,21 @@
             case SaveProgress():
                 self._save_progress(message)
             case ReadProgress():
-                found = list(self._progress.values())
+                found = self._texts.find(message.ids)
                 await arrival.link.reply(arrival.call, ProgressList(samples=found))
             case _:
                 await arrival.link.drop()
         return None
 
     def _save_progress(self, message: SaveProgress) -> None:
-        """Keep unfinished texts in memory only: losing them costs time, nothing else."""
+        """Keep unfinished texts; a disk that takes no more keeps the earlier ones only."""
         if message.epoch < self._replica.promised:
             return
-        for sample in message.samples:
-            whole = extend(self._progress.pop(sample.id, None), sample)
-            if whole is not None:
-                self._progress[sample.id] = whole
-        while len(self._progress) > MOST_PROGRESS:
-            del self._progress[next(iter(self._progress))]
+        self._texts.save(message.samples)
+        try:
+            self._file.write([DiskRecord(texts=message.samples)])
+        except OSError as error:
+            logs.decision("texts_refused", texts=len(message.samples), reason=str(error))
 
     async def _tell(self, only_changes: bool) -> None:
         view = self._replica.view(clock.monotonic())
--- a/src/pondtiller/replica/tests/test_disk_full.py
+++ b/src/pondtiller/replica/tests/test_disk_full.py
@@ -11,6 +11,7 @@
 from pondtiller.replica.file import LogFile
 from pondtiller.replica.server import ReplicaServer
 from pondtiller.replica.tests.test_file import put, restored
+from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica
 from pondtiller.wire.steplog import Append, Appended, Entry, GroupMember, Prepare, Promise
 
@@ -53,7 +54,7 @@
         self.file = LogFile(folder)
         self.file.read()
         replica = Replica(GroupMember(name="r", disk="d"), may_form=True, started_at=0.0)
-        self.server = ReplicaServer(replica, self.file)
+        self.server = ReplicaServer(replica, self.file, KeptTexts())
 
     def deliver(self, *messages: Message) -> FakeLink:
         link = FakeLink()
--- a/src/pondtiller/replica/tests/test_file.py
+++ b/src/pondtiller/replica/tests/test_file.py
@@ -3,8 +3,9 @@
 from pathlib import Path
 
 from pondtiller.replica.file import FILE_NAME, NEW_NAME, LogFile
+from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica
-from pondtiller.wire.steplog import Append, DiskRecord, Entry, GroupMember, Prepare
+from pondtiller.wire.steplog import Append, DiskRecord, Entry, GroupMember, Prepare, SampleProgress
 
 
 def restored(folder: Path) -> Replica:
@@ -64,10 +65,49 @@
     ):
         assert reply.record is not None
         file.append([reply.record])
-    file.rewrite(replica)
+    file.rewrite(replica, KeptTexts())
     file.append([put("b")])
     file.close()
     (tmp_path / NEW_NAME).write_bytes(b"half a rewrite")
     again = restored(tmp_path)
     assert (set(again.entries), again.promised) == ({"a", "b"}, 9)
     assert not (tmp_path / NEW_NAME).exists()
+
+
+def texts_in(folder: Path) -> KeptTexts:
+    file, texts = LogFile(folder), KeptTexts()
+    for record in file.read():
+        texts.save(record.texts)
+    file.close()
+    return texts
+
+
+def test_unfinished_texts_are_there_after_a_restart_and_a_rewrite(tmp_path: Path) -> None:
+    file = LogFile(tmp_path)
+    file.read()
+    first = SampleProgress(id="s", events=["a", "b"], versions=[3], last_event=2)
+    more = SampleProgress(id="s", events=["c"], versions=[3], last_event=3, after_event=2)
+    file.write([DiskRecord(texts=[first])])
+    file.append([put("a")])
+    file.write([DiskRecord(texts=[more])])
+    file.close()
+    texts = texts_in(tmp_path)
+    assert texts.by_sample["s"].events == ["a", "b", "c"]
+    again = LogFile(tmp_path)
+    again.read()
+    replica = Replica(GroupMember(name="r", disk="d"), may_form=True, started_at=0.0)
+    again.rewrite(replica, texts)
+    again.close()
+    assert texts_in(tmp_path).by_sample == texts.by_sample
+
+
+def test_texts_that_no_write_of_the_log_followed_may_be_lost_alone(tmp_path: Path) -> None:
+    file = LogFile(tmp_path)
+    file.read()
+    file.append([put("a")])
+    file.write([DiskRecord(texts=[SampleProgress(id="s", events=["a"], last_event=1)])])
+    file.close()
+    path = tmp_path / FILE_NAME
+    path.write_bytes(path.read_bytes()[:-3])
+    assert texts_in(tmp_path).by_sample == {}
+    assert set(restored(tmp_path).entries) == {"a"}
--- a/src/pondtiller/rollouts/progress.py
+++ b/src/pondtiller/rollouts/progress.py
@@ -9,7 +9,7 @@
 from pondtiller.rollouts.sample_work import SampleWork
 from pondtiller.wire.steplog import SampleProgress
 
-WORTH_KEEPING_SECONDS = 1.0
+WORTH_KEEPING_SECONDS = 0.5
 
 
 class ProgressSaver:
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -166,6 +166,16 @@
         record.advance()
         return True
 
+    def open_samples(self) -> list[str]:
+        """Return the samples of open steps that are not listed."""
+        return [
+            sample.id
+            for record in self.steps.values()
+            if record.is_accepted and not record.is_ended
+            for sample in record.step.samples
+            if sample.id not in record.listed
+        ]
+
     def open(self, step: Step) -> StepRecord:
         """Take a step, once; its acceptance is on its way to the log."""
         record = self.steps.get(step.id)
--- a/src/pondtiller/rollouts/tests/test_progress.py
+++ b/src/pondtiller/rollouts/tests/test_progress.py
@@ -37,8 +37,8 @@
     run = running(bench)
     bench.scheduler.run_event(run, 1, "a", 1, 0.2)
     works = bench.scheduler.work.values()
-    assert saver.news(7, works, 0.5) == []
-    assert len(saver.news(7, works, 0.5, is_last=True)) == 1
+    assert saver.news(7, works, 0.4) == []
+    assert len(saver.news(7, works, 0.4, is_last=True)) == 1
 
 
 def test_a_text_begun_anew_is_sent_whole_and_a_gap_is_never_kept() -> None:
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -259,12 +259,15 @@
             if follower.is_synced and follower.acked >= 0
         ]
 
-    def member_links(self) -> list[int]:
-        """Return the links of the group's members, the longest connected first."""
+    def member_links(self, zone: str = "") -> list[int]:
+        """Return the links of the group's members: those in a zone, then the longest connected."""
         names = {member.name for member in self.group.members}
-        return sorted(
-            link for link, follower in self.followers.items() if follower.member.name in names
-        )
+        links = [
+            (follower.member.zone != zone, link)
+            for link, follower in self.followers.items()
+            if follower.member.name in names
+        ]
+        return [link for _, link in sorted(links)]
 
     # Inside
 
--- a/src/pondtiller/steplog/replica.py
+++ b/src/pondtiller/steplog/replica.py
@@ -64,6 +64,8 @@
         Whether it may become part of a first group: the system's first start, empty disk.
     promised
         Highest epoch promised; durable.
+    promised_to
+        The daemon that it was promised to; durable.
     entries
         Values by key; durable.
     special
@@ -74,13 +76,15 @@
     may_form: bool
     started_at: float
     promised: int = 0
+    promised_to: str = ""
     entries: dict[str, Entry] = field(default_factory=dict)
     special: dict[str, Entry] = field(default_factory=dict)
     lease: Lease = field(default_factory=Lease)
 
     def restore(self, record: DiskRecord) -> None:
         """Take a record read back from the disk."""
-        self.promised = max(self.promised, record.promised)
+        if record.promised >= self.promised and record.promised:
+            self.promised, self.promised_to = record.promised, record.promised_to
         for entry in record.puts:
             self._hold(entry)
         for key in record.drops:
@@ -103,8 +107,8 @@
             refusal = self._promise(granted=False)
             refusal.wait_milliseconds = int(max(0.0, self._held_until() - now) * 1000)
             return Reply(refusal)
-        record = DiskRecord(promised=message.epoch)
-        self.promised = message.epoch
+        record = DiskRecord(promised=message.epoch, promised_to=message.leader)
+        self.promised, self.promised_to = message.epoch, message.leader
         self._form(message.first_group, message.epoch, record)
         self.lease = Lease(
             message.epoch,
@@ -156,12 +160,13 @@
     def _is_held_against(self, message: Prepare, now: float) -> bool:
         """Return whether another daemon may still believe in its lease.
 
-        A replica that starts again forgot whom it granted one, so it waits for a lease.
-        An epoch belongs to one leader, so the same epoch is the same leader again.
+        A replica that starts again forgot when it granted one, so it waits for a lease.
+        A daemon that stands again has ended its earlier lease: it gave it up, or its process
+        ended. An epoch belongs to one leader, so the same epoch is the same leader again.
         """
         if message.epoch == self.promised:
             return False
-        return now < self._held_until() and self.lease.leader != message.leader
+        return now < self._held_until() and self.promised_to != message.leader
 
     def _held_until(self) -> float:
         """Return until when a lease may stand against a candidate."""
--- a/src/pondtiller/steplog/tests/test_cluster.py
+++ b/src/pondtiller/steplog/tests/test_cluster.py
@@ -188,6 +188,10 @@
         for _ in range(10):
             for name in cluster.nodes:
                 cluster.power_off(name, 0.3)
+            # The leader knows what it wrote, and leads again at once: another must take over.
+            for number, daemon in enumerate(cluster.daemons):
+                if daemon.log.is_leading:
+                    cluster.freeze_daemon(number, 4.0)
             cluster.run(6.0)
 
     with pytest.raises(ViolationError):
--- a/src/pondtiller/steplog/tests/test_replica.py
+++ b/src/pondtiller/steplog/tests/test_replica.py
@@ -2,7 +2,7 @@
 
 from pondtiller.steplog.group import group_key
 from pondtiller.steplog.replica import LEASE_SECONDS, Replica
-from pondtiller.wire.steplog import Append, Entry, Group, GroupMember, Prepare, Resign
+from pondtiller.wire.steplog import Append, DiskRecord, Entry, Group, GroupMember, Prepare, Resign
 
 ME = GroupMember(name="r", disk="d", zone="z", host="h", port=1)
 GROUP = Group(generation=1, members=[ME])
@@ -49,6 +49,23 @@
     assert other.prepare(prepare(6, "b"), 6.1 + LEASE_SECONDS).message.granted
 
 
+def test_a_replica_that_starts_again_grants_the_daemon_that_it_followed_at_once() -> None:
+    """After a loss of all power every new term waited for a lease that nobody could hold."""
+    one = replica()
+    reply = one.prepare(prepare(5), 5.0)
+    assert reply.record is not None
+    again = Replica(ME, may_form=True, started_at=6.0)
+    again.restore(reply.record)
+    assert not again.prepare(prepare(6, "b"), 6.1).message.granted
+    assert again.prepare(prepare(7, "a"), 6.1).message.granted
+
+
+def test_a_replica_whose_file_names_no_daemon_waits_for_all() -> None:
+    again = Replica(ME, may_form=True, started_at=6.0)
+    again.restore(DiskRecord(promised=5))
+    assert not again.prepare(prepare(6, "a"), 6.1).message.granted
+
+
 def test_a_first_group_is_taken_once_and_only_by_its_members_at_the_first_start() -> None:
     one = replica()
     one.prepare(prepare(1), 5.0)
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -146,6 +146,13 @@
     drops: List[str] = betterproto.string_field(2)
     promised: int = betterproto.uint64_field(3)
     disk: str = betterproto.string_field(4)
+    promised_to: str = betterproto.string_field(5)
+    """With a promise: the daemon that was promised."""
+
+    texts: List["SampleProgress"] = betterproto.message_field(6)
+    """
+    Parts of unfinished texts; they need not be there after a loss of power.
+    """
 
 
 @dataclass(eq=False, repr=False)
@@ -273,7 +280,9 @@
 
 @dataclass(eq=False, repr=False)
 class ReadProgress(betterproto.Message):
-    pass
+    """Asks for the unfinished texts of these samples."""
+
+    ids: List[str] = betterproto.string_field(1)
 
 
 @dataclass(eq=False, repr=False)
