Send long messages compressed, and read a result from the leader once

Cause: bytes between zones are half of all prices. Texts that were listed came to 3.4 MB: pages were read six times over, half of them by readers that begin at an earlier position. Ruled out: holding a read until a whole group is there (trainers read on a grid of 0.5 s, so it would gain nothing), engines' streams (8 %), shorter pages (readers would only ask again). Change: frames of 512 bytes and more are deflated (texts of random letters to 0.66); a daemon keeps the results that it has read, at most 6 MB, asks only for those after them, and tells them also while there is no leader; a daemon whose zone has no member of the group stands 0.1 s later. Bytes by type of message are on /metrics. The test of a long message now sends random bytes, which stay long.

--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -29,6 +29,7 @@
 STAND_DELAY_SECONDS = 0.25
 DELAY_PER_SLOWNESS_SECONDS = 0.15
 LONGEST_HANDICAP_SECONDS = 0.5
+NO_MEMBER_IN_ZONE_SECONDS = 0.1
 BACKOFF_SECONDS = 0.5
 
 
@@ -145,7 +146,12 @@
         """
         if any(view.order_holder == self.name for view in self.replicas.views()):
             return 0.0
-        return self.handicap + self._random.random() * STAND_DELAY_SECONDS
+        delay = self.handicap + self._random.random() * STAND_DELAY_SECONDS
+        members = self.replicas.group.members
+        if members and not any(member.zone == self.zone for member in members):
+            # Every write would cross zones to all members.
+            delay += NO_MEMBER_IN_ZONE_SECONDS
+        return delay
 
     def _pause(self, now: float) -> float:
         if self.log.phase is not Phase.IDLE:
--- a/src/pondtiller/gateway/metrics_text.py
+++ b/src/pondtiller/gateway/metrics_text.py
@@ -13,6 +13,7 @@
 
 from pondtiller.daemon import clock
 from pondtiller.gateway.metrics import LATENCY_BOUNDS, Latencies
+from pondtiller.links.link import SENT_BYTES
 
 if TYPE_CHECKING:
     from pondtiller.gateway.process import GatewayProcess
@@ -39,11 +40,13 @@
         for call, count in gateway.store.calls.items():
             calls.add_metric([call], count)
         yield calls
+        yield link_bytes()
         yield _histogram("pondtiller_request_seconds", metrics.request_seconds)
         yield _histogram("pondtiller_commit_seconds", metrics.commit_seconds)
         counters = {
             "attempts": metrics.attempts,
             "engine_connections": gateway.pool.opened,
+            "results_from_cache": gateway.steps.cache.hits,
             "samples_listed": metrics.samples_listed,
             "samples_given_up": metrics.samples_given_up,
             "runs_started": metrics.runs_started,
@@ -73,6 +76,16 @@
             yield GaugeMetricFamily(f"pondtiller_{name}", name.replace("_", " "), value=value)
 
 
+def link_bytes() -> CounterMetricFamily:
+    """Return the bytes that this process has sent on links, by type of message."""
+    family = CounterMetricFamily(
+        "pondtiller_link_sent_bytes", "bytes sent to other daemons", labels=["message"]
+    )
+    for message, count in SENT_BYTES.items():
+        family.add_metric([message], count)
+    return family
+
+
 def _histogram(name: str, latencies: Latencies) -> HistogramMetricFamily:
     family = HistogramMetricFamily(name, name.replace("_", " "))
     buckets: list[tuple[str, float]] = []
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -85,9 +85,9 @@
             self.metrics,
             settings.zone,
         )
-        self._steps = StepClient(settings.name, self.leadership.leader, self)
+        self.steps = StepClient(settings.name, self.leadership.leader, self)
         streams = StreamForwarder(forwarder, self.pool)
-        self.front = Front(forwarder, streams, self._steps, self.metrics)
+        self.front = Front(forwarder, streams, self.steps, self.metrics)
         self._leader_watches = LeaderWatches(self.store, health, self.leadership.replicas)
         self._leader_watches.follow_members(self._is_group_member)
         parts = DutyParts(
--- /dev/null
+++ b/src/pondtiller/gateway/result_cache.py
@@ -0,0 +1,94 @@
+"""Results of steps that this daemon has read from the leader before.
+
+A listed result never changes and never leaves its position, so what was read once need not
+cross zones again; and it can be told while no leader is known.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from pondtiller.rollouts.steps import RESULT_OVERHEAD_BYTES
+from pondtiller.wire.steplog import ResultsPage, SampleResult
+
+MOST_CACHED_BYTES = 6 * 1024 * 1024
+
+
+@dataclass
+class CachedStep:
+    """The results of one step that are at hand.
+
+    Attributes
+    ----------
+    total
+        Samples of the step.
+    results
+        Results by position; there may be gaps.
+    size
+        Bytes of the results' texts, with an allowance for the rest.
+    """
+
+    total: int
+    results: dict[int, SampleResult] = field(default_factory=dict)
+    size: int = 0
+
+
+class ResultCache:
+    """Results by step; the steps that were not read for longest give way.
+
+    Attributes
+    ----------
+    hits
+        Results that were told without asking for them again.
+    """
+
+    def __init__(self, most_bytes: int = MOST_CACHED_BYTES) -> None:
+        self.steps: OrderedDict[str, CachedStep] = OrderedDict()
+        self.size = 0
+        self.hits = 0
+        self._most_bytes = most_bytes
+
+    def page(self, step: str, position: int, status: int, most_bytes: int) -> ResultsPage:
+        """Return the results at hand from a position up to the first gap; none is no error."""
+        cached = self.steps.get(step)
+        if cached is None:
+            return ResultsPage(status=status, next_position=position)
+        self.steps.move_to_end(step)
+        found: list[SampleResult] = []
+        size = 0
+        while (result := cached.results.get(position + len(found))) is not None:
+            size += _size(result)
+            if found and size > most_bytes:
+                break
+            found.append(result)
+        self.hits += len(found)
+        return ResultsPage(
+            status=status,
+            total=cached.total,
+            next_position=position + len(found),
+            results=found,
+        )
+
+    def add(self, step: str, position: int, page: ResultsPage) -> None:
+        """Keep the results of a page that was read at a position."""
+        if not page.results:
+            return
+        cached = self.steps.setdefault(step, CachedStep(page.total))
+        self.steps.move_to_end(step)
+        for place, result in enumerate(page.results, start=position):
+            if place not in cached.results:
+                cached.results[place] = result
+                cached.size += _size(result)
+                self.size += _size(result)
+        while self.size > self._most_bytes:
+            _, oldest = self.steps.popitem(last=False)
+            self.size -= oldest.size
+
+    def forget(self, step: str) -> None:
+        """Drop a step that the leader does not know."""
+        cached = self.steps.pop(step, None)
+        if cached is not None:
+            self.size -= cached.size
+
+
+def _size(result: SampleResult) -> int:
+    return len(result.text) + RESULT_OVERHEAD_BYTES
--- a/src/pondtiller/gateway/step_client.py
+++ b/src/pondtiller/gateway/step_client.py
@@ -9,8 +9,9 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
 from pondtiller.gateway.replicas import LeaderPlace
+from pondtiller.gateway.result_cache import ResultCache
 from pondtiller.links.link import Link, LinkLostError, connect
-from pondtiller.rollouts.steps import StepStatus
+from pondtiller.rollouts.steps import LARGEST_PAGE_BYTES, RESULT_OVERHEAD_BYTES, StepStatus
 from pondtiller.wire.steplog import (
     EndStep,
     OpenStep,
@@ -44,6 +45,11 @@
     ----------
     find_leader
         Returns the leader as far as it is known.
+
+    Attributes
+    ----------
+    cache
+        Results that were read before.
     """
 
     def __init__(
@@ -54,6 +60,7 @@
         self._local = local
         self._link: Link | None = None
         self._link_address: Address | None = None
+        self.cache = ResultCache()
 
     async def open(self, step: Step, seconds: float) -> StepStatus:
         """Submit a step; waits a moment for a leader."""
@@ -69,7 +76,27 @@
         return answer
 
     async def read(self, step: str, position: int, wait: float) -> ResultsPage:
-        """Read results from a position; may be held until there is one."""
+        """Read results from a position; may be held until there is one.
+
+        What was read before is not asked for again, and is told also without a leader.
+        """
+        kept = self.cache.page(step, position, StepStatus.OK, LARGEST_PAGE_BYTES)
+        if kept.results and self._is_enough(kept):
+            return kept
+        fresh = await self._read_leader(step, kept.next_position, 0.0 if kept.results else wait)
+        if fresh.status == StepStatus.OK:
+            self.cache.add(step, kept.next_position, fresh)
+            return _joined(kept, fresh)
+        if fresh.status == StepStatus.UNKNOWN:
+            self.cache.forget(step)
+            return fresh
+        return kept if kept.results else fresh
+
+    def _is_enough(self, kept: ResultsPage) -> bool:
+        """Return whether a page has all results, or as many as one page may have."""
+        return kept.next_position >= kept.total or _size(kept) > LARGEST_PAGE_BYTES // 2
+
+    async def _read_leader(self, step: str, position: int, wait: float) -> ResultsPage:
         message = ReadResults(id=step, position=position, wait_milliseconds=int(wait * 1000))
         seconds = wait + ANSWER_SECONDS / 2
         answer = await self._call(message, ResultsPage, READ_NO_LEADER_SECONDS, seconds)
@@ -131,5 +158,26 @@
         return fresh
 
 
+def _joined(kept: ResultsPage, fresh: ResultsPage) -> ResultsPage:
+    """Return two pages that follow each other as one, not longer than a page may be."""
+    size = _size(kept)
+    results = list(kept.results)
+    for result in fresh.results:
+        size += len(result.text) + RESULT_OVERHEAD_BYTES
+        if results and size > LARGEST_PAGE_BYTES:
+            break
+        results.append(result)
+    return ResultsPage(
+        status=fresh.status,
+        total=fresh.total,
+        next_position=kept.next_position + len(results) - len(kept.results),
+        results=results,
+    )
+
+
+def _size(page: ResultsPage) -> int:
+    return sum(len(result.text) + RESULT_OVERHEAD_BYTES for result in page.results)
+
+
 async def _ignore(_link: Link, _call: int, _message: Message) -> None:
     """Take what a leader sends unasked: nothing."""
--- a/src/pondtiller/links/frames.py
+++ b/src/pondtiller/links/frames.py
@@ -1,5 +1,9 @@
-"""Frames: length, kind of message, call number, message."""
+"""Frames: length, kind of message, call number, message.
 
+Long messages are compressed: they are mostly texts, and bytes between zones are dear.
+"""
+
+import zlib
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -11,6 +15,10 @@
 HEAD_BYTES = 10
 LARGEST_FRAME = 256 * 1024 * 1024
 REPLY_FLAG = 0x8000
+COMPRESSED_FLAG = 0x4000
+SMALLEST_COMPRESSED = 512
+COMPRESSION_LEVEL = 1
+"""The fastest: a page of results is compressed while others wait for the same thread."""
 
 # Numbers are part of the protocol: never give one to another type.
 TYPE_BY_KIND: dict[int, type[Message]] = {
@@ -58,8 +66,18 @@
 
 
 def encode_message(message: Message) -> Encoded:
-    """Return a message as bytes."""
-    return Encoded(KIND_BY_TYPE[type(message)], bytes(message))
+    """Return a message as bytes, compressed where that makes it shorter."""
+    kind, body = KIND_BY_TYPE[type(message)], bytes(message)
+    if len(body) >= SMALLEST_COMPRESSED:
+        compressed = zlib.compress(body, COMPRESSION_LEVEL)
+        if len(compressed) < len(body):
+            return Encoded(kind | COMPRESSED_FLAG, compressed)
+    return Encoded(kind, body)
+
+
+def message_name(message: Encoded) -> str:
+    """Return the name of a message's type."""
+    return TYPE_BY_KIND[message.kind & ~COMPRESSED_FLAG].__name__
 
 
 def encode(message: Encoded, call: int, is_reply: bool) -> bytes:
@@ -89,7 +107,21 @@
             call = int.from_bytes(self._buffer[6:10], "big")
             body = bytes(self._buffer[HEAD_BYTES : HEAD_BYTES + length])
             del self._buffer[: HEAD_BYTES + length]
-            yield Frame(call, bool(kind & REPLY_FLAG), _parse(kind & ~REPLY_FLAG, body))
+            if kind & COMPRESSED_FLAG:
+                body = _decompress(body)
+            number = kind & ~(REPLY_FLAG | COMPRESSED_FLAG)
+            yield Frame(call, bool(kind & REPLY_FLAG), _parse(number, body))
+
+
+def _decompress(body: bytes) -> bytes:
+    unpacker = zlib.decompressobj()
+    try:
+        found = unpacker.decompress(body, LARGEST_FRAME)
+    except zlib.error as error:
+        raise BadFrameError(str(error)) from error
+    if not unpacker.eof:
+        raise BadFrameError("a compressed message is cut or too long")
+    return found
 
 
 def _parse(kind: int, body: bytes) -> Message:
--- a/src/pondtiller/links/link.py
+++ b/src/pondtiller/links/link.py
@@ -1,6 +1,7 @@
 """A link: one connection on which both sides may call and be called."""
 
 import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
     FrameReader,
     encode,
     encode_message,
+    message_name,
 )
 
 READ_BYTES = 262_144
@@ -25,6 +27,9 @@
 SEND_BYTES = 131_072
 COMPACT_BYTES = 4 * 1024 * 1024
 
+SENT_BYTES: Counter[str] = Counter()
+"""Bytes that this process has sent on links, by type of message; for its metrics."""
+
 Handler = Callable[["Link", int, Message], Awaitable[None]]
 Answered = Callable[[Message], Awaitable[None]]
 
@@ -62,7 +67,9 @@
         if self.is_lost:
             return
         encoded = message if isinstance(message, Encoded) else encode_message(message)
-        self._unsent += encode(encoded, call, is_reply)
+        frame = encode(encoded, call, is_reply)
+        SENT_BYTES[message_name(encoded)] += len(frame)
+        self._unsent += frame
         self._push()
         if self._unsent:
             await self._has_unsent.set()
--- a/src/pondtiller/links/tests/test_link.py
+++ b/src/pondtiller/links/tests/test_link.py
@@ -1,5 +1,6 @@
 """Links: what is still to be sent when the other side goes."""
 
+import random
 import socket
 
 import curio
@@ -34,7 +35,9 @@
 
         reading = await curio.spawn(receiver.run, take)
         sending = await curio.spawn(sender.run, take)
-        long = SaveProgress(epoch=1, samples=[SampleProgress(id="x" * 9_000_000)])
+        # Random, so that compression leaves it long.
+        text = random.Random(1).randbytes(6_000_000).hex()
+        long = SaveProgress(epoch=1, samples=[SampleProgress(id=text)])
         short = SaveProgress(epoch=2)
         await sender.send(long)
         await sender.send(short)
