Take an engine without a known pace for a usual one; read each unfinished text once

An engine that has just loaded weights has no pace yet, which counted as infinitely fast, so at the end of each load (27.0, 27.9, 28.8 s) long runs left sound engines for it (26 events in 1.07 s, the usual pace, before such a cut). Reading unfinished texts took 0.18 to 0.47 s of each takeover: three members sent the same texts, and decoding 0.5 MB takes 51 ms here. Ruled out: streams that stand still during a load (they do not).

--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -14,7 +14,7 @@
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.sample_runner import SampleRunner
 from pondtiller.gateway.watches import LeaderWatches
-from pondtiller.links.link import Link, LinkLostError
+from pondtiller.links.link import LinkLostError
 from pondtiller.platform import engine_format
 from pondtiller.rollouts.progress import ProgressSaver
 from pondtiller.rollouts.sample_work import CancelRun, ListResult, ScoreEnd, ScoreText, StartRun
@@ -396,24 +396,24 @@
                 await link.send(SaveProgress(epoch=self.epoch, samples=samples))
 
     async def _read_progress(self) -> None:
-        """Ask all members at once for the texts of the samples that are still open."""
-        message = ReadProgress(ids=self.book.open_samples())
-        if not message.ids:
-            return
-        async with curio.TaskGroup() as group:
-            for number in self._leadership.log.member_links():
-                link = self._leadership.replicas.link(number)
-                if link is not None:
-                    await group.spawn(self._read_progress_of, link, message)
+        """Read the texts of the samples that are still open, each from one member.
 
-    async def _read_progress_of(self, link: Link, message: ReadProgress) -> None:
-        try:
-            answer = await link.call(message, PROGRESS_CALL_SECONDS)
-        except LinkLostError:
-            return
-        if isinstance(answer, ProgressList):
-            for sample in answer.samples:
-                self.scheduler.keep_progress(sample)
+        Reading takes this daemon's processor while engines wait, so a member is asked only for
+        what those before it did not have.
+        """
+        wanted = set(self.book.open_samples())
+        for number in self._leadership.log.member_links(self._leadership.zone):
+            link = self._leadership.replicas.link(number)
+            if link is None or not wanted:
+                continue
+            try:
+                answer = await link.call(ReadProgress(ids=list(wanted)), PROGRESS_CALL_SECONDS)
+            except LinkLostError:
+                continue
+            if isinstance(answer, ProgressList):
+                for sample in answer.samples:
+                    self.scheduler.keep_progress(sample)
+                    wanted.discard(sample.id)
 
     async def _expire(self) -> None:
         keep = self._parts.keep_seconds + KEEP_MARGIN_SECONDS
--- a/src/pondtiller/rollouts/placement.py
+++ b/src/pondtiller/rollouts/placement.py
@@ -129,11 +129,14 @@
             False where no such engine has room to spare.
         """
         view = self.view(work.service, now)
-        for other in sorted(view.with_room, key=lambda each: each.event_seconds):
+        by_pace = sorted(view.with_room, key=lambda each: each.event_seconds or view.pace)
+        for other in by_pace:
             taken = other.running + view.reserved[other.identifier]
+            # An engine that made nothing lately is as fast as the usual one, as far as is known.
+            expected = other.event_seconds or view.pace
             if (
                 taken < other.entry.slots - 1
-                and other.event_seconds < pace / factor
+                and expected < pace / factor
                 and other.identifier != work.engine
                 and self.has_weights(other, work)
             ):
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -208,6 +208,17 @@
         assert len(cancelled) == moves
 
 
+def test_an_engine_whose_pace_is_not_known_is_no_faster_one() -> None:
+    """An engine that had just loaded weights drew all long runs of the others."""
+    bench = Bench(engines=3)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    for engine in bench.directory.engines.values():
+        engine.event_seconds = 0.04 if engine.identifier in (run.engine, "e2") else 0.0
+    bench.scheduler.run_event(run.run, 1, "a", 1, 2.0)
+    assert bench.tick(2.0) == []
+
+
 def test_the_longest_samples_go_to_the_fastest_engines() -> None:
     bench = Bench(engines=2)
     bench.directory.engines["e0"].event_seconds = 0.05
