Note each order in the log, and wait only for engines that another leader ordered lately

Ruled out: shorter leases (the platform's bound is 3 s between two holders' orders to one engine), times written into the log (clocks of machines differ and step). Replicas tell with a promise how long they have held each note, on their own steady clocks; the youngest copy counts. The claim stays as what it was good for besides: it says who leads best next.

--- a/src/pondtiller/rollouts/versions.py
+++ b/src/pondtiller/rollouts/versions.py
@@ -61,7 +61,10 @@
     newest
         Newest version named, by model.
     may_order_from
-        No order before this time: an earlier leader's orders may still arrive.
+        No order before this time: the right to order is not claimed yet.
+    waits
+        No order to an engine before this time, by its place: another leader's last order to it
+        may still arrive.
     demand
         Tokens of a step by model, smoothed.
     """
@@ -70,6 +73,7 @@
     newest: dict[str, int] = field(default_factory=dict)
     single_version_models: set[str] = field(default_factory=set)
     may_order_from: float = float("inf")
+    waits: dict[str, float] = field(default_factory=dict)
     demand: dict[str, float] = field(default_factory=dict)
     loads: dict[str, Load] = field(default_factory=dict)
     known: dict[str, tuple[dict[str, int], int]] = field(default_factory=dict)
@@ -169,6 +173,7 @@
             if self._version_of(engine, model) < version
             and engine.identifier not in self.loads
             and now >= self._pause.get(engine.identifier, 0.0)
+            and now >= self.waits.get(engine.place, 0.0)
         ]
         slow = self._slow(engines)
         behind.sort(
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -78,6 +78,11 @@
         """Name of this start of the engine."""
         return self.entry.engine
 
+    @property
+    def place(self) -> str:
+        """Where it is reached; another start at the same place may be another engine."""
+        return f"{self.entry.address.host}:{self.entry.address.port}"
+
     def end_work(self) -> None:
         """Count one request less."""
         self.running = max(0, self.running - 1)
--- a/src/pondtiller/steplog/instructions.py
+++ b/src/pondtiller/steplog/instructions.py
@@ -3,6 +3,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from pondtiller.steplog.order_notes import LastOrder
 from pondtiller.wire.steplog import Append, Entry, Fetch, Prepare, Resign
 
 
@@ -19,14 +20,17 @@
     Attributes
     ----------
     entries
-        Everything that the log holds, but for groups and claims.
+        Everything that the log holds, but for groups, claims and notes of orders.
     order_holder
         Daemon of the last claim to order engines; empty where there is none.
+    last_orders
+        The last order of each engine, by the place where it is reached.
     """
 
     epoch: int
     entries: tuple[Entry, ...]
     order_holder: str = ""
+    last_orders: dict[str, LastOrder] = {}
 
 
 class Committed(NamedTuple):
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -12,6 +12,7 @@
 from pondtiller.steplog.follower import HEARTBEAT, PART_OF_WRITES, Follower
 from pondtiller.steplog.holder import HOLDER_PREFIX, holder_key, holder_of
 from pondtiller.steplog.instructions import Committed, Deposed, Instruction, Phase, Send, Won
+from pondtiller.steplog.order_notes import ORDER_PREFIX, OrderNote, last_orders, parse_note
 from pondtiller.steplog.replica import LEASE_SECONDS
 from pondtiller.wire.steplog import (
     Append,
@@ -68,6 +69,8 @@
         self._oldest_group = 0
         self._advanced_at = 0.0
         self._sequence = 0
+        self._noted_at: dict[str, float] = {}
+        self._order_number = 0
         self._pending: dict[str, int] = {}
         self._unsent_puts: list[Entry] = []
         self._unsent_drops: list[str] = []
@@ -141,6 +144,7 @@
             return
         self._answered(follower)
         follower.keys = dict(zip(promise.keys, promise.epochs, strict=True))
+        self._learn_orders(promise, now)
         if self.phase is Phase.PREPARING:
             self._learn_groups(promise.groups)
             self._ask_wanted(now)
@@ -279,6 +283,8 @@
         self.admitted = set()
         self._known_groups = {}
         self._oldest_group = 0
+        self._noted_at = {}
+        self._order_number = 0
         self._pending = {}
         self._unsent_puts = []
         self._unsent_drops = []
@@ -342,6 +348,12 @@
         if found:
             self._oldest_group = max(self._oldest_group, found[0].generation)
 
+    def _learn_orders(self, promise: Promise, now: float) -> None:
+        """Take how long a replica has held notes of orders; the youngest copy counts."""
+        for order in promise.orders:
+            at = now - order.milliseconds / 1000.0
+            self._noted_at[order.key] = max(at, self._noted_at.get(order.key, at))
+
     def _voting_groups(self) -> list[Group]:
         """Return the groups whose quorums count: the newest, and the one that it replaces."""
         if self.phase in (Phase.PREPARING, Phase.FETCHING):
@@ -506,9 +518,31 @@
         entries = tuple(
             entry
             for key, entry in self.entries.items()
-            if not key.startswith((groups.GROUP_PREFIX, HOLDER_PREFIX))
+            if not key.startswith((groups.GROUP_PREFIX, HOLDER_PREFIX, ORDER_PREFIX))
         )
-        self._out.append(Won(self.epoch, entries, holder_of(self.entries.values())))
+        orders = last_orders(self._noted_at, self._notes(), self._advanced_at)
+        self._out.append(Won(self.epoch, entries, holder_of(self.entries.values()), orders))
+
+    def _notes(self) -> list[str]:
+        return [key for key in self.entries if key.startswith(ORDER_PREFIX)]
+
+    def note_order(self, engine: str) -> str:
+        """Write that this leader is about to order an engine; return the key of the note.
+
+        The order may be given once the note is committed. The notes of earlier orders to the
+        same engine are over then, see `drop_older_notes`.
+        """
+        self._order_number += 1
+        note = OrderNote(self.epoch, self._order_number, engine, self._name)
+        self.put(note.key, b"")
+        return note.key
+
+    def drop_older_notes(self, key: str) -> None:
+        """Remove the notes of an engine before one that is committed."""
+        engine = parse_note(key).engine
+        for each in self._notes():
+            if each < key and parse_note(each).engine == engine:
+                self.drop(each)
 
     def claim_orders(self) -> str:
         """Claim the right to order engines; return the key whose commit grants it."""
--- /dev/null
+++ b/src/pondtiller/steplog/order_notes.py
@@ -0,0 +1,79 @@
+"""Notes of orders to engines: which daemon ordered which engine last, and how long ago. No I/O.
+
+A leader writes a note into the log before each order, and gives the order only once the note is
+committed. So a successor finds a note of every order that was given, and need wait only for the
+engines that another daemon ordered lately, instead of for all.
+
+Clocks of machines differ, so no time is written: each replica measures on its own steady clock
+how long it has held a note. The promises of a read quorum hold at least one copy that is older
+than the order; of several copies the youngest counts, which can only lengthen the wait.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+ORDER_PREFIX = "order/"
+
+
+class OrderNote(NamedTuple):
+    """One note, as its key says it; the value of the entry is empty.
+
+    Attributes
+    ----------
+    number
+        Rises with each note of an epoch.
+    engine
+        Where the engine is reached: another start at the same place is the same engine here.
+    daemon
+        Who ordered.
+    """
+
+    epoch: int
+    number: int
+    engine: str
+    daemon: str
+
+    @property
+    def key(self) -> str:
+        """Key in the log; keys sort by epoch, then by number."""
+        return f"{ORDER_PREFIX}{self.epoch:020d}/{self.number:08d}/{self.engine}/{self.daemon}"
+
+
+class LastOrder(NamedTuple):
+    """The last order that an engine may have been given.
+
+    Attributes
+    ----------
+    at
+        Time of the candidate's steady clock, in seconds, before which it was noted.
+    """
+
+    daemon: str
+    at: float
+
+
+def parse_note(key: str) -> OrderNote:
+    """Return the note that a key stands for."""
+    _, epoch, number, engine, daemon = key.split("/", 4)
+    return OrderNote(int(epoch), int(number), engine, daemon)
+
+
+def last_orders(
+    noted_at: dict[str, float], keys: Iterable[str], latest: float
+) -> dict[str, LastOrder]:
+    """Return the last order of each engine.
+
+    Parameters
+    ----------
+    noted_at
+        Latest time at which a replica may have been told of a note, by key.
+    keys
+        All notes in the log.
+    latest
+        Time that counts for a note of which no replica told its age.
+    """
+    found: dict[str, LastOrder] = {}
+    for key in sorted(keys):
+        note = parse_note(key)
+        found[note.engine] = LastOrder(note.daemon, noted_at.get(key, latest))
+    return found
--- a/src/pondtiller/steplog/replica.py
+++ b/src/pondtiller/steplog/replica.py
@@ -7,6 +7,7 @@
 
 from pondtiller.steplog.group import GROUP_PREFIX, disks, group_key, groups_of
 from pondtiller.steplog.holder import HOLDER_PREFIX, holder_of
+from pondtiller.steplog.order_notes import ORDER_PREFIX
 from pondtiller.wire.steplog import (
     Append,
     Appended,
@@ -16,6 +17,7 @@
     Fetched,
     Group,
     GroupMember,
+    OrderAge,
     Prepare,
     Promise,
     ReplicaView,
@@ -70,6 +72,8 @@
         Values by key; durable.
     special
         Those of them that say who decides: groups, and holders of the right to order.
+    noted_at
+        When this process was told of each note of an order, by key.
     """
 
     member: GroupMember
@@ -79,20 +83,27 @@
     promised_to: str = ""
     entries: dict[str, Entry] = field(default_factory=dict)
     special: dict[str, Entry] = field(default_factory=dict)
+    noted_at: dict[str, float] = field(default_factory=dict)
     lease: Lease = field(default_factory=Lease)
 
     def restore(self, record: DiskRecord) -> None:
         """Take a record read back from the disk."""
+        self._take(record, self.started_at)
+
+    def _take(self, record: DiskRecord, now: float) -> None:
         if record.promised >= self.promised and record.promised:
             self.promised, self.promised_to = record.promised, record.promised_to
         for entry in record.puts:
-            self._hold(entry)
+            self._hold(entry, now)
         for key in record.drops:
             self.entries.pop(key, None)
             self.special.pop(key, None)
+            self.noted_at.pop(key, None)
 
-    def _hold(self, entry: Entry) -> None:
+    def _hold(self, entry: Entry, now: float) -> None:
         self.entries[entry.key] = entry
+        if entry.key.startswith(ORDER_PREFIX):
+            self.noted_at.setdefault(entry.key, now)
         if entry.key.startswith((GROUP_PREFIX, HOLDER_PREFIX)):
             self.special[entry.key] = entry
 
@@ -104,7 +115,7 @@
     def prepare(self, message: Prepare, now: float) -> Reply:
         """Promise an epoch to a candidate, or refuse because of a lease or a higher promise."""
         if self._is_held_against(message, now) or message.epoch < self.promised:
-            refusal = self._promise(granted=False)
+            refusal = self._promise(granted=False, now=now)
             refusal.wait_milliseconds = int(max(0.0, self._held_until() - now) * 1000)
             return Reply(refusal)
         record = DiskRecord(promised=message.epoch, promised_to=message.leader)
@@ -117,7 +128,7 @@
             message.leader_port,
             now + LEASE_SECONDS,
         )
-        return Reply(self._promise(granted=True), record)
+        return Reply(self._promise(granted=True, now=now), record)
 
     def append(self, message: Append, now: float) -> Reply:
         """Take the leader's writes and renew its lease."""
@@ -127,7 +138,7 @@
         if not message.puts and not message.drops:
             return Reply(Appended(accepted=True, epoch=self.promised))
         record = DiskRecord(puts=message.puts, drops=message.drops)
-        self.restore(record)
+        self._take(record, now)
         return Reply(Appended(accepted=True, epoch=self.promised), record)
 
     def fetch(self, message: Fetch) -> Reply:
@@ -174,7 +185,7 @@
         guard = self.started_at + LEASE_SECONDS if may_have_granted else 0.0
         return max(guard, self.lease.until)
 
-    def _promise(self, granted: bool) -> Promise:
+    def _promise(self, granted: bool, now: float) -> Promise:
         return Promise(
             granted=granted,
             epoch=self.promised,
@@ -182,12 +193,19 @@
             keys=list(self.entries) if granted else [],
             epochs=[entry.epoch for entry in self.entries.values()] if granted else [],
             groups=self.groups,
+            orders=self._order_ages(now) if granted else [],
         )
 
+    def _order_ages(self, now: float) -> list[OrderAge]:
+        return [
+            OrderAge(key=key, milliseconds=int((now - at) * 1000))
+            for key, at in self.noted_at.items()
+        ]
+
     def _form(self, group: Group, epoch: int, record: DiskRecord) -> None:
         """Take the first group where this replica belongs to it and holds none."""
         if self.groups or not self.may_form or self.member.disk not in disks(group):
             return
         entry = Entry(key=group_key(group.generation), epoch=epoch, value=bytes(group))
         record.puts = [entry]
-        self._hold(entry)
+        self._hold(entry, self.started_at)
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -39,6 +39,14 @@
     value: bytes = betterproto.bytes_field(3)
 
 
+@dataclass(eq=False, repr=False)
+class OrderAge(betterproto.Message):
+    """How long ago a replica was told of an order to an engine."""
+
+    key: str = betterproto.string_field(1)
+    milliseconds: int = betterproto.uint32_field(2)
+
+
 @dataclass(eq=False, repr=False)
 class Subscribe(betterproto.Message):
     """
@@ -104,6 +112,9 @@
     With a refusal: how long the lease lasts that stands against the candidate.
     """
 
+    orders: List["OrderAge"] = betterproto.message_field(8)
+    """The orders that the replica was told of."""
+
 
 @dataclass(eq=False, repr=False)
 class Fetch(betterproto.Message):
