--- a/src/pondtiller/rollouts/tests/test_versions.py
+++ b/src/pondtiller/rollouts/tests/test_versions.py
@@ -6,8 +6,10 @@
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
 
 
-def entry(name: str, models: dict[str, int], state: EngineState = EngineState.READY) -> EngineEntry:
-    return EngineEntry(name, "llm", Address("10.0.0.1", 1), "z", 8, state, models)
+def entry(
+    name: str, models: dict[str, int], state: EngineState = EngineState.READY, port: int = 1
+) -> EngineEntry:
+    return EngineEntry(name, "llm", Address("10.0.0.1", port), "z", 8, state, models)
 
 
 def steward(engines: int, models: dict[str, int]) -> VersionSteward:
@@ -81,6 +83,15 @@
     assert len(orders(made, 4.0)) == 1
 
 
+def test_only_engines_that_another_leader_ordered_lately_wait() -> None:
+    made = steward(2, {"m": 1})
+    made.engines.replace([entry("e0", {"m": 1}), entry("e1", {"m": 1}, port=2)], 0.0)
+    made.waits = {"10.0.0.1:2": 4.0}
+    made.named("m", 2)
+    assert [order.engine for order in orders(made, 3.9)] == ["e0"]
+    assert [order.engine for order in orders(made, 4.0)] == ["e1"]
+
+
 def test_an_order_names_how_many_the_engine_had_taken_and_is_not_given_unknowing() -> None:
     made = steward(1, {"m": 1})
     made.known.clear()
