Cancel a call in the test once its engine has it, not after 0.2 s

Traced from one failure beside twelve busy processes: the call had not reached the engine 0.2 s after it was begun (a call that should take milliseconds ended 0.38 s after its limit in the same run), so there was no work whose end could be seen. The bound of 1 s on the end stays.

--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -304,7 +304,7 @@
         for engine in system.app:
             engine.next_behaviours = [watched]
         request = await curio.spawn(_call_listing, system)
-        await curio.sleep(0.2)
+        await system.until(lambda: any(engine.seen for engine in system.app))
         await request.cancel()
         await curio.timeout_after(1.0, left.wait)
 
