Send what a new leader waits for uncompressed; a soak of the real programs

Ruled out: the lease (granted at once), orders (claimed at once), putting in order (7 ms).

The second: pondtiller soak starts three gateways and three replicas as processes, strikes them with kills, ends, freezes, a store that is down or loses answers, slow, silent and reset links, all drawn from a seed, and checks what callers and trainers see.

--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -12,6 +12,7 @@
 from pondtiller.cli.scale import ScaleCommand
 from pondtiller.cli.serve import ServeCommand
 from pondtiller.cli.simulate import SimulateCommand
+from pondtiller.cli.soak import SoakCommand
 from pondtiller.cli.table import (
     TableApplyCommand,
     TableExportCommand,
@@ -37,6 +38,7 @@
         EmulateCommand(),
         DemoCommand(),
         SimulateCommand(),
+        SoakCommand(),
         LoadCommand(),
         ExperimentCommand(),
         ScaleCommand(),
--- a/src/pondtiller/links/frames.py
+++ b/src/pondtiller/links/frames.py
@@ -43,6 +43,8 @@
     19: steplog.ProgressList,
 }
 KIND_BY_TYPE = {message_type: kind for kind, message_type in TYPE_BY_KIND.items()}
+URGENT_TYPES = (steplog.Fetched, steplog.ProgressList)
+"""What a new leader waits for before it leads: compressing costs it more than the bytes."""
 
 
 class BadFrameError(Exception):
@@ -68,7 +70,7 @@
 def encode_message(message: Message) -> Encoded:
     """Return a message as bytes, compressed where that makes it shorter."""
     kind, body = KIND_BY_TYPE[type(message)], bytes(message)
-    if len(body) >= SMALLEST_COMPRESSED:
+    if len(body) >= SMALLEST_COMPRESSED and not isinstance(message, URGENT_TYPES):
         compressed = zlib.compress(body, COMPRESSION_LEVEL)
         if len(compressed) < len(body):
             return Encoded(kind | COMPRESSED_FLAG, compressed)
--- a/src/pondtiller/links/tests/test_frames.py
+++ b/src/pondtiller/links/tests/test_frames.py
@@ -14,7 +14,7 @@
     encode_message,
     message_name,
 )
-from pondtiller.wire.steplog import SampleProgress, SaveProgress
+from pondtiller.wire.steplog import Entry, Fetched, SampleProgress, SaveProgress
 
 LONG = SaveProgress(epoch=3, samples=[SampleProgress(id="s", parts=[b"abc" * 100] * 20)])
 
@@ -33,6 +33,11 @@
     assert encode_message(message).body == bytes(message)
 
 
+def test_what_a_new_leader_waits_for_is_sent_as_it_is() -> None:
+    message = Fetched(entries=[Entry(key="k", value=b"abc" * 1000)])
+    assert encode_message(message).body == bytes(message)
+
+
 @pytest.mark.parametrize("body", [b"no such thing", zlib.compress(bytes(LONG))[:-6]])
 def test_what_cannot_be_unpacked_is_no_frame(body: bytes) -> None:
     broken = encode(Encoded(17 | COMPRESSED_FLAG, body), 0, is_reply=False)
--- /dev/null
+++ b/src/pondtiller/soak/programs.py
@@ -0,0 +1,106 @@
+"""The programs under test: started, stopped and signalled by the ids of their processes."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+RUNNER = Path(__file__).resolve().parents[3] / "deploy" / "run.py"
+
+
+class ProgramSpec(NamedTuple):
+    """How one program is started.
+
+    Attributes
+    ----------
+    role
+        `gateway` or `replica`.
+    settings
+        Text of its settings file.
+    """
+
+    name: str
+    role: str
+    settings: str
+
+
+class Program:
+    """One program's process; started again after it ended, with the same settings.
+
+    Attributes
+    ----------
+    ends
+        Times that it ended without having been told to.
+    """
+
+    def __init__(self, spec: ProgramSpec, folder: Path) -> None:
+        self.spec = spec
+        self.ends = 0
+        self._folder = folder
+        self._process: subprocess.Popen[bytes] | None = None
+        self._is_meant_to_run = False
+        self._is_stopped = False
+
+    @property
+    def log(self) -> Path:
+        """File that holds what it writes, over all its starts."""
+        return self._folder / f"{self.spec.name}.log"
+
+    def start(self) -> None:
+        """Start it."""
+        settings = self._folder / f"{self.spec.name}.toml"
+        settings.write_text(self.spec.settings)
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, str(RUNNER), self.spec.role],
+                env={**os.environ, "PONDTILLER_SETTINGS": str(settings)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self._is_meant_to_run = True
+        self._is_stopped = False
+
+    def is_running(self) -> bool:
+        """Return whether its process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    def kill(self) -> None:
+        """End it at once."""
+        self._is_meant_to_run = False
+        self._signal(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        """Have it end as planned."""
+        self._is_meant_to_run = False
+        self._signal(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Hold it up, as a machine does that freezes."""
+        self._is_stopped = True
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on."""
+        if self._is_stopped:
+            self._is_stopped = False
+            self._signal(signal.SIGCONT)
+
+    def revive(self) -> None:
+        """Start it again where it is not running; note an end that nobody asked for."""
+        if self.is_running():
+            return
+        if self._is_meant_to_run:
+            self.ends += 1
+        self.start()
+
+    def close(self) -> None:
+        """End it and wait; nothing is left."""
+        self.kill()
+        if self._process is not None:
+            self._process.wait()
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process is not None and self.is_running():
+            self._process.send_signal(number)
--- /dev/null
+++ b/src/pondtiller/soak/run.py
@@ -0,0 +1,378 @@
+"""One soak: three replicas and three gateways as processes, a trainer, callers, and faults."""
+
+import json
+import random
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import curio
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.tests.standins import StandInStore, configuration
+from pondtiller.gateway.tests.system import step_body
+from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.platform import names
+from pondtiller.soak.programs import Program, ProgramSpec
+from pondtiller.soak.promises import Breach, Promises
+from pondtiller.soak.proxy import Proxy
+from pondtiller.soak.stand_ins import SoakEngine, to_address
+
+GATEWAYS = 3
+REPLICAS = 3
+EVENTS = 12
+SAMPLES = 8
+STEP_SECONDS = 2.0
+CALL_SECONDS = 0.1
+CALM_SECONDS = 25.0
+FAULT_PAUSE_SECONDS = (0.5, 4.0)
+FAULT_SECONDS = (0.2, 4.0)
+CALL_LIMIT_SECONDS = 6.0
+
+
+class SoakReport(NamedTuple):
+    """What one soak saw.
+
+    Attributes
+    ----------
+    schedule
+        Each fault: seconds from the start, its kind and whom it struck.
+    own_ends
+        Programs that ended without having been told to.
+    """
+
+    seed: int
+    breaches: list[Breach]
+    schedule: list[tuple[float, str, str]]
+    own_ends: list[str]
+    steps: int
+    results: int
+    answers: int
+
+
+class Soak:
+    """The world of one seed."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.promises = Promises()
+        self.schedule: list[tuple[float, str, str]] = []
+        self.store = StandInStore()
+        self.store.page = 100
+        self.store_proxy = Proxy(to_address(self.store.address))
+        self.apps = [SoakEngine(f"a{n}", "app", self.promises, EVENTS) for n in range(3)]
+        self.models = [SoakEngine(f"m{n}", "llm", self.promises, EVENTS) for n in range(3)]
+        for engine in self.models:
+            engine.models = ["m"]
+        self.ports = [_free_port() for _ in range(GATEWAYS)]
+        self.replicas = [Program(self._replica(n, folder), folder) for n in range(REPLICAS)]
+        self.gateways = [Program(self._gateway(n), folder) for n in range(GATEWAYS)]
+        self.group = Spawner()
+        self.client = HttpClient()
+        self.began = clock.monotonic()
+        self.version = 1
+        self.is_calm = False
+
+    # Programs
+
+    def _replica(self, number: int, folder: Path) -> ProgramSpec:
+        settings = f"""
+name = "r{number}"
+zone = "z{number}"
+links = "127.0.0.1:{_free_port()}"
+store = "{self.store_proxy.address}"
+data_folder = "{folder / f"disk{number}"}"
+first_start = true
+"""
+        return ProgramSpec(f"r{number}", "replica", settings)
+
+    def _gateway(self, number: int) -> ProgramSpec:
+        settings = f"""
+name = "g{number}"
+zone = "z{number}"
+callers = "127.0.0.1:{self.ports[number]}"
+readiness = "127.0.0.1:{_free_port()}"
+links = "127.0.0.1:{_free_port()}"
+store = "{self.store_proxy.address}"
+"""
+        return ProgramSpec(f"g{number}", "gateway", settings)
+
+    @property
+    def programs(self) -> list[Program]:
+        """All programs."""
+        return [*self.replicas, *self.gateways]
+
+    # The run
+
+    async def run(self, seconds: float) -> SoakReport:
+        """Play faults for some seconds, then a calm in which everything must be finished."""
+        for engine in (*self.apps, *self.models):
+            await self.group.spawn(engine.serve)
+            await self.group.spawn(engine.proxy.run)
+            self.store.put("servers", engine.identifier, engine.entry())
+        await self.group.spawn(self.store.serve)
+        await self.group.spawn(self.store_proxy.run)
+        self.store.put("config", "main", configuration(3, *self.apps, *self.models))
+        try:
+            for program in self.programs:
+                program.start()
+            await curio.sleep(3.0)
+            for task in (self._train, self._call):
+                await self.group.spawn(task)
+            await self._strike(seconds)
+            await self._finish()
+        finally:
+            await self.group.cancel_all()
+        self.promises.ended()
+        return self._report()
+
+    def _report(self) -> SoakReport:
+        promises = self.promises
+        return SoakReport(
+            seed=self.seed,
+            breaches=promises.breaches,
+            schedule=self.schedule,
+            own_ends=[each.spec.name for each in self.programs if each.ends],
+            steps=len(promises.accepted),
+            results=sum(map(len, promises.results.values())),
+            answers=promises.answers,
+        )
+
+    async def _finish(self) -> None:
+        self.is_calm = True
+        for program in self.programs:
+            program.resume()
+            program.revive()
+        for proxy in self._proxies():
+            proxy.heal()
+        self.store.is_down = self.store.loses_answers = False
+        give_up = clock.monotonic() + CALM_SECONDS
+        while clock.monotonic() < give_up and self._missing():
+            await curio.sleep(0.5)
+        for gateway in range(GATEWAYS):
+            for step in list(self.promises.accepted):
+                await self._read(step, 0, gateway)
+
+    def _missing(self) -> bool:
+        promises = self.promises
+        return any(
+            len(promises.results.get(step, {})) < len(samples)
+            for step, samples in promises.accepted.items()
+        )
+
+    # Faults
+
+    def _proxies(self) -> list[Proxy]:
+        return [self.store_proxy, *(each.proxy for each in (*self.apps, *self.models))]
+
+    async def _strike(self, seconds: float) -> None:
+        faults: list[Callable[[], tuple[str, str, Callable[[], None]]]] = [
+            self._kill,
+            self._kill_all,
+            self._terminate,
+            self._freeze,
+            self._store_down,
+            self._store_lossy,
+            self._slow_link,
+            self._silent_link,
+        ]
+        end = clock.monotonic() + seconds
+        while clock.monotonic() < end:
+            await curio.sleep(self.random.uniform(*FAULT_PAUSE_SECONDS))
+            kind, whom, undo = self.random.choice(faults)()
+            self.schedule.append((round(clock.monotonic() - self.began, 2), kind, whom))
+            await curio.sleep(self.random.uniform(*FAULT_SECONDS))
+            undo()
+            if self.random.random() < 0.3:
+                proxy = self.random.choice(self._proxies())
+                await proxy.reset()
+                self.schedule.append(
+                    (round(clock.monotonic() - self.began, 2), "reset", proxy.address)
+                )
+
+    def _kill(self) -> tuple[str, str, Callable[[], None]]:
+        program = self.random.choice(self.programs)
+        program.kill()
+        return "kill", program.spec.name, program.revive
+
+    def _kill_all(self) -> tuple[str, str, Callable[[], None]]:
+        for program in self.programs:
+            program.kill()
+
+        def undo() -> None:
+            for program in self.programs:
+                program.revive()
+
+        return "kill", "all", undo
+
+    def _terminate(self) -> tuple[str, str, Callable[[], None]]:
+        program = self.random.choice(self.programs)
+        program.terminate()
+        return "terminate", program.spec.name, lambda: self._revive_later(program)
+
+    def _revive_later(self, program: Program) -> None:
+        if program.is_running():
+            program.kill()
+        program.revive()
+
+    def _freeze(self) -> tuple[str, str, Callable[[], None]]:
+        program = self.random.choice(self.programs)
+        program.pause()
+        return "freeze", program.spec.name, program.resume
+
+    def _store_down(self) -> tuple[str, str, Callable[[], None]]:
+        self.store.is_down = True
+        return "store_down", "store", lambda: setattr(self.store, "is_down", False)
+
+    def _store_lossy(self) -> tuple[str, str, Callable[[], None]]:
+        self.store.loses_answers = True
+        self.store.forget_history()
+        return "store_lossy", "store", lambda: setattr(self.store, "loses_answers", False)
+
+    def _slow_link(self) -> tuple[str, str, Callable[[], None]]:
+        proxy = self.random.choice(self._proxies())
+        proxy.delay_seconds = self.random.uniform(0.02, 0.5)
+        return "slow_link", proxy.address, proxy.heal
+
+    def _silent_link(self) -> tuple[str, str, Callable[[], None]]:
+        proxy = self.random.choice(self._proxies())
+        proxy.is_silent = True
+        return "silent_link", proxy.address, proxy.heal
+
+    # The trainer
+
+    async def _train(self) -> None:
+        number = 0
+        while not self.is_calm:
+            number += 1
+            step = f"s{number}"
+            oldest = max(1, self.version - 1)
+            if await self._submit(step, oldest):
+                await self.group.spawn(self._follow, step)
+            await curio.sleep(STEP_SECONDS)
+            if number % 2 == 0:
+                self.version += 1
+                spec = {"model": "m", "version": self.version}
+                self.store.put("versions", "m", spec)
+
+    async def _submit(self, step: str, oldest: int) -> bool:
+        body = json.dumps(step_body(step, SAMPLES, oldest)).encode()
+        for _ in range(8):
+            gateway = self.random.randrange(GATEWAYS)
+            answer = await self._request(
+                gateway, "POST", "/rollout/x", body, "train.example", request_id=step
+            )
+            if answer is not None and answer[0] == 202:
+                samples = [each["id"] for each in step_body(step, SAMPLES, oldest)["requests"]]
+                self.promises.step_accepted(step, samples, oldest)
+                return True
+            await curio.sleep(0.3)
+        return False
+
+    async def _follow(self, step: str) -> None:
+        """Read a step to its end, now and then again from an earlier position."""
+        position = 0
+        while position < SAMPLES:
+            gateway = self.random.randrange(GATEWAYS)
+            start = self.random.randint(0, position) if self.random.random() < 0.3 else position
+            position = max(position, await self._read(step, start, gateway))
+            await curio.sleep(0.2)
+
+    async def _read(self, step: str, position: int, gateway: int) -> int:
+        target = f"{names.STEPS_PATH}{step}?{names.FROM_POSITION}={position}"
+        answer = await self._request(gateway, "GET", target, b"", "train.example", wait_ms="300")
+        if answer is None or answer[0] == 503:
+            return position
+        if answer[0] != 200:
+            self.promises.breach("nothing accepted is lost", f"{step}: {answer[0]}")
+            return position
+        page = json.loads(answer[1])
+        self.promises.page_read(step, position, page["results"], EVENTS)
+        return int(page["next_token"])
+
+    # Callers
+
+    async def _call(self) -> None:
+        number = 0
+        while not self.is_calm:
+            number += 1
+            await self.group.spawn(self._call_once, f"q{number}")
+            await curio.sleep(CALL_SECONDS)
+
+    async def _call_once(self, identifier: str) -> None:
+        gateway = self.random.randrange(GATEWAYS)
+        path = self.random.choice(("/list/7", "/quote/7"))
+        body = f"body of {identifier}".encode()
+        answer = await self._request(
+            gateway, "POST", path, body, "app.example", request_id=identifier
+        )
+        if answer is None:
+            return
+        status, received = answer
+        if status in (408, 421, 429, 503):
+            for engine in self.apps:
+                engine.refused.add(identifier)
+        if path.startswith("/list/") or status == 200:
+            self.promises.answered(identifier, status, received, body)
+
+    async def _request(
+        self, gateway: int, method: str, target: str, body: bytes, host: str, **headers: str
+    ) -> tuple[int, bytes] | None:
+        """Call a gateway on a new connection; None where no whole answer came."""
+        named = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+        try:
+            answer: tuple[int, bytes] = await curio.timeout_after(
+                CALL_LIMIT_SECONDS,
+                self._request_once,
+                Address("127.0.0.1", self.ports[gateway]),
+                method,
+                target,
+                body,
+                (("Host", host), *named),
+            )
+        except (OSError, NotSentError, BrokenError, curio.TaskTimeout):
+            return None
+        return answer
+
+    async def _request_once(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+    ) -> tuple[int, bytes]:
+        connection = await self.client.open_plain(address)
+        try:
+            await connection.send_plain(method, target, body, headers)
+            head = await connection.read_head()
+            pieces = [piece async for piece in connection.read_body()]
+        finally:
+            await connection.close()
+        return head.status_code, b"".join(pieces)
+
+
+def _free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def play(seed: int, seconds: float, folder: Path) -> SoakReport:
+    """Play one seed; logs and the schedule are left in the folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+
+    soak = Soak(seed, folder)
+    try:
+        report: SoakReport = curio.run(soak.run, seconds)
+    finally:
+        for program in soak.programs:
+            program.close()
+    text = json.dumps(report._asdict(), indent=1)
+    (folder / "report.json").write_text(text)
+    return report
