--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -64,8 +64,12 @@
         self.store = StandInStore()
         self.store.page = 100
         self.store_proxy = Proxy(to_address(self.store.address))
-        self.apps = [SoakEngine(f"a{n}", "app", self.promises, EVENTS) for n in range(3)]
-        self.models = [SoakEngine(f"m{n}", "llm", self.promises, EVENTS) for n in range(3)]
+        self.apps = [
+            SoakEngine(f"a{n}", "app", self.promises, self.store, EVENTS) for n in range(3)
+        ]
+        self.models = [
+            SoakEngine(f"m{n}", "llm", self.promises, self.store, EVENTS) for n in range(3)
+        ]
         for engine in self.models:
             engine.models = ["m"]
         self.ports = [_free_port() for _ in range(GATEWAYS)]
@@ -113,7 +117,7 @@
         for engine in (*self.apps, *self.models):
             await self.group.spawn(engine.serve)
             await self.group.spawn(engine.proxy.run)
-            self.store.put("servers", engine.identifier, engine.entry())
+            engine.publish()
         await self.group.spawn(self.store.serve)
         await self.group.spawn(self.store_proxy.run)
         self.store.put("config", "main", configuration(3, *self.apps, *self.models))
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -1,9 +1,12 @@
 """The platform beside the programs: engines that tell what they ran, over the tests' stand-ins."""
 
+from typing import Any
+
 import curio
 
 from pondtiller.core.entities import Address
-from pondtiller.gateway.tests.standins import StandInEngine
+from pondtiller.gateway.tests.standins import StandInEngine, StandInStore
+from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange
 from pondtiller.platform import names
 from pondtiller.soak.promises import Promises
@@ -17,22 +20,33 @@
 
     Attributes
     ----------
-    left_at
-        When it said that it leaves; None while it stays.
+    refused
+        Requests whose callers were told that they did not run.
     """
 
-    def __init__(self, identifier: str, service: str, promises: Promises, events: int) -> None:
+    def __init__(
+        self, identifier: str, service: str, promises: Promises, store: StandInStore, events: int
+    ) -> None:
         super().__init__(identifier, service, events)
+        self.store = store
         self.event_seconds = 0.02
         self.proxy = Proxy(to_address(self.address))
         self.promises = promises
         self.refused: set[str] = set()
-        self.left_at: float | None = None
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return its list entry, with the proxy's address."""
         return {**super().entry(state), "address": self.proxy.address}
 
+    def publish(self) -> None:
+        """Write its list entry into the store."""
+        self.store.put("servers", self.identifier, self.entry())
+
+    def _order(self, order: dict[str, Any]) -> HttpResponse:
+        answer = super()._order(order)
+        self.publish()
+        return answer
+
     async def whole(self, exchange: Exchange) -> None:
         """Answer like a sound engine, and count the run."""
         identifier = exchange.request.headers[names.REQUEST_ID]
