Score where a sample was run, send news as JSON, and write one progress message for all replicas

Change: the runner that made a text whole has it judged at once and tells the score with its news; news are JSON lists in a message; replicas that lack the same texts get one encoded message; a reader's gateway unpacks the body; writes are committed up to the number that a write quorum has.

--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -15,6 +15,7 @@
 from pondtiller.platform import engine_format, names, step_format
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
+from pondtiller.wire.steplog import Sample
 
 RETRY_AFTER_SECONDS = 0.25
 LONGEST_READ_WAIT_SECONDS = 1.0
@@ -173,7 +174,8 @@
         if body.status != StepStatus.OK:
             await self._answer_status(exchange, StepStatus(body.status), 200)
             return
-        await exchange.respond(HttpResponse(200, body.body, "application/octet-stream"))
+        sample = Sample().parse(body.content)
+        await exchange.respond(HttpResponse(200, sample.body, "application/octet-stream"))
 
     async def _answer_status(self, exchange: Exchange, status: StepStatus, success: int) -> None:
         if status is StepStatus.OK:
--- a/src/pondtiller/gateway/run_host.py
+++ b/src/pondtiller/gateway/run_host.py
@@ -17,7 +17,8 @@
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.gateway.sample_runner import RunOrder, SampleRunner
 from pondtiller.links.link import Link
-from pondtiller.rollouts.run_news import EndedRun, NewsGatherer, RunEvent
+from pondtiller.rollouts.run_news import EndedRun, NewsGatherer, RunEvent, ScoredRun
+from pondtiller.rollouts.sample_work import RunEnd
 from pondtiller.steplog.replica import LEASE_SECONDS
 from pondtiller.wire.steplog import (
     BeginRun,
@@ -46,8 +47,9 @@
         self._link = link
         self._news = NewsGatherer()
         self._group = Spawner()
+        self._scoring = 0
         self._teller: Any = None
-        self._has_ended = curio.Event()
+        self._has_news = curio.Event()
 
     async def begin(self, message: BeginRun) -> None:
         """Begin a run; its outcome follows with the news."""
@@ -89,7 +91,28 @@
         if self.tasks.pop(order.run, None) is None:
             return
         self._news.ended.append(EndedRun(order.run, outcome.end, outcome.detail))
-        await self._has_ended.set()
+        await self._has_news.set()
+        if outcome.end is RunEnd.WHOLE:
+            await self._score(order)
+
+    async def _score(self, order: RunOrder) -> None:
+        """Have a text judged at once that was made whole here, and tell what became of it."""
+        self._scoring += 1
+        try:
+            outcome = await self._host.runner.score(order.run, order.content)
+        finally:
+            self._scoring -= 1
+        self._news.scored.append(
+            ScoredRun(
+                order.run,
+                outcome.end,
+                outcome.score,
+                outcome.detail,
+                outcome.attempts,
+                outcome.request,
+            )
+        )
+        await self._has_news.set()
 
     def _take(self, run: int, number: int, data: str, version: int, now: float) -> bool:
         if run not in self.tasks:
@@ -98,10 +121,10 @@
         return True
 
     async def _tell(self) -> None:
-        """Send news while there are runs; ends are told at once."""
-        while self.tasks or self._news.ended:
-            await curio.ignore_after(NEWS_SECONDS, self._has_ended.wait)
-            self._has_ended.clear()
+        """Send news while there are runs or scores are made; ends and scores are told at once."""
+        while self.tasks or self._scoring or self._news.ended or self._news.scored:
+            await curio.ignore_after(NEWS_SECONDS, self._has_news.wait)
+            self._has_news.clear()
             now = clock.monotonic()
             if now > self.heard_at + LEADER_SILENT_SECONDS:
                 await self._leave_leader()
@@ -185,7 +208,7 @@
 
     async def score(self, message: ScoreSample) -> ScoreAnswer:
         """Have a finished sample judged."""
-        outcome = await self.runner.score(message.content)
+        outcome = await self.runner.score(0, message.content)
         return ScoreAnswer(
             end=outcome.end.value,
             score=outcome.score,
--- a/src/pondtiller/gateway/run_links.py
+++ b/src/pondtiller/gateway/run_links.py
@@ -13,7 +13,13 @@
 from pondtiller.gateway.run_host import NEWS_SECONDS
 from pondtiller.gateway.sample_runner import EventSink, RunOrder, RunOutcome, ScoreOutcome
 from pondtiller.links.link import Link, LinkLostError, connect
-from pondtiller.rollouts.run_news import EndedRun, read_ends, read_events
+from pondtiller.rollouts.run_news import (
+    EndedRun,
+    ScoredRun,
+    read_ends,
+    read_events,
+    read_scores,
+)
 from pondtiller.rollouts.runner_choice import Daemon, EngineRunners, wanted_runners
 from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd
 from pondtiller.routes.engines import EngineDirectory
@@ -39,6 +45,8 @@
 RUNNER_LOST = RunOutcome(RunEnd.STALE, "the runner is lost")
 """Neither the engine nor the sample is to blame: the run goes on elsewhere from its text."""
 
+SCORE_LOST = ScoreOutcome(ScoreEnd.LOST, "", "the runner is lost")
+
 
 class Runner(Protocol):
     """Carries out runs, here or at another daemon."""
@@ -46,8 +54,16 @@
     async def run(self, order: RunOrder, take: EventSink) -> RunOutcome:
         """Run a sample on an engine; `take` gets each event and says whether to go on."""
 
-    async def score(self, content: bytes) -> ScoreOutcome:
-        """Have a finished sample judged."""
+    async def score(self, run: int, content: bytes) -> ScoreOutcome:
+        """Have the sample judged that a run has made whole."""
+
+
+@dataclass
+class RemoteScore:
+    """A text that is judged at the runner that made it whole."""
+
+    done: Any = field(default_factory=curio.Event)
+    outcome: ScoreOutcome = SCORE_LOST
 
 
 @dataclass
@@ -73,6 +89,7 @@
     ) -> None:
         self.daemon = daemon
         self.runs: dict[int, RemoteRun] = {}
+        self.scores: dict[int, RemoteScore] = {}
         self.link = link
         self._epoch = epoch
         self._checked = checked
@@ -87,6 +104,8 @@
             await keeper.cancel(blocking=False)
             for run in list(self.runs.values()):
                 await run.done.set()
+            for score in list(self.scores.values()):
+                await score.done.set()
 
     async def run(self, order: RunOrder, take: EventSink) -> RunOutcome:
         """Run a sample on an engine; a cancelled run is dropped there too."""
@@ -107,11 +126,21 @@
             if not has_ended:
                 await self.link.send(DropRun(run=order.run))
 
-    async def score(self, content: bytes) -> ScoreOutcome:
-        """Have a finished sample judged."""
-        message = ScoreSample(content=content)
+    async def score(self, run: int, content: bytes) -> ScoreOutcome:
+        """Have a sample judged: the runner that made it whole does so unasked."""
+        waiting = self.scores.get(run)
+        if waiting is None:
+            return await self._ask_score(content)
         try:
-            answer = await self.link.call(message, SCORE_CALL_SECONDS)
+            if not self.link.is_lost:
+                await waiting.done.wait()
+            return waiting.outcome
+        finally:
+            self.scores.pop(run, None)
+
+    async def _ask_score(self, content: bytes) -> ScoreOutcome:
+        try:
+            answer = await self.link.call(ScoreSample(content=content), SCORE_CALL_SECONDS)
         except LinkLostError as error:
             return ScoreOutcome(ScoreEnd.LOST, "", str(error))
         if not isinstance(answer, ScoreAnswer):
@@ -126,31 +155,41 @@
         now = self._heard_at = clock.monotonic()
         try:
             events, ended = read_events(message, now), read_ends(message)
-        except ValueError as error:
+            scored = read_scores(message)
+        except (TypeError, ValueError) as error:
             logs.decision("runner_news_refused", runner=self.daemon.name, reason=str(error))
             await self.link.drop()
             return
         for event in events:
             run = self.runs.get(event.run)
             if run is not None and not run.take(*event):
-                self._end(EndedRun(event.run, RunEnd.STALE, f"event={event.number}"))
+                await self._end(EndedRun(event.run, RunEnd.STALE, f"event={event.number}"))
                 await self.link.send(DropRun(run=event.run))
-                await run.done.set()
         for each in ended:
-            run = self.runs.get(each.run)
-            if run is not None:
-                self._end(each)
-                await run.done.set()
+            await self._end(each)
+        for judged in scored:
+            await self._take_score(judged)
         self._checked(list(self.runs), now)
 
-    def _end(self, ended: EndedRun) -> None:
-        run = self.runs.pop(ended.run)
+    async def _end(self, ended: EndedRun) -> None:
+        run = self.runs.pop(ended.run, None)
+        if run is None:
+            return
+        if ended.end is RunEnd.WHOLE:
+            self.scores[ended.run] = RemoteScore()
         run.outcome = RunOutcome(ended.end, ended.detail)
+        await run.done.set()
+
+    async def _take_score(self, scored: ScoredRun) -> None:
+        waiting = self.scores.get(scored.run)
+        if waiting is not None:
+            waiting.outcome = ScoreOutcome(*scored[1:])
+            await waiting.done.set()
 
     async def _keep(self) -> None:
         """Say that the leader lives while there are runs; end the link of a silent runner."""
         while not self.link.is_lost:
-            if self.runs:
+            if self.runs or any(not each.done.is_set() for each in self.scores.values()):
                 await self.link.send(KeepRuns(epoch=self._epoch))
                 if clock.monotonic() > self._heard_at + RUNNER_SILENT_SECONDS:
                     logs.decision("runner_silent", runner=self.daemon.name, runs=len(self.runs))
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -150,7 +150,7 @@
             raise BrokenError("the stream ended within an event")
         return RunOutcome(RunEnd.WHOLE, str(head.status))
 
-    async def score(self, content: bytes) -> ScoreOutcome:
+    async def score(self, _run: int, content: bytes) -> ScoreOutcome:
         """Have a finished sample judged; one that has no scorer is so without a score."""
         scorer = Sample().parse(content).scorer
         if not scorer.id:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -17,6 +17,7 @@
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
 from pondtiller.gateway.watches import LeaderWatches
+from pondtiller.links.frames import encode_message
 from pondtiller.links.link import LinkLostError
 from pondtiller.rollouts.progress import ProgressSaver
 from pondtiller.rollouts.sample_work import (
@@ -395,7 +396,7 @@
     async def _score(self, instruction: ScoreText) -> None:
         sample = instruction.sample
         name, runner = self.runners.runner_for(instruction.engine)
-        outcome = await runner.score(sample.content)
+        outcome = await runner.score(instruction.run, sample.content)
         if outcome.end is not ScoreEnd.SCORED:
             logs.decision(
                 "scorer_failed",
@@ -465,11 +466,14 @@
         """Leave unfinished texts at replicas, one more than may be lost at a time."""
         now = clock.monotonic()
         links = self._leadership.log.member_links(self._leadership.zone)
-        for number in links[: self._leadership.losses + 1]:
-            link = self._leadership.replicas.link(number)
-            samples = self.progress.news(number, self.scheduler.work.values(), now, is_last)
-            if link is not None and samples:
-                await link.send(SaveProgress(epoch=self.epoch, samples=samples))
+        chosen = links[: self._leadership.losses + 1]
+        works = self.scheduler.work.values()
+        for news in self.progress.news_of(chosen, works, now, is_last):
+            encoded = encode_message(SaveProgress(epoch=self.epoch, samples=news.samples))
+            for number in news.links:
+                link = self._leadership.replicas.link(number)
+                if link is not None:
+                    await link.send(encoded)
 
     async def _read_progress(self) -> None:
         """Read the texts of the samples that are still open, each from one member.
--- a/src/pondtiller/platform/tests/test_formats.py
+++ b/src/pondtiller/platform/tests/test_formats.py
@@ -96,7 +96,7 @@
     assert isinstance(read, Ok)
     (head,) = sample_heads(read.ok_value)
     assert (head.id, head.group, head.expected_tokens) == ("i", "i", 9.0)
-    assert head.read().body == b"\xab\xcd\xef"
+    assert Sample().parse(head.content).body == b"\xab\xcd\xef"
     twice = json.dumps({**body, "requests": [item, item]}).encode()
     for bad in (b"", b"3", b"{}", twice, json.dumps({"requests": [{"id": "i"}]}).encode()):
         assert isinstance(step_format.read_step("s", "h", "/p/", bad), Err)
--- a/src/pondtiller/rollouts/progress.py
+++ b/src/pondtiller/rollouts/progress.py
@@ -5,7 +5,8 @@
 """
 
 import json
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
 
 from pondtiller.rollouts.sample_work import SampleWork
 from pondtiller.wire.steplog import SampleProgress
@@ -23,12 +24,36 @@
     return [event for part in parts for event in json.loads(part)]
 
 
+class ProgressNews(NamedTuple):
+    """Texts that several replicas lack alike, with the numbers of their links."""
+
+    links: list[int]
+    samples: list[SampleProgress]
+
+
 class ProgressSaver:
     """Knows what each replica was sent, by the number of its link."""
 
     def __init__(self) -> None:
         self.sent: dict[int, dict[str, int]] = {}
 
+    def news_of(
+        self, links: Sequence[int], works: Collection[SampleWork], now: float, is_last: bool
+    ) -> list[ProgressNews]:
+        """Return what replicas lack, once for those that were sent the same before."""
+        alike: dict[tuple[tuple[str, int], ...], list[int]] = {}
+        for link in links:
+            before = tuple(self.sent.get(link, {}).items())
+            alike.setdefault(before, []).append(link)
+        found: list[ProgressNews] = []
+        for group in alike.values():
+            samples = self.news(group[0], works, now, is_last)
+            for link in group[1:]:
+                self.sent[link] = self.sent[group[0]]
+            if samples:
+                found.append(ProgressNews(group, samples))
+        return found
+
     def news(
         self, link: int, works: Iterable[SampleWork], now: float, is_last: bool = False
     ) -> list[SampleProgress]:
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -1,7 +1,7 @@
 """What the sample scheduler works on: a sample's stages, its text, and the instructions."""
 
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, StrEnum
 from typing import NamedTuple
 
 from pondtiller.rollouts.steps import SampleHead, StepRecord
@@ -18,7 +18,7 @@
     LISTED = "listed"
 
 
-class RunEnd(Enum):
+class RunEnd(StrEnum):
     """How a run on an engine ended."""
 
     WHOLE = "whole"
@@ -29,7 +29,7 @@
     STALE = "stale"
 
 
-class ScoreEnd(Enum):
+class ScoreEnd(StrEnum):
     """How a scorer's request ended."""
 
     SCORED = "scored"
@@ -78,12 +78,13 @@
 
     Attributes
     ----------
-    engine
-        Engine that ended it; empty where a kept text was whole.
+    run, engine
+        The run that made it whole, and its engine; 0 and empty where a kept text was.
     """
 
     step: str
     sample: SampleHead
+    run: int
     engine: str
 
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -181,7 +181,7 @@
         elif end is ScoreEnd.FAILED and work.score_failures >= attempts:
             self._give_up(work)
         else:
-            self._out.append(ScoreText(step, work.sample, work.engine))
+            self._out.append(ScoreText(step, work.sample, work.run, work.engine))
 
     def _result(self, work: SampleWork, score: str) -> SampleResult:
         return SampleResult(
@@ -282,7 +282,7 @@
 
     def _score(self, work: SampleWork) -> None:
         work.stage = Stage.SCORING
-        self._out.append(ScoreText(work.step_id, work.sample, work.engine))
+        self._out.append(ScoreText(work.step_id, work.sample, work.run, work.engine))
 
     def _stop_run(self, work: SampleWork, reason: CancelReason) -> None:
         if self.runs.pop(work.run, None) is None:
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -73,10 +73,6 @@
     expected_tokens: float
     content: bytes
 
-    def read(self) -> Sample:
-        """Return the whole sample."""
-        return Sample().parse(self.content)
-
 
 def add_sample(step: Step, sample: Sample, expected_tokens: float) -> None:
     """Put a sample into a step, as a row of its columns."""
@@ -149,11 +145,11 @@
         """Whether every sample is listed."""
         return self.visible >= self.total
 
-    def sample(self, identifier: str) -> Sample | None:
+    def sample(self, identifier: str) -> SampleHead | None:
         """Return a sample by its identifier, or None where there is none."""
         for head in self.samples:
             if head.id == identifier:
-                return head.read()
+                return head
         return None
 
     def claim_position(self) -> int:
@@ -287,14 +283,14 @@
         )
 
     def sample_body(self, step: str, sample: str) -> SampleBody:
-        """Return the body of a sample of a step that is known."""
+        """Return a sample of a step that is known, for the reader of its body."""
         record = self.steps.get(step)
         if record is not None and not record.is_accepted:
             return SampleBody(status=StepStatus.UNAVAILABLE)
         found = record.sample(sample) if record is not None else None
         if found is None:
             return SampleBody(status=StepStatus.UNKNOWN)
-        return SampleBody(status=StepStatus.OK, body=found.body)
+        return SampleBody(status=StepStatus.OK, content=found.content)
 
     def expired(self, wall_now: float, keep_seconds: float) -> list[str]:
         """Return the steps that are closed and older than they must be kept."""
--- a/src/pondtiller/rollouts/tests/test_run_news.py
+++ b/src/pondtiller/rollouts/tests/test_run_news.py
@@ -6,10 +6,12 @@
     EndedRun,
     NewsGatherer,
     RunEvent,
+    ScoredRun,
     read_ends,
     read_events,
+    read_scores,
 )
-from pondtiller.rollouts.sample_work import RunEnd
+from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd
 from pondtiller.wire.steplog import RunNews
 
 
@@ -50,8 +52,18 @@
     assert news.take(1.2) == RunNews()
 
 
-def test_columns_that_do_not_fit_are_refused() -> None:
-    with pytest.raises(ValueError):
-        read_events(RunNews(runs=[1], first_events=[1]), 0.0)
-    with pytest.raises(ValueError):
-        read_ends(RunNews(ended_runs=[1], ends=["nonsense"], details=[""]))
+def test_scores_arrive_as_they_were_given() -> None:
+    news = NewsGatherer()
+    judged = ScoredRun(4, ScoreEnd.SCORED, "sig", "200", 3, "q")
+    news.scored.append(judged)
+    assert read_scores(RunNews().parse(bytes(news.take(1.0)))) == [judged]
+
+
+@pytest.mark.parametrize("sent", [b"{", b"3", b"[3]", b"[[1, 2]]", b'[[1, 1, 1, "a", 0, []]]'])
+def test_news_that_are_not_sound_are_refused(sent: bytes) -> None:
+    with pytest.raises((ValueError, TypeError)):
+        read_events(RunNews(events=sent), 0.0)
+    with pytest.raises((ValueError, TypeError)):
+        read_ends(RunNews(ended=sent))
+    with pytest.raises((ValueError, TypeError)):
+        read_scores(RunNews(scored=sent))
--- a/src/pondtiller/steplog/group.py
+++ b/src/pondtiller/steplog/group.py
@@ -5,7 +5,7 @@
 lost its disk is another replica, and its old disk is known to be lost.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from pondtiller.wire.steplog import Entry, Group, GroupMember
 
@@ -39,9 +39,23 @@
     Disks known to be lost can neither hold a value nor answer a later read, so no more than
     the remaining ones are asked for.
     """
+    return quorum_number(group, dict.fromkeys(written, 0), lost) == 0
+
+
+def quorum_number(group: Group, acked: Mapping[str, int], lost: set[str]) -> int:
+    """Return the highest write that a write quorum of a group's disks has; -1 where none has.
+
+    Parameters
+    ----------
+    acked
+        Number of the last write on each disk, by disk.
+    lost
+        As `has_write_quorum` takes it.
+    """
     members = disks(group)
     wanted = min(write_quorum(len(members)), len(members - lost))
-    return wanted > 0 and len(members & written) >= wanted
+    numbers = sorted((acked[disk] for disk in members if disk in acked), reverse=True)
+    return numbers[wanted - 1] if 0 < wanted <= len(numbers) else -1
 
 
 def group_key(generation: int) -> str:
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -458,19 +458,26 @@
         self._out.append(Send(follower.link, message))
 
     def _commit(self) -> None:
-        for key, number in list(self._pending.items()):
-            written = {
-                follower.disk
-                for follower in self.followers.values()
-                if follower.is_synced and follower.acked >= number
-            }
-            if not all(
-                groups.has_write_quorum(each, written, self.lost_disks)
-                for each in self._voting_groups()
-            ):
-                break
-            del self._pending[key]
-            self._committed(key)
+        """Tell of the writes that a write quorum of each voting group has on disk."""
+        while self._pending and next(iter(self._pending.values())) <= self._written_number():
+            number = self._written_number()
+            for key in [key for key, each in self._pending.items() if each <= number]:
+                del self._pending[key]
+                self._committed(key)
+                if key.startswith(groups.GROUP_PREFIX):
+                    # Other groups count from here on.
+                    break
+
+    def _written_number(self) -> float:
+        """Return up to which write all voting groups have a write quorum."""
+        acked: dict[str, int] = {}
+        for follower in self.followers.values():
+            if follower.is_synced:
+                acked[follower.disk] = max(follower.acked, acked.get(follower.disk, -1))
+        return min(
+            (groups.quorum_number(each, acked, self.lost_disks) for each in self._voting_groups()),
+            default=float("inf"),
+        )
 
     def _committed(self, key: str) -> None:
         if key.startswith(groups.GROUP_PREFIX):
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -126,33 +126,19 @@
 @dataclass(eq=False, repr=False)
 class RunNews(betterproto.Message):
     """
-    Runner to leader, while it has runs: what came since the last one, and what ended.
+    Runner to leader, while it has runs: what came since the last one, and what ended. Each is a
+     JSON list, see `rollouts.run_news`: columns of numbers took a leader 0.8 ms a message to read.
     """
 
-    runs: List[int] = betterproto.uint64_field(1)
-    """
-    One part a run and version, by column: the run, the number of its first event, the events
-     as a JSON list, the version that made them, and how long ago the first and last came.
-    """
-
-    first_events: List[int] = betterproto.uint64_field(2)
-    events: List[bytes] = betterproto.bytes_field(3)
-    versions: List[int] = betterproto.uint64_field(4)
-    first_milliseconds: List[int] = betterproto.uint32_field(5)
-    last_milliseconds: List[int] = betterproto.uint32_field(6)
-    ended_runs: List[int] = betterproto.uint64_field(7)
-    """
-    Runs that have ended, each with a value of `rollouts.sample_work.RunEnd` and its detail.
-    """
-
-    ends: List[str] = betterproto.string_field(8)
-    details: List[str] = betterproto.string_field(9)
+    events: bytes = betterproto.bytes_field(1)
+    ended: bytes = betterproto.bytes_field(2)
+    scored: bytes = betterproto.bytes_field(3)
 
 
 @dataclass(eq=False, repr=False)
 class ScoreSample(betterproto.Message):
     """
-    Leader to runner: have a finished sample judged. The answer is a `ScoreAnswer`.
+    Leader to runner: have a sample judged that another ended. The answer is a `ScoreAnswer`.
     """
 
     content: bytes = betterproto.bytes_field(1)
@@ -391,7 +377,8 @@
     status: int = betterproto.uint32_field(1)
     """A number of `rollouts.steps.StepStatus`."""
 
-    body: bytes = betterproto.bytes_field(2)
+    content: bytes = betterproto.bytes_field(2)
+    """An encoded `Sample`."""
 
 
 @dataclass(eq=False, repr=False)
