Spread the store's news through the replicas; split the watches by job

Weighed: longer waits on watches (the calls come from changes, not from waits); gossip of changes among gateways (needs its own freshness and repair); the leader as the only reader (one cut machine would leave all behind). Taken: the members of the replicas' group, to which each gateway has a link anyway, mirror the two kinds under the store's own revisions and answer the two calls that a watch makes, so the watch is the same whoever answers, and a gateway changes readers with its revision.

Bounds: a mirror that has not heard the store for 1.5 s answers nothing; one that is silent is left after 2.1 s (platform's shortest bound for a leaving engine: 2 s after its acknowledgement, 4 s on the large site; a replica that is cut off is itself a disruption that excuses the bound). Then another mirror, then the store itself. A listing older than what a gateway knows is not taken, and changes that it knows are left out. Replicas mirror only where six gateways or more come to a member, below which asking the store oneself costs fewer calls; a leader always asks the store. Retries of a failed call go from 0.25 s to 1 s, since refused calls are priced too.

Small sites are not touched (9 gateways for 3 members).

--- /dev/null
+++ b/src/pondtiller/gateway/leader_watches.py
@@ -0,0 +1,128 @@
+"""What a leader follows in the store: named versions, retirements and new replicas."""
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import logs
+from pondtiller.gateway.replicas import ReplicaDirectory
+from pondtiller.gateway.store_watch import RETRY_SECONDS, StoreHealth, Watch
+from pondtiller.platform import engine_format, names, objects
+from pondtiller.platform.object_client import (
+    ObjectClient,
+    StoreCallError,
+    StoreChange,
+    StoreObject,
+)
+from pondtiller.rollouts.versions import VersionSteward
+
+
+class LeaderWatches:
+    """What a leader follows: named versions, retirements of replicas, new replicas."""
+
+    def __init__(
+        self, store: ObjectClient, health: StoreHealth, replicas: ReplicaDirectory
+    ) -> None:
+        self._store = store
+        self._health = health
+        self._replicas = replicas
+        self._retirements: dict[str, StoreObject] = {}
+        self._is_member: Callable[[str], bool] = _may_be_member
+
+    def follow_members(self, is_member: Callable[[str], bool]) -> None:
+        """Set how to tell whether a replica still belongs to the group."""
+        self._is_member = is_member
+
+    def retiring(self) -> frozenset[str]:
+        """Return the names of replicas that are to be emptied, or are."""
+        return frozenset(self._retirements)
+
+    async def run(self, steward: VersionSteward, wake: Any) -> None:
+        """Follow until cancelled."""
+
+        async def take_version(found: StoreObject) -> None:
+            named = objects.named_version(found)
+            if named is not None:
+                steward.named(named.model, named.version)
+                logs.decision("version_named", model=named.model, version=named.version)
+                await wake.set()
+
+        async def take_versions(found: tuple[StoreObject, ...]) -> None:
+            for each in found:
+                await take_version(each)
+
+        async def version_changed(change: StoreChange) -> None:
+            if not change.is_gone:
+                await take_version(change.object)
+
+        versions = Watch(
+            self._store, self._health, names.VERSIONS_NAMED, take_versions, version_changed
+        )
+        retirements = Watch(
+            self._store,
+            self._health,
+            names.RETIREMENTS,
+            self._take_retirements,
+            self._retirement_changed,
+        )
+        replicas = Watch(
+            self._store, self._health, names.REPLICAS, self.take_replicas, self._replica_changed
+        )
+        async with curio.TaskGroup() as group:
+            await group.spawn(versions.run)
+            await group.spawn(retirements.run)
+            await group.spawn(replicas.run)
+            await group.spawn(self._mark_retired)
+
+    async def _take_retirements(self, found: tuple[StoreObject, ...]) -> None:
+        self._retirements = {each.name: each for each in found}
+
+    async def _retirement_changed(self, change: StoreChange) -> None:
+        if change.is_gone:
+            self._retirements.pop(change.object.name, None)
+            return
+        self._retirements[change.object.name] = change.object
+        logs.decision("retirement", replica=change.object.name, status=change.object.status)
+
+    async def _mark_retired(self) -> None:
+        """Tell of each replica that has left the group."""
+        while True:
+            for name, found in list(self._retirements.items()):
+                if objects.is_retired(found) or self._is_member(name):
+                    continue
+                await self._mark(name, found)
+            await curio.sleep(RETRY_SECONDS)
+
+    async def _mark(self, name: str, found: StoreObject) -> None:
+        status = objects.retirement_status(is_done=True)
+        try:
+            outcome = await self._store.set_status(names.RETIREMENTS, name, found.revision, status)
+            fresh = await self._store.read(names.RETIREMENTS, name)
+        except StoreCallError:
+            await curio.sleep(RETRY_SECONDS)
+            return
+        logs.decision("retirement_marked", replica=name, outcome=outcome.value)
+        if fresh is not None:
+            self._retirements[name] = fresh
+
+    async def take_replicas(self, found: tuple[StoreObject, ...]) -> None:
+        """Connect to the replicas that are listed."""
+        for each in found:
+            await self._add_replica(each)
+
+    async def _replica_changed(self, change: StoreChange) -> None:
+        if not change.is_gone:
+            await self._add_replica(change.object)
+
+    async def _add_replica(self, found: StoreObject) -> None:
+        try:
+            place: Address = engine_format.address(found.spec["address"])
+        except (KeyError, TypeError, ValueError):
+            return
+        await self._replicas.add(place)
+
+
+def _may_be_member(_name: str) -> bool:
+    return True
--- /dev/null
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -0,0 +1,140 @@
+"""The store as a gateway reads it: through a replica's mirror, or itself where none can tell."""
+
+from collections.abc import Callable
+from typing import NamedTuple, TypeVar
+
+from pondtiller.daemon import clock, logs
+from pondtiller.gateway.replicas import ReplicaDirectory
+from pondtiller.gateway.store_watch import StoreReader
+from pondtiller.hashing import score
+from pondtiller.links.link import Link, LinkLostError
+from pondtiller.platform.mirror import MirrorStatus, read_changes, read_listing
+from pondtiller.platform.object_client import (
+    HistoryGoneError,
+    StoreChanges,
+    StoreListing,
+)
+from pondtiller.wire.steplog import MirrorPage, ReadMirror
+
+ANSWER_SECONDS = 0.6
+"""How long after its wait a mirror may be silent before another one is asked."""
+LONGEST_WAIT_SECONDS = 1.5
+"""A mirror that is cut off from this gateway is noticed when its wait is over, and an engine's
+leaving must be known within 2 s at the least."""
+REFUSED_SECONDS = 2.0
+"""How long a mirror is not asked again that could not tell."""
+NOT_MIRRORED_SECONDS = 10.0
+"""How long no mirror is asked after one told that too few gateways follow it."""
+MOST_MIRRORS = 2
+"""Mirrors asked for one answer; where these cannot tell, the store itself is asked."""
+
+Found = TypeVar("Found", StoreListing, StoreChanges)
+
+
+class Mirror(NamedTuple):
+    """A replica that may mirror the store, and the link to it."""
+
+    name: str
+    zone: str
+    link: Link
+
+
+class MirroredStore:
+    """Reads kinds that replicas mirror.
+
+    Parameters
+    ----------
+    asks_store
+        Returns whether to ask the store itself: a leader needs each change at once.
+
+    Attributes
+    ----------
+    reader
+        Who gave the last answer, by kind: a replica's name, or `store`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        store: StoreReader,
+        replicas: ReplicaDirectory,
+        asks_store: Callable[[], bool],
+    ) -> None:
+        self.reader: dict[str, str] = {}
+        self._name = name
+        self._zone = zone
+        self._store = store
+        self._replicas = replicas
+        self._asks_store = asks_store
+        self._refused_until: dict[str, float] = {}
+        self._not_before = 0.0
+        self._known: dict[str, int] = {}
+
+    async def list_all(self, kind: str) -> StoreListing:
+        """Return all objects of a kind, never older than what was told before."""
+        page = await self._ask_mirrors(ReadMirror(kind=kind), 0.0)
+        if page is not None and page.at >= self._known.get(kind, 0):
+            return self._told(kind, read_listing(page))
+        return self._told(kind, await self._ask_store(kind).list_all(kind))
+
+    async def watch(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
+        """Return the changes after a revision; raises as the store's own client does."""
+        wait = min(wait_seconds, LONGEST_WAIT_SECONDS)
+        message = ReadMirror(kind=kind, at=at, wait_milliseconds=int(wait * 1000))
+        page = await self._ask_mirrors(message, wait)
+        if page is None:
+            return self._told(kind, await self._ask_store(kind).watch(kind, at, wait_seconds))
+        if page.status == MirrorStatus.HISTORY_GONE:
+            raise HistoryGoneError
+        return self._told(kind, read_changes(page))
+
+    def _told(self, kind: str, found: Found) -> Found:
+        self._known[kind] = max(found.at, self._known.get(kind, 0))
+        return found
+
+    def _ask_store(self, kind: str) -> StoreReader:
+        self._note_reader(kind, "store")
+        return self._store
+
+    def _note_reader(self, kind: str, reader: str) -> None:
+        before = self.reader.get(kind)
+        if before != reader:
+            self.reader[kind] = reader
+            logs.decision("store_reader", kind=kind, reader=reader, before=before or "")
+
+    async def _ask_mirrors(self, message: ReadMirror, wait: float) -> MirrorPage | None:
+        """Return the answer of the first mirror that can tell; None where none can."""
+        if self._asks_store() or clock.monotonic() < self._not_before:
+            return None
+        for mirror in self._mirrors()[:MOST_MIRRORS]:
+            page = await self._ask(mirror, message, wait)
+            if page is None or page.status == MirrorStatus.UNAVAILABLE:
+                self._refused_until[mirror.name] = clock.monotonic() + REFUSED_SECONDS
+            elif page.status == MirrorStatus.NOT_MIRRORED:
+                self._not_before = clock.monotonic() + NOT_MIRRORED_SECONDS
+                return None
+            else:
+                self._note_reader(message.kind, mirror.name)
+                return page
+        return None
+
+    def _mirrors(self) -> list[Mirror]:
+        """Return the replicas that may tell: those of the own zone first, the others in turn."""
+        now = clock.monotonic()
+        found = [
+            Mirror(place.view.replica.name, place.view.replica.zone, place.link)
+            for place in self._replicas.places.values()
+            if place.link is not None and place.view is not None
+        ]
+        usable = [each for each in found if now >= self._refused_until.get(each.name, 0.0)]
+        return sorted(
+            usable, key=lambda each: (each.zone != self._zone, -score(self._name, each.name))
+        )
+
+    async def _ask(self, mirror: Mirror, message: ReadMirror, wait: float) -> MirrorPage | None:
+        try:
+            page = await mirror.link.call(message, wait + ANSWER_SECONDS)
+        except LinkLostError:
+            return None
+        return page if isinstance(page, MirrorPage) else None
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -11,24 +11,23 @@
 from pondtiller.daemon.supervise import keep_running
 from pondtiller.gateway.duties import LeaderDuties
 from pondtiller.gateway.engine_pool import EnginePool
+from pondtiller.gateway.first_group import StoredFirstGroup
 from pondtiller.gateway.forward import Forwarder
 from pondtiller.gateway.front import Front
+from pondtiller.gateway.leader_watches import LeaderWatches
 from pondtiller.gateway.leadership import Leadership
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.metrics_server import CONTENT_TYPE, METRICS_PATH, MetricsServer
+from pondtiller.gateway.mirrored_store import MirroredStore
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.run_host import RUN_MESSAGES, RunHost
 from pondtiller.gateway.sample_runner import SampleRunner
 from pondtiller.gateway.settings import GatewaySettings, to_address
 from pondtiller.gateway.step_client import StepClient
+from pondtiller.gateway.store_watch import StoreHealth
 from pondtiller.gateway.streams import StreamForwarder
 from pondtiller.gateway.term import DutyParts
-from pondtiller.gateway.watches import (
-    GatewayWatches,
-    LeaderWatches,
-    StoredFirstGroup,
-    StoreHealth,
-)
+from pondtiller.gateway.watches import GatewayWatches
 from pondtiller.httpio.client import HttpClient
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange, bind_tcp, serve_http
@@ -108,8 +107,15 @@
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
-        self.watches = GatewayWatches(
+        self.mirrored_store = MirroredStore(
+            settings.name,
+            settings.zone,
             self.store,
+            self.leadership.replicas,
+            lambda: self.leadership.log.is_leading,
+        )
+        self.watches = GatewayWatches(
+            self.mirrored_store,
             health,
             self.engines,
             self.front,
--- /dev/null
+++ b/src/pondtiller/gateway/store_watch.py
@@ -0,0 +1,173 @@
+"""Watches on the platform's store: a kind listed once, then followed by its changes."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import curio
+
+from pondtiller.daemon import clock, logs
+from pondtiller.daemon.race import run_until
+from pondtiller.platform.object_client import (
+    HistoryGoneError,
+    StoreCallError,
+    StoreChange,
+    StoreChanges,
+    StoreListing,
+    StoreObject,
+)
+
+WATCH_SECONDS = 6.0
+SHORTEST_FIRST_WATCH_SECONDS = 1.0
+RETRY_SECONDS = 0.25
+LONGEST_RETRY_SECONDS = 1.0
+"""Every call has a price, refused ones too; a second is a fifth of the shortest time that the
+platform gives a daemon to be in touch again."""
+
+Replace = Callable[[tuple[StoreObject, ...]], Awaitable[None]]
+Change = Callable[[StoreChange], Awaitable[None]]
+
+
+class StoreReader(Protocol):
+    """The store, or what stands for it."""
+
+    async def list_all(self, kind: str) -> StoreListing:
+        """Return all objects of a kind; raises `StoreCallError`."""
+
+    async def watch(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
+        """Return the changes after a revision; raises `HistoryGoneError`, `StoreCallError`."""
+
+
+class StoreHealth:
+    """Whether the store answers, as all watches of a process see it together.
+
+    A watch that waits cannot tell a quiet store from one that is gone. Once the store answers
+    again after a failure, all waiting watches ask anew, so each is right within moments while
+    a quiet one may wait long.
+    """
+
+    def __init__(self) -> None:
+        self._is_lost = False
+        self._regained: set[Any] = set()
+
+    def lost(self, kind: str, error: StoreCallError) -> None:
+        """Take a failure."""
+        if not self._is_lost:
+            self._is_lost = True
+            logs.decision("store_lost", kind=kind, reason=str(error))
+
+    async def heard(self, kind: str, at: int) -> None:
+        """Take an answer."""
+        if not self._is_lost:
+            return
+        self._is_lost = False
+        logs.decision("store_regained", kind=kind, at=at)
+        for event in list(self._regained):
+            await event.set()
+
+    async def wait_regained(self) -> None:
+        """Return when the store answers again after a failure."""
+        event = curio.Event()
+        self._regained.add(event)
+        try:
+            await event.wait()
+        finally:
+            self._regained.discard(event)
+
+
+class Watch:
+    """Lists a kind, then follows its changes, for as long as it runs.
+
+    Parameters
+    ----------
+    health
+        Shared by the watches of one process.
+    replace, change
+        Take a whole listing, and one change.
+    rest
+        Returns for how many seconds to gather further changes before asking for them. Each
+        change is otherwise a call of each daemon.
+    wait_seconds
+        How long one call waits for changes.
+
+    Attributes
+    ----------
+    at
+        Revision of the store up to which everything was told; 0 before the first listing.
+    heard_at
+        When the store last answered.
+    """
+
+    def __init__(
+        self,
+        store: StoreReader,
+        health: StoreHealth,
+        kind: str,
+        replace: Replace,
+        change: Change,
+        rest: Callable[[], float] | None = None,
+        wait_seconds: float = WATCH_SECONDS,
+    ) -> None:
+        self.at = 0
+        self.rest = rest
+        self._wait_seconds = wait_seconds
+        self._retry_seconds = RETRY_SECONDS
+        self._store = store
+        self._health = health
+        self._kind = kind
+        self._replace = replace
+        self._change = change
+        self.heard_at = 0.0
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._follow()
+            except HistoryGoneError:
+                logs.decision("history_gone", kind=self._kind)
+            except StoreCallError as error:
+                await self._pause(error)
+
+    async def _pause(self, error: StoreCallError) -> None:
+        """Wait before the next call, longer each time until one is answered."""
+        self._health.lost(self._kind, error)
+        await curio.sleep(self._retry_seconds)
+        self._retry_seconds = min(2 * self._retry_seconds, LONGEST_RETRY_SECONDS)
+
+    async def _follow(self) -> None:
+        listing = await self._store.list_all(self._kind)
+        await self._heard(listing.at)
+        await self._replace(listing.objects)
+        at = self.at = listing.at
+        # The watches of a process end at different times, so one of them soon notices a loss.
+        shortest = min(SHORTEST_FIRST_WATCH_SECONDS, self._wait_seconds)
+        seconds = random.uniform(shortest, self._wait_seconds)
+        while True:
+            try:
+                found = await self._ask(at, seconds)
+            except StoreCallError as error:
+                await self._pause(error)
+                seconds = shortest
+                continue
+            seconds = self._wait_seconds
+            if found is None:
+                continue
+            await self._heard(found.at)
+            at = found.at
+            for change in found.changes:
+                await self._change(change)
+            self.at = at
+            if found.changes and self.rest is not None:
+                await curio.sleep(self.rest())
+
+    async def _ask(self, at: int, seconds: float) -> StoreChanges | None:
+        """Return what changed; None where the store was lost and regained meanwhile."""
+        return await run_until(
+            self._health.wait_regained, self._store.watch, self._kind, at, seconds
+        )
+
+    async def _heard(self, at: int) -> None:
+        self.heard_at = clock.monotonic()
+        self._retry_seconds = RETRY_SECONDS
+        await self._health.heard(self._kind, at)
--- a/src/pondtiller/gateway/table_view.py
+++ b/src/pondtiller/gateway/table_view.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from pondtiller.daemon import clock
+from pondtiller.platform import names
 from pondtiller.routes.sheet_rows import sheet_of
 from pondtiller.table.sheet import COLUMNS, Row, RowKind, cell_text
 
@@ -19,10 +20,15 @@
     if table is None:
         return b"no table is known yet\n"
     leader = gateway.leadership.leader()
+    now = clock.monotonic()
+    watches, reader = gateway.watches, gateway.mirrored_store.reader
     head = (
         f"gateway {gateway.settings.name}, table version {table.version}, "
         f"leader {leader.name if leader is not None else 'none'}, "
-        f"table heard {clock.monotonic() - gateway.watches.configuration.heard_at:.1f} s ago"
+        f"table heard {now - watches.configuration.heard_at:.1f} s ago "
+        f"from {reader.get(names.CONFIGURATIONS, 'nobody')}, "
+        f"engines {now - watches.engines.heard_at:.1f} s ago "
+        f"from {reader.get(names.ENGINES, 'nobody')}"
     )
     lines = [head, "\t".join(["row", *SHOWN_COLUMNS, "|", *STATUS_COLUMNS])]
     lines += [_line(gateway, row) for row in sheet_of(table).rows]
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -11,12 +11,12 @@
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.daemon.supervise import keep_running
 from pondtiller.gateway.front import Front
+from pondtiller.gateway.leader_watches import LeaderWatches
 from pondtiller.gateway.leadership import Leadership
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.orders import ORDER_SECONDS, EngineOrders
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
-from pondtiller.gateway.watches import LeaderWatches
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import LinkLostError
 from pondtiller.rollouts.progress import ProgressSaver
--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -0,0 +1,133 @@
+"""Gateways that follow the store through replicas: as quick, and right whatever fails."""
+
+from pathlib import Path
+
+import curio
+import pytest
+
+from pondtiller.daemon import clock
+from pondtiller.gateway.mirrored_store import LONGEST_WAIT_SECONDS
+from pondtiller.gateway.process import GatewayProcess
+from pondtiller.gateway.tests.standins import configuration
+from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.platform.object_client import StoreCallError
+from pondtiller.replica import mirror as mirrors
+
+
+@pytest.fixture(autouse=True)
+def few_followers(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(mirrors, "FEWEST_FOLLOWERS", 0.5)
+
+
+def followers(system: System) -> list[GatewayProcess]:
+    return [each for each in system.gateways if not each.leadership.log.is_leading]
+
+
+async def mirrored(system: System) -> None:
+    """Wait until all gateways but the leader read through replicas."""
+    await system.until_led()
+    for each in system.gateways:
+        # The first answer of a replica that nobody followed yet keeps a gateway away for long.
+        each.mirrored_store._not_before = 0.0
+    await system.until(lambda: any(each.server.mirror.is_fresh() for each in system.replicas))
+
+    def is_mirrored() -> bool:
+        for each in system.gateways:
+            each.mirrored_store._not_before = 0.0
+        readers = [each.mirrored_store.reader for each in followers(system)]
+        return all(len(each) == 2 and "store" not in each.values() for each in readers)
+
+    await system.until(is_mirrored, 15.0)
+
+
+def test_news_reach_all_gateways_through_the_replicas(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await mirrored(system)
+        before = [sum(each.store.calls.values()) for each in followers(system)]
+        system.store.put("servers", "a0", system.app[0].entry("draining"))
+        engines = (*system.app, *system.llm)
+        system.store.put("config", "main", configuration(9, *engines))
+        began = clock.monotonic()
+        for each in followers(system):
+            entry = each.engines.engines["a0"]
+            await system.until(lambda entry=entry: entry.entry.state.value == "leaving", 2.0)
+            front = each.front
+            await system.until(lambda front=front: front.table.version == 9, 2.0)
+        assert clock.monotonic() - began < 2.0
+        assert [sum(each.store.calls.values()) for each in followers(system)] == before
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_a_mirror_that_does_not_hear_the_store_is_left_for_the_store_itself(
+    tmp_path: Path,
+) -> None:
+    async def refused(*_given: object) -> None:
+        raise StoreCallError("status 503")
+
+    async def test(system: System) -> None:
+        await mirrored(system)
+        for replica in system.replicas:
+            replica.store.watch = refused  # type: ignore[method-assign]
+            replica.store.list_all = refused  # type: ignore[method-assign]
+        # Calls that are under way still bring what changes before their wait is over.
+        await curio.sleep(mirrors.ENGINES_WAIT_SECONDS + 0.1)
+        began = clock.monotonic()
+        system.store.put("servers", "a0", system.app[0].entry("draining"))
+        for each in followers(system):
+            entry = each.engines.engines["a0"]
+            await system.until(lambda entry=entry: entry.entry.state.value == "leaving", 3.0)
+        assert clock.monotonic() - began < mirrors.FRESH_SECONDS + 1.0
+        assert all(each.mirrored_store.reader["servers"] == "store" for each in followers(system))
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_a_mirror_that_is_silent_is_left_for_another(tmp_path: Path) -> None:
+    async def silent(_message: object) -> None:
+        await curio.sleep(1000.0)
+
+    async def test(system: System) -> None:
+        await mirrored(system)
+        follower = followers(system)[0]
+        name = follower.mirrored_store.reader["servers"]
+        replica = next(each for each in system.replicas if each.settings.name == name)
+        replica.server.mirror.answer = silent  # type: ignore[method-assign]
+        await curio.sleep(LONGEST_WAIT_SECONDS)
+        system.store.put("servers", "a0", system.app[0].entry("draining"))
+        entry = follower.engines.engines["a0"]
+        await system.until(lambda: entry.entry.state.value == "leaving", 3.0)
+        assert follower.mirrored_store.reader["servers"] not in (name, "store")
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_a_mirror_that_is_behind_never_brings_an_older_state_back(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await mirrored(system)
+        follower = followers(system)[0]
+        store = follower.mirrored_store
+        store._known["servers"] = system.store.revision + 100
+        page = await store._ask_mirrors(mirrors.ReadMirror(kind="servers"), 0.0)
+        assert page is not None and page.at < store._known["servers"]
+        listing = await store.list_all("servers")
+        assert store.reader["servers"] == "store"
+        assert listing.at == system.store.revision
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_where_few_gateways_follow_each_asks_the_store_itself(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(mirrors, "FEWEST_FOLLOWERS", 6)
+
+    async def test(system: System) -> None:
+        await system.until_led()
+        await curio.sleep(1.0)
+        assert not any(each.server.mirror.is_on for each in system.replicas)
+        assert all(
+            set(each.mirrored_store.reader.values()) == {"store"} for each in system.gateways
+        )
+
+    run_system(tmp_path, test, gateways=2)
--- a/src/pondtiller/gateway/tests/test_watches.py
+++ b/src/pondtiller/gateway/tests/test_watches.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from pondtiller.gateway.watches import StoreHealth, Watch
+from pondtiller.gateway.store_watch import StoreHealth, Watch
 from pondtiller.platform.object_client import (
     HistoryGoneError,
     StoreCallError,
--- a/src/pondtiller/links/frames.py
+++ b/src/pondtiller/links/frames.py
@@ -49,13 +49,22 @@
     25: steplog.RunNews,
     26: steplog.ScoreSample,
     27: steplog.ScoreAnswer,
+    28: steplog.ReadMirror,
+    29: steplog.MirrorPage,
 }
 KIND_BY_TYPE = {message_type: kind for kind, message_type in TYPE_BY_KIND.items()}
 URGENT_TYPES = (steplog.Fetched, steplog.ProgressList)
 """What a new leader waits for before it leads: compressing costs it more than the bytes."""
 
 
-REPEATED_TYPES = (steplog.ReplicaView, steplog.Append, steplog.Appended, steplog.KeepRuns)
+REPEATED_TYPES = (
+    steplog.ReplicaView,
+    steplog.Append,
+    steplog.Appended,
+    steplog.KeepRuns,
+    steplog.ReadMirror,
+    steplog.MirrorPage,
+)
 """What is sent again and again with the same content: read once, while it stays the same."""
 LONGEST_REPEATED_BYTES = 1024
 
--- /dev/null
+++ b/src/pondtiller/platform/mirror.py
@@ -0,0 +1,125 @@
+"""A mirror of one kind of the store's objects, and its pages on the wire. No I/O.
+
+A mirror follows the store under the store's own revisions, so that a reader may go from one
+mirror to another, or to the store itself, with the revision that it has.
+"""
+
+import json
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import NamedTuple
+
+from pondtiller.platform.object_client import (
+    StoreChange,
+    StoreChanges,
+    StoreListing,
+    StoreObject,
+)
+from pondtiller.wire.steplog import MirrorPage
+
+MOST_CHANGES = 512
+"""Changes that are kept for readers that come later; older ones list the kind anew."""
+
+
+class MirrorStatus(IntEnum):
+    """How a mirror answers; the numbers are part of the protocol.
+
+    UNAVAILABLE says that it may be behind the store, NOT_MIRRORED that too few ask for it to
+    follow the store at all.
+    """
+
+    OK = 1
+    UNAVAILABLE = 2
+    HISTORY_GONE = 3
+    NOT_MIRRORED = 4
+
+
+class MirroredChange(NamedTuple):
+    """A change, with the revision of the store up to which its answer told everything."""
+
+    at: int
+    change: StoreChange
+
+
+@dataclass
+class MirroredKind:
+    """What a mirror knows of one kind.
+
+    Attributes
+    ----------
+    at
+        Revision up to which everything is known; 0 before the first listing.
+    oldest
+        Revision from which on all changes are kept.
+    """
+
+    at: int = 0
+    oldest: int = 0
+    objects: dict[str, StoreObject] = field(default_factory=dict)
+    changes: deque[MirroredChange] = field(default_factory=deque)
+
+    def replace(self, objects: Iterable[StoreObject], at: int) -> None:
+        """Take a whole listing; what changed before it is not known one by one."""
+        self.objects = {each.name: each for each in objects}
+        self.changes.clear()
+        self.at = self.oldest = at
+
+    def change(self, changes: Iterable[StoreChange], at: int) -> None:
+        """Take all changes up to a revision."""
+        for each in changes:
+            if each.is_gone:
+                self.objects.pop(each.object.name, None)
+            else:
+                self.objects[each.object.name] = each.object
+            self.changes.append(MirroredChange(at, each))
+        while len(self.changes) > MOST_CHANGES:
+            self.oldest = self.changes.popleft().at
+        self.at = max(self.at, at)
+
+    def listing(self) -> MirrorPage:
+        """Return all objects."""
+        return _page(self.at, [StoreChange(each, False) for each in self.objects.values()])
+
+    def since(self, at: int) -> MirrorPage:
+        """Return the changes after a revision.
+
+        A reader that came from elsewhere may know a part of an answer: what it knows is left
+        out, so that no object goes back to an older state.
+        """
+        if at < self.oldest:
+            return MirrorPage(status=MirrorStatus.HISTORY_GONE)
+        later = [
+            each.change
+            for each in self.changes
+            if each.at > at and (each.change.is_gone or each.change.object.revision > at)
+        ]
+        return _page(max(self.at, at), later)
+
+
+def _page(at: int, changes: list[StoreChange]) -> MirrorPage:
+    page = MirrorPage(status=MirrorStatus.OK, at=at)
+    for each in changes:
+        page.names.append(each.object.name)
+        page.revisions.append(each.object.revision)
+        page.specs.append(json.dumps(each.object.spec).encode())
+        page.gone.append(each.is_gone)
+    return page
+
+
+def read_listing(page: MirrorPage) -> StoreListing:
+    """Return a page as a listing; raises `ValueError` where it is not sound."""
+    return StoreListing(tuple(each.object for each in _changes(page)), page.at)
+
+
+def read_changes(page: MirrorPage) -> StoreChanges:
+    """Return a page as changes; raises `ValueError` where it is not sound."""
+    return StoreChanges(tuple(_changes(page)), page.at)
+
+
+def _changes(page: MirrorPage) -> Iterable[StoreChange]:
+    for name, revision, spec, is_gone in zip(
+        page.names, page.revisions, page.specs, page.gone, strict=True
+    ):
+        yield StoreChange(StoreObject(name, revision, json.loads(spec)), is_gone)
--- a/src/pondtiller/replica/metrics_text.py
+++ b/src/pondtiller/replica/metrics_text.py
@@ -25,6 +25,8 @@
             "syncs": server.syncs,
             "messages": server.messages,
             "refused_writes": server.refused_writes,
+            "mirror_answers": server.mirror.answers,
+            "store_calls": sum(self.process.store.calls.values()),
         }
         for name, count in counters.items():
             yield CounterMetricFamily(f"pondtiller_replica_{name}", name, value=count)
@@ -33,6 +35,7 @@
             "file_bytes": self.process.file.size,
             "subscribers": len(server.subscribers),
             "follows_leader": float(clock.monotonic() < replica.lease.until),
+            "mirrors": float(server.mirror.is_fresh()),
             "generation": replica.groups[-1].generation if replica.groups else 0,
         }
         for name, value in gauges.items():
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -33,7 +33,8 @@
         self._listener = bind_tcp(place.host, place.port)
         self.texts = KeptTexts()
         self.replica = self._restore()
-        self.server = ReplicaServer(self.replica, self.file, self.texts)
+        self.store = ObjectClient(to_address(settings.store), HttpClient())
+        self.server = ReplicaServer(self.replica, self.file, self.texts, self.store)
         self._stopped = curio.Event()
         self.metrics_server = (
             MetricsServer(settings.metrics, self.render_metrics) if settings.metrics else None
@@ -84,6 +85,7 @@
                 keep_running, "links", serve_links, self._listener, self.server.accept
             )
             await group.spawn(keep_running, "commits", self.server.run)
+            await group.spawn(keep_running, "mirror", self.server.mirror.run)
             await group.spawn(keep_running, "registration", self._register)
             if self.metrics_server is not None:
                 await group.spawn(keep_running, "metrics", self.metrics_server.run)
@@ -101,24 +103,23 @@
 
     async def _register(self) -> None:
         """Write this replica's object, so that daemons find it."""
-        store = ObjectClient(to_address(self.settings.store), HttpClient())
         name, spec = self.settings.name, objects.replica_spec(self.replica.member)
         while True:
             try:
-                if await self._is_registered(store, name, spec):
+                if await self._is_registered(name, spec):
                     logs.decision("registered", replica=name)
                     return
             except StoreCallError as error:
                 logs.decision("store_lost", reason=str(error))
             await curio.sleep(REGISTER_RETRY_SECONDS)
 
-    async def _is_registered(self, store: ObjectClient, name: str, spec: dict[str, object]) -> bool:
-        if await store.create(names.REPLICAS, name, spec) is PutOutcome.DONE:
+    async def _is_registered(self, name: str, spec: dict[str, object]) -> bool:
+        if await self.store.create(names.REPLICAS, name, spec) is PutOutcome.DONE:
             return True
-        found = await store.read(names.REPLICAS, name)
+        found = await self.store.read(names.REPLICAS, name)
         if found is None:
             return False
         if found.spec == spec:
             return True
-        outcome = await store.replace(names.REPLICAS, name, found.revision, spec)
+        outcome = await self.store.replace(names.REPLICAS, name, found.revision, spec)
         return outcome is PutOutcome.DONE
--- a/src/pondtiller/replica/server.py
+++ b/src/pondtiller/replica/server.py
@@ -7,9 +7,12 @@
 from betterproto import Message
 
 from pondtiller.daemon import clock, logs
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.store_watch import StoreReader
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import Link
 from pondtiller.replica.file import LogFile
+from pondtiller.replica.mirror import StoreMirror
 from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica, Reply, ViewState
 from pondtiller.wire.steplog import (
@@ -20,6 +23,7 @@
     Prepare,
     ProgressList,
     ReadDaemons,
+    ReadMirror,
     ReadProgress,
     ReplicaView,
     Resign,
@@ -42,7 +46,10 @@
 class ReplicaServer:
     """Takes messages, makes them durable, answers."""
 
-    def __init__(self, replica: Replica, file: LogFile, texts: KeptTexts) -> None:
+    def __init__(
+        self, replica: Replica, file: LogFile, texts: KeptTexts, store: StoreReader
+    ) -> None:
+        self.mirror = StoreMirror(store, self._expected_followers)
         self._replica = replica
         self._texts = texts
         self._file = file
@@ -54,17 +61,31 @@
         self._told: ViewState | None = None
         self._view = encode_message(ReplicaView())
         self._logged_view = ("", 0)
+        self._group_size = 0
         self._unsynced: list[DiskRecord] = []
         self._is_refused = False
         self.refused_writes = 0
         self.syncs = 0
         self.messages = 0
 
+    def _expected_followers(self) -> float:
+        """Return how many gateways follow this replica's mirror if each follows one member's."""
+        return len(self.subscribers) / self._group_size if self._group_size else 0.0
+
     async def accept(self, link: Link) -> None:
         """Serve one link until it ends."""
+        calls = Spawner()
+
+        async def take(_link: Link, call: int, message: Message) -> None:
+            if isinstance(message, ReadMirror):
+                await calls.spawn(self._answer_mirror, link, call, message)
+            else:
+                await self._take(link, call, message)
+
         try:
-            await link.run(self._take)
+            await link.run(take)
         finally:
+            await calls.__aexit__()
             left = self.subscribers.pop(link, None)
             if left is not None:
                 self._subscribers_revision += 1
@@ -89,6 +110,9 @@
         until = self._replica.lease.until
         return until + 0.001 if until > clock.monotonic() else otherwise
 
+    async def _answer_mirror(self, link: Link, call: int, message: ReadMirror) -> None:
+        await link.reply(call, await self.mirror.answer(message))
+
     async def _take(self, link: Link, call: int, message: Message) -> None:
         self.messages += 1
         self._arrivals.append(Arrival(link, call, message))
@@ -214,6 +238,7 @@
         """Make and encode a view, once for all subscribers and until it changes."""
         view = self._replica.view(now)
         self._told, self._view = state, encode_message(view)
+        self._group_size = len(view.group.members)
         about = (view.leader, view.group.generation)
         if about != self._logged_view:
             self._logged_view = about
--- a/src/pondtiller/replica/tests/test_disk_full.py
+++ b/src/pondtiller/replica/tests/test_disk_full.py
@@ -8,6 +8,9 @@
 import pytest
 from betterproto import Message
 
+from pondtiller.core.entities import Address
+from pondtiller.httpio.client import HttpClient
+from pondtiller.platform.object_client import ObjectClient
 from pondtiller.replica.file import LogFile
 from pondtiller.replica.server import ReplicaServer
 from pondtiller.replica.tests.test_file import put, restored
@@ -15,6 +18,8 @@
 from pondtiller.steplog.replica import Replica
 from pondtiller.wire.steplog import Append, Appended, Entry, GroupMember, Prepare, Promise
 
+NO_STORE = ObjectClient(Address("127.0.0.1", 1), HttpClient())
+
 
 class FakeLink:
     """Keeps what it is told to send."""
@@ -54,7 +59,7 @@
         self.file = LogFile(folder)
         self.file.read()
         replica = Replica(GroupMember(name="r", disk="d"), may_form=True, started_at=0.0)
-        self.server = ReplicaServer(replica, self.file, KeptTexts())
+        self.server = ReplicaServer(replica, self.file, KeptTexts(), NO_STORE)
 
     def deliver(self, *messages: Message) -> FakeLink:
         link = FakeLink()
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -417,3 +417,36 @@
 @dataclass(eq=False, repr=False)
 class ProgressList(betterproto.Message):
     samples: List["SampleProgress"] = betterproto.message_field(1)
+
+
+@dataclass(eq=False, repr=False)
+class ReadMirror(betterproto.Message):
+    """
+    Gateway to replica: what its mirror of a kind of the store's objects holds.
+    """
+
+    kind: str = betterproto.string_field(1)
+    at: int = betterproto.uint64_field(2)
+    """
+    Revision after which changes are wanted, held until there is one or the wait is over; 0
+     for a listing.
+    """
+
+    wait_milliseconds: int = betterproto.uint32_field(3)
+
+
+@dataclass(eq=False, repr=False)
+class MirrorPage(betterproto.Message):
+    """Objects of a listing, or changes, by column."""
+
+    status: int = betterproto.uint32_field(1)
+    """A number of `platform.mirror.MirrorStatus`."""
+
+    at: int = betterproto.uint64_field(2)
+    names: List[str] = betterproto.string_field(3)
+    revisions: List[int] = betterproto.uint64_field(4)
+    specs: List[bytes] = betterproto.bytes_field(5)
+    """JSON as the store gave it."""
+
+    gone: List[bool] = betterproto.bool_field(6)
+    """Of changes: whether the object is gone."""
