--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
+import curio
+
 from pondtiller.daemon import clock, logs
 from pondtiller.gateway.replicas import ReplicaDirectory
 from pondtiller.gateway.store_watch import StoreReader
@@ -25,6 +27,10 @@
 """How long a mirror is not asked again that could not tell."""
 NOT_MIRRORED_SECONDS = 10.0
 """How long no mirror is asked after one told that too few gateways follow it."""
+TOLD_SECONDS = 0.6
+"""How long after an answer only mirrors are asked for changes: the others of the group may be
+able to tell, and after a start of all machines they are within this time."""
+RETRY_SECONDS = 0.1
 MOST_MIRRORS = 2
 """Mirrors asked for one answer; where these cannot tell, the store itself is asked."""
 
@@ -70,6 +76,7 @@
         self._refused_until: dict[str, float] = {}
         self._not_before = 0.0
         self._known: dict[str, int] = {}
+        self._told_at: dict[str, float] = {}
 
     async def list_all(self, kind: str) -> StoreListing:
         """Return all objects of a kind, never older than what was told before."""
@@ -83,13 +90,24 @@
         wait = min(wait_seconds, LONGEST_WAIT_SECONDS)
         message = ReadMirror(kind=kind, at=at, wait_milliseconds=int(wait * 1000))
         page = await self._ask_mirrors(message, wait)
+        while page is None and self._may_wait(kind):
+            await curio.sleep(RETRY_SECONDS)
+            page = await self._ask_mirrors(message, wait)
         if page is None:
             return self._told(kind, await self._ask_store(kind).watch(kind, at, wait_seconds))
         if page.status == MirrorStatus.HISTORY_GONE:
             raise HistoryGoneError
         return self._told(kind, read_changes(page))
 
+    def _may_wait(self, kind: str) -> bool:
+        """Return whether what is known is new enough to wait for a mirror."""
+        now = clock.monotonic()
+        if self._asks_store() or now < self._not_before:
+            return False
+        return now < self._told_at.get(kind, float("-inf")) + TOLD_SECONDS
+
     def _told(self, kind: str, found: Found) -> Found:
+        self._told_at[kind] = clock.monotonic()
         self._known[kind] = max(found.at, self._known.get(kind, 0))
         return found
 
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -1,6 +1,7 @@
 """What every gateway follows in the store: the configuration and the engines."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from result import Err
 
@@ -90,11 +91,16 @@
             self._engines.gone(name, clock.monotonic())
             logs.decision("engine_gone", engine=name, revision=self._engines.revision)
         else:
+            known = self._engines.engines.get(name)
             self._engines.changed(entry)
-            self._log_entry(entry)
+            self._log_entry(entry, known.entry if known is not None else None)
         await self._changed()
 
-    def _log_entry(self, entry: EngineEntry) -> None:
+    def _log_entry(self, entry: EngineEntry, before: EngineEntry | None) -> None:
+        """Note a change; of each load of weights only the leader does, whose orders they are."""
+        is_load = before is not None and replace(before, models=entry.models) == entry
+        if is_load and not self.is_leading():
+            return
         logs.decision(
             "engine_changed",
             engine=entry.engine,
--- a/src/pondtiller/links/tests/test_frames.py
+++ b/src/pondtiller/links/tests/test_frames.py
@@ -15,9 +15,9 @@
     encode_message,
     message_name,
 )
+from pondtiller.steplog.entry import Entry, pack_entries
 from pondtiller.wire.steplog import (
     Append,
-    Entry,
     Fetched,
     ReplicaView,
     SampleProgress,
@@ -42,7 +42,7 @@
 
 
 def test_what_a_new_leader_waits_for_is_sent_as_it_is() -> None:
-    message = Fetched(entries=[Entry(key="k", value=b"abc" * 1000)])
+    message = Fetched(entries=pack_entries([Entry(key="k", value=b"abc" * 1000)]))
     assert encode_message(message).body == bytes(message)
 
 
@@ -71,7 +71,9 @@
 def test_long_messages_are_read_each_time() -> None:
     reader = FrameReader()
     sent = encode(
-        encode_message(Append(puts=[Entry(key="k", value=random.Random(1).randbytes(2048))])),
+        encode_message(
+            Append(puts=pack_entries([Entry(key="k", value=random.Random(1).randbytes(2048))]))
+        ),
         0,
         False,
     )
--- a/src/pondtiller/replica/file.py
+++ b/src/pondtiller/replica/file.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from pondtiller.steplog.disk_format import MAGIC, decode, encode
+from pondtiller.steplog.entry import pack_entries
 from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica
 from pondtiller.wire.steplog import DiskRecord
@@ -83,7 +84,7 @@
         path = self._folder / NEW_NAME
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
         record = DiskRecord(
-            puts=list(replica.entries.values()),
+            puts=pack_entries(replica.entries.values()),
             promised=replica.promised,
             promised_to=replica.promised_to,
             disk=replica.member.disk,
--- a/src/pondtiller/replica/tests/test_disk_full.py
+++ b/src/pondtiller/replica/tests/test_disk_full.py
@@ -14,9 +14,10 @@
 from pondtiller.replica.file import LogFile
 from pondtiller.replica.server import ReplicaServer
 from pondtiller.replica.tests.test_file import put, restored
+from pondtiller.steplog.entry import Entry, pack_entries
 from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica
-from pondtiller.wire.steplog import Append, Appended, Entry, GroupMember, Prepare, Promise
+from pondtiller.wire.steplog import Append, Appended, GroupMember, Prepare, Promise
 
 NO_STORE = ObjectClient(Address("127.0.0.1", 1), HttpClient())
 
@@ -75,7 +76,7 @@
 
 def append(key: str = "") -> Append:
     puts = [Entry(key=key, epoch=9, value=b"v" * 50)] if key else []
-    return Append(epoch=9, puts=puts)
+    return Append(epoch=9, puts=pack_entries(puts))
 
 
 def test_a_refused_write_is_not_answered_and_neither_is_anything_after_it(
--- a/src/pondtiller/replica/tests/test_file.py
+++ b/src/pondtiller/replica/tests/test_file.py
@@ -3,9 +3,10 @@
 from pathlib import Path
 
 from pondtiller.replica.file import FILE_NAME, NEW_NAME, LogFile
+from pondtiller.steplog.entry import Entry, pack_entries
 from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica
-from pondtiller.wire.steplog import Append, DiskRecord, Entry, GroupMember, Prepare, SampleProgress
+from pondtiller.wire.steplog import Append, DiskRecord, GroupMember, Prepare, SampleProgress
 
 
 def restored(folder: Path) -> Replica:
@@ -18,7 +19,7 @@
 
 
 def put(key: str, value: bytes = b"v") -> DiskRecord:
-    return DiskRecord(puts=[Entry(key=key, epoch=1, value=value)])
+    return DiskRecord(puts=pack_entries([Entry(key=key, epoch=1, value=value)]))
 
 
 def test_what_was_appended_is_there_after_a_restart(tmp_path: Path) -> None:
@@ -61,7 +62,9 @@
     replica = Replica(GroupMember(name="r", disk="d"), may_form=True, started_at=0.0)
     for reply in (
         replica.prepare(Prepare(epoch=9, leader="l"), 5.0),
-        replica.append(Append(epoch=9, puts=[Entry(key="a", epoch=9, value=b"1")]), 5.0),
+        replica.append(
+            Append(epoch=9, puts=pack_entries([Entry(key="a", epoch=9, value=b"1")])), 5.0
+        ),
     ):
         assert reply.record is not None
         file.append([reply.record])
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -10,8 +10,8 @@
 from functools import cached_property
 from typing import NamedTuple
 
+from pondtiller.steplog.entry import Entry
 from pondtiller.wire.steplog import (
-    Entry,
     ResultsPage,
     Sample,
     SampleBody,
--- a/src/pondtiller/rollouts/tests/test_steps.py
+++ b/src/pondtiller/rollouts/tests/test_steps.py
@@ -2,7 +2,8 @@
 
 from pondtiller.links.frames import FrameReader, encode, encode_message
 from pondtiller.rollouts.steps import StepBook, StepStatus, add_sample, result_key, step_key
-from pondtiller.wire.steplog import Entry, OpenStep, ResultsPage, Sample, SampleResult, Step
+from pondtiller.steplog.entry import Entry
+from pondtiller.wire.steplog import OpenStep, ResultsPage, Sample, SampleResult, Step
 
 
 def make_step(identifier: str = "s1", samples: int = 3) -> Step:
--- a/src/pondtiller/steplog/group.py
+++ b/src/pondtiller/steplog/group.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from pondtiller.wire.steplog import Entry, Group, GroupMember
+from pondtiller.steplog.entry import Entry
+from pondtiller.wire.steplog import Group, GroupMember
 
 GROUP_PREFIX = "group/"
 SMALLEST_GROUP = 2
--- a/src/pondtiller/steplog/holder.py
+++ b/src/pondtiller/steplog/holder.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from pondtiller.wire.steplog import Entry
+from pondtiller.steplog.entry import Entry
 
 HOLDER_PREFIX = "holder/"
 
--- a/src/pondtiller/steplog/instructions.py
+++ b/src/pondtiller/steplog/instructions.py
@@ -3,8 +3,9 @@
 from enum import Enum
 from typing import NamedTuple
 
+from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.order_notes import LastOrder
-from pondtiller.wire.steplog import Append, Entry, Fetch, Prepare, Resign
+from pondtiller.wire.steplog import Append, Fetch, Prepare, Resign
 
 
 class Send(NamedTuple):
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -9,6 +9,7 @@
 """
 
 from pondtiller.steplog import group as groups
+from pondtiller.steplog.entry import Entry, pack_entries, unpack_entries
 from pondtiller.steplog.follower import HEARTBEAT, PART_OF_WRITES, Follower
 from pondtiller.steplog.holder import HOLDER_PREFIX, holder_key, holder_of
 from pondtiller.steplog.instructions import Committed, Deposed, Instruction, Phase, Send, Won
@@ -17,7 +18,6 @@
 from pondtiller.wire.steplog import (
     Append,
     Appended,
-    Entry,
     Fetch,
     Fetched,
     Group,
@@ -162,7 +162,7 @@
         wanted = chunks.pop(0)
         if not chunks:
             del self._fetching[link]
-        for entry in answer.entries:
+        for entry in unpack_entries(answer.entries):
             self.entries[entry.key] = entry
         if any(key not in self.entries for key in wanted):
             self._depose("a replica lacks a value that it named", self.epoch)
@@ -206,7 +206,7 @@
             return
         puts, self._unsent_puts = self._unsent_puts, []
         drops, self._unsent_drops = self._unsent_drops, []
-        message = Append(epoch=self.epoch, puts=puts, drops=drops)
+        message = Append(epoch=self.epoch, puts=pack_entries(puts), drops=drops)
         for follower in self.followers.values():
             if follower.is_synced:
                 self._send_append(follower, message, self._sequence, now)
@@ -438,9 +438,9 @@
         # Parts let heartbeats through between them; only the last one's answer counts.
         while len(puts) > CHUNK_KEYS:
             part, puts = puts[:CHUNK_KEYS], puts[CHUNK_KEYS:]
-            message = Append(epoch=self.epoch, puts=part)
+            message = Append(epoch=self.epoch, puts=pack_entries(part))
             self._send_append(follower, message, PART_OF_WRITES, now)
-        message = Append(epoch=self.epoch, puts=puts, drops=drops)
+        message = Append(epoch=self.epoch, puts=pack_entries(puts), drops=drops)
         self._send_append(follower, message, self._sequence, now)
 
     def _send_heartbeats(self, now: float) -> None:
--- a/src/pondtiller/steplog/replica.py
+++ b/src/pondtiller/steplog/replica.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from pondtiller.steplog.entry import Entry, pack_entries, unpack_entries
 from pondtiller.steplog.group import GROUP_PREFIX, disks, group_key, groups_of
 from pondtiller.steplog.holder import HOLDER_PREFIX, holder_of
 from pondtiller.steplog.order_notes import ORDER_PREFIX
@@ -13,7 +14,6 @@
     Append,
     Appended,
     DiskRecord,
-    Entry,
     Fetch,
     Fetched,
     Group,
@@ -111,7 +111,7 @@
     def _take(self, record: DiskRecord, now: float) -> None:
         if record.promised >= self.promised and record.promised:
             self.promised, self.promised_to = record.promised, record.promised_to
-        for entry in record.puts:
+        for entry in unpack_entries(record.puts):
             self._hold(entry, now)
         for key in record.drops:
             self.entries.pop(key, None)
@@ -155,7 +155,7 @@
         if message.epoch != self.promised:
             return Reply(Appended(accepted=False, epoch=self.promised))
         self.lease.until = now + LEASE_SECONDS
-        if not message.puts and not message.drops:
+        if not message.puts.keys and not message.drops:
             return Reply(Appended(accepted=True, epoch=self.promised))
         record = DiskRecord(puts=message.puts, drops=message.drops)
         self._take(record, now)
@@ -166,7 +166,7 @@
         if message.epoch != self.promised:
             return Reply(Fetched())
         found = [self.entries[key] for key in message.keys if key in self.entries]
-        return Reply(Fetched(entries=found))
+        return Reply(Fetched(entries=pack_entries(found)))
 
     def resign(self, message: Resign) -> None:
         """End the lease of a leader that gives it back."""
@@ -232,5 +232,5 @@
         if self.groups or not self.may_form or self.member.disk not in disks(group):
             return
         entry = Entry(key=group_key(group.generation), epoch=epoch, value=bytes(group))
-        record.puts = [entry]
+        record.puts = pack_entries([entry])
         self._hold(entry, self.started_at)
--- a/src/pondtiller/steplog/tests/test_disk_format.py
+++ b/src/pondtiller/steplog/tests/test_disk_format.py
@@ -4,13 +4,14 @@
 from hypothesis import strategies as st
 
 from pondtiller.steplog.disk_format import MAGIC, decode, encode
-from pondtiller.wire.steplog import DiskRecord, Entry
+from pondtiller.steplog.entry import Entry, pack_entries
+from pondtiller.wire.steplog import DiskRecord
 
 RECORDS = [
     DiskRecord(disk="abc"),
     DiskRecord(promised=7),
-    DiskRecord(puts=[Entry(key="step/1", epoch=7, value=b"x" * 40)]),
-    DiskRecord(drops=["step/1"], puts=[Entry(key="end/2", epoch=7, value=b"1")]),
+    DiskRecord(puts=pack_entries([Entry(key="step/1", epoch=7, value=b"x" * 40)])),
+    DiskRecord(drops=["step/1"], puts=pack_entries([Entry(key="end/2", epoch=7, value=b"1")])),
 ]
 WHOLE = MAGIC + b"".join(encode(record) for record in RECORDS)
 
--- a/src/pondtiller/steplog/tests/test_holder.py
+++ b/src/pondtiller/steplog/tests/test_holder.py
@@ -1,9 +1,9 @@
 """The right to order engines: the last claim is found again by whoever leads next."""
 
+from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.holder import holder_key, holder_of
 from pondtiller.steplog.instructions import Won
 from pondtiller.steplog.tests.cluster import Cluster, Daemon
-from pondtiller.wire.steplog import Entry
 
 
 def leading(cluster: Cluster) -> Daemon:
--- a/src/pondtiller/steplog/tests/test_order_notes.py
+++ b/src/pondtiller/steplog/tests/test_order_notes.py
@@ -2,11 +2,12 @@
 
 import pytest
 
+from pondtiller.steplog.entry import Entry, pack_entries
 from pondtiller.steplog.instructions import Won
 from pondtiller.steplog.order_notes import ORDER_PREFIX, LastOrder, OrderNote, last_orders
 from pondtiller.steplog.replica import Replica
 from pondtiller.steplog.tests.cluster import Cluster, Daemon
-from pondtiller.wire.steplog import Append, Entry, GroupMember, Prepare
+from pondtiller.wire.steplog import Append, GroupMember, Prepare
 
 LEASE_SECONDS = 3.0
 LATEST_ARRIVAL_SECONDS = 1.2
@@ -113,8 +114,10 @@
     replica = Replica(GroupMember(name="r", disk="d"), may_form=False, started_at=0.0)
     replica.prepare(Prepare(epoch=5, leader="a"), 10.0)
     note = OrderNote(5, 1, ENGINE, "a")
-    written = replica.append(Append(epoch=5, puts=[Entry(key=note.key, epoch=5)]), 11.0)
-    replica.append(Append(epoch=5, puts=[Entry(key=note.key, epoch=6)]), 12.0)
+    written = replica.append(
+        Append(epoch=5, puts=pack_entries([Entry(key=note.key, epoch=5)])), 11.0
+    )
+    replica.append(Append(epoch=5, puts=pack_entries([Entry(key=note.key, epoch=6)])), 12.0)
     promise = replica.prepare(Prepare(epoch=7, leader="b"), 15.0).message
     assert [(each.key, each.milliseconds) for each in promise.orders] == [(note.key, 4000)]
     again = Replica(GroupMember(name="r", disk="d"), may_form=False, started_at=20.0)
--- a/src/pondtiller/steplog/tests/test_replica.py
+++ b/src/pondtiller/steplog/tests/test_replica.py
@@ -2,9 +2,10 @@
 
 from itertools import pairwise
 
+from pondtiller.steplog.entry import Entry, pack_entries
 from pondtiller.steplog.group import group_key
 from pondtiller.steplog.replica import LEASE_SECONDS, Replica
-from pondtiller.wire.steplog import Append, DiskRecord, Entry, Group, GroupMember, Prepare, Resign
+from pondtiller.wire.steplog import Append, DiskRecord, Group, GroupMember, Prepare, Resign
 
 ME = GroupMember(name="r", disk="d", zone="z", host="h", port=1)
 GROUP = Group(generation=1, members=[ME])
@@ -33,7 +34,9 @@
     one = replica()
     one.prepare(prepare(1), 5.0)
     one.prepare(prepare(2, "b"), 9.0)
-    late = one.append(Append(epoch=1, puts=[Entry(key="k", epoch=1, value=b"v")]), 9.1)
+    late = one.append(
+        Append(epoch=1, puts=pack_entries([Entry(key="k", epoch=1, value=b"v")])), 9.1
+    )
     assert (late.message.accepted, late.message.epoch, late.record) == (False, 2, None)
     assert "k" not in one.entries
 
@@ -100,7 +103,7 @@
     known.append((one.view_state(5.1), one.view(5.1)))
     claim = Entry(key="holder/00000000000000000001", epoch=1, value=b"a")
     for puts in ([Entry(key="k", epoch=1, value=b"v")], [claim], []):
-        one.append(Append(epoch=1, puts=puts), 5.2)
+        one.append(Append(epoch=1, puts=pack_entries(puts)), 5.2)
         known.append((one.view_state(5.2), one.view(5.2)))
     known.append((one.view_state(9.0), one.view(9.0)))
     one.prepare(prepare(2, "b"), 9.0)
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -31,12 +31,15 @@
 
 
 @dataclass(eq=False, repr=False)
-class Entry(betterproto.Message):
-    """One key's value with the epoch under which it was written."""
+class Entries(betterproto.Message):
+    """
+    Keys, the epochs under which they were written and their values, by column: a message for
+     each entry costs a new leader 0.45 ms.
+    """
 
-    key: str = betterproto.string_field(1)
-    epoch: int = betterproto.uint64_field(2)
-    value: bytes = betterproto.bytes_field(3)
+    keys: List[str] = betterproto.string_field(1)
+    epochs: List[int] = betterproto.uint64_field(2)
+    values: List[bytes] = betterproto.bytes_field(3)
 
 
 @dataclass(eq=False, repr=False)
@@ -225,7 +228,7 @@
 
 @dataclass(eq=False, repr=False)
 class Fetched(betterproto.Message):
-    entries: List["Entry"] = betterproto.message_field(1)
+    entries: "Entries" = betterproto.message_field(2)
 
 
 @dataclass(eq=False, repr=False)
@@ -233,8 +236,8 @@
     """The leader writes; empty it renews the lease."""
 
     epoch: int = betterproto.uint64_field(1)
-    puts: List["Entry"] = betterproto.message_field(2)
     drops: List[str] = betterproto.string_field(3)
+    puts: "Entries" = betterproto.message_field(4)
 
 
 @dataclass(eq=False, repr=False)
@@ -254,7 +257,6 @@
 class DiskRecord(betterproto.Message):
     """One record of a replica's file."""
 
-    puts: List["Entry"] = betterproto.message_field(1)
     drops: List[str] = betterproto.string_field(2)
     promised: int = betterproto.uint64_field(3)
     disk: str = betterproto.string_field(4)
@@ -266,6 +268,8 @@
     Parts of unfinished texts; they need not be there after a loss of power.
     """
 
+    puts: "Entries" = betterproto.message_field(7)
+
 
 @dataclass(eq=False, repr=False)
 class Header(betterproto.Message):
