Read the values of ended steps only once a new leader leads

Change: a key may wait if its step has ended, and all replicas that promised hold it at one epoch and are a write quorum. Nothing of it is to be written again and nobody is to be sent it, so until it is read it is as safe as without a leader. A replica that lacks one is brought up to date after the last has been read; a reader of such a step is told to come again meanwhile.

--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -6,6 +6,7 @@
 from pondtiller.gateway.leadership import Duties
 from pondtiller.gateway.term import DutyParts, Term
 from pondtiller.rollouts.steps import StepStatus
+from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.instructions import Won
 from pondtiller.wire.steplog import (
     EndStep,
@@ -42,6 +43,11 @@
         if self.term is not None:
             await self.term.committed(key)
 
+    def loaded(self, entries: tuple[Entry, ...]) -> None:
+        """Take values of the log that were not needed to begin."""
+        if self.term is not None:
+            self.term.loaded(entries)
+
     async def end(self, reason: str) -> None:
         """Stop all runs at once."""
         term, self.term = self.term, None
--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -11,8 +11,10 @@
 from pondtiller.gateway.replicas import LeaderPlace, ReplicaDirectory
 from pondtiller.hashing import score
 from pondtiller.links.frames import Encoded, encode_message
+from pondtiller.rollouts.steps import keys_of_ended_steps
+from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.group_policy import GroupInputs, next_members, spare_to_admit
-from pondtiller.steplog.instructions import Committed, Deposed, Phase, Send, Won
+from pondtiller.steplog.instructions import Committed, Deposed, Loaded, Phase, Send, Won
 from pondtiller.steplog.leader import HEARTBEAT_SECONDS, LeaderLog
 from pondtiller.wire.steplog import (
     Append,
@@ -52,6 +54,10 @@
         """Take a write that is done."""
         raise NotImplementedError
 
+    def loaded(self, entries: tuple[Entry, ...]) -> None:
+        """Take values of the log that were not needed to begin."""
+        raise NotImplementedError
+
     async def end(self, reason: str) -> None:
         """Stop at once: another daemon may lead now."""
         raise NotImplementedError
@@ -84,7 +90,7 @@
         zone: str = "",
     ) -> None:
         identity = score("epoch", f"{name}/{clock.new_incarnation()}") & 0xFFFFFFFF
-        self.log = LeaderLog(name, address.host, address.port, identity)
+        self.log = LeaderLog(name, address.host, address.port, identity, keys_of_ended_steps)
         self.replicas = ReplicaDirectory(name, self._connected, self._lost, self.wake_up)
         self.may_stand = False
         self._has_resigned = False
@@ -215,6 +221,9 @@
                         await self._send(instruction)
                     case Won():
                         await self._won(instruction)
+                    case Loaded():
+                        if self._duties is not None:
+                            self._duties.loaded(instruction.entries)
                     case Committed():
                         if self._duties is not None:
                             await self._duties.committed(instruction.key)
@@ -227,6 +236,7 @@
             "leader_won",
             epoch=won.epoch,
             entries=len(won.entries),
+            deferred=len(won.deferred),
             order_holder=won.order_holder,
         )
         await self.replicas.set_keeps_all(True)
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -33,6 +33,7 @@
 from pondtiller.rollouts.versions import AskEngine, OrderVersion, VersionSteward
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.table import RouteTable
+from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.instructions import Won
 from pondtiller.wire.steplog import (
     ProgressList,
@@ -93,7 +94,7 @@
         self.scheduler = SampleScheduler(parts.engines, self.steward.is_loading)
         self.progress = ProgressSaver()
         self.wake = curio.Event()
-        self._entries = won.entries
+        self._won = won
         self._group = Spawner()
         self._watch_group = Spawner()
         self.runners = RunnerDirectory(
@@ -117,9 +118,8 @@
 
     async def start(self) -> None:
         """Restore the steps, then begin to work."""
-        for key in self.book.restore(self._entries):
+        for key in self.book.restore(self._won.entries, self._won.deferred):
             self._leadership.log.drop(key)
-        self._entries = ()
         await self._group.spawn(keep_running, "duties", self._run)
 
     async def stop(self) -> None:
@@ -298,6 +298,10 @@
         for waiter in list(self._waiters.get(step, ())):
             await waiter.set()
 
+    def loaded(self, entries: tuple[Entry, ...]) -> None:
+        """Take values of the log that were not needed to begin."""
+        self.book.load(entries)
+
     # Instructions
 
     async def _flush(self) -> None:
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -4,7 +4,7 @@
 final once it is written; readers see the positions up to the first that is not.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
 from functools import cached_property
@@ -88,6 +88,16 @@
     return map(SampleHead._make, zip(*columns, strict=True))
 
 
+def keys_of_ended_steps(keys: Collection[str]) -> set[str]:
+    """Return the keys of steps that have ended, and of their results: nobody works on them."""
+    ended = {key.removeprefix(END_PREFIX) for key in keys if key.startswith(END_PREFIX)}
+    return {
+        key
+        for key in keys
+        if key.startswith((STEP_PREFIX, RESULT_PREFIX)) and key.split("/")[1] in ended
+    }
+
+
 @dataclass(frozen=True, slots=True)
 class Write:
     """A value that must go to the log."""
@@ -106,7 +116,9 @@
     Attributes
     ----------
     encoded
-        The step as it stands in the log.
+        The step as it stands in the log; None until it is read.
+    unread
+        Positions whose results are in the log and not read yet.
     results
         Results by position, written or on their way.
     written
@@ -115,7 +127,7 @@
         Positions that readers may see, from 0.
     """
 
-    encoded: bytes
+    encoded: bytes | None
     is_accepted: bool = False
     is_ended: bool = False
     is_end_written: bool = False
@@ -124,10 +136,18 @@
     visible: int = 0
     listed: set[str] = field(default_factory=set)
     next_position: int = 0
+    unread: set[int] = field(default_factory=set)
+
+    @property
+    def is_read(self) -> bool:
+        """Whether all that the log holds of it is at hand."""
+        return self.encoded is not None and not self.unread
 
     @cached_property
     def step(self) -> Step:
-        """The step as it was submitted."""
+        """The step as it was submitted; raises `ValueError` before it is read."""
+        if self.encoded is None:
+            raise ValueError("the step is not read yet")
         return Step().parse(self.encoded)
 
     @cached_property
@@ -182,8 +202,49 @@
         taken, self._writes = self._writes, []
         return taken
 
-    def restore(self, entries: tuple[Entry, ...]) -> list[str]:
-        """Take what the log holds; return the keys of results and ends without a step."""
+    def restore(self, entries: Iterable[Entry], deferred: Iterable[str] = ()) -> list[str]:
+        """Take what the log holds; return the keys of results and ends without a step.
+
+        Parameters
+        ----------
+        deferred
+            Keys of ended steps and their results, whose values `load` takes later.
+        """
+        later = sorted(deferred, key=lambda key: RESTORE_ORDER[key.partition("/")[0]])
+        for key in later:
+            if key.startswith(STEP_PREFIX):
+                self.steps[key.removeprefix(STEP_PREFIX)] = StepRecord(None, is_accepted=True)
+        unknown = self._restore(entries)
+        return unknown + [key for key in later if not self._restore_deferred(key)]
+
+    def _restore_deferred(self, key: str) -> bool:
+        kind, _, rest = key.partition("/")
+        if f"{kind}/" == STEP_PREFIX:
+            return True
+        identifier, _, position = rest.partition("/")
+        record = self.steps.get(identifier)
+        if record is None:
+            return False
+        record.unread.add(int(position))
+        record.written.add(int(position))
+        record.advance()
+        return True
+
+    def load(self, entries: Iterable[Entry]) -> None:
+        """Take values that were left for later."""
+        for entry in entries:
+            kind, _, rest = entry.key.partition("/")
+            identifier, _, position = rest.partition("/")
+            record = self.steps.get(identifier)
+            if record is None:
+                continue
+            if f"{kind}/" == STEP_PREFIX:
+                record.encoded = entry.value
+            else:
+                record.results[int(position)] = entry.value
+                record.unread.discard(int(position))
+
+    def _restore(self, entries: Iterable[Entry]) -> list[str]:
         ordered = sorted(entries, key=lambda entry: RESTORE_ORDER[entry.key.partition("/")[0]])
         return [entry.key for entry in ordered if not self._restore_entry(entry)]
 
@@ -220,10 +281,11 @@
         """Take a step, once; its acceptance is on its way to the log."""
         record = self.steps.get(step.id)
         if record is None:
-            record = StepRecord(bytes(step))
+            encoded = bytes(step)
+            record = StepRecord(encoded)
             record.step = step
             self.steps[step.id] = record
-            self._writes.append(Write(step_key(step.id), record.encoded))
+            self._writes.append(Write(step_key(step.id), encoded))
         return record
 
     def list_result(self, step: str, result: SampleResult) -> bool:
@@ -264,7 +326,7 @@
     def read(self, step: str, position: int) -> ResultsPage:
         """Return the results at `position` and on, about 1 MB at most."""
         record = self.steps.get(step)
-        if record is None or not record.is_accepted:
+        if record is None or not record.is_accepted or not record.is_read:
             status = StepStatus.UNKNOWN if record is None else StepStatus.UNAVAILABLE
             return ResultsPage(status=status)
         found: list[bytes] = []
@@ -285,7 +347,7 @@
     def sample_body(self, step: str, sample: str) -> SampleBody:
         """Return a sample of a step that is known, for the reader of its body."""
         record = self.steps.get(step)
-        if record is not None and not record.is_accepted:
+        if record is not None and not (record.is_accepted and record.is_read):
             return SampleBody(status=StepStatus.UNAVAILABLE)
         found = record.sample(sample) if record is not None else None
         if found is None:
@@ -297,7 +359,8 @@
         return [
             identifier
             for identifier, record in self.steps.items()
-            if (record.is_end_written or record.is_complete)
+            if record.is_read
+            and (record.is_end_written or record.is_complete)
             and wall_now > record.step.accepted_at + keep_seconds
         ]
 
--- a/src/pondtiller/rollouts/tests/test_steps.py
+++ b/src/pondtiller/rollouts/tests/test_steps.py
@@ -1,7 +1,14 @@
 """Steps: taken once, positions final, shown only when written, restored as they were."""
 
 from pondtiller.links.frames import FrameReader, encode, encode_message
-from pondtiller.rollouts.steps import StepBook, StepStatus, add_sample, result_key, step_key
+from pondtiller.rollouts.steps import (
+    StepBook,
+    StepStatus,
+    add_sample,
+    keys_of_ended_steps,
+    result_key,
+    step_key,
+)
 from pondtiller.steplog.entry import Entry
 from pondtiller.wire.steplog import OpenStep, ResultsPage, Sample, SampleResult, Step
 
@@ -148,3 +155,36 @@
     commit_all(book)
     monkeypatch.setattr(SampleResult, "parse", None)
     assert book.read("s1", 0).results == [bytes(result(0))]
+
+
+def test_an_ended_step_is_told_once_its_values_are_read() -> None:
+    book = StepBook()
+    book.open(make_step())
+    entries = commit_all(book)
+    for number in range(3):
+        book.list_result("s1", result(number))
+    book.end("s1")
+    entries += commit_all(book)
+    later = keys_of_ended_steps([entry.key for entry in entries])
+    assert later == {step_key("s1"), *(result_key("s1", place) for place in range(3))}
+    successor = StepBook()
+    needed = [entry for entry in entries if entry.key not in later]
+    assert successor.restore(needed, later) == []
+    assert successor.read("s1", 0).status == StepStatus.UNAVAILABLE
+    assert successor.sample_body("s1", "s1-0").status == StepStatus.UNAVAILABLE
+    assert successor.expired(1e9, 0.0) == []
+    assert successor.end("s1") is not None and successor.open_samples() == []
+    waiting = [entry for entry in entries if entry.key in later]
+    successor.load(waiting[:2])
+    assert successor.read("s1", 0).status == StepStatus.UNAVAILABLE
+    successor.load(waiting[2:])
+    assert listed(successor.read("s1", 0)) == ["s1-0", "s1-1", "s1-2"]
+    assert successor.expired(1e9, 0.0) == ["s1"]
+    assert set(successor.forget("s1")) == {entry.key for entry in entries}
+
+
+def test_an_open_step_never_waits() -> None:
+    book = StepBook()
+    book.open(make_step())
+    book.list_result("s1", result(0))
+    assert keys_of_ended_steps([write.key for write in book.take_writes()]) == set()
--- a/src/pondtiller/steplog/instructions.py
+++ b/src/pondtiller/steplog/instructions.py
@@ -26,12 +26,21 @@
         Daemon of the last claim to order engines; empty where there is none.
     last_orders
         The last order of each engine, by the place where it is reached.
+    deferred
+        Keys of values that follow as `Loaded`.
     """
 
     epoch: int
     entries: tuple[Entry, ...]
-    order_holder: str = ""
-    last_orders: dict[str, LastOrder] = {}
+    order_holder: str
+    last_orders: dict[str, LastOrder]
+    deferred: tuple[str, ...] = ()
+
+
+class Loaded(NamedTuple):
+    """Values that were left for later have been read."""
+
+    entries: tuple[Entry, ...]
 
 
 class Committed(NamedTuple):
@@ -54,7 +63,7 @@
     wait_seconds: float = 0.0
 
 
-Instruction = Send | Won | Committed | Deposed
+Instruction = Send | Won | Loaded | Committed | Deposed
 
 
 class Phase(Enum):
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -8,11 +8,22 @@
 does not provably hold. Only then it leads.
 """
 
+from collections.abc import Callable, Collection
+
 from pondtiller.steplog import group as groups
+from pondtiller.steplog.deferred import DeferredValues
 from pondtiller.steplog.entry import Entry, pack_entries, unpack_entries
 from pondtiller.steplog.follower import HEARTBEAT, PART_OF_WRITES, Follower
 from pondtiller.steplog.holder import HOLDER_PREFIX, holder_key, holder_of
-from pondtiller.steplog.instructions import Committed, Deposed, Instruction, Phase, Send, Won
+from pondtiller.steplog.instructions import (
+    Committed,
+    Deposed,
+    Instruction,
+    Loaded,
+    Phase,
+    Send,
+    Won,
+)
 from pondtiller.steplog.order_notes import ORDER_PREFIX, OrderNote, last_orders, parse_note
 from pondtiller.steplog.replica import LEASE_SECONDS
 from pondtiller.wire.steplog import (
@@ -39,6 +50,10 @@
     return (highest // EPOCH_ROUND + 1) * EPOCH_ROUND + identity % EPOCH_ROUND
 
 
+def _no_keys(_keys: Collection[str]) -> set[str]:
+    return set()
+
+
 class LeaderLog:
     """Leads the step log, or tries to.
 
@@ -48,12 +63,22 @@
         Under which other daemons find this leader.
     identity
         32-bit number of this process, for epochs.
+    may_wait
+        Returns which of some keys' values are not needed to lead: they are read afterwards.
     """
 
-    def __init__(self, name: str, host: str, port: int, identity: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        identity: int,
+        may_wait: Callable[[Collection[str]], set[str]] = _no_keys,
+    ) -> None:
         self.phase = Phase.IDLE
         self.epoch = 0
         self.entries: dict[str, Entry] = {}
+        self.deferred = DeferredValues()
         self.group = Group()
         self.next_group: Group | None = None
         self.lost_disks: set[str] = set()
@@ -62,6 +87,7 @@
         self._host = host
         self._port = port
         self._identity = identity
+        self._may_wait = may_wait
         self._first_group = Group()
         self._hint = Group()
         self.admitted: set[str] = set()
@@ -99,6 +125,7 @@
     def lost(self, link: int) -> None:
         """Forget a connection."""
         self.followers.pop(link, None)
+        self.deferred.link_lost(link)
         if link in self._fetching:
             self._depose("a replica was lost during takeover", self.epoch)
 
@@ -154,7 +181,10 @@
             self._try_lead(now)
 
     def fetched(self, link: int, answer: Fetched, now: float) -> None:
-        """Take values asked for during takeover."""
+        """Take values asked for during takeover, or those that were left for later."""
+        if self.phase is Phase.LEADING:
+            self._take_deferred(answer, now)
+            return
         chunks = self._fetching.get(link)
         if self.phase is not Phase.FETCHING or not chunks:
             return
@@ -190,6 +220,7 @@
         """Write a value; `Committed` follows. A key is written once an epoch."""
         entry = Entry(key=key, epoch=self.epoch, value=value)
         self.entries[key] = entry
+        self.deferred.drop(key)
         self._sequence += 1
         self._pending[key] = self._sequence
         self._unsent_puts.append(entry)
@@ -197,6 +228,7 @@
     def drop(self, key: str) -> None:
         """Remove a value that nobody needs any more."""
         self.entries.pop(key, None)
+        self.deferred.drop(key)
         self._pending.pop(key, None)
         self._unsent_drops.append(key)
 
@@ -239,6 +271,7 @@
             return
         self._send_heartbeats(now)
         self._try_lead(now)
+        self._read_deferred(now)
 
     def resign(self) -> None:
         """Give the lease back."""
@@ -278,6 +311,7 @@
     def _reset(self) -> None:
         self.phase = Phase.IDLE
         self.entries = {}
+        self.deferred = DeferredValues()
         self.group = Group()
         self.next_group = None
         self.admitted = set()
@@ -372,7 +406,10 @@
         if not voting or not all(groups.has_read_quorum(each, answered) for each in voting):
             return
         self.phase = Phase.FETCHING
+        self.deferred = DeferredValues(self._deferrable())
         for key, link in self._best_holders().items():
+            if key in self.deferred.epochs:
+                continue
             chunks = self._fetching.setdefault(link, [[]])
             if len(chunks[-1]) >= CHUNK_KEYS:
                 chunks.append([])
@@ -382,6 +419,47 @@
             for keys in chunks:
                 self._out.append(Send(link, Fetch(epoch=self.epoch, keys=keys)))
 
+    def _deferrable(self) -> dict[str, int]:
+        """Return the keys, with their epochs, whose values may be read once this daemon leads.
+
+        All that promised hold them at one epoch, and are a write quorum: so nothing of them is
+        to be written again, and nobody has to be sent them. As long as they are not read, they
+        are as safe as they were without a leader.
+        """
+        promised = [each for each in self.followers.values() if each.keys is not None]
+        disks = {follower.disk for follower in promised}
+        voting = self._voting_groups()
+        if not all(groups.has_write_quorum(each, disks, self.lost_disks) for each in voting):
+            return {}
+        held = [follower.keys or {} for follower in promised]
+        first, others = held[0], held[1:]
+        return {
+            key: first[key]
+            for key in self._may_wait(first.keys())
+            if all(each.get(key) == first[key] for each in others)
+        }
+
+    def _read_deferred(self, now: float) -> None:
+        """Ask a replica for a part of the values that were left for later."""
+        if not self.is_leading:
+            return
+        synced = [link for link, follower in self.followers.items() if follower.is_synced]
+        request = self.deferred.next_request(synced, now)
+        if request is not None:
+            link, keys = request
+            self._out.append(Send(link, Fetch(epoch=self.epoch, keys=keys)))
+
+    def _take_deferred(self, answer: Fetched, now: float) -> None:
+        loaded = self.deferred.take(unpack_entries(answer.entries))
+        self.entries.update((entry.key, entry) for entry in loaded)
+        self._out.append(Loaded(tuple(loaded)))
+        if self.deferred.epochs:
+            self._read_deferred(now)
+            return
+        for follower in self.followers.values():
+            if follower.keys is not None and not follower.is_synced:
+                self._bring_up_to_date(follower, now)
+
     def _best_holders(self) -> dict[str, int]:
         """Return for each key the link to fetch it from: one that has its highest epoch.
 
@@ -432,8 +510,12 @@
 
     def _bring_up_to_date(self, follower: Follower, now: float) -> None:
         held = follower.keys or {}
+        if self.deferred.is_lacked_by(held):
+            # It is brought up to date once the values are here.
+            return
         puts = [entry for key, entry in self.entries.items() if held.get(key, -1) < entry.epoch]
-        drops = [key for key in held if key not in self.entries]
+        known = self.entries.keys() | self.deferred.epochs.keys()
+        drops = [key for key in held if key not in known]
         follower.is_synced = True
         # Parts let heartbeats through between them; only the last one's answer counts.
         while len(puts) > CHUNK_KEYS:
@@ -528,7 +610,8 @@
             if not key.startswith((groups.GROUP_PREFIX, HOLDER_PREFIX, ORDER_PREFIX))
         )
         orders = last_orders(self._noted_at, self._notes(), self._advanced_at)
-        self._out.append(Won(self.epoch, entries, holder_of(self.entries.values()), orders))
+        holder = holder_of(self.entries.values())
+        self._out.append(Won(self.epoch, entries, holder, orders, tuple(self.deferred.epochs)))
 
     def _notes(self) -> list[str]:
         return [key for key in self.entries if key.startswith(ORDER_PREFIX)]
