--- /dev/null
+++ b/src/pondtiller/gateway/order_rights.py
@@ -0,0 +1,106 @@
+"""The right to order engines: claimed once a term, and a note in the log before each order.
+
+A successor waits for the orders that another daemon may have given lately, and for no others.
+"""
+
+from typing import Any
+
+import curio
+
+from pondtiller.daemon import clock, logs
+from pondtiller.gateway.leadership import Leadership
+from pondtiller.gateway.orders import ORDER_SECONDS
+from pondtiller.rollouts.versions import VersionSteward
+from pondtiller.routes.engines import EngineDirectory
+from pondtiller.steplog.instructions import Won
+
+NOTE_SECONDS = 0.5
+"""An order that is not given this soon after its note was written is not given at all."""
+ORDER_MARGIN_SECONDS = NOTE_SECONDS + ORDER_SECONDS + 0.1
+"""How long after its note an order may arrive, at most."""
+
+
+class OrderRights:
+    """When one term's leader may order which engine.
+
+    Parameters
+    ----------
+    lease_seconds
+        How long after another leader's last order the first own one may come.
+    """
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        engines: EngineDirectory,
+        steward: VersionSteward,
+        won: Won,
+        lease_seconds: float,
+    ) -> None:
+        self._leadership = leadership
+        self._engines = engines
+        self._steward = steward
+        self._epoch = won.epoch
+        self._lease_seconds = lease_seconds
+        self._held_before = won.order_holder == leadership.name
+        self._last_orders = won.last_orders
+        self._claim_key = ""
+        self._notes: dict[str, Any] = {}
+
+    def claim(self) -> None:
+        """Begin to order engines: those that another daemon ordered lately wait for that order.
+
+        The claim tells who leads best next time; safety comes from the notes.
+        """
+        now = clock.monotonic()
+        pause = self._lease_seconds + ORDER_MARGIN_SECONDS
+        waits = self._steward.waits = {
+            place: last.at + pause
+            for place, last in self._last_orders.items()
+            if last.daemon != self._leadership.name
+        }
+        if self._held_before:
+            self._steward.may_order_from = now
+        else:
+            self._claim_key = self._leadership.log.claim_orders()
+        logs.decision(
+            "orders_claimed",
+            epoch=self._epoch,
+            held_before=self._held_before,
+            engines_waiting=sum(until > now for until in waits.values()),
+            longest_wait=max(0.0, max(waits.values(), default=now) - now),
+        )
+
+    async def committed(self, key: str) -> bool:
+        """Take a write that is on a quorum of disks; False where it is no claim and no note."""
+        if key == self._claim_key:
+            self._steward.may_order_from = clock.monotonic()
+            self._leadership.log.drop_older_claims(key)
+            return True
+        note = self._notes.get(key)
+        if note is None:
+            return False
+        self._leadership.log.drop_older_notes(key)
+        await note.set()
+        return True
+
+    async def note(self, identifier: str) -> bool:
+        """Write that an engine is about to be ordered; False where the order must not be given.
+
+        A successor relies on it: a note of every order is on a quorum of disks before the order
+        leaves, and the order leaves within `NOTE_SECONDS`.
+        """
+        log = self._leadership.log
+        engine = self._engines.engines.get(identifier)
+        began = clock.monotonic()
+        if engine is None or not log.holds_lease(began):
+            return False
+        key = log.note_order(engine.place)
+        committed = self._notes[key] = curio.Event()
+        try:
+            await self._leadership.flush()
+            await curio.ignore_after(NOTE_SECONDS, committed.wait)
+        finally:
+            del self._notes[key]
+        now = clock.monotonic()
+        return committed.is_set() and now < began + NOTE_SECONDS and log.holds_lease(now)
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -14,7 +14,8 @@
 from pondtiller.gateway.leader_watches import LeaderWatches
 from pondtiller.gateway.leadership import Leadership
 from pondtiller.gateway.metrics import GatewayMetrics
-from pondtiller.gateway.orders import ORDER_SECONDS, EngineOrders
+from pondtiller.gateway.order_rights import OrderRights
+from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
 from pondtiller.links.frames import encode_message
@@ -50,10 +51,6 @@
 PROGRESS_SECONDS = 0.5
 PROGRESS_CALL_SECONDS = 0.3
 SCORE_RETRY_SECONDS = 0.1
-NOTE_SECONDS = 0.5
-"""An order that is not given this soon after its note was written is not given at all."""
-ORDER_MARGIN_SECONDS = NOTE_SECONDS + ORDER_SECONDS + 0.1
-"""How long after its note an order may arrive, at most."""
 KEEP_MARGIN_SECONDS = 10.0
 EXPIRE_SECONDS = 30.0
 
@@ -111,10 +108,9 @@
         self._table: RouteTable | None = None
         self._scheduled: set[str] = set()
         self._is_over = False
-        self._held_orders = won.order_holder == parts.leadership.name
-        self._last_orders = won.last_orders
-        self._claim_key = ""
-        self._notes: dict[str, Any] = {}
+        self.orders = OrderRights(
+            parts.leadership, parts.engines, self.steward, won, parts.lease_seconds
+        )
 
     async def start(self) -> None:
         """Restore the steps, then begin to work."""
@@ -153,7 +149,7 @@
             texts_seconds=read_at - began,
             schedule_seconds=clock.monotonic() - read_at,
         )
-        self._claim_orders()
+        self.orders.claim()
         await self._watch_group.spawn(self._parts.watches.run, self.steward, self.wake)
         await self._watch_group.spawn(keep_running, "runners", self.runners.run)
         next_progress = clock.monotonic()
@@ -188,30 +184,6 @@
         self.scheduler.tick(now, clock.wall())
         await self._carry_out()
 
-    def _claim_orders(self) -> None:
-        """Begin to order engines: those that another daemon ordered lately wait for that order.
-
-        The claim tells who leads best next time; safety comes from the notes.
-        """
-        now = clock.monotonic()
-        pause = self._parts.lease_seconds + ORDER_MARGIN_SECONDS
-        self.steward.waits = {
-            place: last.at + pause
-            for place, last in self._last_orders.items()
-            if last.daemon != self._leadership.name
-        }
-        if self._held_orders:
-            self.steward.may_order_from = now
-        else:
-            self._claim_key = self._leadership.log.claim_orders()
-        logs.decision(
-            "orders_claimed",
-            epoch=self.epoch,
-            held_before=self._held_orders,
-            engines_waiting=sum(until > now for until in self.steward.waits.values()),
-            longest_wait=max(0.0, max(self.steward.waits.values(), default=now) - now),
-        )
-
     def _schedule(self, record: StepRecord) -> None:
         if record.is_ended or not record.is_accepted or self._table is None:
             return
@@ -277,16 +249,9 @@
 
     async def committed(self, key: str) -> None:
         """Take a write that is on a quorum of disks."""
-        if key == self._claim_key:
-            self.steward.may_order_from = clock.monotonic()
-            self._leadership.log.drop_older_claims(key)
+        if await self.orders.committed(key):
             await self.wake.set()
             return
-        note = self._notes.get(key)
-        if note is not None:
-            self._leadership.log.drop_older_notes(key)
-            await note.set()
-            return
         written_at = self._written_at.pop(key, None)
         if written_at is not None:
             self._metrics.commit_seconds.add(clock.monotonic() - written_at)
@@ -436,34 +401,13 @@
                 self.steward.reported(
                     order.engine, report.models, report.orders_taken, report.is_busy
                 )
-        elif await self._note_order(order.engine):
+        elif await self.orders.note(order.engine):
             self._metrics.orders += 1
             is_taken = await self._parts.orders.order(order, self.epoch)
             if is_taken is not None:
                 self.steward.answered(order.engine, is_taken, clock.monotonic())
         await self.wake.set()
 
-    async def _note_order(self, identifier: str) -> bool:
-        """Write that an engine is about to be ordered; False where the order must not be given.
-
-        A successor relies on it: a note of every order is on a quorum of disks before the order
-        leaves, and the order leaves within `NOTE_SECONDS`.
-        """
-        log = self._leadership.log
-        engine = self._parts.engines.engines.get(identifier)
-        began = clock.monotonic()
-        if engine is None or not log.holds_lease(began):
-            return False
-        key = log.note_order(engine.place)
-        committed = self._notes[key] = curio.Event()
-        try:
-            await self._leadership.flush()
-            await curio.ignore_after(NOTE_SECONDS, committed.wait)
-        finally:
-            del self._notes[key]
-        now = clock.monotonic()
-        return committed.is_set() and now < began + NOTE_SECONDS and log.holds_lease(now)
-
     # What outlives a term
 
     async def save_progress(self, is_last: bool = False) -> None:
--- a/src/pondtiller/gateway/tests/system.py
+++ b/src/pondtiller/gateway/tests/system.py
@@ -1,6 +1,5 @@
 """A whole small system for tests: store, engines, replicas and gateways in one process."""
 
-import base64
 import json
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -13,9 +12,14 @@
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.settings import GatewaySettings, ReplicaSettings
-from pondtiller.gateway.tests.standins import StandInEngine, StandInStore, configuration
 from pondtiller.httpio.client import HttpClient
 from pondtiller.httpio.messages import HttpResponse
+from pondtiller.platform.standins import (
+    StandInEngine,
+    StandInStore,
+    configuration,
+    step_body,
+)
 from pondtiller.replica.process import ReplicaProcess
 
 ANY = "127.0.0.1:0"
@@ -138,33 +142,6 @@
         return found
 
 
-def step_body(step: str, samples: int, oldest: int) -> dict[str, Any]:
-    """Return a step as a trainer submits it."""
-    return {
-        "step": 1,
-        "model": "m",
-        "min_version": oldest,
-        "desired": 1,
-        "requests": [
-            {
-                "id": f"{step}-{number}",
-                "path": f"/rollout/{number}",
-                "headers": {"Model": "m", "Token-Count": "10,20", "Prompt-Prefix": "aa:10"},
-                "body": base64.b64encode(b"prompt").decode(),
-                "tokens": 30,
-                "group": f"{step}-g{number // 2}",
-                "scorer": {
-                    "id": f"{step}-{number}-score",
-                    "host": "app.example",
-                    "path": "/quote/score",
-                    "body": base64.b64encode(b"judge").decode(),
-                },
-            }
-            for number in range(samples)
-        ],
-    }
-
-
 def run_system(
     folder: Path,
     test: Callable[[System], Awaitable[None]],
--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -6,10 +6,10 @@
 import pytest
 
 from pondtiller.daemon import clock
-from pondtiller.gateway.tests.standins import configuration
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import ConnectionLostError, Exchange
+from pondtiller.platform.standins import configuration
 
 
 async def ready(system: System) -> None:
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -12,10 +12,9 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
-from pondtiller.gateway.tests.standins import StandInStore, configuration
-from pondtiller.gateway.tests.system import step_body
 from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
 from pondtiller.platform import names
+from pondtiller.platform.standins import StandInStore, configuration, step_body
 from pondtiller.soak.programs import Program, ProgramSpec
 from pondtiller.soak.promises import Breach, Promises
 from pondtiller.soak.proxy import Proxy
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -5,10 +5,10 @@
 import curio
 
 from pondtiller.core.entities import Address
-from pondtiller.gateway.tests.standins import StandInEngine, StandInStore
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange
 from pondtiller.platform import names
+from pondtiller.platform.standins import StandInEngine, StandInStore
 from pondtiller.soak.promises import Promises
 from pondtiller.soak.proxy import Proxy
 
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -422,23 +422,38 @@
     def _deferrable(self) -> dict[str, int]:
         """Return the keys, with their epochs, whose values may be read once this daemon leads.
 
-        All that promised hold them at one epoch, and are a write quorum: so nothing of them is
-        to be written again, and nobody has to be sent them. As long as they are not read, they
-        are as safe as they were without a leader.
+        A write quorum holds them at the highest epoch that anybody does, so nothing of them is
+        to be written again. As long as they are not read, they are as safe as they were without
+        a leader. Who lacks one is brought up to date later: the quorum is chosen among those
+        that hold most, and lacks none.
         """
         promised = [each for each in self.followers.values() if each.keys is not None]
-        disks = {follower.disk for follower in promised}
-        voting = self._voting_groups()
-        if not all(groups.has_write_quorum(each, disks, self.lost_disks) for each in voting):
-            return {}
-        held = [follower.keys or {} for follower in promised]
-        first, others = held[0], held[1:]
+        highest: dict[str, int] = {}
+        for follower in promised:
+            for key, epoch in (follower.keys or {}).items():
+                highest[key] = max(epoch, highest.get(key, epoch))
+        waiting = {key: highest[key] for key in self._may_wait(highest.keys())}
+        quorum = self._most_complete_quorum(promised, waiting)
         return {
-            key: first[key]
-            for key in self._may_wait(first.keys())
-            if all(each.get(key) == first[key] for each in others)
+            key: epoch
+            for key, epoch in waiting.items()
+            if quorum and all((each.keys or {}).get(key) == epoch for each in quorum)
         }
 
+    def _most_complete_quorum(
+        self, promised: list[Follower], values: dict[str, int]
+    ) -> list[Follower]:
+        """Return a write quorum of those that hold most of some values; empty where none is."""
+        voting = self._voting_groups()
+        ordered = sorted(
+            promised, key=lambda each: len(values.items() & (each.keys or {}).items()), reverse=True
+        )
+        for size in range(1, len(ordered) + 1):
+            disks = {follower.disk for follower in ordered[:size]}
+            if all(groups.has_write_quorum(each, disks, self.lost_disks) for each in voting):
+                return ordered[:size]
+        return []
+
     def _read_deferred(self, now: float) -> None:
         """Ask a replica for a part of the values that were left for later."""
         if not self.is_leading:
