--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -94,6 +94,9 @@
             await curio.sleep(RETRY_SECONDS)
             page = await self._ask_mirrors(message, wait)
         if page is None:
+            if clock.monotonic() >= self._not_before and not self._asks_store():
+                # The mirrors may tell again soon; a long call to the store may hang for its wait.
+                wait_seconds = wait
             return self._told(kind, await self._ask_store(kind).watch(kind, at, wait_seconds))
         if page.status == MirrorStatus.HISTORY_GONE:
             raise HistoryGoneError
--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -80,7 +80,7 @@
             replica.store.list_all = refused  # type: ignore[method-assign]
         monkeypatch.setattr(mirrors, "FRESH_SECONDS", USUAL_FRESH_SECONDS)
         # Calls that are under way still bring what changes before their wait is over.
-        await curio.sleep(mirrors.ENGINES_WAIT_SECONDS + 0.1)
+        await curio.sleep(mirrors.WAIT_SECONDS + 0.1)
         began = clock.monotonic()
         system.store.put("servers", "a0", system.app[0].entry("draining"))
         for each in followers(system):
--- a/src/pondtiller/replica/mirror.py
+++ b/src/pondtiller/replica/mirror.py
@@ -27,10 +27,8 @@
 FEWEST_FOLLOWERS = 6
 """A gateway that follows both kinds itself makes 0.85 calls a second (47 in a day of 56 s, large
 site, `quiet-1`); a mirror makes 2 to 4, most of them to know that it still hears the store."""
-ENGINES_WAIT_SECONDS = 0.8
+WAIT_SECONDS = 0.8
 """How long a call waits for changes: so old is what a mirror knows, at most, while all is well."""
-CONFIGURATIONS_WAIT_SECONDS = 2.0
-"""Longer, since the engines' calls tell whether the store is heard."""
 ENGINES_REST_SECONDS = 0.5
 FRESH_SECONDS = 1.5
 """Age above which a mirror answers nothing: a call's wait and rest, with a margin. The platform's
@@ -74,30 +72,30 @@
         self._expected_followers = expected_followers
         self._health = StoreHealth()
         reader = MirroringReader(store, self.kinds)
-        self._engines = self._watch(reader, names.ENGINES, ENGINES_WAIT_SECONDS)
-        self._engines.rest = lambda: ENGINES_REST_SECONDS
-        self._configurations = self._watch(
-            reader, names.CONFIGURATIONS, CONFIGURATIONS_WAIT_SECONDS
-        )
+        self._followed = {kind: self._watch(reader, kind) for kind in self.kinds}
+        self._followed[names.ENGINES].rest = lambda: ENGINES_REST_SECONDS
         self._waiting: set[Any] = set()
         self._watches = Spawner()
 
-    def _watch(self, reader: MirroringReader, kind: str, wait_seconds: float) -> Watch:
+    def _watch(self, reader: MirroringReader, kind: str) -> Watch:
         async def replace(_found: tuple[StoreObject, ...]) -> None:
             await self._wake()
 
         async def change(_found: StoreChange) -> None:
             await self._wake()
 
-        return Watch(reader, self._health, kind, replace, change, None, wait_seconds)
+        return Watch(reader, self._health, kind, replace, change, None, WAIT_SECONDS)
 
     @property
     def age_seconds(self) -> float:
-        """How long ago the store was heard."""
-        return clock.monotonic() - self._engines.heard_at
+        """How long ago the store was heard, of the kind that it was heard least of."""
+        return clock.monotonic() - min(each.heard_at for each in self._followed.values())
 
     def is_fresh(self) -> bool:
-        """Return whether what is mirrored may be told."""
+        """Return whether what is mirrored may be told: each kind was heard of lately.
+
+        One kind does not answer for the other: a call may hang that the store has forgotten.
+        """
         is_known = all(kind.at for kind in self.kinds.values())
         return self.is_on and is_known and self.age_seconds < FRESH_SECONDS
 
@@ -118,10 +116,8 @@
     async def _switch(self, is_on: bool) -> None:
         self.is_on = is_on
         if is_on:
-            await self._watches.spawn(keep_running, "mirrored engines", self._engines.run)
-            await self._watches.spawn(
-                keep_running, "mirrored configurations", self._configurations.run
-            )
+            for kind, watch in self._followed.items():
+                await self._watches.spawn(keep_running, f"mirror of {kind}", watch.run)
         else:
             await self._watches.cancel_all()
 
--- /dev/null
+++ b/src/pondtiller/replica/tests/test_mirror.py
@@ -0,0 +1,42 @@
+"""A mirror tells only what it hears of."""
+
+import curio
+import pytest
+
+from pondtiller.platform import names
+from pondtiller.platform.mirror import MirrorStatus
+from pondtiller.platform.object_client import StoreChanges, StoreListing
+from pondtiller.replica.mirror import FRESH_SECONDS, StoreMirror
+from pondtiller.wire.steplog import ReadMirror
+
+
+class Store:
+    """A store that answers calls for one kind no more once it was listed."""
+
+    def __init__(self, hanging: str) -> None:
+        self.hanging = hanging
+
+    async def list_all(self, _kind: str) -> StoreListing:
+        return StoreListing((), 5)
+
+    async def watch(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
+        await curio.sleep(1000.0 if kind == self.hanging else wait_seconds)
+        return StoreChanges((), at)
+
+
+@pytest.mark.parametrize("hanging", ["", names.CONFIGURATIONS, names.ENGINES])
+def test_a_kind_of_which_nothing_is_heard_makes_the_mirror_answer_nothing(hanging: str) -> None:
+    """A configuration was late by 5 s while the engines' calls were answered."""
+
+    async def main() -> None:
+        mirror = StoreMirror(Store(hanging), lambda: 10.0)
+        task = await curio.spawn(mirror.run)
+        await curio.sleep(0.5)
+        listing = ReadMirror(kind=names.CONFIGURATIONS)
+        assert (await mirror.answer(listing)).status == MirrorStatus.OK
+        await curio.sleep(FRESH_SECONDS + 0.3)
+        wanted = MirrorStatus.UNAVAILABLE if hanging else MirrorStatus.OK
+        assert (await mirror.answer(listing)).status == wanted
+        await task.cancel()
+
+    curio.run(main)
