Say once how large a result is on a page, and once when mirrors may be asked

Cause: read once more, the size of a result stood in rollouts/steps.py and gateway/result_cache.py, and the condition on which mirrors are asked three times in mirrored_store.py. Behaviour is the same.

--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -94,7 +94,7 @@
             await curio.sleep(RETRY_SECONDS)
             page = await self._ask_mirrors(message, wait)
         if page is None:
-            if clock.monotonic() >= self._not_before and not self._asks_store():
+            if self._may_ask_mirrors():
                 # The mirrors may tell again soon; a long call to the store may hang for its wait.
                 wait_seconds = wait
             return self._told(kind, await self._ask_store(kind).watch(kind, at, wait_seconds))
@@ -102,12 +102,15 @@
             raise HistoryGoneError
         return self._told(kind, read_changes(page))
 
+    def _may_ask_mirrors(self) -> bool:
+        """Return whether replicas may mirror the store, as far as it is known."""
+        return not self._asks_store() and clock.monotonic() >= self._not_before
+
     def _may_wait(self, kind: str) -> bool:
         """Return whether what is known is new enough to wait for a mirror."""
-        now = clock.monotonic()
-        if self._asks_store() or now < self._not_before:
+        if not self._may_ask_mirrors():
             return False
-        return now < self._told_at.get(kind, float("-inf")) + TOLD_SECONDS
+        return clock.monotonic() < self._told_at.get(kind, float("-inf")) + TOLD_SECONDS
 
     def _told(self, kind: str, found: Found) -> Found:
         self._told_at[kind] = clock.monotonic()
@@ -126,7 +129,7 @@
 
     async def _ask_mirrors(self, message: ReadMirror, wait: float) -> MirrorPage | None:
         """Return the answer of the first mirror that can tell; None where none can."""
-        if self._asks_store() or clock.monotonic() < self._not_before:
+        if not self._may_ask_mirrors():
             return None
         for mirror in self._mirrors()[:MOST_MIRRORS]:
             page = await self._ask(mirror, message, wait)
--- a/src/pondtiller/gateway/result_cache.py
+++ b/src/pondtiller/gateway/result_cache.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from pondtiller.rollouts.steps import RESULT_OVERHEAD_BYTES
+from pondtiller.rollouts.steps import result_size
 from pondtiller.wire.steplog import ResultsPage
 
 MOST_CACHED_BYTES = 6 * 1024 * 1024
@@ -90,11 +90,6 @@
             self.size -= cached.size
 
 
-def result_size(encoded: bytes) -> int:
-    """Return how many bytes a result takes on a page."""
-    return len(encoded) + RESULT_OVERHEAD_BYTES
-
-
 def page_size(page: ResultsPage) -> int:
     """Return how many bytes the results of a page take."""
     return sum(map(result_size, page.results))
--- a/src/pondtiller/gateway/step_client.py
+++ b/src/pondtiller/gateway/step_client.py
@@ -9,9 +9,9 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
 from pondtiller.gateway.replicas import LeaderPlace
-from pondtiller.gateway.result_cache import ResultCache, page_size, result_size
+from pondtiller.gateway.result_cache import ResultCache, page_size
 from pondtiller.links.link import Link, LinkLostError, connect
-from pondtiller.rollouts.steps import LARGEST_PAGE_BYTES, StepStatus
+from pondtiller.rollouts.steps import LARGEST_PAGE_BYTES, StepStatus, result_size
 from pondtiller.wire.steplog import (
     EndStep,
     OpenStep,
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -55,6 +55,11 @@
     return f"{END_PREFIX}{step}"
 
 
+def result_size(encoded: bytes) -> int:
+    """Return how many bytes a result takes on a page."""
+    return len(encoded) + RESULT_OVERHEAD_BYTES
+
+
 class SampleHead(NamedTuple):
     """What a leader needs of a sample.
 
@@ -333,7 +338,7 @@
         size = 0
         for place in range(position, record.visible):
             encoded = record.results[place]
-            size += len(encoded) + RESULT_OVERHEAD_BYTES
+            size += result_size(encoded)
             if found and size > LARGEST_PAGE_BYTES:
                 break
             found.append(encoded)
