Let callers in by the keys of tenants, and keep steps by tenant

Rows that are not public answer 401 to a key that no tenant holds, to none and to several; engines are told the key's tenant and nothing of the key or of what a caller claims. A step, and the unfinished text of a sample, are kept under a name that begins with its tenant, so the same identifier of two tenants is two steps. Considered: an owner beside the step with a refusal for others; a repeat of another tenant's identifier would then tell that it exists, and an owner is not known before a deferred step is read.

--- a/src/pondtiller/errors.py
+++ b/src/pondtiller/errors.py
@@ -17,6 +17,7 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_KEY = "unknown_key"
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     UNKNOWN_MODEL = "unknown_model"
@@ -67,6 +68,9 @@
 ANSWERS: dict[ErrorKind, ErrorAnswer] = {
     ErrorKind.BAD_REQUEST: ErrorAnswer(400, Ran.NO, False, None, "The request is not valid"),
     ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, Ran.NO, False, None, "The body is too large"),
+    ErrorKind.UNKNOWN_KEY: ErrorAnswer(
+        401, Ran.NO, False, None, "The request shows no key of a tenant"
+    ),
     ErrorKind.NOT_FOUND: ErrorAnswer(404, Ran.NO, False, None, "There is nothing at this path"),
     ErrorKind.METHOD_NOT_ALLOWED: ErrorAnswer(405, Ran.NO, False, None, "Method not allowed"),
     ErrorKind.UNKNOWN_MODEL: ErrorAnswer(404, Ran.NO, False, None, "No service has this name"),
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -1,7 +1,7 @@
 """What callers and trainers meet: routing of each request to an engine or to its step."""
 
 import h11
-from result import Err
+from result import Err, Ok, Result
 
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.race import run_until
@@ -15,6 +15,7 @@
 from pondtiller.platform import engine_format, names, step_format
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
+from pondtiller.routes.tenants import DIGEST_SHOWN, owned_name
 from pondtiller.wire.steplog import Sample
 
 RETRY_AFTER_SECONDS = 0.25
@@ -94,17 +95,62 @@
                 version=table.version,
             )
             await self._fail(exchange, Failure(ErrorKind.NOT_FOUND), "")
+            return
+        owner = self._owner(request, table, route)
+        if isinstance(owner, Err):
+            await self._fail(exchange, owner.err_value, route.name)
         elif route.kind is RequestKind.STEP and request.method == "POST":
-            await self._open_step(exchange, route)
-        elif is_streamed(route):
-            await self._streams.forward(exchange, _forwarded(request, route), route)
+            await self._open_step(exchange, route, owner.ok_value)
         else:
-            await self._forward(exchange, route)
+            await self._forward(exchange, _forwarded(request, route, owner.ok_value), route)
+
+    # Tenants
+
+    def _owner(
+        self, request: HttpRequest, table: RouteTable, route: RouteRow
+    ) -> Result[str, Failure]:
+        """Return whose a request is: empty text on rows that need no key."""
+        return self._tenant(request, table) if table.needs_key(route) else Ok("")
+
+    def _step_owner(self, request: HttpRequest) -> Result[str, Failure]:
+        """Return whose steps a call may see."""
+        table = self.table
+        if table is None:
+            return Err(Failure(ErrorKind.NOT_READY))
+        shows_no_key = engine_format.key_digest(request.raw_headers) is None
+        if shows_no_key and table.has_public_steps(request.headers.get("host", "")):
+            return Ok("")
+        return self._tenant(request, table) if table.tenants else Ok("")
+
+    def _tenant(self, request: HttpRequest, table: RouteTable) -> Result[str, Failure]:
+        """Return the tenant that holds the key that a request shows."""
+        digest = engine_format.key_digest(request.raw_headers)
+        tenant = table.tenant_index.find(digest) if digest is not None else None
+        if tenant is not None:
+            return Ok(tenant.name)
+        logs.decision(
+            "key_refused",
+            request=engine_format.request_id(request.raw_headers),
+            host=request.headers.get("host", ""),
+            path=request.path,
+            digest=(digest or "none")[:DIGEST_SHOWN],
+            version=table.version,
+        )
+        return Err(Failure(ErrorKind.UNKNOWN_KEY))
 
     # Callers
 
-    async def _forward(self, exchange: Exchange, route: RouteRow) -> None:
-        forwarded = _forwarded(exchange.request, route)
+    async def _forward(
+        self, exchange: Exchange, forwarded: ForwardedRequest, route: RouteRow
+    ) -> None:
+        if is_streamed(route):
+            await self._streams.forward(exchange, forwarded, route)
+        else:
+            await self._forward_whole(exchange, forwarded, route)
+
+    async def _forward_whole(
+        self, exchange: Exchange, forwarded: ForwardedRequest, route: RouteRow
+    ) -> None:
         answer = await run_until(exchange.wait_closed, self._forwarder.whole, forwarded, route)
         if answer is None:
             self._metrics.count(route.name, "caller_left")
@@ -122,11 +168,11 @@
 
     # Trainers
 
-    async def _open_step(self, exchange: Exchange, route: RouteRow) -> None:
+    async def _open_step(self, exchange: Exchange, route: RouteRow, tenant: str) -> None:
         request = exchange.request
         identifier = engine_format.request_id(request.raw_headers)
         host = request.headers.get("host", "")
-        read = step_format.read_step(identifier, host, request.path, request.body)
+        read = step_format.read_step(identifier, host, request.path, request.body, tenant)
         if isinstance(read, Err) or not identifier:
             reason = read.err_value if isinstance(read, Err) else "no identifier"
             logs.decision("step_refused", step=identifier, reason=reason)
@@ -136,7 +182,7 @@
         status = await self._steps.open(read.ok_value, seconds)
         logs.decision(
             "step_submitted",
-            step=identifier,
+            step=read.ok_value.id,
             route=route.name,
             number=read.ok_value.number,
             samples=len(read.ok_value.sample_ids),
@@ -146,7 +192,11 @@
 
     async def _step_call(self, exchange: Exchange) -> None:
         request = exchange.request
-        step = request.path.removeprefix(names.STEPS_PATH)
+        owner = self._step_owner(request)
+        if isinstance(owner, Err):
+            await self._fail(exchange, owner.err_value, "step")
+            return
+        step = owned_name(owner.ok_value, request.path.removeprefix(names.STEPS_PATH))
         if request.method == "DELETE":
             status = await self._steps.end(step)
             logs.decision("step_end_asked", step=step, outcome=status.name)
@@ -169,7 +219,11 @@
 
     async def _sample_body(self, exchange: Exchange) -> None:
         request = exchange.request
-        step = request.path.removeprefix(names.SAMPLES_PATH)
+        owner = self._step_owner(request)
+        if isinstance(owner, Err):
+            await self._fail(exchange, owner.err_value, "step")
+            return
+        step = owned_name(owner.ok_value, request.path.removeprefix(names.SAMPLES_PATH))
         body = await self._steps.sample_body(step, request.query.get("id") or "")
         if body.status != StepStatus.OK:
             await self._answer_status(exchange, StepStatus(body.status), 200)
@@ -188,14 +242,14 @@
         await self._fail(exchange, Failure(kinds.get(status, ErrorKind.OUTCOME_UNKNOWN)), "step")
 
 
-def _forwarded(request: HttpRequest, route: RouteRow) -> ForwardedRequest:
+def _forwarded(request: HttpRequest, route: RouteRow, tenant: str) -> ForwardedRequest:
     seconds = engine_format.caller_seconds(request.raw_headers)
     limit = route.time_limit_seconds
     return ForwardedRequest(
         identifier=engine_format.request_id(request.raw_headers),
         method=request.method,
         target=request.target,
-        headers=request.raw_headers,
+        headers=engine_format.tenant_headers(request.raw_headers, tenant),
         body=request.body,
         deadline=clock.monotonic() + (limit if seconds is None else min(limit, seconds)),
     )
--- a/src/pondtiller/gateway/run_host.py
+++ b/src/pondtiller/gateway/run_host.py
@@ -62,6 +62,7 @@
             message.last_event,
             message.expected_version or None,
             message.content,
+            message.tenant,
         )
         self.tasks[order.run] = await self._group.spawn(self._run, order)
         if self._teller is None:
--- a/src/pondtiller/gateway/run_links.py
+++ b/src/pondtiller/gateway/run_links.py
@@ -209,6 +209,7 @@
         last_event=order.last_event,
         expected_version=order.expected_version or 0,
         content=order.content,
+        tenant=order.tenant,
     )
 
 
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -41,6 +41,8 @@
         Version that must make the rest; None where any may.
     content
         The encoded `Sample`.
+    tenant
+        Whose sample it is; empty where the step has no tenant.
     """
 
     run: int
@@ -51,6 +53,7 @@
     last_event: int
     expected_version: int | None
     content: bytes
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +135,7 @@
             order.last_event,
             order.expected_version,
             order.priority,
+            order.tenant,
         )
         await connection.send_plain("POST", sample.path, sample.body, headers)
         head = await connection.read_answer(sample.id)
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -177,7 +177,7 @@
         table = self._parts.front.table
         if table is not None and table is not self._table:
             self._table = table
-            self.scheduler.refresh_routes(table.find)
+            self.scheduler.refresh_routes(table.find_for)
             for record in self.book.steps.values():
                 self._schedule(record)
         self.steward.tick(now)
@@ -187,7 +187,8 @@
     def _schedule(self, record: StepRecord) -> None:
         if record.is_ended or not record.is_accepted or self._table is None:
             return
-        route = self._table.find(record.step.host, record.step.path)
+        step = record.step
+        route = self._table.find_for(step.host, step.path, step.tenant)
         if route is None:
             return
         if route.single_version:
@@ -462,4 +463,5 @@
         start.last_event,
         start.expected_version,
         start.sample.content,
+        start.tenant,
     )
--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_tenants.py
@@ -0,0 +1,199 @@
+"""Keys of tenants: who is let in, what engines are told, and that keys stay where they came."""
+
+import json
+from pathlib import Path
+
+import curio
+import logbook
+import pytest
+
+from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.platform.standins import configuration, step_body, with_tenants
+
+KEYS = {"ann": ["key-of-ann-1", "key-of-ann-2"], "bob": ["key-of-bob-1"]}
+ANN, ANN_OTHER, BOB = "key-of-ann-1", "key-of-ann-2", "key-of-bob-1"
+
+
+def put_tenants(system: System, version: int, keys: dict[str, list[str]]) -> None:
+    table = configuration(version, *system.app, *system.llm)
+    system.store.put("config", "main", with_tenants(table, keys, public=("listings",)))
+
+
+async def until_in_force(system: System, version: int) -> None:
+    def is_in_force() -> bool:
+        tables = [each.front.table for each in system.gateways]
+        return all(table is not None and table.version >= version for table in tables)
+
+    await system.until(is_in_force)
+
+
+def seen_at(engines: list) -> list[tuple[str, str, dict[str, str]]]:
+    return [each for engine in engines for each in engine.seen]
+
+
+async def submit(system: System, step: str, key: str, gateway: int = 0) -> int:
+    body = json.dumps(step_body(step, 2, 1)).encode()
+    answer = await system.call(
+        "POST", "/rollout/x", body, gateway, "train.example", request_id=step, credential=key
+    )
+    return answer.status
+
+
+async def step_call(system: System, method: str, target: str, key: str, gateway: int = 0):
+    return await system.call(method, target, b"", gateway, "train.example", credential=key)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [{}, {"credential": ""}, {"credential": "nobody"}, {"credential": "Bearer key-of-ann-1"}],
+    ids=["missing", "empty", "unknown", "with a scheme"],
+)
+def test_a_request_without_a_known_key_is_refused_and_reaches_no_engine(
+    tmp_path: Path, headers: dict[str, str]
+) -> None:
+    async def test(system: System) -> None:
+        put_tenants(system, 3, KEYS)
+        await until_in_force(system, 3)
+        answer = await system.call("POST", "/quote/x", b"q", request_id="q1", **headers)
+        assert answer.status == 401
+        assert not seen_at(system.app)
+
+    run_system(tmp_path, test, with_configuration=False)
+
+
+def test_two_keys_in_one_request_are_none(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        put_tenants(system, 3, KEYS)
+        await until_in_force(system, 3)
+        connection = await system.client.open_plain(system.callers())
+        headers = (("Host", "app.example"), ("Credential", ANN), ("Credential", BOB))
+        await connection.send_plain("POST", "/quote/x", b"q", headers)
+        assert (await connection.read_head()).status_code == 401
+        await connection.close()
+        assert not seen_at(system.app)
+
+    run_system(tmp_path, test, with_configuration=False)
+
+
+def test_engines_are_told_the_keys_tenant_and_not_what_the_caller_claims(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        put_tenants(system, 3, KEYS)
+        await until_in_force(system, 3)
+        answer = await system.call(
+            "POST", "/quote/x", b"q", request_id="q1", credential=ANN, tenant_id="bob"
+        )
+        assert answer.status == 200
+        [(_, _, headers)] = seen_at(system.app)
+        assert headers["tenant-id"] == "ann"
+        assert "credential" not in headers
+
+    run_system(tmp_path, test, with_configuration=False)
+
+
+def test_on_public_rows_no_key_is_needed_and_nothing_of_one_goes_on(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        put_tenants(system, 3, KEYS)
+        await until_in_force(system, 3)
+        answer = await system.call(
+            "POST", "/list/x", b"q", request_id="q1", credential=ANN, tenant_id="bob"
+        )
+        assert answer.status == 200
+        [(_, _, headers)] = seen_at(system.app)
+        assert "tenant-id" not in headers
+        assert "credential" not in headers
+
+    run_system(tmp_path, test, with_configuration=False)
+
+
+def test_a_step_is_its_tenants_and_another_finds_nothing(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        put_tenants(system, 3, KEYS)
+        await until_in_force(system, 3)
+        await system.until_led()
+        assert await submit(system, "s", ANN) == 202
+        read, end, body = "/pondtiller/lots/s", "/pondtiller/lots/s", "/pondtiller/items/s?id=s-0"
+        assert (await step_call(system, "GET", read, ANN_OTHER)).status == 200
+        assert (await step_call(system, "GET", read, BOB)).status == 404
+        assert (await step_call(system, "DELETE", end, BOB)).status == 404
+        assert (await step_call(system, "GET", body, BOB)).status == 404
+        assert (await step_call(system, "GET", body, ANN)).body == b"prompt"
+        assert (await step_call(system, "GET", read, "nobody")).status == 401
+        # The same identifier is another step for another tenant, and says nothing of the first.
+        assert await submit(system, "s", BOB) == 202
+        assert (await step_call(system, "DELETE", end, BOB)).status == 200
+
+        async def listed() -> int:
+            answer = await step_call(system, "GET", read, ANN)
+            return len(answer.json()["results"])
+
+        while await listed() < 2:
+            await curio.sleep(0.05)
+        tenants = {
+            headers.get("tenant-id")
+            for name, _, headers in seen_at(system.llm)
+            if name.startswith("s-")
+        }
+        assert "ann" in tenants and tenants <= {"ann", "bob"}
+        scorers = [headers for name, _, headers in seen_at(system.app) if name.endswith("-score")]
+        assert scorers and not any("tenant-id" in each for each in scorers)
+
+    run_system(tmp_path, test, with_configuration=False)
+
+
+def test_a_revoked_key_is_refused_and_its_steps_go_on(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        put_tenants(system, 3, KEYS)
+        await until_in_force(system, 3)
+        await system.until_led()
+        assert await submit(system, "s", ANN) == 202
+        put_tenants(system, 4, {"ann": [ANN_OTHER], "bob": KEYS["bob"]})
+        await until_in_force(system, 4)
+        refused = await system.call("POST", "/quote/x", b"q", request_id="q1", credential=ANN)
+        assert refused.status == 401
+        assert (await step_call(system, "GET", "/pondtiller/lots/s", ANN)).status == 401
+        assert (await step_call(system, "GET", "/pondtiller/lots/s", ANN_OTHER)).status == 200
+        # An older version does not give the key back.
+        put_tenants(system, 3, KEYS)
+        await curio.sleep(0.3)
+        again = await system.call("POST", "/quote/x", b"q", request_id="q2", credential=ANN)
+        assert again.status == 401
+
+    run_system(tmp_path, test, with_configuration=False)
+
+
+def test_no_key_leaves_the_gateway(tmp_path: Path) -> None:
+    """Engines, logs, metrics, the replicas' files and the store's own kinds hold no key."""
+
+    async def test(system: System) -> None:
+        put_tenants(system, 3, KEYS)
+        await until_in_force(system, 3)
+        await system.until_led()
+        await system.call("POST", "/quote/x", b"q", request_id="q1", credential=ANN)
+        await system.call("POST", "/quote/x", b"q", request_id="q2", credential="guessed-key")
+        assert await submit(system, "s", BOB) == 202
+        target = "/pondtiller/lots/s"
+        while len((await step_call(system, "GET", target, BOB)).json()["results"]) < 2:
+            await curio.sleep(0.05)
+        places = {
+            "engines": json.dumps(seen_at([*system.app, *system.llm])),
+            "metrics": "".join(each.render_metrics().decode() for each in system.gateways),
+            "store": json.dumps(
+                {kind: each for kind, each in system.store.kinds.items() if kind != "config"}
+            ),
+            "files": "".join(
+                path.read_bytes().decode("latin-1")
+                for path in tmp_path.rglob("*")
+                if path.is_file()
+            ),
+            "mirrors": repr([replica.server.mirror.kinds for replica in system.replicas]),
+            "tables": repr([gateway.front.table for gateway in system.gateways]),
+        }
+        places["log"] = "\n".join(record.message for record in log.records)
+        assert "event=key_refused" in places["log"]
+        for place, text in places.items():
+            for key in (ANN, ANN_OTHER, BOB, "guessed-key"):
+                assert key not in text, place
+
+    log = logbook.TestHandler(level="DEBUG")
+    with log.applicationbound():
+        run_system(tmp_path, test, with_configuration=False)
--- a/src/pondtiller/links/frames.py
+++ b/src/pondtiller/links/frames.py
@@ -51,6 +51,8 @@
     27: steplog.ScoreAnswer,
     28: steplog.ReadMirror,
     29: steplog.MirrorPage,
+    30: steplog.UseTold,
+    31: steplog.UseTaken,
 }
 KIND_BY_TYPE = {message_type: kind for kind, message_type in TYPE_BY_KIND.items()}
 URGENT_TYPES = (steplog.Fetched, steplog.ProgressList)
--- a/src/pondtiller/platform/configuration.py
+++ b/src/pondtiller/platform/configuration.py
@@ -12,6 +12,11 @@
     ServiceRow,
     ServiceShare,
 )
+from pondtiller.routes.tenants import TenantRow, digest_of
+
+KEYS = "api_keys"
+KEY_DIGESTS = "key_digests"
+"""Field of our own that stands for the keys of a tenant from the moment of reading."""
 
 KINDS = {
     "safe": RequestKind.SAFE,
@@ -31,6 +36,7 @@
                 routes=tuple(_route(each) for each in spec["routes"]),
                 services={each["name"]: _service(each) for each in spec["services"]},
                 limits=_limits(spec.get("limits") or {}),
+                tenants=tuple(_tenant(each) for each in spec.get("tenants") or ()),
             )
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -53,6 +59,39 @@
         single_version=bool(given.get("single_version")),
         step_seconds=_seconds(given, "run_deadline_ms", 60_000),
         queue_seconds=float(given.get("queue_ttl_s") or 120.0),
+        is_public=bool(given.get("public")),
+    )
+
+
+def without_keys(spec: Any) -> Any:
+    """Return a configuration with digests in place of the tenants' keys.
+
+    Whatever is not a configuration comes back without its tenants: it must not carry keys on.
+    """
+    if not isinstance(spec, dict) or "tenants" not in spec:
+        return spec
+    try:
+        tenants = [_with_digests(each) for each in spec["tenants"] or ()]
+    except (KeyError, TypeError, ValueError, AttributeError):
+        tenants = None
+    return {**spec, "tenants": tenants if tenants is not None else [{}]}
+
+
+def _with_digests(given: dict[str, Any]) -> dict[str, Any]:
+    if KEY_DIGESTS in given:
+        return given
+    digests = [digest_of(str(key)) for key in given.get(KEYS) or ()]
+    kept = {name: value for name, value in given.items() if name != KEYS}
+    return {**kept, KEY_DIGESTS: digests}
+
+
+def _tenant(given: dict[str, Any]) -> TenantRow:
+    priority, rate = given.get("priority"), given.get("rate_per_s")
+    return TenantRow(
+        name=str(given["name"]),
+        key_digests=frozenset(given[KEY_DIGESTS]),
+        priority=int(priority) if priority is not None else None,
+        rate_per_second=float(rate) if rate else None,
     )
 
 
--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -9,6 +9,7 @@
 from pondtiller.platform import names
 from pondtiller.rollouts.versions import OrderVersion
 from pondtiller.routes.engines import EngineEntry, EngineState
+from pondtiller.routes.tenants import digest_of
 from pondtiller.wire.steplog import Sample
 
 Headers = tuple[tuple[str, str], ...]
@@ -27,6 +28,8 @@
     }
 )
 OWN_HEADERS = frozenset({names.DEADLINE, names.EXPECT_ENGINE, names.EXPECT_VERSION})
+CALLER_HEADERS = frozenset({names.CALLER_KEY, names.TENANT})
+"""What says who calls: engines get neither a key nor a tenant that a caller claims to be."""
 
 
 def engine_entry(name: str, spec: Any) -> EngineEntry | None:
@@ -94,6 +97,18 @@
     return ((names.EXPECT_ENGINE, engine),)
 
 
+def key_digest(headers: Headers) -> str | None:
+    """Return the digest of the key that a caller shows; None where it shows none, or several."""
+    shown = [value for name, value in headers if name == names.CALLER_KEY]
+    return digest_of(shown[0]) if len(shown) == 1 and shown[0] else None
+
+
+def tenant_headers(received: Headers, tenant: str) -> Headers:
+    """Return a caller's headers with its tenant in place of its key and of what it claims."""
+    kept = tuple(each for each in received if each[0] not in CALLER_HEADERS)
+    return (*kept, (names.TENANT, tenant)) if tenant else kept
+
+
 def forwarded_headers(received: Headers, engine: str, seconds_left: float) -> Headers:
     """Return a caller's headers as an engine gets them."""
     kept = tuple(
@@ -114,10 +129,17 @@
 
 
 def sample_headers(
-    sample: Sample, host: str, engine: str, last_event: int, version: int | None, priority: int
+    sample: Sample,
+    host: str,
+    engine: str,
+    last_event: int,
+    version: int | None,
+    priority: int,
+    tenant: str = "",
 ) -> Headers:
     """Return the headers of a sample's run."""
-    own = tuple((each.name.lower(), each.value) for each in sample.headers)
+    given = tuple((each.name.lower(), each.value) for each in sample.headers)
+    own = tenant_headers(given, tenant)
     headers: Headers = (
         ("host", host),
         (names.REQUEST_ID, sample.id),
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -10,7 +10,8 @@
 from pondtiller.core.entities import Address
 from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
 from pondtiller.httpio.messages import HttpResponse
-from pondtiller.platform.names import OBJECTS_PATH
+from pondtiller.platform.configuration import without_keys
+from pondtiller.platform.names import CONFIGURATIONS, OBJECTS_PATH
 
 CALL_SECONDS = 2.0
 WATCH_MARGIN_SECONDS = 1.0
@@ -88,7 +89,7 @@
             query = f"?since_rev={quote(after)}" if after else ""
             answer = await self._call("list", "GET", f"{kind}{query}")
             page = _json(answer, 200)
-            objects = [_object(each) for each in page["requests"]]
+            objects = [_object(kind, each) for each in page["requests"]]
             found += objects
             if not page.get("more") or not objects:
                 return StoreListing(tuple(found), int(page["at"]))
@@ -103,7 +104,7 @@
         if answer.status == 410:
             raise HistoryGoneError
         page = _json(answer, 200)
-        changes = tuple(_changes(page["events"]))
+        changes = tuple(_changes(kind, page["events"]))
         return StoreChanges(changes, int(page["at"]))
 
     async def read(self, kind: str, name: str) -> StoreObject | None:
@@ -111,7 +112,7 @@
         answer = await self._call("read", "GET", f"{kind}/{quote(name)}")
         if answer.status == 404:
             return None
-        return _object(_json(answer, 200))
+        return _object(kind, _json(answer, 200))
 
     async def create(self, kind: str, name: str, spec: Any) -> PutOutcome:
         """Make an object; a conflict where it is there. Raises `StoreCallError`."""
@@ -152,18 +153,22 @@
         raise StoreCallError("the answer is no JSON") from error
 
 
-def _object(given: Any) -> StoreObject:
+def _object(kind: str, given: Any) -> StoreObject:
+    """Read an object; the keys of callers that a configuration holds end here."""
     try:
         metadata = given["metadata"]
         name, revision = str(metadata["name"]), int(metadata["revision"])
-        return StoreObject(name, revision, given.get("spec"), given.get("status"))
+        spec = given.get("spec")
+        if kind == CONFIGURATIONS:
+            spec = without_keys(spec)
+        return StoreObject(name, revision, spec, given.get("status"))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise StoreCallError("an object is not whole") from error
 
 
-def _changes(events: Iterable[Any]) -> Iterable[StoreChange]:
+def _changes(kind: str, events: Iterable[Any]) -> Iterable[StoreChange]:
     for event in events:
-        yield StoreChange(_object(event["object"]), bool(event.get("gone")))
+        yield StoreChange(_object(kind, event["object"]), bool(event.get("gone")))
 
 
 def _outcome(answer: HttpResponse) -> PutOutcome:
--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -222,6 +222,15 @@
         return HttpResponse(202)
 
 
+def with_tenants(
+    given: dict[str, Any], keys: dict[str, list[str]], public: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    """Return a configuration whose routes need a key of a tenant, but for the public ones."""
+    routes = [{**each, "public": each["name"] in public} for each in given["routes"]]
+    tenants = [{"name": name, "api_keys": held} for name, held in keys.items()]
+    return {**given, "routes": routes, "tenants": tenants}
+
+
 def configuration(version: int, *engines: StandInEngine) -> dict[str, Any]:
     """Return a configuration with a route for whole requests and one for steps."""
     services = sorted({engine.service for engine in engines})
--- a/src/pondtiller/platform/step_format.py
+++ b/src/pondtiller/platform/step_format.py
@@ -7,17 +7,21 @@
 
 from result import Err, Ok, Result
 
-from pondtiller.platform.engine_format import expected_tokens
+from pondtiller.platform.engine_format import CALLER_HEADERS, expected_tokens
 from pondtiller.rollouts.steps import add_sample
+from pondtiller.routes.tenants import owned_name
 from pondtiller.wire.steplog import Header, ResultsPage, Sample, SampleResult, Scorer, Step
 
 
-def read_step(identifier: str, host: str, path: str, body: bytes) -> Result[Step, str]:
-    """Read a submitted step; the error says what is wrong with it."""
+def read_step(
+    identifier: str, host: str, path: str, body: bytes, tenant: str = ""
+) -> Result[Step, str]:
+    """Read a step that a tenant submits; the error says what is wrong with it."""
     try:
         given = json.loads(body)
         step = Step(
-            id=identifier,
+            id=owned_name(tenant, identifier),
+            tenant=tenant,
             host=host,
             path=path,
             number=int(given.get("step") or 0),
@@ -40,7 +44,11 @@
     return Sample(
         id=str(given["id"]),
         path=str(given["path"]),
-        headers=[Header(name, str(value)) for name, value in (given.get("headers") or {}).items()],
+        headers=[
+            Header(name, str(value))
+            for name, value in (given.get("headers") or {}).items()
+            if name.lower() not in CALLER_HEADERS
+        ],
         body=base64.b64decode(given.get("body") or "", validate=True),
         tokens=int(given.get("tokens") or 0),
         group=str(given.get("group") or given["id"]),
--- a/src/pondtiller/rollouts/progress.py
+++ b/src/pondtiller/rollouts/progress.py
@@ -66,10 +66,10 @@
             is_young = not work.moves and now < work.run_started + WORTH_KEEPING_SECONDS
             if not text.events or text.is_whole or (is_young and not is_last):
                 continue
-            after = before.get(work.sample_id, 0)
+            after = before.get(work.kept_as, 0)
             if text.last_event != after:
                 found.append(_since(work, after))
-            known[work.sample_id] = text.last_event
+            known[work.kept_as] = text.last_event
         self.sent[link] = known
         return found
 
@@ -80,7 +80,7 @@
     if text.last_event < after:
         after = 0
     return SampleProgress(
-        id=work.sample_id,
+        id=work.kept_as,
         parts=[pack_events(text.events[after:])],
         versions=text.versions,
         last_event=text.last_event,
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -6,6 +6,7 @@
 
 from pondtiller.rollouts.steps import SampleHead, StepRecord
 from pondtiller.routes.table import RouteRow
+from pondtiller.routes.tenants import owned_name
 from pondtiller.wire.steplog import SampleResult
 
 
@@ -47,7 +48,13 @@
 
 
 class StartRun(NamedTuple):
-    """Send a sample to an engine, after `last_event` where it is continued."""
+    """Send a sample to an engine, after `last_event` where it is continued.
+
+    Attributes
+    ----------
+    tenant
+        Whose sample it is; empty where the step has no tenant.
+    """
 
     run: int
     sample: SampleHead
@@ -56,6 +63,7 @@
     engine: str
     last_event: int
     expected_version: int | None
+    tenant: str = ""
 
 
 class CancelRun(NamedTuple):
@@ -141,6 +149,8 @@
         Tokens that are expected to be made.
     size
         The same against the mean of the step's samples.
+    kept_as
+        Name under which its unfinished text is kept: two tenants may use the same identifier.
     group, model, oldest_version, accepted_at
         Copies of the sample's and the step's own: a message's fields are slow to read, and
         these are looked at in every tick.
@@ -176,6 +186,7 @@
         step = self.step.step
         self.step_id: str = step.id
         self.sample_id: str = self.sample.id
+        self.kept_as: str = owned_name(step.tenant, self.sample.id)
         self.group: str = self.sample.group
         self.model: str = step.model
         self.oldest_version: int = step.oldest_version
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -26,6 +26,7 @@
 from pondtiller.rollouts.steps import SampleHead, StepRecord
 from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.table import RouteRow
+from pondtiller.routes.tenants import owned_name
 from pondtiller.wire.steplog import SampleProgress, SampleResult
 
 FASTER_FACTOR = 1.2
@@ -94,10 +95,11 @@
             self._free_place(work)
         self.runs.clear()
 
-    def refresh_routes(self, find: Callable[[str, str], RouteRow | None]) -> None:
-        """Take the rows in force; samples whose row is gone wait."""
+    def refresh_routes(self, find: Callable[[str, str, str], RouteRow | None]) -> None:
+        """Take the rows in force, by host, path and tenant; samples whose row is gone wait."""
         for work in self.work.values():
-            route = find(work.step.step.host, work.step.step.path)
+            step = work.step.step
+            route = find(step.host, step.path, step.tenant)
             work.is_routed = route is not None
             if route is not None:
                 work.route = route
@@ -229,6 +231,7 @@
                 engine.identifier,
                 work.text.last_event,
                 work.stays_with,
+                work.step.step.tenant,
             )
         )
 
@@ -299,7 +302,7 @@
         return engine
 
     def _adopt(self, record: StepRecord, route: RouteRow, sample: SampleHead) -> Text:
-        kept = self._kept.pop(sample.id, None)
+        kept = self._kept.pop(owned_name(record.step.tenant, sample.id), None)
         if kept is None or not kept.fits(record.step.oldest_version, route.single_version):
             return Text()
         return kept
@@ -309,7 +312,7 @@
             return
         if len(self._kept) >= KEPT_SAMPLES:
             del self._kept[next(iter(self._kept))]
-        self._kept[work.sample_id] = work.text
+        self._kept[work.kept_as] = work.text
 
 
 def _note_end(engine: Engine, end: RunEnd, now: float) -> None:
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -10,6 +10,7 @@
 from functools import cached_property
 from typing import NamedTuple
 
+from pondtiller.routes.tenants import owned_name
 from pondtiller.steplog.entry import Entry
 from pondtiller.wire.steplog import (
     ResultsPage,
@@ -273,9 +274,9 @@
         return True
 
     def open_samples(self) -> list[str]:
-        """Return the samples of open steps that are not listed."""
+        """Return the samples of open steps that are not listed, as their texts are kept."""
         return [
-            sample.id
+            owned_name(record.step.tenant, sample.id)
             for record in self.steps.values()
             if record.is_accepted and not record.is_ended
             for sample in record.samples
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -320,9 +320,9 @@
 def test_a_step_whose_row_is_gone_waits_until_it_is_back() -> None:
     bench = Bench(engines=1)
     bench.open(size=1)
-    bench.scheduler.refresh_routes(lambda _host, _path: None)
+    bench.scheduler.refresh_routes(lambda _host, _path, _tenant: None)
     assert starts(bench.tick(0.0)) == []
-    bench.scheduler.refresh_routes(lambda _host, _path: ROUTE)
+    bench.scheduler.refresh_routes(lambda _host, _path, _tenant: ROUTE)
     assert len(starts(bench.tick(0.1))) == 1
 
 
--- a/src/pondtiller/routes/table.py
+++ b/src/pondtiller/routes/table.py
@@ -5,10 +5,11 @@
 """
 
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from pondtiller.hashing import score
+from pondtiller.routes.tenants import TenantIndex, TenantRow
 
 HASH_SPAN = 1 << 64
 
@@ -54,6 +55,8 @@
         Whether a sample must come from one version of the weights.
     step_seconds, queue_seconds
         For steps: when results are due, and when a sample may be given up.
+    is_public
+        Whether callers show no key.
     """
 
     name: str
@@ -70,6 +73,7 @@
     single_version: bool = False
     step_seconds: float = 60.0
     queue_seconds: float = 120.0
+    is_public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -123,14 +127,23 @@
 
 @dataclass(frozen=True)
 class RouteTable:
-    """All rows of one version of the configuration."""
+    """All rows of one version of the configuration.
+
+    Attributes
+    ----------
+    tenants
+        Who may call rows that are not public; where there are none, no row needs a key.
+    """
 
     version: int
     routes: tuple[RouteRow, ...] = ()
     services: dict[str, ServiceRow] = field(default_factory=dict)
     limits: RequestLimits = RequestLimits()
+    tenants: tuple[TenantRow, ...] = ()
+    tenant_index: TenantIndex = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
+        object.__setattr__(self, "tenant_index", TenantIndex(self.tenants))
         by_host: dict[str, list[RouteRow]] = {}
         for route in self.routes:
             by_host.setdefault(route.host, []).append(route)
@@ -146,6 +159,25 @@
                 return row
         return None
 
+    def find_for(self, host: str, path: str, tenant: str) -> RouteRow | None:
+        """Return the row for a tenant's requests: the tenant's rank goes before the row's."""
+        row = self.find(host, path)
+        owner = self.tenant_index.by_name.get(tenant)
+        if row is None or owner is None or owner.priority is None:
+            return row
+        return replace(row, priority=owner.priority)
+
+    def needs_key(self, route: RouteRow) -> bool:
+        """Return whether callers of a row must show a tenant's key."""
+        return bool(self.tenants) and not route.is_public
+
+    def has_public_steps(self, host: str) -> bool:
+        """Return whether steps of a host may be opened, read and ended without a key."""
+        rows: list[RouteRow] = getattr(self, "_by_host").get(host_name(host), [])  # noqa: B009
+        return not self.tenants or any(
+            row.is_public for row in rows if row.kind is RequestKind.STEP
+        )
+
 
 def host_name(host: str) -> str:
     """Return a `Host` value without its port, in lower case."""
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -110,6 +110,9 @@
     content: bytes = betterproto.bytes_field(10)
     """An encoded `Sample`."""
 
+    tenant: str = betterproto.string_field(11)
+    """Whose sample it is; empty where the step has no tenant."""
+
 
 @dataclass(eq=False, repr=False)
 class DropRun(betterproto.Message):
@@ -321,6 +324,11 @@
     groups: List[str] = betterproto.string_field(11)
     expected_tokens: List[float] = betterproto.double_field(12)
     contents: List[bytes] = betterproto.bytes_field(13)
+    tenant: str = betterproto.string_field(14)
+    """
+    Whose step it is; empty where it was submitted without a key. The identifier then begins
+     with this name, see `routes.tenants.owned_name`.
+    """
 
 
 @dataclass(eq=False, repr=False)
@@ -454,3 +462,44 @@
 
     gone: List[bool] = betterproto.bool_field(6)
     """Of changes: whether the object is gone."""
+
+
+@dataclass(eq=False, repr=False)
+class UseTold(betterproto.Message):
+    """
+    Daemon to leader, about once a second while there is something new: how many live requests
+     of each tenant engines began here, by window. Counts only grow, so a message that comes
+     twice or late adds nothing.
+    """
+
+    daemon: str = betterproto.string_field(1)
+    incarnation: int = betterproto.uint64_field(2)
+    """Rises with each start of the daemon, which counts from 0 again."""
+
+    wall_seconds: float = betterproto.double_field(3)
+    """The daemon's own time of day as it sent this, in seconds since 1970."""
+
+    complete_until: float = betterproto.double_field(4)
+    """
+    Agreed time up to which its counts are final, in seconds since 1970; 0 where not known.
+    """
+
+    windows: List[int] = betterproto.uint64_field(5)
+    """Columns: one row for each window and tenant."""
+
+    tenants: List[str] = betterproto.string_field(6)
+    counts: List[int] = betterproto.uint64_field(7)
+
+
+@dataclass(eq=False, repr=False)
+class UseTaken(betterproto.Message):
+    status: int = betterproto.uint32_field(1)
+    """A number of `rollouts.steps.StepStatus`."""
+
+    epoch: int = betterproto.uint64_field(2)
+    """The leader's epoch: a new leader must be told everything again."""
+
+    agreed_seconds: float = betterproto.double_field(3)
+    """
+    The time of day on which the machines agree, in seconds since 1970; 0 where not known.
+    """
