Report each window of use once, from counts that daemons tell their leader

Each daemon counts the requests that engines began, by tenant and window, and tells its leader the counts themselves: they only grow, so a lost, late or repeated message changes nothing. The leader puts what is news into the step log twice a second, closes a window once all daemons that live have told that they counted all of it, writes the bytes of the report to the log, and only then sends them; whoever sends again repeats those bytes. The right to send is the right to order engines (order_rights): a note in the log before each send, and a pause after another holder's last note. Windows are of the agreed time of day: the median over all daemons against a steady clock. Considered: counts by the replicas, which each gateway would have to tell as well; and windows by the age of each request, which costs a row a request instead of a row a window and tenant.

--- /dev/null
+++ b/src/pondtiller/coordination/agreed_clock.py
@@ -0,0 +1,83 @@
+"""The time of day on which most machines agree, told by one machine's steady clock. No I/O.
+
+Machines' times of day differ a little, and jump by seconds on some of them. The distance from a
+steady clock to the time of day does not change, so it is enough to know it once: the median over
+the machines is right while fewer than half of them are wrong.
+"""
+
+from statistics import median
+from typing import NamedTuple
+
+FEWEST_MACHINES = 3
+"""Of so many machines the median leaves one that jumped out."""
+SETTLE_SECONDS = 2.0
+"""After so long fewer machines are enough: there are no more, or they cannot be reached."""
+FRESH_SECONDS = 30.0
+"""A machine that was not heard for so long may have jumped, or be gone."""
+JUMP_SECONDS = 0.25
+"""A told time that differs by more is a jump; links delay a message by far less."""
+JUMPS_TO_FOLLOW = 3
+"""So many answers in a row that agree on a jump are believed: the earlier time was wrong."""
+
+
+class MachineClock(NamedTuple):
+    """How far a machine's time of day lay before the own steady clock, and when that was."""
+
+    offset: float
+    at: float
+
+
+class AgreedClock:
+    """What one daemon knows of the agreed time of day."""
+
+    def __init__(self) -> None:
+        self.machines: dict[str, MachineClock] = {}
+        self._first_at: float | None = None
+        self._learned: float | None = None
+        self._jumps = 0
+
+    def heard(self, machine: str, wall: float, now: float) -> None:
+        """Take a machine's time of day as a message brought it.
+
+        Parameters
+        ----------
+        wall
+            Seconds since 1970 on that machine's clock.
+        now
+            Seconds on the own steady clock.
+        """
+        if self._first_at is None:
+            self._first_at = now
+        self.machines[machine] = MachineClock(wall - now, now)
+
+    def learned(self, agreed: float, now: float) -> None:
+        """Take the agreed time as another daemon told it; a jump only when it is told again."""
+        offset = agreed - now
+        is_jump = self._learned is not None and abs(offset - self._learned) > JUMP_SECONDS
+        self._jumps = self._jumps + 1 if is_jump else 0
+        if not is_jump or self._jumps >= JUMPS_TO_FOLLOW:
+            self._learned, self._jumps = offset, 0
+
+    def forget_machines(self) -> None:
+        """Begin to hear machines anew; what was agreed before stands until enough are heard."""
+        self.machines.clear()
+        self._first_at = None
+
+    def now(self, now: float) -> float | None:
+        """Return the agreed time of day, in seconds since 1970; None where it is not known."""
+        offsets = self._offsets(now)
+        is_settled = self._first_at is not None and now >= self._first_at + SETTLE_SECONDS
+        if len(offsets) >= FEWEST_MACHINES or (offsets and is_settled and self._learned is None):
+            self._learned = median(offsets)
+        return now + self._learned if self._learned is not None else None
+
+    def spread_seconds(self, now: float) -> float:
+        """Return how far half of the machines lie from the agreed time at most."""
+        offsets = self._offsets(now)
+        if not offsets:
+            return 0.0
+        middle = median(offsets)
+        return median([abs(offset - middle) for offset in offsets])
+
+    def _offsets(self, now: float) -> list[float]:
+        return [each.offset for each in self.machines.values() if now < each.at + FRESH_SECONDS]
--- /dev/null
+++ b/src/pondtiller/coordination/tests/test_agreed_clock.py
@@ -0,0 +1,75 @@
+"""The agreed time of day while machines differ, jump and leave."""
+
+import random
+
+import pytest
+
+from pondtiller.coordination.agreed_clock import (
+    FRESH_SECONDS,
+    JUMPS_TO_FOLLOW,
+    SETTLE_SECONDS,
+    AgreedClock,
+)
+
+TRUE = 1_000_000.0
+"""True time of day at steady time 0."""
+
+
+def test_nothing_is_agreed_before_enough_machines_were_heard() -> None:
+    clock = AgreedClock()
+    assert clock.now(0.0) is None
+    clock.heard("a", TRUE, 0.0)
+    clock.heard("b", TRUE, 0.0)
+    assert clock.now(0.1) is None
+    clock.heard("c", TRUE, 0.0)
+    assert clock.now(0.1) == TRUE + 0.1
+
+
+def test_where_there_are_no_more_machines_fewer_are_enough() -> None:
+    clock = AgreedClock()
+    clock.heard("a", TRUE, 0.0)
+    assert clock.now(SETTLE_SECONDS) == TRUE + SETTLE_SECONDS
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_third_of_the_machines_may_jump_together(seed: int) -> None:
+    drawn = random.Random(seed)
+    clock = AgreedClock()
+    jumped = drawn.sample(range(30), 10)
+    by = drawn.choice((-4.0, -1.0, 2.5, 6.0))
+    for machine in range(30):
+        differs = drawn.uniform(-0.02, 0.02)
+        now = machine * 0.01
+        wall = TRUE + now + differs + (by if machine in jumped else 0.0)
+        clock.heard(str(machine), wall, now)
+    agreed = clock.now(1.0)
+    assert agreed is not None and abs(agreed - (TRUE + 1.0)) < 0.03
+    assert clock.spread_seconds(1.0) < 0.1
+
+
+def test_a_leader_that_hears_only_machines_that_jumped_believes_what_it_learned() -> None:
+    clock = AgreedClock()
+    clock.learned(TRUE, 0.0)
+    clock.forget_machines()
+    clock.heard("a", TRUE + 5.0, 0.0)
+    assert clock.now(SETTLE_SECONDS) == TRUE + SETTLE_SECONDS
+
+
+def test_a_jump_that_is_told_once_is_left_out_and_one_that_stays_is_followed() -> None:
+    clock = AgreedClock()
+    clock.learned(TRUE, 0.0)
+    clock.learned(TRUE + 3.0, 0.0)
+    assert clock.now(0.0) == TRUE
+    for _ in range(JUMPS_TO_FOLLOW):
+        clock.learned(TRUE + 3.0, 0.0)
+    assert clock.now(0.0) == TRUE + 3.0
+
+
+def test_a_machine_that_is_not_heard_any_more_does_not_count() -> None:
+    clock = AgreedClock()
+    for machine in "abc":
+        clock.heard(machine, TRUE - 9.0, 0.0)
+    later = FRESH_SECONDS + 1.0
+    for machine in "def":
+        clock.heard(machine, TRUE + later, later)
+    assert clock.now(later) == TRUE + later
--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -16,6 +16,8 @@
     ResultsPage,
     SampleBody,
     StepAnswer,
+    UseTaken,
+    UseTold,
 )
 
 
@@ -73,6 +75,8 @@
                 return await term.read(message.id, message.position, wait)
             case ReadSample():
                 return term.book.sample_body(message.step, message.id)
+            case UseTold():
+                return term.take_use(message)
         return _unavailable(message)
 
     async def engines_changed(self) -> None:
@@ -92,4 +96,6 @@
             return ResultsPage(status=StepStatus.UNAVAILABLE)
         case ReadSample():
             return SampleBody(status=StepStatus.UNAVAILABLE)
+        case UseTold():
+            return UseTaken(status=StepStatus.UNAVAILABLE)
     return StepAnswer(status=StepStatus.UNAVAILABLE)
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -16,6 +16,7 @@
 from pondtiller.platform.engine_format import Headers
 from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.table import RequestKind, RouteRow
+from pondtiller.usage.meter import Beginning
 
 HEDGE_OBJECTIVES = 0.5
 SHORTEST_HEDGE_SECONDS = 0.06
@@ -36,6 +37,8 @@
     ----------
     deadline
         When the answer is due, on the steady clock.
+    beginning
+        Whose request it is, and when an engine began it.
     """
 
     identifier: str
@@ -44,6 +47,7 @@
     headers: Headers
     body: bytes
     deadline: float
+    beginning: Beginning = field(default_factory=Beginning)
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,10 +283,12 @@
         try:
             connection = await self._pool.take(engine.identifier, engine.entry.address)
             tries.sent += 1
+            request.beginning.sent(clock.monotonic())
             head = await self._send(connection, engine, request)
             body = b"".join([piece async for piece in connection.read_body()])
             if engine_format.is_not_run(head.status, head.headers):
                 tries.sent -= 1
+                request.beginning.refused()
             is_answered = 200 <= head.status < 300
             await self._pool.give_back(connection)
             connection = None
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -16,6 +16,7 @@
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
 from pondtiller.routes.tenants import DIGEST_SHOWN, owned_name
+from pondtiller.usage.meter import Beginning, UseMeter
 from pondtiller.wire.steplog import Sample
 
 RETRY_AFTER_SECONDS = 0.25
@@ -39,6 +40,7 @@
         streams: StreamForwarder,
         steps: StepClient,
         metrics: GatewayMetrics,
+        meter: UseMeter,
     ) -> None:
         self.table: RouteTable | None = None
         self.open_exchanges = 0
@@ -46,6 +48,7 @@
         self._streams = streams
         self._steps = steps
         self._metrics = metrics
+        self._meter = meter
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -102,7 +105,11 @@
         elif route.kind is RequestKind.STEP and request.method == "POST":
             await self._open_step(exchange, route, owner.ok_value)
         else:
-            await self._forward(exchange, _forwarded(request, route, owner.ok_value), route)
+            beginning = self._meter.open(owner.ok_value, clock.monotonic())
+            try:
+                await self._forward(exchange, _forwarded(request, route, beginning), route)
+            finally:
+                self._meter.close(beginning)
 
     # Tenants
 
@@ -242,16 +249,17 @@
         await self._fail(exchange, Failure(kinds.get(status, ErrorKind.OUTCOME_UNKNOWN)), "step")
 
 
-def _forwarded(request: HttpRequest, route: RouteRow, tenant: str) -> ForwardedRequest:
+def _forwarded(request: HttpRequest, route: RouteRow, beginning: Beginning) -> ForwardedRequest:
     seconds = engine_format.caller_seconds(request.raw_headers)
     limit = route.time_limit_seconds
     return ForwardedRequest(
         identifier=engine_format.request_id(request.raw_headers),
         method=request.method,
         target=request.target,
-        headers=engine_format.tenant_headers(request.raw_headers, tenant),
+        headers=engine_format.tenant_headers(request.raw_headers, beginning.tenant),
         body=request.body,
         deadline=clock.monotonic() + (limit if seconds is None else min(limit, seconds)),
+        beginning=beginning,
     )
 
 
--- a/src/pondtiller/gateway/metrics.py
+++ b/src/pondtiller/gateway/metrics.py
@@ -40,6 +40,8 @@
     runs_started: int = 0
     orders: int = 0
     takeovers: int = 0
+    use_reports: int = 0
+    use_reports_failed: int = 0
 
     def count(self, route: str, outcome: str) -> None:
         """Count a request's end."""
--- a/src/pondtiller/gateway/order_rights.py
+++ b/src/pondtiller/gateway/order_rights.py
@@ -90,12 +90,23 @@
         A successor relies on it: a note of every order is on a quorum of disks before the order
         leaves, and the order leaves within `NOTE_SECONDS`.
         """
-        log = self._leadership.log
         engine = self._engines.engines.get(identifier)
+        return engine is not None and await self.note_subject(engine.place)
+
+    def free_from(self, subject: str, pause: float) -> float:
+        """Return when this daemon may act on a subject: `pause` after another's last note."""
+        last = self._last_orders.get(subject)
+        if last is None or last.daemon == self._leadership.name:
+            return float("-inf")
+        return last.at + pause
+
+    async def note_subject(self, subject: str) -> bool:
+        """Write that a subject is about to be acted on, as `note` does for an engine's place."""
+        log = self._leadership.log
         began = clock.monotonic()
-        if engine is None or not log.holds_lease(began):
+        if not log.holds_lease(began):
             return False
-        key = log.note_order(engine.place)
+        key = log.note_order(subject)
         committed = self._notes[key] = curio.Event()
         try:
             await self._leadership.flush()
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -5,6 +5,7 @@
 import curio
 from betterproto import Message
 
+from pondtiller.coordination.agreed_clock import AgreedClock
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
@@ -27,6 +28,8 @@
 from pondtiller.gateway.store_watch import StoreHealth
 from pondtiller.gateway.streams import StreamForwarder
 from pondtiller.gateway.term import DutyParts
+from pondtiller.gateway.usage_duty import UsageSettings
+from pondtiller.gateway.usage_teller import UsageTeller
 from pondtiller.gateway.watches import GatewayWatches
 from pondtiller.httpio.client import HttpClient
 from pondtiller.httpio.messages import HttpResponse
@@ -34,7 +37,9 @@
 from pondtiller.links.link import Link, serve_links
 from pondtiller.platform import names
 from pondtiller.platform.object_client import ObjectClient, StoreCallError
+from pondtiller.platform.operator_api import OperatorClient, wants_use
 from pondtiller.routes.engines import EngineDirectory
+from pondtiller.usage.meter import UseMeter
 from pondtiller.wire.steplog import ScoreSample, Subscribe
 
 TABLE_PATH = "/table"
@@ -43,6 +48,8 @@
 SEARCH_SECONDS = 1.0
 NOT_READY_SECONDS = 3.0
 STOP_MARGIN_SECONDS = 0.7
+LAST_USE_SECONDS = 0.4
+"""Of the margin before a stopping process is ended."""
 
 
 class GatewaySockets:
@@ -88,7 +95,15 @@
         )
         self.steps = StepClient(settings.name, self.leadership.leader, self)
         streams = StreamForwarder(forwarder, self.pool)
-        self.front = Front(forwarder, streams, self.steps, self.metrics)
+        self.agreed = AgreedClock()
+        usage = _usage_settings(settings)
+        meter = UseMeter(usage.window_seconds if usage is not None else 0.0)
+        self.front = Front(forwarder, streams, self.steps, self.metrics, meter)
+        self.teller: UsageTeller | None = None
+        if usage is not None:
+            self.teller = UsageTeller(
+                settings.name, meter, self.agreed, self.steps, self.leadership.leader
+            )
         runner = SampleRunner(self.engines, self.pool, forwarder, lambda: self.front.table)
         self.run_host = RunHost(runner, lambda: self.leadership.replicas.highest_epoch)
         self.leadership.replicas.subscription = self._subscription()
@@ -104,6 +119,9 @@
             metrics=self.metrics,
             lease_seconds=settings.durations.lease,
             keep_seconds=settings.durations.keep_steps,
+            agreed=self.agreed,
+            usage=usage,
+            operator=_operator(settings),
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
@@ -186,6 +204,8 @@
             await group.spawn(keep_running, "engines", self.watches.engines.run)
             await group.spawn(keep_running, "leadership", self.leadership.run)
             await group.spawn(keep_running, "housekeeping", self._keep_house)
+            if self.teller is not None:
+                await group.spawn(keep_running, "use", self.teller.run)
             if self.metrics_server is not None:
                 await group.spawn(keep_running, "metrics", self.metrics_server.run)
             await self._stopped.wait()
@@ -212,8 +232,15 @@
             if is_quiet and clock.monotonic() >= began + NOT_READY_SECONDS:
                 break
             await curio.sleep(0.05)
+        await self._tell_last_use()
         await self._stopped.set()
 
+    async def _tell_last_use(self) -> None:
+        """Tell what was counted since the last time; nobody else knows it."""
+        leader = self.leadership.leader()
+        if self.teller is not None and leader is not None:
+            await curio.ignore_after(LAST_USE_SECONDS, self.teller.tell, leader.epoch)
+
     def reload(self, settings: GatewaySettings) -> None:
         """Take changed settings; addresses and names stay until the next start."""
         logs.decision("reloaded", daemon=settings.name, changed=settings != self.settings)
@@ -300,5 +327,20 @@
         await self._leader_watches.take_replicas(listing.objects)
 
 
+def _usage_settings(settings: GatewaySettings) -> UsageSettings | None:
+    """Return what use is to be reported; None where none is."""
+    usage, operator = settings.usage, settings.operator
+    if not usage.window or not operator.address or not wants_use(operator.duties):
+        return None
+    return UsageSettings(usage.window, usage.late, settings.durations.lease)
+
+
+def _operator(settings: GatewaySettings) -> OperatorClient | None:
+    address = settings.operator.address
+    if not address:
+        return None
+    return OperatorClient(to_address(address), settings.name, HttpClient())
+
+
 def _text(address: Address) -> str:
     return f"{address.host}:{address.port}"
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -73,6 +73,36 @@
         return self.share * self.cores
 
 
+class Usage(Section):
+    """Reports of use to the operator, in seconds.
+
+    Attributes
+    ----------
+    window
+        Length of the windows by which requests are counted; 0 where none are reported.
+    late
+        A report counts until so long after its window.
+    """
+
+    window: float = Field(default=0.0, ge=0, le=86_400)
+    late: float = Field(default=10.0, gt=0, le=86_400)
+
+
+class OperatorApi(Section):
+    """The operator's own interface.
+
+    Attributes
+    ----------
+    address
+        Where it is; empty where there is none.
+    duties
+        Calls that one daemon at a time is to make there.
+    """
+
+    address: OptionalAddress = ""
+    duties: tuple[str, ...] = ()
+
+
 class GatewaySettings(Section):
     """Settings of one gateway.
 
@@ -100,6 +130,8 @@
     log_level: str = "info"
     durations: Durations = Durations()
     processor: Processor = Processor()
+    usage: Usage = Usage()
+    operator: OperatorApi = OperatorApi()
 
     @property
     def wanted_replicas(self) -> int:
--- a/src/pondtiller/gateway/step_client.py
+++ b/src/pondtiller/gateway/step_client.py
@@ -21,6 +21,8 @@
     SampleBody,
     Step,
     StepAnswer,
+    UseTaken,
+    UseTold,
 )
 
 ANSWER_SECONDS = 3.0
@@ -113,6 +115,11 @@
             return answer
         return SampleBody(status=StepStatus.UNAVAILABLE)
 
+    async def tell_use(self, message: UseTold, seconds: float) -> UseTaken | None:
+        """Tell the leader what this daemon has counted; None where no leader took it."""
+        answer = await self._call(message, UseTaken, 0.0, seconds)
+        return answer if isinstance(answer, UseTaken) else None
+
     async def _call(
         self, message: Message, expected: type[AnswerType], leader_wait: float, seconds: float
     ) -> AnswerType | StepStatus:
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -117,7 +117,7 @@
         if not state.is_begun:
             state.is_begun = True
             await exchange.start_response(head.status, engine_format.returned_headers(head.headers))
-        await self._pass_events(exchange, connection, state)
+        await self._pass_events(exchange, request, connection, state)
         await exchange.end_stream()
         return None
 
@@ -141,7 +141,11 @@
         return None
 
     async def _pass_events(
-        self, exchange: Exchange, connection: EngineConnection, state: StreamState
+        self,
+        exchange: Exchange,
+        request: ForwardedRequest,
+        connection: EngineConnection,
+        state: StreamState,
     ) -> None:
         """Pass whole events on; a part of one is held until the rest has come."""
         reader = EventReader()
@@ -149,6 +153,7 @@
         async for piece in connection.read_body():
             held += piece
             for event in reader.feed(piece):
+                request.beginning.first_token(clock.monotonic())
                 state.last_event = max(state.last_event, event.number)
             whole, separator, rest = held.rpartition(b"\n\n")
             if separator:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -6,6 +6,7 @@
 import curio
 from betterproto import Message
 
+from pondtiller.coordination.agreed_clock import AgreedClock
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
@@ -18,8 +19,10 @@
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
+from pondtiller.gateway.usage_duty import UsageDuty, UsageSettings
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import LinkLostError
+from pondtiller.platform.operator_api import OperatorClient
 from pondtiller.rollouts.progress import ProgressSaver
 from pondtiller.rollouts.sample_work import (
     CancelRun,
@@ -36,12 +39,15 @@
 from pondtiller.routes.table import RouteTable
 from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.instructions import Won
+from pondtiller.usage.reports import USE_PREFIX
 from pondtiller.wire.steplog import (
     ProgressList,
     ReadProgress,
     ResultsPage,
     SaveProgress,
     Step,
+    UseTaken,
+    UseTold,
 )
 
 TICK_SECONDS = 0.1
@@ -65,6 +71,10 @@
         How long after another leader's last order the first own one may come.
     keep_seconds
         How long a closed step stays readable.
+    usage, operator
+        What use is to be reported, and to whom; None where none is.
+    agreed
+        The time of day on which the machines agree.
     """
 
     leadership: Leadership
@@ -76,6 +86,9 @@
     metrics: GatewayMetrics
     lease_seconds: float
     keep_seconds: float
+    agreed: AgreedClock
+    usage: UsageSettings | None = None
+    operator: OperatorClient | None = None
 
 
 class Term:
@@ -111,10 +124,30 @@
         self.orders = OrderRights(
             parts.leadership, parts.engines, self.steward, won, parts.lease_seconds
         )
+        self.usage = self._make_usage(
+            [entry for entry in won.entries if entry.key.startswith(USE_PREFIX)]
+        )
+
+    def _make_usage(self, entries: list[Entry]) -> UsageDuty | None:
+        parts = self._parts
+        if parts.usage is None or parts.operator is None:
+            return None
+        return UsageDuty(
+            parts.usage,
+            parts.operator,
+            parts.agreed,
+            parts.leadership,
+            parts.front,
+            self.orders,
+            parts.metrics,
+            self.epoch,
+            entries,
+        )
 
     async def start(self) -> None:
         """Restore the steps, then begin to work."""
-        for key in self.book.restore(self._won.entries, self._won.deferred):
+        steps = [entry for entry in self._won.entries if not entry.key.startswith(USE_PREFIX)]
+        for key in self.book.restore(steps, self._won.deferred):
             self._leadership.log.drop(key)
         await self._group.spawn(keep_running, "duties", self._run)
 
@@ -152,6 +185,8 @@
         self.orders.claim()
         await self._watch_group.spawn(self._parts.watches.run, self.steward, self.wake)
         await self._watch_group.spawn(keep_running, "runners", self.runners.run)
+        if self.usage is not None:
+            await self._watch_group.spawn(keep_running, "usage", self.usage.run)
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
         due = next_progress + TICK_SECONDS
@@ -230,6 +265,12 @@
             return ResultsPage(status=StepStatus.UNAVAILABLE)
         return self.book.read(step, position)
 
+    def take_use(self, message: UseTold) -> UseTaken:
+        """Take what a daemon has counted."""
+        if self.usage is None:
+            return UseTaken(status=StepStatus.OK, epoch=self.epoch)
+        return self.usage.take(message)
+
     async def _until(self, step: str, is_true: Any, seconds: float) -> bool:
         give_up = clock.monotonic() + seconds
         waiter = curio.Event()
@@ -253,6 +294,10 @@
         if await self.orders.committed(key):
             await self.wake.set()
             return
+        if key.startswith(USE_PREFIX):
+            if self.usage is not None:
+                self.usage.committed(key)
+            return
         written_at = self._written_at.pop(key, None)
         if written_at is not None:
             self._metrics.commit_seconds.add(clock.monotonic() - written_at)
--- a/src/pondtiller/gateway/tests/system.py
+++ b/src/pondtiller/gateway/tests/system.py
@@ -11,11 +11,12 @@
 from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.gateway.process import GatewayProcess
-from pondtiller.gateway.settings import GatewaySettings, ReplicaSettings
+from pondtiller.gateway.settings import GatewaySettings, OperatorApi, ReplicaSettings, Usage
 from pondtiller.httpio.client import HttpClient
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform.standins import (
     StandInEngine,
+    StandInOperator,
     StandInStore,
     configuration,
     step_body,
@@ -28,8 +29,12 @@
 class System:
     """Everything that one test needs."""
 
-    def __init__(self, folder: Path, gateways: int = 1, replicas: int = 3) -> None:
+    def __init__(
+        self, folder: Path, gateways: int = 1, replicas: int = 3, use_window: float = 0.0
+    ) -> None:
         self.folder = folder
+        self.operator = StandInOperator()
+        self.use_window = use_window
         self.group = Spawner()
         self.store = StandInStore()
         self.app = [StandInEngine(f"a{number}", "app") for number in range(2)]
@@ -61,11 +66,14 @@
                 readiness=ANY,
                 links=ANY,
                 store=self.store.address,
+                usage=Usage(window=self.use_window),
+                operator=OperatorApi(address=self.operator.address, duties=("usage_report",)),
             )
         )
 
     async def start(self, with_configuration: bool = True) -> None:
         await self.group.spawn(self.store.serve)
+        await self.group.spawn(self.operator.serve)
         for engine in (*self.app, *self.llm):
             await self.group.spawn(engine.serve)
             self.store.put("servers", engine.identifier, engine.entry())
@@ -148,11 +156,12 @@
     gateways: int = 1,
     replicas: int = 3,
     with_configuration: bool = True,
+    use_window: float = 0.0,
 ) -> None:
     """Run one test against a fresh system."""
 
     async def main() -> None:
-        system = System(folder, gateways, replicas)
+        system = System(folder, gateways, replicas, use_window)
         await system.start(with_configuration)
         try:
             await curio.timeout_after(40.0, test, system)
--- /dev/null
+++ b/src/pondtiller/gateway/usage_duty.py
@@ -0,0 +1,206 @@
+"""The leader's duty to report use: gathers counts, closes windows, sends each report till it came.
+
+The right to send is the right to order engines: a note in the log before each send, and a pause
+after another daemon's last note, see `order_rights`.
+"""
+
+import random
+from typing import NamedTuple
+
+import curio
+
+from pondtiller.coordination.agreed_clock import AgreedClock
+from pondtiller.daemon import clock, logs
+from pondtiller.gateway.front import Front
+from pondtiller.gateway.leadership import Leadership
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.order_rights import NOTE_SECONDS, OrderRights
+from pondtiller.platform.operator_api import OperatorClient, usage_body
+from pondtiller.rollouts.steps import StepStatus
+from pondtiller.steplog.entry import Entry
+from pondtiller.usage.ledger import LedgerRow, UseLedger
+from pondtiller.usage.meter import UseRow
+from pondtiller.usage.reports import (
+    DONE_PREFIX,
+    Report,
+    UsageReports,
+    pack_tally,
+    report_key,
+    tally_key,
+)
+from pondtiller.wire.steplog import UseTaken, UseTold
+
+LOOK_SECONDS = 0.2
+TALLY_SECONDS = 0.5
+"""How long counts are gathered before they go to the log: what a loss of power of all machines
+costs of the window that is open."""
+CALL_SECONDS = 1.5
+"""How long one send may take; the platform answers in some ms, 50 times that when it is slow."""
+SUBJECT = "usage"
+"""All windows are one subject: a successor waits after the last send of any of them."""
+
+
+class UsageSettings(NamedTuple):
+    """What is to be reported, and when.
+
+    Attributes
+    ----------
+    window_seconds
+        Length of a window.
+    late_seconds
+        A report counts until so long after its window.
+    lease_seconds
+        Least time between calls of two daemons.
+    """
+
+    window_seconds: float
+    late_seconds: float
+    lease_seconds: float
+
+
+class UsageDuty:
+    """The duty during one term."""
+
+    def __init__(
+        self,
+        settings: UsageSettings,
+        operator: OperatorClient,
+        agreed: AgreedClock,
+        leadership: Leadership,
+        front: Front,
+        orders: OrderRights,
+        metrics: GatewayMetrics,
+        epoch: int,
+        entries: list[Entry],
+    ) -> None:
+        self.ledger = UseLedger()
+        self.reports = UsageReports(
+            settings.window_seconds, settings.late_seconds, clock.monotonic()
+        )
+        self.reports.restore(entries, self.ledger)
+        self._settings = settings
+        self._operator = operator
+        self._agreed = agreed
+        self._leadership = leadership
+        self._front = front
+        self._orders = orders
+        self._metrics = metrics
+        self._epoch = epoch
+        self._news: list[LedgerRow] = []
+        self._tally_number = 0
+        self._next_tally = 0.0
+        agreed.forget_machines()
+
+    def take(self, message: UseTold) -> UseTaken:
+        """Take what a daemon tells."""
+        now = clock.monotonic()
+        self._agreed.heard(message.daemon, message.wall_seconds, now)
+        columns = zip(message.windows, message.tenants, message.counts, strict=True)
+        rows = [UseRow(*row) for row in columns]
+        self._note_late(message.daemon, rows)
+        self._news += self.ledger.told(
+            message.daemon, message.incarnation, message.complete_until, rows, now
+        )
+        return UseTaken(
+            status=StepStatus.OK, epoch=self._epoch, agreed_seconds=self._agreed.now(now) or 0.0
+        )
+
+    def _note_late(self, daemon: str, rows: list[UseRow]) -> None:
+        """Tell of counts that come after their window was closed: they are not reported."""
+        first = self.reports.next_window
+        late = [row for row in rows if first is not None and row.window < first]
+        if late:
+            logs.decision(
+                "use_late", told_by=daemon, windows=",".join(str(row.window) for row in late)
+            )
+
+    def committed(self, key: str) -> None:
+        """Take a write of this duty that is on a quorum of disks."""
+        self.reports.written(key)
+        if key.startswith(DONE_PREFIX):
+            for each in self.reports.obsolete(key):
+                self._leadership.log.drop(each)
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            now = clock.monotonic()
+            table = self._front.table
+            if table is not None and table.tenants and self._leadership.log.holds_lease(now):
+                await self._work(now)
+            await curio.sleep(LOOK_SECONDS)
+
+    async def _work(self, now: float) -> None:
+        self._write_tally(now)
+        agreed_now = self._agreed.now(now)
+        if agreed_now is not None:
+            self._close_due(agreed_now, now)
+        await self._leadership.flush()
+        report = self.reports.next_send(now)
+        if report is None or agreed_now is None:
+            return
+        if self.reports.counts_no_more(report, agreed_now):
+            self._finish(report, "too late")
+        elif now >= self._orders.free_from(SUBJECT, self._pause):
+            await self._send(report)
+
+    @property
+    def _pause(self) -> float:
+        """How long after another daemon's note its call may still count against one from here."""
+        return self._settings.lease_seconds + NOTE_SECONDS + CALL_SECONDS + 0.1
+
+    def _write_tally(self, now: float) -> None:
+        if not self._news or now < self._next_tally:
+            return
+        self._next_tally = now + TALLY_SECONDS
+        self._tally_number += 1
+        key = tally_key(self._epoch, self._tally_number)
+        self._leadership.log.put(key, pack_tally(self._news))
+        self.reports.tallies[key] = max(row.window for row in self._news)
+        self._news = []
+
+    def _close_due(self, agreed_now: float, now: float) -> None:
+        self.reports.begin(agreed_now, self.ledger, now)
+        skipped = self.reports.skip_late(agreed_now)
+        if skipped:
+            logs.decision("use_windows_skipped", windows=skipped, next=self.reports.next_window)
+        while (window := self.reports.due(agreed_now, self.ledger, now)) is not None:
+            end = self.reports.end_of(window)
+            counts = self.ledger.totals(window)
+            report = self.reports.close(window, usage_body(window, counts))
+            self._leadership.log.put(report_key(window), report.content)
+            logs.decision(
+                "use_window_closed",
+                window=window,
+                epoch=self._epoch,
+                tenants=len(counts),
+                requests=sum(counts.values()),
+                daemons=len(self.ledger.daemons),
+                complete=self.ledger.is_complete(end, now),
+                after=agreed_now - end,
+                clock_spread=self._agreed.spread_seconds(now),
+            )
+
+    async def _send(self, report: Report) -> None:
+        if not await self._orders.note_subject(SUBJECT):
+            return
+        outcome = await self._operator.report_use(report.content, self._epoch, CALL_SECONDS)
+        logs.decision(
+            "use_reported",
+            window=report.window,
+            fence=self._epoch,
+            tries=report.tries + 1,
+            outcome=outcome.detail,
+        )
+        if outcome.is_done:
+            self._metrics.use_reports += 1
+            self._finish(report, "taken")
+        else:
+            self._metrics.use_reports_failed += 1
+            self.reports.failed(report, clock.monotonic(), random.random())
+
+    def _finish(self, report: Report, outcome: str) -> None:
+        if outcome != "taken":
+            logs.decision("use_report_dropped", window=report.window, reason=outcome)
+        self._leadership.log.put(self.reports.finish(report), outcome.encode())
+        self.ledger.forget(report.window)
--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -222,6 +222,52 @@
         return HttpResponse(202)
 
 
+class StandInOperator:
+    """The operator's interface: takes reports of use, and says when it does not.
+
+    Attributes
+    ----------
+    reports
+        Each call in order: holder, fence and content.
+    next_statuses
+        Answers to the next calls, each taken or not; 0 ends the connection without one.
+    """
+
+    def __init__(self) -> None:
+        self.listener = bind_tcp("127.0.0.1", 0)
+        self.reports: list[tuple[str, int, bytes]] = []
+        self.next_statuses: list[int] = []
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as IP:PORT."""
+        host, port = self.listener.getsockname()
+        return f"{host}:{port}"
+
+    async def serve(self) -> None:
+        """Answer until cancelled."""
+        await serve_http(self.listener, self._handle)
+
+    def taken(self) -> dict[int, dict[str, int]]:
+        """Return the counts of each window; two reports that differ are a fault."""
+        found: dict[int, dict[str, int]] = {}
+        for _, _, content in self.reports:
+            report = json.loads(content)
+            known = found.setdefault(report["window_id"], report["counts"])
+            if known != report["counts"]:
+                raise ValueError(f"window {report['window_id']} was reported in two ways")
+        return found
+
+    async def _handle(self, exchange: Exchange) -> None:
+        headers = exchange.request.headers
+        fence = int(headers["fencing-token"])
+        self.reports.append((headers["duty-holder"], fence, exchange.request.body))
+        status = self.next_statuses.pop(0) if self.next_statuses else 200
+        if not status:
+            raise ConnectionLostError("cut")
+        await exchange.respond(HttpResponse(status))
+
+
 def with_tenants(
     given: dict[str, Any], keys: dict[str, list[str]], public: tuple[str, ...] = ()
 ) -> dict[str, Any]:
--- /dev/null
+++ b/src/pondtiller/usage/ledger.py
@@ -0,0 +1,89 @@
+"""What a leader knows of all daemons' counts. No I/O."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from pondtiller.usage.meter import UseRow
+
+GONE_SECONDS = 15.0
+"""A daemon that told nothing for so long is not waited for: daemons tell once a window."""
+
+
+class LedgerRow(NamedTuple):
+    """A count as one start of a daemon told it."""
+
+    daemon: str
+    incarnation: int
+    window: int
+    tenant: str
+    requests: int
+
+
+class HeardDaemon(NamedTuple):
+    """What a daemon said of itself last.
+
+    Attributes
+    ----------
+    complete_until
+        Agreed time of day up to which its counts are final.
+    at
+        When it said so, on the leader's steady clock.
+    """
+
+    complete_until: float
+    at: float
+
+
+class UseLedger:
+    """The highest count of each row that was told; adding up is left for the end of a window."""
+
+    def __init__(self) -> None:
+        self.daemons: dict[str, HeardDaemon] = {}
+        self._windows: dict[int, dict[tuple[str, int, str], int]] = {}
+
+    def take(self, rows: Iterable[LedgerRow]) -> list[LedgerRow]:
+        """Take counts; return those that are news. A lower count than a known one is late."""
+        news: list[LedgerRow] = []
+        for row in rows:
+            window = self._windows.setdefault(row.window, {})
+            key = (row.daemon, row.incarnation, row.tenant)
+            if row.requests > window.get(key, 0):
+                window[key] = row.requests
+                news.append(row)
+        return news
+
+    def told(
+        self,
+        daemon: str,
+        incarnation: int,
+        complete_until: float,
+        rows: Iterable[UseRow],
+        now: float,
+    ) -> list[LedgerRow]:
+        """Take what a daemon tells; return what is news."""
+        self.daemons[daemon] = HeardDaemon(complete_until, now)
+        return self.take(LedgerRow(daemon, incarnation, *row) for row in rows)
+
+    def is_complete(self, until: float, now: float) -> bool:
+        """Return whether all daemons that still live have told what they began until then."""
+        return all(
+            each.complete_until >= until
+            for each in self.daemons.values()
+            if now < each.at + GONE_SECONDS
+        )
+
+    def totals(self, window: int) -> dict[str, int]:
+        """Return how many requests of each tenant began in a window."""
+        found: dict[str, int] = {}
+        for (_, _, tenant), count in sorted(self._windows.get(window, {}).items()):
+            found[tenant] = found.get(tenant, 0) + count
+        return found
+
+    def windows(self) -> list[int]:
+        """Return the windows of which something is known, oldest first."""
+        return sorted(self._windows)
+
+    def forget(self, until_window: int) -> None:
+        """Drop all windows up to one, which are reported."""
+        for window in [each for each in self._windows if each <= until_window]:
+            del self._windows[window]
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -5,7 +5,17 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent / "src" / "pondtiller"
-PURE = ("coordination", "core", "rollouts", "routes", "steplog", "systems", "table", "wire")
+PURE = (
+    "coordination",
+    "core",
+    "rollouts",
+    "routes",
+    "steplog",
+    "systems",
+    "table",
+    "usage",
+    "wire",
+)
 PURE_MODULES = ("emulator/engine.py", "emulator/object_store.py", "emulator/trainer.py")
 FORBIDDEN = {
     "asyncio",
