--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -9,7 +9,6 @@
 from pondtiller.cli.experiment import ExperimentCommand
 from pondtiller.cli.explain import ExplainCommand
 from pondtiller.cli.load import LoadCommand
-from pondtiller.cli.scale import ScaleCommand
 from pondtiller.cli.serve import ServeCommand
 from pondtiller.cli.simulate import SimulateCommand
 from pondtiller.cli.soak import SoakCommand
@@ -41,7 +40,6 @@
         SoakCommand(),
         LoadCommand(),
         ExperimentCommand(),
-        ScaleCommand(),
         TableShowCommand(),
         TableStatusCommand(),
         TableSetCommand(),
--- a/src/pondtiller/cli/experiment.py
+++ b/src/pondtiller/cli/experiment.py
@@ -8,9 +8,9 @@
 from result import Err, Ok
 
 from pondtiller.cli.common import EXIT_OK, EXIT_VIOLATION, print_problems
+from pondtiller.cli.experiment_plot import plot_policies
 from pondtiller.config.deployment import Deployment, load_deployment
 from pondtiller.config.problems import load_toml
-from pondtiller.scale.plot import plot_policies
 from pondtiller.simulation.experiment import (
     BOUNDS,
     FIGURES,
--- a/src/pondtiller/daemon/process.py
+++ b/src/pondtiller/daemon/process.py
@@ -116,21 +116,13 @@
 
     async def run(self) -> None:
         """Serve until `stop` has been asked for and nothing is in progress any more."""
-        await self._run(with_http=True)
-
-    async def run_hollow(self) -> None:
-        """Take part in everything but callers' and trainers' HTTP; for scale runs."""
-        await self._run(with_http=False)
-
-    async def _run(self, with_http: bool) -> None:
         logs.write(self.settings.name, "started")
         receive = self.runtime.receive_letter
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self.runtime.run)
             await group.spawn(self.peers.receive_datagrams, receive)
             await group.spawn(self.peers.receive_connections, receive)
-            if with_http:
-                await group.spawn(serve_http, self.sockets.http_listener, self._handle)
+            await group.spawn(serve_http, self.sockets.http_listener, self._handle)
             await group.spawn(self._wait_drained)
         if self._journal is not None:
             self._journal.close()
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -51,7 +51,6 @@
     "links",
     "platform",
     "replica",
-    "scale",
     "simulation",
 }
 GLOBAL_RANDOM = {"random", "choice", "uniform", "shuffle", "sample", "randint", "getrandbits"}
