Render pages from figures, and refuse circles of imports

Cause: metrics_text and table_view read the whole gateway process, which loads them; the same at the replica. The counters of use reports and the spread of clocks are on the gateway's page.

--- a/src/pondtiller/gateway/metrics_text.py
+++ b/src/pondtiller/gateway/metrics_text.py
@@ -1,7 +1,6 @@
 """A gateway's figures as Prometheus text; loaded at the first scrape, since few need it."""
 
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
@@ -11,23 +10,20 @@
     Metric,
 )
 
-from pondtiller.daemon import clock
+from pondtiller.gateway.figures import GatewayFigures
 from pondtiller.gateway.metrics import LATENCY_BOUNDS, Latencies
 from pondtiller.links.link import SENT_BYTES
 
-if TYPE_CHECKING:
-    from pondtiller.gateway.process import GatewayProcess
-
 
 class GatewayCollector:
-    """Reads a gateway's counters at each scrape."""
+    """Turns a gateway's figures into metrics."""
 
-    def __init__(self, gateway: "GatewayProcess") -> None:
-        self._gateway = gateway
+    def __init__(self, figures: GatewayFigures) -> None:
+        self._figures = figures
 
     def collect(self) -> Iterator[Metric]:
         """Return all metrics."""
-        gateway, metrics = self._gateway, self._gateway.metrics
+        figures, metrics = self._figures, self._figures.metrics
         requests = CounterMetricFamily(
             "pondtiller_requests", "requests by route and outcome", labels=["route", "outcome"]
         )
@@ -37,44 +33,19 @@
         calls = CounterMetricFamily(
             "pondtiller_store_calls", "calls to the object store", labels=["call"]
         )
-        for call, count in gateway.store.calls.items():
+        for call, count in figures.store_calls.items():
             calls.add_metric([call], count)
         yield calls
         yield link_bytes()
         yield _histogram("pondtiller_request_seconds", metrics.request_seconds)
         yield _histogram("pondtiller_commit_seconds", metrics.commit_seconds)
-        counters = {
-            "attempts": metrics.attempts,
-            "engine_connections": gateway.pool.opened,
-            "results_from_cache": gateway.steps.cache.hits,
-            "samples_listed": metrics.samples_listed,
-            "samples_given_up": metrics.samples_given_up,
-            "runs_started": metrics.runs_started,
-            "orders": metrics.orders,
-            "takeovers": metrics.takeovers,
-        }
-        for name, value in counters.items():
-            yield CounterMetricFamily(f"pondtiller_{name}", name.replace("_", " "), value=value)
-        yield from self._gauges()
-
-    def _gauges(self) -> Iterator[Metric]:
-        gateway = self._gateway
-        table, term = gateway.front.table, gateway.duties.term
-        now = clock.monotonic()
-        gauges = {
-            "table_version": float(table.version if table is not None else 0),
-            "engines": float(len(gateway.engines.engines)),
-            "leads": float(gateway.leadership.log.holds_lease(now)),
-            "replicas": float(len(gateway.leadership.replicas.views())),
-            "open_requests": float(gateway.front.open_exchanges),
-            "samples_open": float(len(term.scheduler.work) if term is not None else 0),
-            "runs": float(len(term.scheduler.runs) if term is not None else 0),
-            "runners": float(len(term.runners.links) if term is not None else 0),
-            "hosted_runs": float(gateway.run_host.runs),
-            "configuration_age_seconds": now - gateway.watches.configuration.heard_at,
-            "engines_age_seconds": now - gateway.watches.engines.heard_at,
+        for name, count in figures.counters.items():
+            yield CounterMetricFamily(f"pondtiller_{name}", name.replace("_", " "), value=count)
+        ages = {
+            "configuration_age_seconds": figures.configuration_age_seconds,
+            "engines_age_seconds": figures.engines_age_seconds,
         }
-        for name, value in gauges.items():
+        for name, value in (figures.gauges | ages).items():
             yield GaugeMetricFamily(f"pondtiller_{name}", name.replace("_", " "), value=value)
 
 
@@ -99,8 +70,8 @@
     return family
 
 
-def render(gateway: "GatewayProcess") -> bytes:
+def render(figures: GatewayFigures) -> bytes:
     """Return the text of one scrape."""
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(GatewayCollector(gateway))
+    registry.register(GatewayCollector(figures))
     return generate_latest(registry)
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -12,6 +12,7 @@
 from pondtiller.daemon.supervise import keep_running
 from pondtiller.gateway.duties import LeaderDuties
 from pondtiller.gateway.engine_pool import EnginePool
+from pondtiller.gateway.figures import GatewayFigures
 from pondtiller.gateway.first_group import StoredFirstGroup
 from pondtiller.gateway.forward import Forwarder
 from pondtiller.gateway.front import Front
@@ -160,7 +161,55 @@
         """Return this gateway's figures as Prometheus text."""
         from pondtiller.gateway.metrics_text import render
 
-        return render(self)
+        return render(self._figures())
+
+    def _figures(self) -> GatewayFigures:
+        """Return what the pages of this gateway show."""
+        leader = self.leadership.leader()
+        now = clock.monotonic()
+        return GatewayFigures(
+            name=self.settings.name,
+            metrics=self.metrics,
+            table=self.front.table,
+            engines=tuple(self.engines.engines.values()),
+            leader=leader.name if leader is not None else "",
+            readers=dict(self.mirrored_store.reader),
+            store_calls=dict(self.store.calls),
+            counters=self._counters(),
+            gauges=self._gauges(now),
+            configuration_age_seconds=now - self.watches.configuration.heard_at,
+            engines_age_seconds=now - self.watches.engines.heard_at,
+        )
+
+    def _counters(self) -> dict[str, int]:
+        metrics = self.metrics
+        return {
+            "attempts": metrics.attempts,
+            "engine_connections": self.pool.opened,
+            "results_from_cache": self.steps.cache.hits,
+            "samples_listed": metrics.samples_listed,
+            "samples_given_up": metrics.samples_given_up,
+            "runs_started": metrics.runs_started,
+            "orders": metrics.orders,
+            "takeovers": metrics.takeovers,
+            "use_reports": metrics.use_reports,
+            "use_reports_failed": metrics.use_reports_failed,
+        }
+
+    def _gauges(self, now: float) -> dict[str, float]:
+        table, term = self.front.table, self.duties.term
+        return {
+            "table_version": float(table.version if table is not None else 0),
+            "engines": float(len(self.engines.engines)),
+            "leads": float(self.leadership.log.holds_lease(now)),
+            "replicas": float(len(self.leadership.replicas.views())),
+            "open_requests": float(self.front.open_exchanges),
+            "samples_open": float(len(term.scheduler.work) if term is not None else 0),
+            "runs": float(len(term.scheduler.runs) if term is not None else 0),
+            "runners": float(len(term.runners.links) if term is not None else 0),
+            "hosted_runs": float(self.run_host.runs),
+            "clock_spread_seconds": self.agreed.spread_seconds(now),
+        }
 
     async def _view_changed(self) -> None:
         """Take a change of the engines or the table."""
@@ -266,7 +315,9 @@
         elif request.path == TABLE_PATH:
             from pondtiller.gateway import table_view
 
-            await exchange.respond(HttpResponse(200, table_view.render(self), "text/plain"))
+            await exchange.respond(
+                HttpResponse(200, table_view.render(self._figures()), "text/plain")
+            )
         else:
             await exchange.respond(HttpResponse(404))
 
--- a/src/pondtiller/gateway/table_view.py
+++ b/src/pondtiller/gateway/table_view.py
@@ -1,50 +1,42 @@
 """The table in force at one gateway, filled with status; loaded when somebody looks."""
 
-from typing import TYPE_CHECKING
-
-from pondtiller.daemon import clock
+from pondtiller.gateway.figures import GatewayFigures
 from pondtiller.platform import names
 from pondtiller.routes.sheet_rows import sheet_of
 from pondtiller.table.sheet import COLUMNS, Row, RowKind, cell_text
 
-if TYPE_CHECKING:
-    from pondtiller.gateway.process import GatewayProcess
-
 STATUS_COLUMNS = ("answered", "refused", "failed", "engines_ready", "engines_leaving")
 SHOWN_COLUMNS = tuple(name for name in COLUMNS if name not in ("worth", "retry_ratio", "weight"))
 
 
-def render(gateway: "GatewayProcess") -> bytes:
+def render(figures: GatewayFigures) -> bytes:
     """Return the table as tab-separated lines, with a line about this gateway first."""
-    table = gateway.front.table
+    table = figures.table
     if table is None:
         return b"no table is known yet\n"
-    leader = gateway.leadership.leader()
-    now = clock.monotonic()
-    watches, reader = gateway.watches, gateway.mirrored_store.reader
     head = (
-        f"gateway {gateway.settings.name}, table version {table.version}, "
-        f"leader {leader.name if leader is not None else 'none'}, "
-        f"table heard {now - watches.configuration.heard_at:.1f} s ago "
-        f"from {reader.get(names.CONFIGURATIONS, 'nobody')}, "
-        f"engines {now - watches.engines.heard_at:.1f} s ago "
-        f"from {reader.get(names.ENGINES, 'nobody')}"
+        f"gateway {figures.name}, table version {table.version}, "
+        f"leader {figures.leader or 'none'}, "
+        f"table heard {figures.configuration_age_seconds:.1f} s ago "
+        f"from {figures.readers.get(names.CONFIGURATIONS, 'nobody')}, "
+        f"engines {figures.engines_age_seconds:.1f} s ago "
+        f"from {figures.readers.get(names.ENGINES, 'nobody')}"
     )
     lines = [head, "\t".join(["row", *SHOWN_COLUMNS, "|", *STATUS_COLUMNS])]
-    lines += [_line(gateway, row) for row in sheet_of(table).rows]
+    lines += [_line(figures, row) for row in sheet_of(table).rows]
     return ("\n".join(lines) + "\n").encode()
 
 
-def _line(gateway: "GatewayProcess", row: Row) -> str:
+def _line(figures: GatewayFigures, row: Row) -> str:
     cells = [row.key, *(cell_text(row, column) or "-" for column in SHOWN_COLUMNS), "|"]
     is_caller = row.kind is RowKind.CALLER
-    status = _requests(gateway, row.name) if is_caller else _engines(gateway, row.name)
+    status = _requests(figures, row.name) if is_caller else _engines(figures, row.name)
     return "\t".join([*cells, *status])
 
 
-def _requests(gateway: "GatewayProcess", route: str) -> list[str]:
+def _requests(figures: GatewayFigures, route: str) -> list[str]:
     counts = {"answered": 0, "refused": 0, "failed": 0}
-    for (name, outcome), count in gateway.metrics.answered.items():
+    for (name, outcome), count in figures.metrics.answered.items():
         if name != route:
             continue
         if outcome.startswith("2"):
@@ -56,10 +48,10 @@
     return [*map(str, counts.values()), "-", "-"]
 
 
-def _engines(gateway: "GatewayProcess", service: str) -> list[str]:
+def _engines(figures: GatewayFigures, service: str) -> list[str]:
     states = [
         engine.entry.state.value
-        for engine in gateway.engines.engines.values()
+        for engine in figures.engines
         if engine.entry.service == service and engine.gone_at is None
     ]
     return ["-", "-", "-", str(states.count("ready")), str(states.count("leaving"))]
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -42,9 +42,25 @@
 
     def render_metrics(self) -> bytes:
         """Return this replica's figures as Prometheus text."""
-        from pondtiller.replica.metrics_text import render
+        from pondtiller.replica.metrics_text import ReplicaFigures, render
 
-        return render(self)
+        server, replica = self.server, self.replica
+        counters = {
+            "syncs": server.syncs,
+            "messages": server.messages,
+            "refused_writes": server.refused_writes,
+            "mirror_answers": server.mirror.answers,
+            "store_calls": sum(self.store.calls.values()),
+        }
+        gauges = {
+            "entries": float(len(replica.entries)),
+            "file_bytes": float(self.file.size),
+            "subscribers": float(len(server.subscribers)),
+            "follows_leader": float(clock.monotonic() < replica.lease.until),
+            "mirrors": float(server.mirror.is_fresh()),
+            "generation": float(replica.groups[-1].generation if replica.groups else 0),
+        }
+        return render(ReplicaFigures(counters, gauges))
 
     def _restore(self) -> Replica:
         records = self.file.read()
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -1,4 +1,4 @@
-"""Checks that the pure packages import neither I/O, clocks, logs nor the driver packages."""
+"""Checks imports: pure packages stay pure, and no module imports itself by way of others."""
 
 import ast
 import sys
@@ -99,9 +99,51 @@
     )
 
 
+def module_imports() -> dict[str, set[str]]:
+    """Return for each module of ours those that it imports, also late and for types only."""
+    paths = {
+        ".".join(("pondtiller", *path.relative_to(ROOT).with_suffix("").parts)): path
+        for path in sorted(ROOT.rglob("*.py"))
+        if "tests" not in path.parts and path.name != "__init__.py"
+    }
+    found: dict[str, set[str]] = {}
+    for name, path in paths.items():
+        nodes = ast.walk(ast.parse(path.read_text(encoding="utf-8")))
+        found[name] = {
+            each for node in nodes for each in imported_members(node) if each in paths
+        } - {name}
+    return found
+
+
+def imported_members(node: ast.AST) -> list[str]:
+    """Return the modules that a statement may import, with the names taken from a package."""
+    names = imported(node)
+    if isinstance(node, ast.ImportFrom):
+        names += [f"{node.module}.{alias.name}" for alias in node.names]
+    return names
+
+
+def circles(imports: dict[str, set[str]]) -> list[str]:
+    """Return each way by which a module imports itself, shortest first."""
+    problems = []
+    for start in sorted(imports):
+        ways = [[start]]
+        seen: set[str] = set()
+        while ways:
+            way = ways.pop(0)
+            for each in sorted(imports[way[-1]]):
+                if each == start and start == min(way):
+                    problems.append("circle: " + " -> ".join([*way, each]))
+                elif each not in seen:
+                    seen.add(each)
+                    ways.append([*way, each])
+    return problems
+
+
 def main() -> int:
     """Print all problems and return 1 where there is one."""
     problems = [problem for path in pure_files() for problem in problems_of(path)]
+    problems += circles(module_imports())
     print("\n".join(problems) or "imports: ok")
     return 1 if problems else 0
 
--- /dev/null
+++ b/tools/tests/test_check_imports.py
@@ -0,0 +1,26 @@
+"""The import check refuses circles and sees each import once."""
+
+import importlib.util
+from pathlib import Path
+
+SPEC = importlib.util.spec_from_file_location(
+    "check_imports", Path(__file__).resolve().parent.parent / "check_imports.py"
+)
+assert SPEC is not None and SPEC.loader is not None
+CHECK = importlib.util.module_from_spec(SPEC)
+SPEC.loader.exec_module(CHECK)
+
+
+def test_a_circle_is_told_once_however_it_is_entered() -> None:
+    imports = {"a": {"b"}, "b": {"c"}, "c": {"b", "d"}, "d": set()}
+    assert CHECK.circles(imports) == ["circle: b -> c -> b"]
+
+
+def test_a_tree_has_no_circle() -> None:
+    assert CHECK.circles({"a": {"b", "c"}, "b": {"c"}, "c": set()}) == []
+
+
+def test_imports_for_types_only_and_within_functions_count() -> None:
+    imports = CHECK.module_imports()
+    assert "pondtiller.gateway.metrics_text" in imports["pondtiller.gateway.process"]
+    assert CHECK.circles(imports) == []
