Let operators keep tenants in the table, and their keys as digests

Cause: tenants came from the users' platform only. A tenant is a row of the table now, with digests of its keys, a priority and a rate, and callers' rows say whether they are public; both go through CSV and back. 'pondtiller table key' adds or revokes a key that it reads from a file or standard input. Views show the first digits of a digest. A rate is kept but not held yet; 'serve' asks for no keys.

--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -20,6 +20,7 @@
     TableShowCommand,
     TableWatchCommand,
 )
+from pondtiller.cli.table_key import TableKeyCommand
 from pondtiller.cli.table_status import TableStatusCommand
 
 VERSION = "0.1.0"
@@ -43,6 +44,7 @@
         TableShowCommand(),
         TableStatusCommand(),
         TableSetCommand(),
+        TableKeyCommand(),
         TableApplyCommand(),
         TableExportCommand(),
         TableWatchCommand(),
--- a/src/pondtiller/cli/table.py
+++ b/src/pondtiller/cli/table.py
@@ -217,7 +217,7 @@
         kind, separator, name = self.argument("row").partition("/")
         column = self.argument("column")
         if not separator or kind not in {each.value for each in RowKind}:
-            return self._bad("row", "give KIND/NAME, KIND being service, trainer or caller")
+            return self._bad("row", f"give KIND/NAME, KIND being one of {', '.join(RowKind)}")
         if column not in (*COLUMNS, "row"):
             return self._bad("column", f"unknown; there are: {', '.join(COLUMNS)}")
         seen = self.option("seen")
--- /dev/null
+++ b/src/pondtiller/cli/table_key.py
@@ -0,0 +1,83 @@
+"""`pondtiller table key`: a tenant's keys, of which the table holds digests only."""
+
+import sys
+from pathlib import Path
+
+from cleo.helpers import argument, option
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from pondtiller.cli.common import EXIT_OK, print_problems
+from pondtiller.cli.table import TableCommand, platform_option
+from pondtiller.config.problems import Problem
+from pondtiller.core.entities import Address
+from pondtiller.routes.tenants import digest_of
+from pondtiller.table.sheet import DIGEST_SHOWN, CellChange, RowKind, cell_text, explain
+
+ADD, REVOKE = "add", "revoke"
+COLUMN = "keys"
+
+
+class TableKeyCommand(TableCommand):
+    """Add a key to a tenant, or revoke one."""
+
+    name = "table key"
+    description = "Add or revoke a tenant's key, read from standard input or a file."
+    arguments = [
+        argument("tenant", "Name of the tenant's row."),
+        argument("action", f"{ADD} or {REVOKE}."),
+    ]
+    options = [
+        platform_option(),
+        option("file", "f", "File that holds the key; standard input if left out.", flag=False),
+    ]
+
+    async def run_on(self, platform: Address) -> int:
+        """Submit the edit of the tenant's digests."""
+        tenant, action = self.argument("tenant"), self.argument("action")
+        if action not in (ADD, REVOKE):
+            return self._bad("action", f"give {ADD} or {REVOKE}")
+        match read_key(self.option("file")):
+            case Err(reason):
+                return self._bad("key", reason)
+            case Ok(key):
+                digest = digest_of(key)
+        seen = cell_text((await self.read_table(platform)).row(RowKind.TENANT, tenant), COLUMN)
+        new = changed_digests(seen, digest, action)
+        if new == seen:
+            self.line(f"no difference: key {digest[:DIGEST_SHOWN]}")
+            return EXIT_OK
+        try:
+            change = CellChange(kind=RowKind.TENANT, name=tenant, column=COLUMN, seen=seen, new=new)
+        except ValidationError as error:
+            return self._bad("tenant", explain(error))
+        self.line(f"{action} key {digest[:DIGEST_SHOWN]}")
+        return await self.submit(platform, (change,))
+
+    def _bad(self, key: str, reason: str) -> int:
+        return print_problems(self, [Problem("command line", key, reason)])
+
+
+def changed_digests(seen: str, digest: str, action: str) -> str:
+    """Return the cell of a tenant's digests with one added or revoked."""
+    digests = set(seen.split())
+    if action == ADD:
+        digests.add(digest)
+    else:
+        digests.discard(digest)
+    return " ".join(sorted(digests))
+
+
+def read_key(file: str | None) -> Result[str, str]:
+    """Return the key that a file or standard input holds, without the blanks around it.
+
+    A key is never an argument: other users of the machine see those.
+    """
+    try:
+        text = Path(file).read_text(encoding="utf-8") if file else sys.stdin.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    key = text.strip()
+    if not key or len(key.split()) != 1:
+        return Err("one key without blanks is needed")
+    return Ok(key)
--- a/src/pondtiller/cli/table_view.py
+++ b/src/pondtiller/cli/table_view.py
@@ -12,7 +12,7 @@
 from pondtiller.daemon.platform_client import ListBody, to_stored
 from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
 from pondtiller.systems.status import ZoneRow, ZoneStatus, add_rows
-from pondtiller.table.sheet import COLUMNS, DOCUMENT_NAME, Row, Sheet, cell_text, parse
+from pondtiller.table.sheet import COLUMNS, DOCUMENT_NAME, Row, Sheet, parse, shown_text
 
 
 class PlatformUnavailableError(Exception):
@@ -129,7 +129,7 @@
 
 
 def _line(row: Row, status: ZoneRow | None) -> list[str]:
-    cells = [row.key, *(cell_text(row, column) or "-" for column in COLUMNS), "|"]
+    cells = [row.key, *(shown_text(row, column) for column in COLUMNS), "|"]
     if status is None:
         return cells + ["-"] * len(STATUS_COLUMNS)
     figures = status.figures
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -17,7 +17,8 @@
 from pondtiller.platform import engine_format, names, step_format
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
-from pondtiller.routes.tenants import DIGEST_SHOWN, owned_name
+from pondtiller.routes.tenants import owned_name
+from pondtiller.table.sheet import DIGEST_SHOWN
 from pondtiller.usage.meter import Beginning, UseMeter
 from pondtiller.wire.steplog import Sample
 
--- a/src/pondtiller/gateway/table_view.py
+++ b/src/pondtiller/gateway/table_view.py
@@ -3,7 +3,7 @@
 from pondtiller.gateway.figures import GatewayFigures
 from pondtiller.platform import names
 from pondtiller.routes.sheet_rows import sheet_of
-from pondtiller.table.sheet import COLUMNS, Row, RowKind, cell_text
+from pondtiller.table.sheet import COLUMNS, Row, RowKind, shown_text
 
 STATUS_COLUMNS = ("answered", "refused", "failed", "engines_ready", "engines_leaving")
 SHOWN_COLUMNS = tuple(name for name in COLUMNS if name not in ("worth", "retry_ratio", "weight"))
@@ -28,7 +28,7 @@
 
 
 def _line(figures: GatewayFigures, row: Row) -> str:
-    cells = [row.key, *(cell_text(row, column) or "-" for column in SHOWN_COLUMNS), "|"]
+    cells = [row.key, *(shown_text(row, column) for column in SHOWN_COLUMNS), "|"]
     is_caller = row.kind is RowKind.CALLER
     status = _requests(figures, row.name) if is_caller else _engines(figures, row.name)
     return "\t".join([*cells, *status])
--- a/src/pondtiller/routes/sheet_rows.py
+++ b/src/pondtiller/routes/sheet_rows.py
@@ -1,6 +1,7 @@
 """The rows that route, as rows of the operators' table and back."""
 
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable, ServiceRow, ServiceShare
+from pondtiller.routes.tenants import TenantRow
 from pondtiller.table.sheet import Row, RowKind, Sheet
 
 HIGHEST_PRIORITY = 9
@@ -13,7 +14,9 @@
         Row(kind=RowKind.SERVICE, name=each.name, model=(each.models or (each.name,))[0])
         for each in table.services.values()
     ]
-    return Sheet(rows=tuple(sorted([*services, *callers], key=lambda row: (row.kind, row.name))))
+    tenants = [_tenant_row(each) for each in table.tenants]
+    rows = [*services, *callers, *tenants]
+    return Sheet(rows=tuple(sorted(rows, key=lambda row: (row.kind, row.name))))
 
 
 def routes_of(sheet: Sheet, version: int) -> RouteTable:
@@ -23,7 +26,8 @@
         row.name: ServiceRow(row.name, models=(row.model or row.name,))
         for row in sheet.rows_of(RowKind.SERVICE)
     }
-    return RouteTable(version, routes, services)
+    tenants = tuple(_tenant(row) for row in sheet.rows_of(RowKind.TENANT))
+    return RouteTable(version, routes, services, tenants=tenants)
 
 
 def _caller_row(route: RouteRow) -> Row:
@@ -44,6 +48,27 @@
         single_version=route.single_version or None,
         step_seconds=route.step_seconds if is_step else None,
         queue_seconds=route.queue_seconds if is_step else None,
+        public=route.is_public or None,
+    )
+
+
+def _tenant_row(tenant: TenantRow) -> Row:
+    rank = tenant.priority
+    return Row(
+        kind=RowKind.TENANT,
+        name=tenant.name,
+        priority=HIGHEST_PRIORITY - min(rank, HIGHEST_PRIORITY) if rank is not None else None,
+        keys=" ".join(sorted(tenant.key_digests)) or None,
+        rate=tenant.rate_per_second,
+    )
+
+
+def _tenant(row: Row) -> TenantRow:
+    return TenantRow(
+        name=row.name,
+        key_digests=frozenset((row.keys or "").split()),
+        priority=HIGHEST_PRIORITY - row.priority if row.priority is not None else None,
+        rate_per_second=row.rate,
     )
 
 
@@ -65,6 +90,7 @@
         single_version=bool(row.single_version),
         step_seconds=row.step_seconds or defaults.step_seconds,
         queue_seconds=row.queue_seconds or defaults.queue_seconds,
+        is_public=bool(row.public),
     )
 
 
--- a/src/pondtiller/routes/tenants.py
+++ b/src/pondtiller/routes/tenants.py
@@ -10,9 +10,6 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
-DIGEST_SHOWN = 8
-"""Hexadecimal digits of a digest in log lines: enough to tell which of a table's keys was sent."""
-
 
 class TenantRow(NamedTuple):
     """A tenant's row.
--- a/src/pondtiller/routes/tests/test_sheet_rows.py
+++ b/src/pondtiller/routes/tests/test_sheet_rows.py
@@ -9,6 +9,7 @@
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.routes.sheet_rows import routes_of, sheet_of
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable, ServiceRow, ServiceShare
+from pondtiller.routes.tenants import TenantRow, digest_of
 from pondtiller.table.csv_format import from_csv, to_csv
 from pondtiller.table.sheet import Row, RowKind
 
@@ -35,9 +36,14 @@
             single_version=True,
             step_seconds=7.5,
             queue_seconds=40.0,
+            is_public=True,
         ),
     ),
     {name: ServiceRow(name, models=(name,)) for name in ("a", "b", "llm")},
+    tenants=(
+        TenantRow("ann", frozenset({digest_of("k1"), digest_of("k2")}), 1, 2.5),
+        TenantRow("bob"),
+    ),
 )
 
 
@@ -45,6 +51,7 @@
     again = routes_of(sheet_of(TABLE), 7)
     assert again.routes == TABLE.routes
     assert again.services == TABLE.services
+    assert again.tenants == TABLE.tenants
 
 
 def test_the_sheet_with_routes_goes_through_csv() -> None:
@@ -52,11 +59,18 @@
     read = from_csv(to_csv(sheet))
     assert isinstance(read, Ok)
     assert routes_of(read.ok_value, 7).routes == TABLE.routes
+    assert routes_of(read.ok_value, 7).tenants == TABLE.tenants
 
 
 def test_routing_cells_are_checked() -> None:
     with pytest.raises(ValidationError, match="needs host, path, request and split"):
         Row(kind=RowKind.CALLER, name="x", host="h")
+    with pytest.raises(ValidationError, match="only a tenant row has keys"):
+        Row(kind=RowKind.CALLER, name="x", keys=digest_of("k"))
+    with pytest.raises(ValidationError, match="String should match pattern"):
+        Row(kind=RowKind.TENANT, name="x", keys="a-key-itself")
+    with pytest.raises(ValidationError, match="a tenant row has no model"):
+        Row(kind=RowKind.TENANT, name="x", model="m")
     with pytest.raises(ValidationError, match="only a caller row"):
         Row(kind=RowKind.SERVICE, name="x", model="m", attempts=2)
     with pytest.raises(ValidationError):
--- a/src/pondtiller/table/csv_format.py
+++ b/src/pondtiller/table/csv_format.py
@@ -56,6 +56,6 @@
         return Err("the number of cells differs from the header's")
     kind = record["kind"]
     if kind not in {each.value for each in RowKind}:
-        return Err(f"kind: {kind!r} is not one of service, trainer, caller")
+        return Err(f"kind: {kind!r} is not one of {', '.join(RowKind)}")
     cells = {column: record[column].strip() for column in COLUMNS}
     return make_row(RowKind(kind), record["name"], cells)
--- a/src/pondtiller/table/sheet.py
+++ b/src/pondtiller/table/sheet.py
@@ -9,6 +9,8 @@
 
 DOCUMENT_NAME = "table"
 KEPT_EDITS = 200
+DIGEST_SHOWN = 8
+"""Hexadecimal digits of a key's digest that people see: enough to tell a table's keys apart."""
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 
@@ -19,6 +21,7 @@
     SERVICE = "service"
     TRAINER = "trainer"
     CALLER = "caller"
+    TENANT = "tenant"
 
 
 class Row(BaseModel):
@@ -58,6 +61,12 @@
         Callers: whether streams may be continued, keep to an engine, or to one version.
     step_seconds, queue_seconds
         Callers of steps: when results are due, and when a sample may be given up.
+    public
+        Callers: whether no key is needed.
+    keys
+        Tenants: SHA-256 digests of their keys, with blanks between; never a key itself.
+    rate
+        Tenants: most requests a second everywhere together; None for no limit.
     """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
@@ -83,6 +92,9 @@
     single_version: bool | None = None
     step_seconds: float | None = Field(default=None, gt=0, le=86_400, allow_inf_nan=False)
     queue_seconds: float | None = Field(default=None, gt=0, le=86_400, allow_inf_nan=False)
+    public: bool | None = None
+    keys: str | None = Field(default=None, pattern=r"^[0-9a-f]{64}( [0-9a-f]{64})*$")
+    rate: float | None = Field(default=None, gt=0, le=1e6, allow_inf_nan=False)
 
     @property
     def key(self) -> str:
@@ -91,9 +103,10 @@
 
     @model_validator(mode="after")
     def _check_kind(self) -> "Row":
-        if self.kind is RowKind.CALLER and self.model is not None:
-            raise ValueError("a caller row has no model")
-        if self.kind is not RowKind.CALLER and self.model is None:
+        has_model = self.kind in (RowKind.SERVICE, RowKind.TRAINER)
+        if not has_model and self.model is not None:
+            raise ValueError(f"a {self.kind.value} row has no model")
+        if has_model and self.model is None:
             raise ValueError(f"a {self.kind.value} row needs a model")
         routing = [name for name in ROUTING_COLUMNS if getattr(self, name) is not None]
         if self.kind is not RowKind.CALLER and routing:
@@ -102,6 +115,9 @@
             raise ValueError("a row that routes needs host, path, request and split")
         if self.kind is not RowKind.TRAINER and self.staleness_bound is not None:
             raise ValueError("only a trainer row has a staleness_bound")
+        owned = [name for name in TENANT_COLUMNS if getattr(self, name) is not None]
+        if self.kind is not RowKind.TENANT and owned:
+            raise ValueError(f"only a tenant row has {', '.join(owned)}")
         return self
 
 
@@ -117,7 +133,9 @@
     "single_version",
     "step_seconds",
     "queue_seconds",
+    "public",
 )
+TENANT_COLUMNS = ("keys", "rate")
 COLUMNS: tuple[str, ...] = tuple(name for name in Row.model_fields if name not in ("kind", "name"))
 
 
@@ -222,6 +240,14 @@
     return "" if value is None else str(value)
 
 
+def shown_text(row: Row, column: str) -> str:
+    """Return a cell for people to look at: digests by their first digits, `-` where empty."""
+    text = cell_text(row, column)
+    if column == "keys":
+        text = " ".join(digest[:DIGEST_SHOWN] for digest in text.split())
+    return text or "-"
+
+
 def parse(body: bytes) -> Result[Sheet, str]:
     """Read a sheet from the document's JSON; the error says what is wrong."""
     try:
@@ -240,7 +266,9 @@
 
 
 def make_row(
-    kind: RowKind | Literal["service", "trainer", "caller"], name: str, cells: dict[str, str]
+    kind: RowKind | Literal["service", "trainer", "caller", "tenant"],
+    name: str,
+    cells: dict[str, str],
 ) -> Result[Row, str]:
     """Return a row from cells given as text; empty text leaves the default."""
     given = {column: text for column, text in cells.items() if text != ""}
