Keep the table's models out of a gateway's start

The length of a digest that people see stands with the hashing, so the front need not load the operators' sheet (pydantic models), which only a look at the table needs.

--- a/src/pondtiller/cli/table_key.py
+++ b/src/pondtiller/cli/table_key.py
@@ -11,8 +11,9 @@
 from pondtiller.cli.table import TableCommand, platform_option
 from pondtiller.config.problems import Problem
 from pondtiller.core.entities import Address
+from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.routes.tenants import digest_of
-from pondtiller.table.sheet import DIGEST_SHOWN, CellChange, RowKind, cell_text, explain
+from pondtiller.table.sheet import CellChange, RowKind, cell_text, explain
 
 ADD, REVOKE = "add", "revoke"
 COLUMN = "keys"
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -12,13 +12,13 @@
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.streams import StreamForwarder
+from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.httpio.messages import HttpRequest, HttpResponse
 from pondtiller.httpio.server import ConnectionLostError, Exchange
 from pondtiller.platform import engine_format, names, step_format
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
 from pondtiller.routes.tenants import owned_name
-from pondtiller.table.sheet import DIGEST_SHOWN
 from pondtiller.usage.meter import Beginning, UseMeter
 from pondtiller.wire.steplog import Sample
 
--- a/src/pondtiller/hashing.py
+++ b/src/pondtiller/hashing.py
@@ -4,6 +4,9 @@
 
 import xxhash
 
+DIGEST_SHOWN = 8
+"""Hexadecimal digits of a key's digest that people see: enough to tell a table's keys apart."""
+
 
 def score(key: str, candidate: str) -> int:
     """Return the 64-bit weight of `candidate` for `key`."""
--- a/src/pondtiller/table/sheet.py
+++ b/src/pondtiller/table/sheet.py
@@ -7,10 +7,10 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 from result import Err, Ok, Result
 
+from pondtiller.hashing import DIGEST_SHOWN
+
 DOCUMENT_NAME = "table"
 KEPT_EDITS = 200
-DIGEST_SHOWN = 8
-"""Hexadecimal digits of a key's digest that people see: enough to tell a table's keys apart."""
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 
