Ask the store less at a start, while it is away, and where no replica is reached

The pause after 'not mirrored' begins at 1 s and doubles to 10; a gateway asks a store that does not answer each 2 s (the leader's own watches each second, as before); without a link to any replica a call waits as long as where none mirrors; searches for replicas double to 4 s. Tests red before.

--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -25,8 +25,10 @@
 leaving must be known within 2 s at the least."""
 REFUSED_SECONDS = 2.0
 """How long a mirror is not asked again that could not tell."""
+FIRST_NOT_MIRRORED_SECONDS = 1.0
 NOT_MIRRORED_SECONDS = 10.0
-"""How long no mirror is asked after one told that too few gateways follow it."""
+"""How long no mirror is asked after one told that too few gateways follow it: twice as long each
+time, since replicas have no followers yet in the second in which a whole system starts."""
 TOLD_SECONDS = 0.6
 """How long after an answer only mirrors are asked for changes: the others of the group may be
 able to tell, and after a start of all machines they are within this time."""
@@ -82,6 +84,7 @@
         self._asks_store = asks_store
         self._refused_until: dict[str, float] = {}
         self._not_before = 0.0
+        self._not_mirrored_seconds = FIRST_NOT_MIRRORED_SECONDS
         self._known: dict[str, int] = {}
         self._told_at: dict[str, float] = {}
 
@@ -101,7 +104,7 @@
             await curio.sleep(RETRY_SECONDS)
             page = await self._ask_mirrors(message, wait)
         if page is None:
-            if self._may_ask_mirrors():
+            if self._may_ask_mirrors() and self._knows_mirrors():
                 # The mirrors may tell again soon; a long call to the store may hang for its wait.
                 wait_seconds = wait
             return self._told(kind, await self._ask_store(kind).watch(kind, at, wait_seconds))
@@ -113,6 +116,10 @@
         """Return whether replicas may mirror the store, as far as it is known."""
         return not self._asks_store() and clock.monotonic() >= self._not_before
 
+    def _knows_mirrors(self) -> bool:
+        """Return whether there is a link to any replica, whether or not it could tell lately."""
+        return any(place.link is not None for place in self._replicas.places.values())
+
     def _may_wait(self, kind: str) -> bool:
         """Return whether what is known is new enough to wait for a mirror."""
         if not self._may_ask_mirrors():
@@ -148,13 +155,19 @@
             elif page.status == MirrorStatus.UNAVAILABLE:
                 continue
             elif page.status == MirrorStatus.NOT_MIRRORED:
-                self._not_before = clock.monotonic() + NOT_MIRRORED_SECONDS
+                self._leave_mirrors()
                 return None
             else:
+                self._not_mirrored_seconds = FIRST_NOT_MIRRORED_SECONDS
                 self._note_reader(message.kind, mirror.name)
                 return page
         return None
 
+    def _leave_mirrors(self) -> None:
+        """Ask no mirror for a while, longer each time until one tells."""
+        self._not_before = clock.monotonic() + self._not_mirrored_seconds
+        self._not_mirrored_seconds = min(2 * self._not_mirrored_seconds, NOT_MIRRORED_SECONDS)
+
     def _mirrors(self) -> list[Mirror]:
         """Return the replicas that may tell: those of the own zone first, the others in turn."""
         now = clock.monotonic()
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -48,6 +48,8 @@
 HOUSEKEEPING_SECONDS = 0.5
 NO_REPLICA_SECONDS = 2.5
 SEARCH_SECONDS = 1.0
+LONGEST_SEARCH_SECONDS = 4.0
+"""Searches are calls to the store; one that finds nothing new is repeated later each time."""
 NOT_READY_SECONDS = 3.0
 STOP_MARGIN_SECONDS = 0.7
 LAST_USE_SECONDS = 0.4
@@ -350,11 +352,14 @@
 
     async def _keep_house(self) -> None:
         """Find replicas when none is heard, forget engines that are gone."""
-        next_search = 0.0
+        next_search, pause = 0.0, SEARCH_SECONDS
         while True:
             now = clock.monotonic()
-            if now >= next_search and self._lacks_replicas(now):
-                next_search = now + SEARCH_SECONDS
+            if not self._lacks_replicas(now):
+                pause = SEARCH_SECONDS
+            elif now >= next_search:
+                next_search = now + pause
+                pause = min(2 * pause, LONGEST_SEARCH_SECONDS)
                 await self._find_replicas()
             self.leadership.may_stand = self._is_ready()
             self.engines.keep_house(now)
--- a/src/pondtiller/gateway/store_watch.py
+++ b/src/pondtiller/gateway/store_watch.py
@@ -89,6 +89,8 @@
         change is otherwise a call of each daemon.
     wait_seconds
         How long one call waits for changes.
+    longest_retry_seconds
+        Longest pause between two calls while the store does not answer.
 
     Attributes
     ----------
@@ -107,9 +109,11 @@
         change: Change,
         rest: Callable[[], float] | None = None,
         wait_seconds: float = WATCH_SECONDS,
+        longest_retry_seconds: float = LONGEST_RETRY_SECONDS,
     ) -> None:
         self.at = 0
         self.rest = rest
+        self._longest_retry_seconds = longest_retry_seconds
         self._wait_seconds = wait_seconds
         self._retry_seconds = RETRY_SECONDS
         self._store = store
@@ -133,7 +137,7 @@
         """Wait before the next call, longer each time until one is answered."""
         self._health.lost(self._kind, error)
         await curio.sleep(self._retry_seconds)
-        self._retry_seconds = min(2 * self._retry_seconds, LONGEST_RETRY_SECONDS)
+        self._retry_seconds = min(2 * self._retry_seconds, self._longest_retry_seconds)
 
     async def _follow(self) -> None:
         listing = await self._store.list_all(self._kind)
--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -156,6 +156,50 @@
     run_system(tmp_path, test, gateways=3)
 
 
+def test_mirrors_are_asked_again_soon_after_the_start_of_a_system(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Replicas without followers yet say that they do not mirror; that lasts for a second."""
+
+    async def test(system: System) -> None:
+        await system.until_led()
+        for each in system.gateways:
+            for watch in (each.watches.engines, each.watches.configuration):
+                watch._wait_seconds = 0.5
+        monkeypatch.setattr(mirrors, "FEWEST_FOLLOWERS", 1000)
+        follower = followers(system)[0]
+        store = follower.mirrored_store
+        store._not_before = 0.0
+        await system.until(lambda: store._not_before > 0.0)
+        monkeypatch.setattr(mirrors, "FEWEST_FOLLOWERS", 0.5)
+        await system.until(lambda: "store" not in store.reader.values(), 4.0)
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_a_gateway_without_replicas_asks_the_store_as_seldom_as_where_none_mirrors(
+    tmp_path: Path,
+) -> None:
+    async def test(system: System) -> None:
+        await mirrored(system)
+        follower = followers(system)[0]
+        waits: list[float] = []
+        watch = follower.store.watch
+
+        async def noted(kind: str, at: int, wait_seconds: float) -> object:
+            waits.append(wait_seconds)
+            return await watch(kind, at, wait_seconds)
+
+        follower.store.watch = noted  # type: ignore[method-assign]
+        for each in (follower.watches.engines, follower.watches.configuration):
+            each._wait_seconds = 6.0
+        await follower.leadership.replicas.close()
+        # The first call after a failure is a short one.
+        await system.until(lambda: 6.0 in waits, 10.0)
+
+    run_system(tmp_path, test, gateways=3)
+
+
 def test_where_few_gateways_follow_each_asks_the_store_itself(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -13,6 +13,9 @@
 from pondtiller.routes.engines import EngineDirectory, EngineEntry
 
 ENGINES_REST_SECONDS = 1.2
+LOST_RETRY_SECONDS = 2.0
+"""Longest pause of a gateway between calls to a store that does not answer. Hundreds of gateways
+ask; two thirds of the shortest time that the platform gives a daemon to be in touch again."""
 
 
 class GatewayWatches:
@@ -39,6 +42,7 @@
             self._take_configurations,
             self._configuration_changed,
             wait_seconds=configuration_wait_seconds,
+            longest_retry_seconds=LOST_RETRY_SECONDS,
         )
         self.engines = Watch(
             store,
@@ -47,6 +51,7 @@
             self._take_engines,
             self._engine_changed,
             self._engines_rest,
+            longest_retry_seconds=LOST_RETRY_SECONDS,
         )
 
     def _engines_rest(self) -> float:
