Count a pause without mirrors once for both kinds of objects

Cause: both watches of a gateway are told 'not mirrored' at about the same time, so the pause doubled twice a round, to 10 s after two rounds.

--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -164,8 +164,14 @@
         return None
 
     def _leave_mirrors(self) -> None:
-        """Ask no mirror for a while, longer each time until one tells."""
-        self._not_before = clock.monotonic() + self._not_mirrored_seconds
+        """Ask no mirror for a while, longer each time until one tells.
+
+        The watches of both kinds are told at about the same time, which counts once.
+        """
+        now = clock.monotonic()
+        if now < self._not_before:
+            return
+        self._not_before = now + self._not_mirrored_seconds
         self._not_mirrored_seconds = min(2 * self._not_mirrored_seconds, NOT_MIRRORED_SECONDS)
 
     def _mirrors(self) -> list[Mirror]:
--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -6,7 +6,11 @@
 import pytest
 
 from pondtiller.daemon import clock
-from pondtiller.gateway.mirrored_store import LONGEST_NEWS_SECONDS, LONGEST_WAIT_SECONDS
+from pondtiller.gateway.mirrored_store import (
+    FIRST_NOT_MIRRORED_SECONDS,
+    LONGEST_NEWS_SECONDS,
+    LONGEST_WAIT_SECONDS,
+)
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.platform.object_client import StoreCallError
@@ -169,8 +173,11 @@
         monkeypatch.setattr(mirrors, "FEWEST_FOLLOWERS", 1000)
         follower = followers(system)[0]
         store = follower.mirrored_store
-        store._not_before = 0.0
+        store._not_before, store._not_mirrored_seconds = 0.0, FIRST_NOT_MIRRORED_SECONDS
         await system.until(lambda: store._not_before > 0.0)
+        await curio.sleep(FIRST_NOT_MIRRORED_SECONDS / 2)
+        # Both kinds were told so meanwhile, and that counts once.
+        assert store._not_mirrored_seconds == 2 * FIRST_NOT_MIRRORED_SECONDS
         monkeypatch.setattr(mirrors, "FEWEST_FOLLOWERS", 0.5)
         await system.until(lambda: "store" not in store.reader.values(), 4.0)
 
