Agree on the time of day only once all machines had time to tell

Cause, found in reading: three machines were enough, so a leader whose first three were among those that jumped (a third of all: one time in four) would have moved windows by seconds until more were heard. Now the median counts from 2 s after the first was heard; until then what was agreed before stands. The test that three are enough at once is replaced by one that they are not yet, and one more: a new leader that hears four that jumped first keeps what it knows (red before).

--- a/src/pondtiller/coordination/agreed_clock.py
+++ b/src/pondtiller/coordination/agreed_clock.py
@@ -9,9 +9,10 @@
 from typing import NamedTuple
 
 FEWEST_MACHINES = 3
-"""Of so many machines the median leaves one that jumped out."""
+"""Fewer do not overrule a time that is known: most of them may have jumped."""
 SETTLE_SECONDS = 2.0
-"""After so long fewer machines are enough: there are no more, or they cannot be reached."""
+"""So long after the first machine was heard nearly all have been: daemons tell a new leader within
+a second. Of the first few, most may be among those that jumped."""
 FRESH_SECONDS = 30.0
 """A machine that was not heard for so long may have jumped, or be gone."""
 JUMP_SECONDS = 0.25
@@ -59,7 +60,7 @@
             self._learned, self._jumps = offset, 0
 
     def forget_machines(self) -> None:
-        """Begin to hear machines anew; what was agreed before stands until enough are heard."""
+        """Begin to hear machines anew; what was agreed before stands until these have settled."""
         self.machines.clear()
         self._first_at = None
 
@@ -67,7 +68,8 @@
         """Return the agreed time of day, in seconds since 1970; None where it is not known."""
         offsets = self._offsets(now)
         is_settled = self._first_at is not None and now >= self._first_at + SETTLE_SECONDS
-        if len(offsets) >= FEWEST_MACHINES or (offsets and is_settled and self._learned is None):
+        is_enough = len(offsets) >= FEWEST_MACHINES or self._learned is None
+        if offsets and is_settled and is_enough:
             self._learned = median(offsets)
         return now + self._learned if self._learned is not None else None
 
--- a/src/pondtiller/coordination/tests/test_agreed_clock.py
+++ b/src/pondtiller/coordination/tests/test_agreed_clock.py
@@ -15,22 +15,33 @@
 """True time of day at steady time 0."""
 
 
-def test_nothing_is_agreed_before_enough_machines_were_heard() -> None:
+def test_nothing_is_agreed_before_all_machines_had_time_to_tell() -> None:
     clock = AgreedClock()
     assert clock.now(0.0) is None
-    clock.heard("a", TRUE, 0.0)
-    clock.heard("b", TRUE, 0.0)
-    assert clock.now(0.1) is None
-    clock.heard("c", TRUE, 0.0)
-    assert clock.now(0.1) == TRUE + 0.1
+    for machine in "abc":
+        clock.heard(machine, TRUE, 0.0)
+    assert clock.now(SETTLE_SECONDS - 0.1) is None
+    assert clock.now(SETTLE_SECONDS) == TRUE + SETTLE_SECONDS
 
 
-def test_where_there_are_no_more_machines_fewer_are_enough() -> None:
+def test_one_machine_agrees_with_itself() -> None:
     clock = AgreedClock()
     clock.heard("a", TRUE, 0.0)
     assert clock.now(SETTLE_SECONDS) == TRUE + SETTLE_SECONDS
 
 
+def test_a_new_leader_that_hears_machines_that_jumped_first_keeps_what_it_knows() -> None:
+    clock = AgreedClock()
+    clock.learned(TRUE, 0.0)
+    clock.forget_machines()
+    for machine in "abcd":
+        clock.heard(machine, TRUE + 3.0, 0.0)
+    assert clock.now(0.1) == TRUE + 0.1
+    for machine in "efghijk":
+        clock.heard(machine, TRUE + 0.5, 0.5)
+    assert clock.now(SETTLE_SECONDS) == TRUE + SETTLE_SECONDS
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_a_third_of_the_machines_may_jump_together(seed: int) -> None:
     drawn = random.Random(seed)
@@ -42,9 +53,9 @@
         now = machine * 0.01
         wall = TRUE + now + differs + (by if machine in jumped else 0.0)
         clock.heard(str(machine), wall, now)
-    agreed = clock.now(1.0)
-    assert agreed is not None and abs(agreed - (TRUE + 1.0)) < 0.03
-    assert clock.spread_seconds(1.0) < 0.1
+    agreed = clock.now(SETTLE_SECONDS)
+    assert agreed is not None and abs(agreed - (TRUE + SETTLE_SECONDS)) < 0.03
+    assert clock.spread_seconds(SETTLE_SECONDS) < 0.1
 
 
 def test_a_leader_that_hears_only_machines_that_jumped_believes_what_it_learned() -> None:
