Tell counts of use as one JSON list instead of columns

Cause: reading a message of 78 tenants took the leader 2.7 ms (beside six plays; columns of betterproto), twice a second from each gateway that serves all of them: at 340 gateways more than a core.

--- a/src/pondtiller/gateway/usage_duty.py
+++ b/src/pondtiller/gateway/usage_duty.py
@@ -19,7 +19,7 @@
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.steplog.entry import Entry
 from pondtiller.usage.ledger import LedgerRow, UseLedger
-from pondtiller.usage.meter import UseRow
+from pondtiller.usage.meter import UseRow, unpack_rows
 from pondtiller.usage.reports import (
     DONE_PREFIX,
     Report,
@@ -95,8 +95,7 @@
         """Take what a daemon tells."""
         now = clock.monotonic()
         self._agreed.heard(message.daemon, message.wall_seconds, now)
-        columns = zip(message.windows, message.tenants, message.counts, strict=True)
-        rows = [UseRow(*row) for row in columns]
+        rows = unpack_rows(message.rows)
         self._note_late(message.daemon, rows)
         self._news += self.ledger.told(
             message.daemon, message.incarnation, message.complete_until, rows, now
--- a/src/pondtiller/gateway/usage_teller.py
+++ b/src/pondtiller/gateway/usage_teller.py
@@ -9,7 +9,7 @@
 from pondtiller.gateway.replicas import LeaderPlace
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.hashing import score
-from pondtiller.usage.meter import UseMeter, window_of
+from pondtiller.usage.meter import UseMeter, pack_rows, window_of
 from pondtiller.wire.steplog import UseTaken, UseTold
 
 LOOK_SECONDS = 0.1
@@ -84,9 +84,7 @@
             incarnation=self._incarnation,
             wall_seconds=clock.wall(),
             complete_until=complete_until,
-            windows=[row.window for row in rows],
-            tenants=[row.tenant for row in rows],
-            counts=[row.requests for row in rows],
+            rows=pack_rows(rows) if rows else b"",
         )
         answer = await self._steps.tell_use(message, CALL_SECONDS)
         answered_at = clock.monotonic()
--- a/src/pondtiller/usage/meter.py
+++ b/src/pondtiller/usage/meter.py
@@ -5,7 +5,9 @@
 late does no harm.
 """
 
+import json
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -21,6 +23,16 @@
     requests: int
 
 
+def pack_rows(rows: Iterable[UseRow]) -> bytes:
+    """Return rows as they are told."""
+    return json.dumps(list(rows)).encode()
+
+
+def unpack_rows(encoded: bytes) -> list[UseRow]:
+    """Return rows that were told; raises `ValueError`, `TypeError` where they are not sound."""
+    return [UseRow(*row) for row in json.loads(encoded)] if encoded else []
+
+
 def window_of(agreed: float, window_seconds: float) -> int:
     """Return the window of a time of day: window k begins k lengths after the start of 1970."""
     return math.floor(agreed / window_seconds)
--- a/src/pondtiller/usage/tests/test_usage.py
+++ b/src/pondtiller/usage/tests/test_usage.py
@@ -2,7 +2,7 @@
 
 from pondtiller.steplog.entry import Entry
 from pondtiller.usage.ledger import UseLedger
-from pondtiller.usage.meter import UseMeter, UseRow
+from pondtiller.usage.meter import UseMeter, UseRow, pack_rows, unpack_rows
 from pondtiller.usage.reports import (
     LONGEST_RETRY_SECONDS,
     SEND_MARGIN_SECONDS,
@@ -99,6 +99,12 @@
     assert meter.untold(2) == [UseRow(200, "ann", 2)]
 
 
+def test_rows_are_told_as_they_are() -> None:
+    rows = [UseRow(200, "ann", 3), UseRow(201, "b/o b", 1)]
+    assert unpack_rows(pack_rows(rows)) == rows
+    assert unpack_rows(b"") == []
+
+
 def test_a_repeated_or_late_message_adds_nothing() -> None:
     ledger = UseLedger()
     assert ledger.told("g1", 7, agreed(1.0), [UseRow(200, "ann", 3)], 1.0)
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -484,11 +484,11 @@
     Agreed time up to which its counts are final, in seconds since 1970; 0 where not known.
     """
 
-    windows: List[int] = betterproto.uint64_field(5)
-    """Columns: one row for each window and tenant."""
-
-    tenants: List[str] = betterproto.string_field(6)
-    counts: List[int] = betterproto.uint64_field(7)
+    rows: bytes = betterproto.bytes_field(5)
+    """
+    A JSON list of rows, see `usage.meter.UseRow`: columns of 78 tenants took a leader 2.7 ms to
+     read, as JSON below 0.1 ms.
+    """
 
 
 @dataclass(eq=False, repr=False)
