--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -66,6 +66,8 @@
     ----------
     reader
         Who gave the last answer, by kind: a replica's name, or `store`.
+    follows_mirrors
+        Whether a mirror has told this gateway anything since one said that it does not mirror.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         asks_store: Callable[[], bool],
     ) -> None:
         self.reader: dict[str, str] = {}
+        self.follows_mirrors = False
         self._name = name
         self._zone = zone
         self._store = store
@@ -159,6 +162,7 @@
                 return None
             else:
                 self._not_mirrored_seconds = FIRST_NOT_MIRRORED_SECONDS
+                self.follows_mirrors = True
                 self._note_reader(message.kind, mirror.name)
                 return page
         return None
@@ -168,6 +172,7 @@
 
         The watches of both kinds are told at about the same time, which counts once.
         """
+        self.follows_mirrors = False
         now = clock.monotonic()
         if now < self._not_before:
             return
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -144,6 +144,7 @@
             self.front,
             self._view_changed,
             lambda: self.leadership.log.is_leading,
+            lambda: self.mirrored_store.follows_mirrors,
             keys.wait_seconds,
         )
         self._stopped = curio.Event()
--- a/src/pondtiller/gateway/store_watch.py
+++ b/src/pondtiller/gateway/store_watch.py
@@ -89,8 +89,8 @@
         change is otherwise a call of each daemon.
     wait_seconds
         How long one call waits for changes.
-    longest_retry_seconds
-        Longest pause between two calls while the store does not answer.
+    longest_retry
+        Returns the longest pause between two calls while the store does not answer, in seconds.
 
     Attributes
     ----------
@@ -109,11 +109,11 @@
         change: Change,
         rest: Callable[[], float] | None = None,
         wait_seconds: float = WATCH_SECONDS,
-        longest_retry_seconds: float = LONGEST_RETRY_SECONDS,
+        longest_retry: Callable[[], float] | None = None,
     ) -> None:
         self.at = 0
         self.rest = rest
-        self._longest_retry_seconds = longest_retry_seconds
+        self._longest_retry = longest_retry or (lambda: LONGEST_RETRY_SECONDS)
         self._wait_seconds = wait_seconds
         self._retry_seconds = RETRY_SECONDS
         self._store = store
@@ -134,10 +134,10 @@
                 await self._pause(error)
 
     async def _pause(self, error: StoreCallError) -> None:
-        """Wait before the next call, longer each time until one is answered."""
+        """Wait before the next call, longer each time; no longer once another watch is answered."""
         self._health.lost(self._kind, error)
-        await curio.sleep(self._retry_seconds)
-        self._retry_seconds = min(2 * self._retry_seconds, self._longest_retry_seconds)
+        await curio.ignore_after(self._retry_seconds, self._health.wait_regained)
+        self._retry_seconds = min(2 * self._retry_seconds, self._longest_retry())
 
     async def _follow(self) -> None:
         listing = await self._store.list_all(self._kind)
--- a/src/pondtiller/gateway/tests/test_watches.py
+++ b/src/pondtiller/gateway/tests/test_watches.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from pondtiller.daemon import clock
 from pondtiller.gateway.store_watch import StoreHealth, Watch
 from pondtiller.platform.object_client import (
     HistoryGoneError,
@@ -110,3 +111,35 @@
     store, recorder = play(["a", "b"] + ["c"] * 100, rest=lambda: 0.25)
     assert recorder.told[:3] == ["listed1", "a", "b"]
     assert len(store.asked) <= 4
+
+
+def test_a_watch_that_pauses_goes_on_once_another_is_answered() -> None:
+    """Two daemons' watches of one process fail; the pause of the second is cut short."""
+
+    async def main() -> float:
+        health = StoreHealth()
+        store, recorder = ScriptedStore([StoreCallError("status 429")] * 4 + ["late"]), Recorder()
+        watch = Watch(
+            store,
+            health,
+            "servers",
+            recorder.replace,
+            recorder.change,
+            wait_seconds=0.01,
+            longest_retry=lambda: 30.0,
+        )
+        task = await curio.spawn(watch.run, daemon=True)
+        while len(store.asked) < 3:
+            await curio.sleep(0.01)
+        watch._retry_seconds = 30.0
+        while len(store.asked) < 4:
+            await curio.sleep(0.01)
+        await curio.sleep(0.05)
+        began = clock.monotonic()
+        await health.heard("config", 7)
+        while "late" not in recorder.told:
+            await curio.sleep(0.01)
+        await task.cancel()
+        return clock.monotonic() - began
+
+    assert curio.run(curio.timeout_after, 10.0, main) < 0.5
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -7,15 +7,22 @@
 
 from pondtiller.daemon import clock, logs
 from pondtiller.gateway.front import Front
-from pondtiller.gateway.store_watch import WATCH_SECONDS, StoreHealth, StoreReader, Watch
+from pondtiller.gateway.store_watch import (
+    LONGEST_RETRY_SECONDS,
+    WATCH_SECONDS,
+    StoreHealth,
+    StoreReader,
+    Watch,
+)
 from pondtiller.platform import configuration, engine_format, names
 from pondtiller.platform.object_client import StoreChange, StoreObject
 from pondtiller.routes.engines import EngineDirectory, EngineEntry
 
 ENGINES_REST_SECONDS = 1.2
-LOST_RETRY_SECONDS = 2.0
-"""Longest pause of a gateway between calls to a store that does not answer. Hundreds of gateways
-ask; two thirds of the shortest time that the platform gives a daemon to be in touch again."""
+MIRRORED_RETRY_SECONDS = 2.0
+"""Longest pause between calls to a store that does not answer, of a gateway that follows mirrors:
+there are many of those, and mirrors may tell it meanwhile. Half of the time that the platform gives
+daemons of such deployments to be in touch again."""
 
 
 class GatewayWatches:
@@ -29,9 +36,11 @@
         front: Front,
         changed: Callable[[], Awaitable[None]],
         is_leading: Callable[[], bool],
+        follows_mirrors: Callable[[], bool],
         configuration_wait_seconds: float = WATCH_SECONDS,
     ) -> None:
         self.is_leading = is_leading
+        self._follows_mirrors = follows_mirrors
         self._engines = engines
         self._front = front
         self._changed = changed
@@ -42,7 +51,7 @@
             self._take_configurations,
             self._configuration_changed,
             wait_seconds=configuration_wait_seconds,
-            longest_retry_seconds=LOST_RETRY_SECONDS,
+            longest_retry=self._longest_retry,
         )
         self.engines = Watch(
             store,
@@ -51,9 +60,14 @@
             self._take_engines,
             self._engine_changed,
             self._engines_rest,
-            longest_retry_seconds=LOST_RETRY_SECONDS,
+            longest_retry=self._longest_retry,
         )
 
+    def _longest_retry(self) -> float:
+        if self._follows_mirrors() and not self.is_leading():
+            return MIRRORED_RETRY_SECONDS
+        return LONGEST_RETRY_SECONDS
+
     def _engines_rest(self) -> float:
         """Return the pause between calls: only a leader needs each load of weights at once."""
         return 0.0 if self.is_leading() else ENGINES_REST_SECONDS
