Repeat nothing of a broken request in its error; one stand-in that listens

Cause, found in reading: the error of h11 repeats the line that it can't read, so a head whose key stands on a broken line came back in the body of the 400, and would stand in whatever logs bodies. The sentence is fixed now (red before). Stand-ins share their listening; the duty takes its parts as one value.

--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -19,7 +19,7 @@
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
-from pondtiller.gateway.usage_duty import UsageDuty, UsageSettings
+from pondtiller.gateway.usage_duty import UsageDuty, UsageParts, UsageSettings
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import LinkLostError
 from pondtiller.platform.operator_api import OperatorClient
@@ -132,7 +132,7 @@
         parts = self._parts
         if parts.usage is None or parts.operator is None:
             return None
-        return UsageDuty(
+        usage = UsageParts(
             parts.usage,
             parts.operator,
             parts.agreed,
@@ -140,9 +140,8 @@
             parts.front,
             self.orders,
             parts.metrics,
-            self.epoch,
-            entries,
         )
+        return UsageDuty(usage, self.epoch, entries)
 
     async def start(self) -> None:
         """Restore the steps, then begin to work."""
--- a/src/pondtiller/gateway/tests/test_tenants.py
+++ b/src/pondtiller/gateway/tests/test_tenants.py
@@ -76,6 +76,21 @@
     run_system(tmp_path, test, with_configuration=False)
 
 
+def test_a_key_in_a_broken_head_does_not_come_back_in_the_error(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        put_tenants(system, 3, KEYS)
+        await until_in_force(system, 3)
+        place = system.callers()
+        stream = await curio.open_connection(place.host, place.port)
+        await stream.sendall(b"POST /quote/x HTTP/1.1\r\nCredential key-of-ann-1\r\n\r\n")
+        answer = await stream.recv(65_536)
+        await stream.close()
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert ANN.encode() not in answer
+
+    run_system(tmp_path, test, with_configuration=False)
+
+
 def test_engines_are_told_the_keys_tenant_and_not_what_the_caller_claims(tmp_path: Path) -> None:
     async def test(system: System) -> None:
         put_tenants(system, 3, KEYS)
--- a/src/pondtiller/gateway/usage_duty.py
+++ b/src/pondtiller/gateway/usage_duty.py
@@ -58,38 +58,56 @@
     lease_seconds: float
 
 
+class UsageParts(NamedTuple):
+    """What the duty works with.
+
+    Attributes
+    ----------
+    operator
+        To whom use is reported.
+    agreed
+        The time of day on which the machines agree.
+    orders
+        The right to act of this term.
+    """
+
+    settings: UsageSettings
+    operator: OperatorClient
+    agreed: AgreedClock
+    leadership: Leadership
+    front: Front
+    orders: OrderRights
+    metrics: GatewayMetrics
+
+
 class UsageDuty:
-    """The duty during one term."""
-
-    def __init__(
-        self,
-        settings: UsageSettings,
-        operator: OperatorClient,
-        agreed: AgreedClock,
-        leadership: Leadership,
-        front: Front,
-        orders: OrderRights,
-        metrics: GatewayMetrics,
-        epoch: int,
-        entries: list[Entry],
-    ) -> None:
+    """The duty during one term.
+
+    Parameters
+    ----------
+    entries
+        What the log holds of use.
+    """
+
+    def __init__(self, parts: UsageParts, epoch: int, entries: list[Entry]) -> None:
+        settings = parts.settings
         self.ledger = UseLedger()
         self.reports = UsageReports(
             settings.window_seconds, settings.late_seconds, clock.monotonic()
         )
         self.reports.restore(entries, self.ledger)
         self._settings = settings
-        self._operator = operator
-        self._agreed = agreed
-        self._leadership = leadership
-        self._front = front
-        self._orders = orders
-        self._metrics = metrics
+        self._operator = parts.operator
+        self._agreed = parts.agreed
+        self._leadership = parts.leadership
+        self._front = parts.front
+        self._orders = parts.orders
+        self._metrics = parts.metrics
         self._epoch = epoch
         self._news: list[LedgerRow] = []
         self._tally_number = 0
         self._next_tally = 0.0
-        agreed.forget_machines()
+        self._agreed.forget_machines()
 
     def take(self, message: UseTold) -> UseTaken:
         """Take what a daemon tells."""
--- a/src/pondtiller/httpio/server.py
+++ b/src/pondtiller/httpio/server.py
@@ -21,6 +21,7 @@
 WRITE_SECONDS = 30.0
 LINGER_SECONDS = 2.0
 LINGER_READS = 64
+NOT_HTTP = "what was sent is no HTTP/1.1 request"
 
 
 class ConnectionLostError(Exception):
@@ -165,7 +166,8 @@
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
-                raise BadMessageError(Failure(ErrorKind.BAD_REQUEST, str(error))) from error
+                # The error's own text repeats what was sent, which may hold a caller's key.
+                raise BadMessageError(Failure(ErrorKind.BAD_REQUEST, NOT_HTTP)) from error
             if event is not h11.NEED_DATA:
                 return event
             try:
--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -13,19 +13,11 @@
 OBJECTS = "/pondtiller/objects/"
 
 
-class StandInStore:
-    """The platform's object store: list, watch, create, replace, status, delete."""
+class StandIn:
+    """What listens on loopback and answers requests one by one."""
 
     def __init__(self) -> None:
         self.listener = bind_tcp("127.0.0.1", 0)
-        self.revision = 1
-        self.kinds: dict[str, dict[str, dict[str, Any]]] = {}
-        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
-        self.oldest = 0
-        self.is_down = False
-        self.loses_answers = False
-        self.page = 2
-        self.calls = 0
 
     @property
     def address(self) -> str:
@@ -37,6 +29,24 @@
         """Answer until cancelled."""
         await serve_http(self.listener, self._handle)
 
+    async def _handle(self, exchange: Exchange) -> None:
+        raise NotImplementedError
+
+
+class StandInStore(StandIn):
+    """The platform's object store: list, watch, create, replace, status, delete."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revision = 1
+        self.kinds: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.oldest = 0
+        self.is_down = False
+        self.loses_answers = False
+        self.page = 2
+        self.calls = 0
+
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object as the operator, a trainer or an engine does."""
         self._store(kind, name, spec, None)
@@ -123,11 +133,11 @@
 Behaviour = Callable[[Exchange], Awaitable[None]]
 
 
-class StandInEngine:
+class StandInEngine(StandIn):
     """An engine: answers whole requests, streams samples, takes orders."""
 
     def __init__(self, identifier: str, service: str, events: int = 3) -> None:
-        self.listener = bind_tcp("127.0.0.1", 0)
+        super().__init__()
         self.identifier = identifier
         self.service = service
         self.events = events
@@ -138,12 +148,6 @@
         self.next_behaviours: list[Behaviour] = []
         self.models: list[str] = []
 
-    @property
-    def address(self) -> str:
-        """Where it listens, as IP:PORT."""
-        host, port = self.listener.getsockname()
-        return f"{host}:{port}"
-
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return what the engine writes about itself into the store."""
         models = [{"name": name, "version": self.version} for name in self.models]
@@ -157,10 +161,6 @@
             "sequence": 7,
         }
 
-    async def serve(self) -> None:
-        """Answer until cancelled."""
-        await serve_http(self.listener, self._handle)
-
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
         if request.path == "/pondtiller/report":
@@ -222,7 +222,7 @@
         return HttpResponse(202)
 
 
-class StandInOperator:
+class StandInOperator(StandIn):
     """The operator's interface: takes reports of use, and says when it does not.
 
     Attributes
@@ -234,20 +234,10 @@
     """
 
     def __init__(self) -> None:
-        self.listener = bind_tcp("127.0.0.1", 0)
+        super().__init__()
         self.reports: list[tuple[str, int, bytes]] = []
         self.next_statuses: list[int] = []
 
-    @property
-    def address(self) -> str:
-        """Where it listens, as IP:PORT."""
-        host, port = self.listener.getsockname()
-        return f"{host}:{port}"
-
-    async def serve(self) -> None:
-        """Answer until cancelled."""
-        await serve_http(self.listener, self._handle)
-
     def taken(self) -> dict[int, dict[str, int]]:
         """Return the counts of each window; two reports that differ are a fault."""
         found: dict[int, dict[str, int]] = {}
