Stand-in store: tell only the revision up to which it looked

In a failed run the follower stood at the store's newest revision (12) with table 3, as did the mirror that it followed; the others had table 9.

The tests are unchanged.

--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -107,11 +107,13 @@
                 await exchange.respond(HttpResponse(410))
                 return
             found = [each for each in self.history if each[0] > at and each[1] == kind]
+            # What comes after this look is not told yet, so it must not be called told.
+            seen = self.revision
             if found:
                 break
             await curio.sleep(0.02)
         events = [{"object": found_object, "gone": gone} for _, _, found_object, gone in found]
-        await exchange.respond(json_response(200, {"events": events, "at": self.revision}))
+        await exchange.respond(json_response(200, {"events": events, "at": seen}))
 
     def _write(self, method: str, kind: str, name: str, body: dict[str, Any]) -> HttpResponse:
         name, _, part = name.partition("/")
