Places, evacuated zones, homes, cold engines and scaling as values; one gate before each send

Interfaces of the parts for two new customers, agreed before the parts go to several hands: zones with regions and distances (routes/places.py), zones that are evacuated, home regions of routes and tenants, how long an engine is cold and what it bears, what may be ordered of engines, all read from settings and configuration. routes/send_gate.py is the one place where a request is held back right before it leaves: callers' whole requests and streams, second tries, resumed streams, samples, scorers' requests. An attempt that is held back is no attempt and says nothing against its engine.

Behaviour changes in one thing only: a live request whose engine is learned to leave while a connection is opened goes elsewhere.

--- a/src/pondtiller/gateway/engine_pool.py
+++ b/src/pondtiller/gateway/engine_pool.py
@@ -144,6 +144,14 @@
         else:
             await connection.close()
 
+    async def give_back_unused(self, connection: EngineConnection) -> None:
+        """Keep a connection on which nothing was sent since it was taken."""
+        kept = self._kept.setdefault(connection.engine, [])
+        if len(kept) < KEPT_CONNECTIONS:
+            kept.append(connection)
+        else:
+            await connection.close()
+
     async def forget(self, engines: set[str]) -> None:
         """Close the kept connections of engines that are not among those given."""
         for engine in [each for each in self._kept if each not in engines]:
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -16,6 +16,7 @@
 from pondtiller.platform.engine_format import Headers
 from pondtiller.routes.answer_times import AnswerTimes
 from pondtiller.routes.engines import Engine, EngineDirectory
+from pondtiller.routes.send_gate import Held, SendGate
 from pondtiller.routes.table import RequestKind, RouteRow
 from pondtiller.usage.meter import Beginning
 
@@ -63,12 +64,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """How one attempt ended: an answer, or what went wrong."""
+    """How one attempt ended: an answer, or what went wrong.
+
+    Attributes
+    ----------
+    is_held
+        Whether it did not leave, since the engine may get nothing now: the engine did not fail.
+    """
 
     engine: Engine
     answer: WholeAnswer | None
     detail: str = ""
     may_have_run: bool = False
+    is_held: bool = False
 
 
 @dataclass
@@ -77,6 +85,10 @@
 
     Attributes
     ----------
+    engines
+        Those that it was sent to, or is to be sent to.
+    held_back
+        Those that it did not leave for, since they may get nothing now; they are no attempts.
     running
         Attempts that have not ended.
     last_began
@@ -86,18 +98,38 @@
     """
 
     engines: set[str] = field(default_factory=set)
+    held_back: set[str] = field(default_factory=set)
     running: int = 0
     sent: int = 0
     last_began: float = 0.0
     last_failure: WholeAnswer | None = None
     details: list[str] = field(default_factory=list)
 
+    @property
+    def passed_over(self) -> set[str]:
+        """Engines that are not to be chosen again."""
+        return self.engines | self.held_back
+
+    def hold_back(self, engine: Engine, reason: Held) -> None:
+        """Take that a request did not leave for an engine that was chosen."""
+        self.engines.discard(engine.identifier)
+        self.held_back.add(engine.identifier)
+        self.details.append(f"{engine.identifier}:held({reason.value})")
+
     @property
     def ran(self) -> Ran:
         """Whether an engine may have begun to work on it: sent, and not refused as not run."""
         return Ran.UNKNOWN if self.sent else Ran.NO
 
 
+class HeldBackError(NotSentError):
+    """A request must not leave for an engine now."""
+
+    def __init__(self, reason: Held) -> None:
+        super().__init__(f"held({reason.value})")
+        self.reason = reason
+
+
 class Forwarder:
     """Sends requests to engines on behalf of callers and of the leader's scorers.
 
@@ -105,22 +137,32 @@
     ----------
     zone
         Zone of this daemon; engines in it are preferred.
+    gate
+        Asked right before a request leaves.
     """
 
     def __init__(
-        self, zone: str, engines: EngineDirectory, pool: EnginePool, metrics: GatewayMetrics
+        self,
+        zone: str,
+        engines: EngineDirectory,
+        pool: EnginePool,
+        metrics: GatewayMetrics,
+        gate: SendGate,
     ) -> None:
         self._zone = zone
         self._engines = engines
+        self._gate = gate
         self._pool = pool
         self._metrics = metrics
         self._times: dict[str, AnswerTimes] = {}
         self._random = random.Random(f"{zone}/{clock.new_incarnation()}")
 
-    def choose(self, service: str, tried: set[str]) -> Engine | None:
+    def choose(
+        self, service: str, tried: set[str], homes: frozenset[str] = frozenset()
+    ) -> Engine | None:
         """Return the engine with the least work, preferring this zone and open connections."""
         now = clock.monotonic()
-        usable = self._engines.usable(service, now)
+        usable = self._engines.usable(service, now, homes)
         fresh = [each for each in usable if each.identifier not in tried]
         rested = [each for each in fresh if now >= each.not_before] or fresh
         usual = min((each.answer_seconds for each in rested if each.answer_seconds), default=0.0)
@@ -177,7 +219,9 @@
             except curio.TaskTimeout:
                 now = clock.monotonic()
                 is_overdue = now >= tries.last_began + OVERDUE_TIMES * usual
-                if now < request.deadline and (is_overdue or self._has_spare(service, tries)):
+                if now < request.deadline and (
+                    is_overdue or self._has_spare(route, service, tries)
+                ):
                     await self._start(request, route, service, tries, ended, attempts)
                 continue
             tries.running -= 1
@@ -185,13 +229,13 @@
             if answer is not None:
                 return answer
 
-    def _has_spare(self, service: str, tries: Tries) -> bool:
+    def _has_spare(self, route: RouteRow, service: str, tries: Tries) -> bool:
         """Return whether another engine is free enough for an early second try.
 
         Where engines are slow because they are full, second tries only fill them more. A
         request that is overdue gets its second try all the same: its engine may be gone.
         """
-        engine = self.choose(service, tries.engines)
+        engine = self.choose(service, tries.passed_over, route.homes)
         return engine is not None and engine.running < engine.entry.slots * HEDGE_FILL
 
     def usual_seconds(self, service: str) -> float:
@@ -218,7 +262,7 @@
         """Begin an attempt at another engine; False where there is none left."""
         if len(tries.engines) >= route.attempts:
             return False
-        engine = self.choose(service, tries.engines)
+        engine = self.choose(service, tries.passed_over, route.homes)
         if engine is None:
             return False
         if tries.engines:
@@ -235,6 +279,9 @@
         try:
             answer = await self._attempt(engine, request, tries)
             await ended.put(Attempt(engine, answer))
+        except HeldBackError as error:
+            tries.hold_back(engine, error.reason)
+            await ended.put(Attempt(engine, None, is_held=True))
         except NotSentError:
             await ended.put(Attempt(engine, None, f"{engine.identifier}:unreachable"))
         except BrokenError as error:
@@ -246,6 +293,8 @@
     ) -> WholeAnswer | Failure | None:
         """Return an answer that goes back, or None to try another engine."""
         engine, answer = attempt.engine, attempt.answer
+        if attempt.is_held:
+            return None
         if answer is None:
             engine.note_failure(clock.monotonic())
             tries.details.append(attempt.detail)
@@ -288,6 +337,11 @@
         connection: EngineConnection | None = None
         try:
             connection = await self._pool.take(engine.identifier, engine.entry.address)
+            held = self._gate.check(engine.identifier, clock.monotonic())
+            if held is not None:
+                await self._pool.give_back_unused(connection)
+                connection = None
+                raise HeldBackError(held)
             tries.sent += 1
             request.beginning.sent(clock.monotonic())
             head = await self._send(connection, engine, request)
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -41,6 +41,8 @@
 from pondtiller.platform.object_client import ObjectClient, StoreCallError
 from pondtiller.platform.operator_api import OperatorClient, wants_use
 from pondtiller.routes.engines import EngineDirectory
+from pondtiller.routes.places import Places
+from pondtiller.routes.send_gate import SendGate
 from pondtiller.usage.meter import UseMeter
 from pondtiller.wire.steplog import ScoreSample, Subscribe
 
@@ -81,12 +83,16 @@
         self.settings = settings
         self.is_stopping = False
         self.metrics = GatewayMetrics()
-        self.engines = EngineDirectory()
+        self.places = Places(settings.regions)
+        self.engines = EngineDirectory(self.places)
+        self.gate = SendGate(self.engines)
         self.pool = EnginePool()
         client = HttpClient()
         self.store = ObjectClient(to_address(settings.store), client)
         health = StoreHealth()
-        forwarder = self.forwarder = Forwarder(settings.zone, self.engines, self.pool, self.metrics)
+        forwarder = self.forwarder = Forwarder(
+            settings.zone, self.engines, self.pool, self.metrics, self.gate
+        )
         self.sockets = GatewaySockets(settings)
         self.leadership = Leadership(
             settings.name,
@@ -98,7 +104,7 @@
             settings.zone,
         )
         self.steps = StepClient(settings.name, self.leadership.leader, self)
-        streams = StreamForwarder(forwarder, self.pool)
+        streams = StreamForwarder(forwarder, self.pool, self.gate)
         self.agreed = AgreedClock()
         usage = _usage_settings(settings)
         meter = UseMeter(usage.window_seconds if usage is not None else 0.0)
@@ -109,7 +115,7 @@
             self.teller = UsageTeller(
                 settings.name, meter, self.agreed, self.steps, self.leadership.leader
             )
-        runner = SampleRunner(self.engines, self.pool, forwarder, lambda: self.front.table)
+        runner = SampleRunner(self.gate, self.pool, forwarder, lambda: self.front.table)
         self.run_host = RunHost(runner, lambda: self.leadership.replicas.highest_epoch)
         self.leadership.replicas.subscription = self._subscription()
         self._leader_watches = LeaderWatches(self.store, health, self.leadership.replicas)
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -13,7 +13,7 @@
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import EventReader
 from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd
-from pondtiller.routes.engines import EngineDirectory
+from pondtiller.routes.send_gate import Held, SendGate
 from pondtiller.routes.table import RouteTable
 from pondtiller.wire.steplog import Sample, Scorer
 
@@ -92,27 +92,34 @@
     ----------
     find_table
         Returns the rows in force.
+    gate
+        Asked right before a sample leaves.
     """
 
     def __init__(
         self,
-        engines: EngineDirectory,
+        gate: SendGate,
         pool: EnginePool,
         forwarder: Forwarder,
         find_table: Callable[[], RouteTable | None],
     ) -> None:
-        self._engines = engines
+        self._gate = gate
         self._pool = pool
         self._forwarder = forwarder
         self._find_table = find_table
 
     async def run(self, order: RunOrder, take: EventSink) -> RunOutcome:
         """Run a sample on an engine; `take` gets each event and says whether to go on."""
-        if self._engines.has_left(order.engine, clock.monotonic()):
-            return RunOutcome(RunEnd.REFUSED, "gone")
+        if self._gate.engines.has_left(order.engine, clock.monotonic()):
+            return RunOutcome(RunEnd.REFUSED, Held.LEAVING.value)
         connection: EngineConnection | None = None
         try:
             connection = await self._pool.take(order.engine, order.address)
+            held = self._gate.check(order.engine, clock.monotonic())
+            if held is not None:
+                await self._pool.give_back_unused(connection)
+                connection = None
+                return RunOutcome(RunEnd.REFUSED, held.value)
             outcome = await self._stream(order, connection, take)
             if outcome.end is not RunEnd.STALE:
                 await self._pool.give_back(connection)
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -118,6 +118,41 @@
     unheard: float = Field(default=5.0, gt=2.0, le=3600)
 
 
+class Evacuation(Section):
+    """Evacuations of zones that the operator asks for.
+
+    Attributes
+    ----------
+    within
+        Seconds after which no request may reach an engine of the zone; 0 where none are asked for.
+    """
+
+    within: float = Field(default=0.0, ge=0, le=3600)
+
+
+class Cold(Section):
+    """What all machines together may send to a cold engine in any second.
+
+    The engine's rate, as its service's row gives it, times `excess`, and `slack` requests.
+    """
+
+    excess: float = Field(default=1.0, ge=0, le=1000)
+    slack: float = Field(default=0.0, ge=0, le=100_000)
+
+
+class Losses(Section):
+    """What may be lost at one time with all promises kept, besides `losses` replicas.
+
+    Attributes
+    ----------
+    zones, regions
+        Whole ones, each with all of its replicas.
+    """
+
+    zones: int = Field(default=0, ge=0, le=5)
+    regions: int = Field(default=0, ge=0, le=5)
+
+
 class GatewaySettings(Section):
     """Settings of one gateway.
 
@@ -132,6 +167,10 @@
         Address to listen on for scrapes; empty where there is none.
     losses
         Replicas with their disks that may be lost at one time.
+    regions
+        Region by zone, of all zones; empty where all lie in one.
+    rate_excess
+        Part by which all daemons together may exceed a tenant's rate.
     """
 
     name: str
@@ -148,6 +187,11 @@
     usage: Usage = Usage()
     operator: OperatorApi = OperatorApi()
     keys: Keys = Keys()
+    regions: dict[str, str] = Field(default_factory=dict)
+    places_lost: Losses = Losses()
+    evacuation: Evacuation = Evacuation()
+    cold: Cold = Cold()
+    rate_excess: float = Field(default=0.1, ge=0, le=10)
 
     @property
     def wanted_replicas(self) -> int:
@@ -168,6 +212,8 @@
         Address to listen on for scrapes; empty where there is none.
     first_start
         Whether this is the first start of the whole system.
+    regions
+        Region by zone, of all zones; empty where all lie in one.
     """
 
     name: str
@@ -178,3 +224,5 @@
     data_folder: Path
     first_start: bool = False
     log_level: str = "info"
+    regions: dict[str, str] = Field(default_factory=dict)
+    evacuation: Evacuation = Evacuation()
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -12,6 +12,7 @@
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import EventReader
 from pondtiller.routes.engines import Engine
+from pondtiller.routes.send_gate import SendGate
 from pondtiller.routes.table import RouteRow
 
 
@@ -27,9 +28,10 @@
 class StreamForwarder:
     """Passes streams on, event by event."""
 
-    def __init__(self, forwarder: Forwarder, pool: EnginePool) -> None:
+    def __init__(self, forwarder: Forwarder, pool: EnginePool, gate: SendGate) -> None:
         self._forwarder = forwarder
         self._pool = pool
+        self._gate = gate
 
     async def forward(self, exchange: Exchange, request: ForwardedRequest, route: RouteRow) -> None:
         """Answer a request with a stream; the caller's leaving ends the engine's work."""
@@ -70,7 +72,7 @@
         state: StreamState,
     ) -> Failure | None:
         tries = state.tries
-        engine = self._forwarder.choose(service, tries.engines)
+        engine = self._forwarder.choose(service, tries.passed_over, route.homes)
         if engine is None or len(tries.engines) >= route.attempts:
             return Failure(
                 ErrorKind.ENGINE_FAILED if tries.ran.value != "no" else ErrorKind.NO_ENGINE
@@ -82,6 +84,12 @@
         connection: EngineConnection | None = None
         try:
             connection = await self._pool.take(engine.identifier, engine.entry.address)
+            held = self._gate.check(engine.identifier, clock.monotonic())
+            if held is not None:
+                tries.hold_back(engine, held)
+                await self._pool.give_back_unused(connection)
+                connection = None
+                return RETRY
             return await self._pass_on(exchange, request, route, engine, connection, state)
         except NotSentError:
             engine.note_failure(clock.monotonic())
--- a/src/pondtiller/platform/configuration.py
+++ b/src/pondtiller/platform/configuration.py
@@ -9,6 +9,7 @@
     RequestLimits,
     RouteRow,
     RouteTable,
+    Scaling,
     ServiceRow,
     ServiceShare,
 )
@@ -60,9 +61,14 @@
         step_seconds=_seconds(given, "run_deadline_ms", 60_000),
         queue_seconds=float(given.get("queue_ttl_s") or 120.0),
         is_public=bool(given.get("public")),
+        homes=_homes(given),
     )
 
 
+def _homes(given: dict[str, Any]) -> frozenset[str]:
+    return frozenset(str(each) for each in given.get("allowed_regions") or ())
+
+
 def without_keys(spec: Any) -> Any:
     """Return a configuration with digests in place of the tenants' keys.
 
@@ -92,6 +98,7 @@
         key_digests=frozenset(given[KEY_DIGESTS]),
         priority=int(priority) if priority is not None else None,
         rate_per_second=float(rate) if rate else None,
+        homes=_homes(given),
     )
 
 
@@ -113,6 +120,27 @@
         health_path=given.get("health_path") or "",
         most_connections=int(given.get("max_conns") or 100),
         models=tuple(each["name"] for each in engine.get("models") or ()),
+        cold_seconds=float(given.get("cold_start_s") or 0.0),
+        cold_rate=float(given.get("cold_per_s") or 0.0),
+        scaling=_scaling(given.get("autoscale")),
+    )
+
+
+def _scaling(given: dict[str, Any] | None) -> Scaling | None:
+    """Read what may be ordered; nothing is where the least number is above the most."""
+    if not given:
+        return None
+    least, most = int(given.get("min_replicas") or 0), int(given.get("max_replicas") or 0)
+    if not 0 <= least <= most:
+        return None
+    return Scaling(
+        least=least,
+        most=most,
+        start_seconds=float(given.get("boot_time_s") or 0.0),
+        zone_prices={
+            str(zone): float(price) for zone, price in (given.get("zone_prices") or {}).items()
+        },
+        spot_price=float(given.get("spot_price") or 0.0),
     )
 
 
--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -1,6 +1,7 @@
 """Engines on the platform: their list entries, reports, orders, requests and events."""
 
 import json
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -43,11 +44,21 @@
             slots=int(spec.get("slots") or 1),
             state=EngineState.READY if spec.get("state") == "ready" else EngineState.LEAVING,
             models=_models(spec),
+            cold_seconds=_cold_seconds(spec),
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
 
 
+def _cold_seconds(spec: dict[str, Any]) -> float:
+    """Return how much longer an engine is slow; a number that is none, or negative, says not."""
+    try:
+        seconds = float(spec.get("cold_left_ms") or 0) / 1000.0
+    except (TypeError, ValueError):
+        return 0.0
+    return seconds if 0.0 < seconds < math.inf else 0.0
+
+
 def address(text: str) -> Address:
     """Read IP:PORT."""
     host, _, port = text.rpartition(":")
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 from pondtiller.core.entities import Address
+from pondtiller.routes.places import Places
 
 SUSPECT_SECONDS = 1.0
 FAILURE_PAUSE_SECONDS = 0.5
@@ -37,6 +38,8 @@
     ----------
     models
         Version of the weights by model.
+    cold_seconds
+        How much longer it is slow, counted from when the entry was written; 0 once it is warm.
     """
 
     engine: str
@@ -46,6 +49,7 @@
     slots: int
     state: EngineState
     models: dict[str, int] = field(default_factory=dict)
+    cold_seconds: float = 0.0
 
 
 @dataclass
@@ -145,13 +149,22 @@
 class EngineDirectory:
     """All engines by identifier.
 
+    Parameters
+    ----------
+    places
+        Zones with their regions.
+
     Attributes
     ----------
     revision
         Raised by each change, for the logs.
+    evacuated
+        Zones whose engines get nothing until the operator takes that back.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, places: Places | None = None) -> None:
+        self.places = places or Places()
+        self.evacuated: frozenset[str] = frozenset()
         self.engines: dict[str, Engine] = {}
         self._left_at: dict[str, float] = {}
         self.revision = 0
@@ -198,12 +211,24 @@
             if engine.running == 0:
                 del self.engines[identifier]
 
-    def usable(self, service: str, now: float) -> list[Engine]:
+    def usable(self, service: str, now: float, homes: frozenset[str] = frozenset()) -> list[Engine]:
         """Return the engines of a service that may get new work now.
 
         Those whose entry has just gone without a notice serve only where there is no other.
+        Engines of evacuated zones never do.
+
+        Parameters
+        ----------
+        homes
+            Regions that the work may be in; empty where any will do.
         """
-        of_service = [each for each in self.engines.values() if each.entry.service == service]
+        of_service = [
+            each
+            for each in self.engines.values()
+            if each.entry.service == service
+            and each.entry.zone not in self.evacuated
+            and self.places.may_hold(each.entry.zone, homes)
+        ]
         listed = [
             each
             for each in of_service
--- /dev/null
+++ b/src/pondtiller/routes/send_gate.py
@@ -0,0 +1,56 @@
+"""The last look before a request leaves for an engine. No I/O.
+
+An engine was chosen some time before: a connection was opened meanwhile, or the request waited.
+Whatever forbids new work to an engine is asked here again, by all that send requests to
+engines: callers' whole requests and streams, second tries, resumed streams, samples, and
+scorers' requests. Health checks and orders do not pass here.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from pondtiller.routes.engines import Engine, EngineDirectory
+
+
+class Held(StrEnum):
+    """Why a request must not leave for an engine now."""
+
+    LEAVING = "leaving"
+    EVACUATED = "evacuated"
+    COLD = "cold"
+    AWAY = "away"
+
+
+Rule = Callable[[Engine, float], Held | None]
+"""Takes an engine and the steady time; None where the request may leave.
+
+A rule that counts what it lets through is asked last, so that nothing is counted in vain.
+"""
+
+
+class SendGate:
+    """Asks all rules that are in force at this daemon."""
+
+    def __init__(self, engines: EngineDirectory) -> None:
+        self.engines = engines
+        self.rules: list[Rule] = [self._leaving, self._evacuated]
+
+    def check(self, identifier: str, now: float) -> Held | None:
+        """Return why a request must not leave for an engine, or None where it may leave now.
+
+        An engine that is not known here passes: its sender knows it from elsewhere.
+        """
+        engine = self.engines.engines.get(identifier)
+        if engine is None:
+            return Held.LEAVING if self.engines.has_left(identifier, now) else None
+        for rule in self.rules:
+            held = rule(engine, now)
+            if held is not None:
+                return held
+        return None
+
+    def _leaving(self, engine: Engine, now: float) -> Held | None:
+        return Held.LEAVING if self.engines.has_left(engine.identifier, now) else None
+
+    def _evacuated(self, engine: Engine, _now: float) -> Held | None:
+        return Held.EVACUATED if engine.entry.zone in self.engines.evacuated else None
--- a/src/pondtiller/routes/table.py
+++ b/src/pondtiller/routes/table.py
@@ -7,6 +7,7 @@
 import re
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
+from typing import NamedTuple
 
 from pondtiller.hashing import score
 from pondtiller.routes.tenants import TenantIndex, TenantRow
@@ -57,6 +58,8 @@
         For steps: when results are due, and when a sample may be given up.
     is_public
         Whether callers show no key.
+    homes
+        Regions that may serve and keep its requests; empty where any may.
     """
 
     name: str
@@ -74,6 +77,7 @@
     step_seconds: float = 60.0
     queue_seconds: float = 120.0
     is_public: bool = False
+    homes: frozenset[str] = frozenset()
 
     @property
     def may_repeat(self) -> bool:
@@ -97,6 +101,29 @@
         return frozenset(share.service for share in self.shares if share.weight > 0)
 
 
+class Scaling(NamedTuple):
+    """How many engines of a service may be ordered, and what they cost.
+
+    Attributes
+    ----------
+    least, most
+        Engines in each zone, of both kinds together.
+    start_seconds
+        From an order until a new engine serves.
+    zone_prices
+        Price of a second of an engine by zone, against each other.
+    spot_price
+        Price of an engine that may be taken away, against one that may not; 0 where there are
+        none.
+    """
+
+    least: int
+    most: int
+    start_seconds: float
+    zone_prices: dict[str, float]
+    spot_price: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceRow:
     """A service's row.
@@ -107,12 +134,21 @@
         Connections that one of its engines accepts from all callers together.
     models
         Models that its engines hold.
+    cold_seconds
+        How long an engine is slow after a start.
+    cold_rate
+        Requests a second that a cold engine bears; 0 where it bears as many as a warm one.
+    scaling
+        None where no engines are to be ordered.
     """
 
     name: str
     health_path: str = ""
     most_connections: int = 100
     models: tuple[str, ...] = ()
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
+    scaling: Scaling | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pondtiller/routes/tenants.py
+++ b/src/pondtiller/routes/tenants.py
@@ -22,12 +22,15 @@
         Rank of the tenant's requests, 0 first; None where the routes' ranks count.
     rate_per_second
         Most requests a second over all daemons together; None where there is no limit.
+    homes
+        Regions that may serve and keep the tenant's requests; empty where any may.
     """
 
     name: str
     key_digests: frozenset[str] = frozenset()
     priority: int | None = None
     rate_per_second: float | None = None
+    homes: frozenset[str] = frozenset()
 
 
 class TenantIndex:
--- a/src/pondtiller/routes/tests/test_engines.py
+++ b/src/pondtiller/routes/tests/test_engines.py
@@ -5,6 +5,7 @@
 from pondtiller.gateway.forward import Forwarder
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
+from pondtiller.routes.send_gate import SendGate
 
 
 def directory(count: int) -> EngineDirectory:
@@ -20,7 +21,7 @@
 
 def test_a_slow_engine_is_left_while_others_are_fast_and_tried_again_later() -> None:
     engines = directory(3)
-    forwarder = Forwarder("z", engines, EnginePool(), GatewayMetrics())
+    forwarder = Forwarder("z", engines, EnginePool(), GatewayMetrics(), SendGate(engines))
     for name, seconds in (("e0", 0.2), ("e1", 0.03), ("e2", 0.04)):
         engines.engines[name].note_answer(seconds, 10.0)
     chosen = {forwarder.choose("app", set()).identifier for _ in range(50)}  # type: ignore[union-attr]
