Follow evacuations of zones from the store, through mirrors

A kind of its own is followed where the settings say within how many seconds it must be in force, through the replicas' mirrors with longer waits than the engines have, since each call is priced. Until the first listing no engine gets anything and the gateway is not ready. Settings that promise less than the sum of the waits are refused.

--- /dev/null
+++ b/src/pondtiller/gateway/evacuation_bounds.py
@@ -0,0 +1,48 @@
+"""From the acknowledgement of an evacuation until no machine in touch sends anything there.
+
+One place for the waits on that way, in seconds, and their sum: settings that promise less are
+refused. docs/design/19-evacuations.md holds the table of what may fail.
+"""
+
+from pondtiller.gateway.mirrored_store import (
+    ANSWER_SECONDS,
+    LONGEST_WAIT_SECONDS,
+    RETRY_SECONDS,
+    STORE_SECONDS,
+    TOLD_SECONDS,
+)
+from pondtiller.gateway.store_watch import RETRY_SECONDS as STORE_RETRY_SECONDS
+from pondtiller.platform.object_client import WATCH_MARGIN_SECONDS
+from pondtiller.replica.mirror import CHECK_SECONDS, FollowTimes
+
+MIRROR_TIMES = FollowTimes(wait_seconds=2.0, fresh_seconds=2.6)
+"""How a mirror follows evacuations. Each wait is a priced call: 0.8 s, as for the engines, would be
+70 calls of a mirror in a day of 56 s, 2 s are 28. A mirror is fresh for as long as its wait, a slow
+store's answer (0.2 s, 50 times the usual) and a margin as long again."""
+DIRECT_WAIT_SECONDS = 2.5
+"""Longest wait of a gateway that asks the store itself. A call that hangs since its path was cut
+must have ended within the 4 s in which the platform takes a machine to be in touch again."""
+SEND_SECONDS = 0.2
+"""From the last look at the gate until the request is at the engine."""
+
+MIRRORED_NEWS_SECONDS = (
+    max(LONGEST_WAIT_SECONDS + ANSWER_SECONDS, MIRROR_TIMES.fresh_seconds + CHECK_SECONDS)
+    + (TOLD_SECONDS + RETRY_SECONDS)
+    + ANSWER_SECONDS
+    + STORE_SECONDS
+)
+"""The first mirror is silent through its wait, or the second one is turned away by the store and
+says so last; mirrors are looked for a little longer, the last one asked is silent, the store
+itself tells."""
+DIRECT_NEWS_SECONDS = (
+    DIRECT_WAIT_SECONDS + WATCH_MARGIN_SECONDS + STORE_RETRY_SECONDS + STORE_SECONDS
+)
+"""A call to the store hangs to its end, and the next one tells."""
+LONGEST_SECONDS = max(MIRRORED_NEWS_SECONDS, DIRECT_NEWS_SECONDS) + SEND_SECONDS
+
+
+def reason_against(within: float) -> str | None:
+    """Return why evacuations cannot be in force within so many seconds; None where they can."""
+    if within == 0 or within > LONGEST_SECONDS:
+        return None
+    return f"news of an evacuation may take {LONGEST_SECONDS:.2f} s: give more, or 0 for none"
--- a/src/pondtiller/gateway/figures.py
+++ b/src/pondtiller/gateway/figures.py
@@ -28,6 +28,8 @@
         Calls to the object store by kind of call.
     counters, gauges
         Further figures by name.
+    evacuated
+        Zones that get nothing now.
     configuration_age_seconds, engines_age_seconds
         How long ago the store, or a mirror of it, was heard.
     """
@@ -41,5 +43,6 @@
     store_calls: dict[str, int]
     counters: dict[str, int]
     gauges: dict[str, float]
+    evacuated: tuple[str, ...]
     configuration_age_seconds: float
     engines_age_seconds: float
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -12,6 +12,7 @@
 from pondtiller.daemon.supervise import keep_running
 from pondtiller.gateway.duties import LeaderDuties
 from pondtiller.gateway.engine_pool import EnginePool
+from pondtiller.gateway.evacuation_watch import EvacuationWatch
 from pondtiller.gateway.figures import GatewayFigures
 from pondtiller.gateway.first_group import StoredFirstGroup
 from pondtiller.gateway.forward import Forwarder
@@ -153,6 +154,16 @@
             lambda: self.mirrored_store.follows_mirrors,
             keys.wait_seconds,
         )
+        self.evacuations: EvacuationWatch | None = None
+        if settings.evacuation.within:
+            self.evacuations = EvacuationWatch(
+                self.mirrored_store,
+                health,
+                self.engines,
+                {settings.zone, *settings.regions},
+                self._view_changed,
+                self.watches.longest_retry,
+            )
         self._stopped = curio.Event()
         self.metrics_server = (
             MetricsServer(settings.metrics, self.render_metrics) if settings.metrics else None
@@ -189,6 +200,7 @@
             store_calls=dict(self.store.calls),
             counters=self._counters(),
             gauges=self._gauges(now),
+            evacuated=tuple(sorted(self.engines.evacuated)),
             configuration_age_seconds=now - self.watches.configuration.heard_at,
             engines_age_seconds=now - self.watches.engines.heard_at,
         )
@@ -220,9 +232,16 @@
             "runs": float(len(term.scheduler.runs) if term is not None else 0),
             "runners": float(len(term.runners.links) if term is not None else 0),
             "hosted_runs": float(self.run_host.runs),
+            "evacuated_zones": float(len(self.engines.evacuated)),
+            "evacuated_running": float(self._evacuated_running()),
             "clock_spread_seconds": self.agreed.spread_seconds(now),
         }
 
+    def _evacuated_running(self) -> int:
+        """Return how many requests this gateway still has at engines of evacuated zones."""
+        engines = self.engines
+        return sum(each.running for each in engines.engines.values() if engines.is_evacuated(each))
+
     async def _view_changed(self) -> None:
         """Take a change of the engines or the table."""
         if not self.leadership.may_stand and self._is_ready():
@@ -263,6 +282,8 @@
             await group.spawn(keep_running, "links", serve_links, sockets.links, self._serve_link)
             await group.spawn(keep_running, "configuration", self.watches.configuration.run)
             await group.spawn(keep_running, "engines", self.watches.engines.run)
+            if self.evacuations is not None:
+                await group.spawn(keep_running, "evacuations", self.evacuations.watch.run)
             await group.spawn(keep_running, "leadership", self.leadership.run)
             await group.spawn(keep_running, "housekeeping", self._keep_house)
             if self.teller is not None:
@@ -334,7 +355,9 @@
             await exchange.respond(HttpResponse(404))
 
     def _is_ready(self) -> bool:
-        return not self.is_stopping and self.front.table is not None and self.engines.is_known
+        if self.is_stopping or self.engines.awaits_evacuations:
+            return False
+        return self.front.table is not None and self.engines.is_known
 
     async def _serve_link(self, link: Link) -> None:
         async with Spawner() as group:
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -6,6 +6,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from pondtiller.core.entities import Address
+from pondtiller.gateway.evacuation_bounds import reason_against
 
 
 def _check_address(text: str) -> str:
@@ -19,6 +20,13 @@
     return _check_address(text) if text else text
 
 
+def _check_within(seconds: float) -> float:
+    reason = reason_against(seconds)
+    if reason is not None:
+        raise ValueError(reason)
+    return seconds
+
+
 AddressText = Annotated[str, AfterValidator(_check_address)]
 OptionalAddress = Annotated[str, AfterValidator(_check_optional)]
 
@@ -127,7 +135,7 @@
         Seconds after which no request may reach an engine of the zone; 0 where none are asked for.
     """
 
-    within: float = Field(default=0.0, ge=0, le=3600)
+    within: Annotated[float, AfterValidator(_check_within)] = Field(default=0.0, ge=0, le=3600)
 
 
 class Cold(Section):
--- a/src/pondtiller/gateway/table_view.py
+++ b/src/pondtiller/gateway/table_view.py
@@ -21,12 +21,22 @@
         f"from {figures.readers.get(names.CONFIGURATIONS, 'nobody')}, "
         f"engines {figures.engines_age_seconds:.1f} s ago "
         f"from {figures.readers.get(names.ENGINES, 'nobody')}"
+        f"{_evacuated(figures)}"
     )
     lines = [head, "\t".join(["row", *SHOWN_COLUMNS, "|", *STATUS_COLUMNS])]
     lines += [_line(figures, row) for row in sheet_of(table).rows]
     return ("\n".join(lines) + "\n").encode()
 
 
+def _evacuated(figures: GatewayFigures) -> str:
+    """Return the evacuated zones, with the requests that this gateway still has there."""
+    found = []
+    for zone in figures.evacuated:
+        running = sum(each.running for each in figures.engines if each.entry.zone == zone)
+        found.append(f"{zone} ({running} still running)")
+    return f", evacuated {', '.join(found)}" if found else ""
+
+
 def _line(figures: GatewayFigures, row: Row) -> str:
     cells = [row.key, *(shown_text(row, column) for column in SHOWN_COLUMNS), "|"]
     is_caller = row.kind is RowKind.CALLER
--- a/src/pondtiller/gateway/tests/system.py
+++ b/src/pondtiller/gateway/tests/system.py
@@ -12,6 +12,7 @@
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.settings import (
+    Evacuation,
     GatewaySettings,
     Keys,
     OperatorApi,
@@ -42,7 +43,9 @@
         replicas: int = 3,
         use_window: float = 0.0,
         keys: Keys | None = None,
+        evacuate_within: float = 0.0,
     ) -> None:
+        self.evacuation = Evacuation(within=evacuate_within)
         self.folder = folder
         self.operator = StandInOperator()
         self.use_window = use_window
@@ -66,6 +69,7 @@
                 store=self.store.address,
                 data_folder=self.folder / f"r{number}",
                 first_start=first_start,
+                evacuation=self.evacuation,
             )
         )
 
@@ -80,6 +84,7 @@
                 store=self.store.address,
                 usage=Usage(window=self.use_window),
                 keys=self.keys,
+                evacuation=self.evacuation,
                 operator=OperatorApi(address=self.operator.address, duties=("usage_report",)),
             )
         )
@@ -171,11 +176,12 @@
     with_configuration: bool = True,
     use_window: float = 0.0,
     keys: Keys | None = None,
+    evacuate_within: float = 0.0,
 ) -> None:
     """Run one test against a fresh system."""
 
     async def main() -> None:
-        system = System(folder, gateways, replicas, use_window, keys)
+        system = System(folder, gateways, replicas, use_window, keys, evacuate_within)
         await system.start(with_configuration)
         try:
             await curio.timeout_after(40.0, test, system)
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -51,7 +51,7 @@
             self._take_configurations,
             self._configuration_changed,
             wait_seconds=configuration_wait_seconds,
-            longest_retry=self._longest_retry,
+            longest_retry=self.longest_retry,
         )
         self.engines = Watch(
             store,
@@ -60,10 +60,11 @@
             self._take_engines,
             self._engine_changed,
             self._engines_rest,
-            longest_retry=self._longest_retry,
+            longest_retry=self.longest_retry,
         )
 
-    def _longest_retry(self) -> float:
+    def longest_retry(self) -> float:
+        """Return the longest pause between calls to a store that does not answer, in seconds."""
         if self._follows_mirrors() and not self.is_leading():
             return MIRRORED_RETRY_SECONDS
         return LONGEST_RETRY_SECONDS
--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -149,6 +149,7 @@
         self.seen: list[tuple[str, str, dict[str, str]]] = []
         self.next_behaviours: list[Behaviour] = []
         self.models: list[str] = []
+        self.zone = "z"
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return what the engine writes about itself into the store."""
@@ -156,7 +157,7 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "z",
+            "zone": self.zone,
             "slots": 4,
             "state": state,
             "models": models,
--- a/src/pondtiller/replica/mirror.py
+++ b/src/pondtiller/replica/mirror.py
@@ -1,4 +1,6 @@
-"""Follows the configuration and the engines for gateways, so that not each asks the store.
+"""Follows the configuration, the engines and what else is asked for, for gateways.
+
+Not each of them then asks the store.
 
 A mirror answers only while it hears from the store: a gateway must learn of an engine that
 leaves as soon as if it asked the store itself, so a mirror that may be behind says so, and the
@@ -6,7 +8,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 
@@ -34,6 +36,23 @@
 """Age above which a mirror answers nothing: a call's wait and rest, with a margin. The platform's
 shortest bound for a leaving engine is 2 s."""
 CHECK_SECONDS = 0.25
+ALWAYS = (names.CONFIGURATIONS, names.ENGINES)
+"""Kinds that each mirror follows; it tells none of them while one is not heard of."""
+
+
+class FollowTimes(NamedTuple):
+    """How a further kind is followed.
+
+    Attributes
+    ----------
+    wait_seconds
+        How long a call waits for changes.
+    fresh_seconds
+        Age above which the mirror tells nothing of the kind.
+    """
+
+    wait_seconds: float
+    fresh_seconds: float
 
 
 class MirroringReader:
@@ -63,12 +82,20 @@
     ----------
     expected_followers
         Returns how many gateways are likely to follow this replica.
+    further
+        Kinds to follow besides the configuration and the engines.
     """
 
-    def __init__(self, store: StoreReader, expected_followers: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        store: StoreReader,
+        expected_followers: Callable[[], float],
+        further: Mapping[str, FollowTimes] | None = None,
+    ) -> None:
         self.is_on = False
         self.answers = 0
-        self.kinds = {names.CONFIGURATIONS: MirroredKind(), names.ENGINES: MirroredKind()}
+        self._further = dict(further or {})
+        self.kinds = {kind: MirroredKind() for kind in (*ALWAYS, *self._further)}
         self._expected_followers = expected_followers
         self._health = StoreHealth()
         reader = MirroringReader(store, self.kinds)
@@ -84,33 +111,52 @@
         async def change(_found: StoreChange) -> None:
             await self._wake()
 
-        return Watch(reader, self._health, kind, replace, change, None, WAIT_SECONDS)
+        times = self._further.get(kind)
+        wait = times.wait_seconds if times is not None else WAIT_SECONDS
+        return Watch(reader, self._health, kind, replace, change, None, wait)
 
     @property
     def age_seconds(self) -> float:
-        """How long ago the store was heard, of the kind that it was heard least of."""
-        return clock.monotonic() - min(each.heard_at for each in self._followed.values())
+        """How long ago the store was heard, of the kind that it was heard least of.
+
+        Of those that each mirror follows.
+        """
+        return clock.monotonic() - min(self._followed[kind].heard_at for kind in ALWAYS)
 
     def is_fresh(self) -> bool:
         """Return whether what is mirrored may be told: each kind was heard of lately.
 
         One kind does not answer for the other: a call may hang that the store has forgotten.
         """
-        is_known = all(kind.at for kind in self.kinds.values())
+        is_known = all(self.kinds[kind].at for kind in ALWAYS)
         return self.is_on and is_known and self.age_seconds < FRESH_SECONDS
 
+    def _may_tell(self, kind: str) -> bool:
+        """Return whether a kind may be told; a further one answers for itself only."""
+        times = self._further.get(kind)
+        if times is None:
+            return kind in self.kinds and self.is_fresh()
+        age = clock.monotonic() - self._followed[kind].heard_at
+        return self.is_on and bool(self.kinds[kind].at) and age < times.fresh_seconds
+
     async def run(self) -> None:
         """Follow the store while enough gateways follow this replica, until cancelled."""
-        was_fresh = False
+        was_told: set[str] = set()
         while True:
             is_wanted = self._expected_followers() >= FEWEST_FOLLOWERS
             if is_wanted != self.is_on:
                 await self._switch(is_wanted)
-            is_fresh = self.is_fresh()
-            if is_fresh != was_fresh:
-                logs.decision("mirror", fresh=is_fresh, on=self.is_on, age=self.age_seconds)
+            told = {kind for kind in self.kinds if self._may_tell(kind)}
+            if told != was_told:
+                logs.decision(
+                    "mirror",
+                    fresh=self.is_fresh(),
+                    on=self.is_on,
+                    age=self.age_seconds,
+                    told=",".join(sorted(told)),
+                )
                 await self._wake()
-            was_fresh = is_fresh
+            was_told = told
             await curio.sleep(CHECK_SECONDS)
 
     async def _switch(self, is_on: bool) -> None:
@@ -143,9 +189,9 @@
             self._waiting.discard(event)
 
     def _page(self, message: ReadMirror) -> MirrorPage:
-        kind = self.kinds.get(message.kind)
         if not self.is_on:
             return MirrorPage(status=MirrorStatus.NOT_MIRRORED)
-        if kind is None or not self.is_fresh():
+        if not self._may_tell(message.kind):
             return MirrorPage(status=MirrorStatus.UNAVAILABLE)
+        kind = self.kinds[message.kind]
         return kind.since(message.at) if message.at else kind.listing()
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -7,6 +7,7 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.daemon.supervise import keep_running
+from pondtiller.gateway.evacuation_bounds import MIRROR_TIMES
 from pondtiller.gateway.metrics_server import MetricsServer
 from pondtiller.gateway.settings import ReplicaSettings, to_address
 from pondtiller.httpio.client import HttpClient
@@ -34,7 +35,8 @@
         self.texts = KeptTexts()
         self.replica = self._restore()
         self.store = ObjectClient(to_address(settings.store), HttpClient())
-        self.server = ReplicaServer(self.replica, self.file, self.texts, self.store)
+        further = {names.EVACUATIONS: MIRROR_TIMES} if settings.evacuation.within else {}
+        self.server = ReplicaServer(self.replica, self.file, self.texts, self.store, further)
         self._stopped = curio.Event()
         self.metrics_server = (
             MetricsServer(settings.metrics, self.render_metrics) if settings.metrics else None
--- a/src/pondtiller/replica/server.py
+++ b/src/pondtiller/replica/server.py
@@ -1,6 +1,7 @@
 """Serves a replica over links: what arrives together is synced to disk once."""
 
 import uuid
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import curio
@@ -12,7 +13,7 @@
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import Link
 from pondtiller.replica.file import LogFile
-from pondtiller.replica.mirror import StoreMirror
+from pondtiller.replica.mirror import FollowTimes, StoreMirror
 from pondtiller.steplog.kept_texts import KeptTexts
 from pondtiller.steplog.replica import Replica, Reply, ViewState
 from pondtiller.wire.steplog import (
@@ -47,9 +48,14 @@
     """Takes messages, makes them durable, answers."""
 
     def __init__(
-        self, replica: Replica, file: LogFile, texts: KeptTexts, store: StoreReader
+        self,
+        replica: Replica,
+        file: LogFile,
+        texts: KeptTexts,
+        store: StoreReader,
+        further: Mapping[str, FollowTimes] | None = None,
     ) -> None:
-        self.mirror = StoreMirror(store, self._expected_followers)
+        self.mirror = StoreMirror(store, self._expected_followers, further)
         self._replica = replica
         self._texts = texts
         self._file = file
--- a/src/pondtiller/rollouts/versions.py
+++ b/src/pondtiller/rollouts/versions.py
@@ -187,14 +187,20 @@
         return behind[:missing]
 
     def _engines_of(self, model: str) -> list[Engine]:
+        """Return the engines that serve a model; what is evacuated serves nothing for a while."""
         return [
             engine
             for engine in self.engines.engines.values()
             if engine.gone_at is None
             and engine.entry.state is EngineState.READY
             and model in engine.entry.models
+            and not self.engines.is_evacuated(engine)
         ]
 
+    def _may_serve(self, identifier: str) -> bool:
+        engine = self.engines.engines.get(identifier)
+        return engine is None or not self.engines.is_evacuated(engine)
+
     def _wanted(self, model: str, engines: list[Engine]) -> int:
         """Return how many engines should have a model's newest version."""
         models = {each for engine in engines for each in engine.entry.models}
@@ -215,7 +221,7 @@
         loading = {
             identifier
             for identifier, load in self.loads.items()
-            if load.model == model and load.version >= version
+            if load.model == model and load.version >= version and self._may_serve(identifier)
         }
         return holding | loading
 
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -160,11 +160,14 @@
         Raised by each change, for the logs.
     evacuated
         Zones whose engines get nothing until the operator takes that back.
+    awaits_evacuations
+        Whether that is not known yet: no engine gets anything before.
     """
 
     def __init__(self, places: Places | None = None) -> None:
         self.places = places or Places()
         self.evacuated: frozenset[str] = frozenset()
+        self.awaits_evacuations = False
         self.engines: dict[str, Engine] = {}
         self._left_at: dict[str, float] = {}
         self.revision = 0
@@ -211,6 +214,10 @@
             if engine.running == 0:
                 del self.engines[identifier]
 
+    def is_evacuated(self, engine: Engine) -> bool:
+        """Return whether an engine's zone is evacuated, or may be as far as it is known."""
+        return self.awaits_evacuations or engine.entry.zone in self.evacuated
+
     def usable(self, service: str, now: float, homes: frozenset[str] = frozenset()) -> list[Engine]:
         """Return the engines of a service that may get new work now.
 
@@ -226,7 +233,7 @@
             each
             for each in self.engines.values()
             if each.entry.service == service
-            and each.entry.zone not in self.evacuated
+            and not self.is_evacuated(each)
             and self.places.may_hold(each.entry.zone, homes)
         ]
         listed = [
--- a/src/pondtiller/routes/send_gate.py
+++ b/src/pondtiller/routes/send_gate.py
@@ -38,19 +38,26 @@
     def check(self, identifier: str, now: float) -> Held | None:
         """Return why a request must not leave for an engine, or None where it may leave now.
 
-        An engine that is not known here passes: its sender knows it from elsewhere.
+        An engine that is not known here passes, since its sender knows it from elsewhere; but not
+        while a zone is evacuated, which may be that engine's.
         """
         engine = self.engines.engines.get(identifier)
         if engine is None:
-            return Held.LEAVING if self.engines.has_left(identifier, now) else None
+            return self._unknown(identifier, now)
         for rule in self.rules:
             held = rule(engine, now)
             if held is not None:
                 return held
         return None
 
+    def _unknown(self, identifier: str, now: float) -> Held | None:
+        if self.engines.has_left(identifier, now):
+            return Held.LEAVING
+        may_be_evacuated = self.engines.awaits_evacuations or self.engines.evacuated
+        return Held.EVACUATED if may_be_evacuated else None
+
     def _leaving(self, engine: Engine, now: float) -> Held | None:
         return Held.LEAVING if self.engines.has_left(engine.identifier, now) else None
 
     def _evacuated(self, engine: Engine, _now: float) -> Held | None:
-        return Held.EVACUATED if engine.entry.zone in self.engines.evacuated else None
+        return Held.EVACUATED if self.engines.is_evacuated(engine) else None
