--- a/src/pondtiller/replica/tests/test_mirror.py
+++ b/src/pondtiller/replica/tests/test_mirror.py
@@ -6,7 +6,7 @@
 from pondtiller.platform import names
 from pondtiller.platform.mirror import MirrorStatus
 from pondtiller.platform.object_client import StoreChanges, StoreListing
-from pondtiller.replica.mirror import FRESH_SECONDS, StoreMirror
+from pondtiller.replica.mirror import FRESH_SECONDS, FollowTimes, StoreMirror
 from pondtiller.wire.steplog import ReadMirror
 
 
@@ -40,3 +40,35 @@
         await task.cancel()
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("hanging", [names.EVACUATIONS, names.ENGINES])
+def test_a_further_kind_answers_for_itself_only(hanging: str) -> None:
+    """Its calls wait longer, so it may be older than the engines, and must not hold them up."""
+    times = FollowTimes(wait_seconds=1.7, fresh_seconds=2.0)
+
+    async def main() -> None:
+        mirror = StoreMirror(Store(hanging), lambda: 10.0, {names.EVACUATIONS: times})
+        task = await curio.spawn(mirror.run)
+        await curio.sleep(0.5)
+        for kind in (names.EVACUATIONS, names.ENGINES):
+            assert (await mirror.answer(ReadMirror(kind=kind))).status == MirrorStatus.OK
+        await curio.sleep(1.9)
+        for kind in (names.EVACUATIONS, names.ENGINES):
+            wanted = MirrorStatus.UNAVAILABLE if kind == hanging else MirrorStatus.OK
+            assert (await mirror.answer(ReadMirror(kind=kind))).status == wanted
+        await task.cancel()
+
+    curio.run(main)
+
+
+def test_a_kind_that_nobody_asked_for_is_not_told() -> None:
+    async def main() -> None:
+        mirror = StoreMirror(Store(""), lambda: 10.0)
+        task = await curio.spawn(mirror.run)
+        await curio.sleep(0.5)
+        answer = await mirror.answer(ReadMirror(kind=names.EVACUATIONS))
+        assert answer.status == MirrorStatus.UNAVAILABLE
+        await task.cancel()
+
+    curio.run(main)
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -1,5 +1,7 @@
 """Samples on engines: order, moves, continuation, versions, giving up."""
 
+from dataclasses import replace
+
 from pondtiller.core.entities import Address
 from pondtiller.rollouts.sample_work import (
     CancelReason,
@@ -344,3 +346,35 @@
     (given_up,) = bench.scheduler.take()
     assert isinstance(given_up, ListResult)
     assert not given_up.result.succeeded
+
+
+def test_nothing_is_placed_in_an_evacuated_zone_and_nothing_moves_there() -> None:
+    bench = Bench(engines=2)
+    bench.directory.changed(replace(entry("e1"), zone="y"))
+    bench.directory.evacuated = frozenset({"y"})
+    bench.open(groups=2, size=2)
+    begun = starts(bench.tick(0.0))
+    assert [run.engine for run in begun] == ["e0", "e0"]
+    for number in range(1, 20):
+        for run in begun:
+            assert bench.scheduler.run_event(run.run, number, "a", 1, number * 0.5)
+        bench.directory.engines["e1"].event_seconds = 0.01
+        assert bench.tick(number * 0.5 + 0.1) == []
+
+
+def test_where_all_zones_are_evacuated_samples_wait_and_begin_once_one_is_taken_back() -> None:
+    bench = Bench(engines=2)
+    bench.directory.evacuated = frozenset({"z"})
+    bench.open(size=2)
+    assert [bench.tick(number * 0.1) for number in range(5)] == [[]] * 5
+    bench.directory.evacuated = frozenset()
+    assert len(starts(bench.tick(1.0))) == 2
+
+
+def test_a_run_that_was_held_back_counts_as_no_failure_of_its_engine() -> None:
+    bench = Bench(engines=1)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    bench.scheduler.run_ended(run.run, RunEnd.REFUSED, 0.1)
+    assert bench.directory.engines["e0"].failures == 0
+    assert len(starts(bench.tick(0.3))) == 1
--- a/src/pondtiller/rollouts/tests/test_versions.py
+++ b/src/pondtiller/rollouts/tests/test_versions.py
@@ -1,5 +1,7 @@
 """Orders for versions: who loads, when, how often, and what a late order can do."""
 
+from dataclasses import replace
+
 from pondtiller.core.entities import Address
 from pondtiller.rollouts.load_shares import load_shares
 from pondtiller.rollouts.versions import AskEngine, OrderVersion, VersionSteward
@@ -149,3 +151,30 @@
     made.engines.replace([], 0.0)
     assert orders(made, 0.1) == []
     assert load_shares(3, {}) == {}
+
+
+def test_engines_of_an_evacuated_zone_hold_no_version_until_it_is_taken_back() -> None:
+    made = steward(4, {"m": 1, "n": 1})
+    made.step_opened("m", 100.0)
+    made.step_opened("n", 100.0)
+    made.named("m", 2)
+    first = {each.engine for each in load_all(made, 0.0)}
+    assert len(first) == 2
+    for name in first:
+        made.engines.changed(replace(made.engines.engines[name].entry, zone="y"))
+    made.engines.evacuated = frozenset({"y"})
+    (order,) = load_all(made, 10.0)
+    assert order.engine not in first
+    made.engines.evacuated = frozenset()
+    assert load_all(made, 20.0) == []
+
+
+def test_a_load_under_way_at_an_evacuated_engine_keeps_no_other_from_loading() -> None:
+    made = steward(2, {"m": 1, "n": 1})
+    made.named("m", 2)
+    (order,) = orders(made, 0.0)
+    made.engines.changed(replace(made.engines.engines[order.engine].entry, zone="y"))
+    assert orders(made, 0.1) == []
+    made.engines.evacuated = frozenset({"y"})
+    (other,) = orders(made, 0.2)
+    assert other.engine != order.engine
