--- a/src/pondtiller/cli/application.py
+++ b/src/pondtiller/cli/application.py
@@ -20,6 +20,7 @@
     TableShowCommand,
     TableWatchCommand,
 )
+from pondtiller.cli.table_evacuate import TableEvacuateCommand
 from pondtiller.cli.table_key import TableKeyCommand
 from pondtiller.cli.table_status import TableStatusCommand
 
@@ -45,6 +46,7 @@
         TableStatusCommand(),
         TableSetCommand(),
         TableKeyCommand(),
+        TableEvacuateCommand(),
         TableApplyCommand(),
         TableExportCommand(),
         TableWatchCommand(),
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -125,6 +125,10 @@
         body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
         return _outcome(await self._call("replace", "PUT", f"{kind}/{quote(name)}", body))
 
+    async def remove(self, kind: str, name: str) -> PutOutcome:
+        """Remove an object, at whichever revision; raises `StoreCallError`."""
+        return _outcome(await self._call("remove", "DELETE", f"{kind}/{quote(name)}"))
+
     async def set_status(self, kind: str, name: str, revision: int, status: Any) -> PutOutcome:
         """Replace an object's status at a revision; raises `StoreCallError`."""
         body = {"metadata": {"name": name, "revision": revision}, "status": status}
@@ -172,7 +176,7 @@
 
 
 def _outcome(answer: HttpResponse) -> PutOutcome:
-    if answer.status in (200, 201):
+    if answer.status in (200, 201, 204):
         return PutOutcome.DONE
     if answer.status == 409:
         return PutOutcome.CONFLICT
--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -124,6 +124,9 @@
             return json_response(201, self._store(kind, name, body["spec"], None))
         if found is None:
             return HttpResponse(404)
+        if method == "DELETE":
+            self.remove(kind, name)
+            return json_response(200, found)
         wanted = body["metadata"].get("revision")
         if wanted is not None and wanted != found["metadata"]["revision"]:
             return json_response(409, found)
