--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -124,6 +124,9 @@
             return json_response(201, self._store(kind, name, body["spec"], None))
         if found is None:
             return HttpResponse(404)
+        if method == "DELETE":
+            self.remove(kind, name)
+            return json_response(200, found)
         wanted = body["metadata"].get("revision")
         if wanted is not None and wanted != found["metadata"]["revision"]:
             return json_response(409, found)
@@ -149,6 +152,7 @@
         self.seen: list[tuple[str, str, dict[str, str]]] = []
         self.next_behaviours: list[Behaviour] = []
         self.models: list[str] = []
+        self.zone = "z"
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return what the engine writes about itself into the store."""
@@ -156,7 +160,7 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "z",
+            "zone": self.zone,
             "slots": 4,
             "state": state,
             "models": models,
