Places decide: a group that bears the loss of zones or regions, engines, runners and mirrors by distance

The group followed one rule, the emptiest zone, and did not know what may be lost: with five members in two of four zones it stayed so, though a zone's loss ended every quorum. steplog/fault_tolerance.py tells what a set of members bears; a spare takes a member's place while they bear too little, one at a time, and each exchange makes the same two figures smaller. Connections to engines of a zone that is cut off each took their whole limit of 0.5 s: two silent engines of a zone now put its others last for 0.8 s.

--- a/src/pondtiller/gateway/engine_pool.py
+++ b/src/pondtiller/gateway/engine_pool.py
@@ -101,6 +101,10 @@
         self.usable_until = clock.monotonic() + seconds - IDLE_MARGIN_SECONDS
 
 
+class SilentEngineError(NotSentError):
+    """An engine, or all that lies on the way to it, did not answer within the time to connect."""
+
+
 class EnginePool:
     """Kept connections by engine.
 
@@ -119,7 +123,7 @@
         return bool(self._kept.get(engine))
 
     async def take(self, engine: str, address: Address) -> EngineConnection:
-        """Return a connection, kept or new; raises `NotSentError`."""
+        """Return a connection, kept or new; raises `NotSentError`, `SilentEngineError`."""
         kept = self._kept.get(engine)
         while kept:
             connection = kept.pop()
@@ -130,8 +134,10 @@
             stream = await curio.timeout_after(
                 CONNECT_SECONDS, curio.open_connection, address.host, address.port
             )
-        except (OSError, curio.TaskTimeout) as error:
-            raise NotSentError(str(error) or "connection timed out") from error
+        except curio.TaskTimeout as error:
+            raise SilentEngineError("connection timed out") from error
+        except OSError as error:
+            raise NotSentError(str(error)) from error
         tune(stream)
         self.opened += 1
         return EngineConnection(engine, address, stream)
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -9,14 +9,21 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.errors import ErrorKind, Failure, Ran
-from pondtiller.gateway.engine_pool import AnswerHead, EngineConnection, EnginePool
+from pondtiller.gateway.engine_pool import (
+    AnswerHead,
+    EngineConnection,
+    EnginePool,
+    SilentEngineError,
+)
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import Headers
 from pondtiller.routes.answer_times import AnswerTimes
 from pondtiller.routes.engines import Engine, EngineDirectory
+from pondtiller.routes.places import Distance
 from pondtiller.routes.send_gate import Held, SendGate
+from pondtiller.routes.silent_zones import SilentZones
 from pondtiller.routes.table import RequestKind, RouteRow
 from pondtiller.usage.meter import Beginning
 
@@ -25,6 +32,17 @@
 HEDGE_FILL = 0.5
 QUEUE_FILL = 2.0
 ZONE_COST = 0.15
+"""An engine in another zone, against a full one. Load: live requests; 3 ms there and back, and
+bytes between zones."""
+REGION_COST = 0.6
+"""An engine in another region, against a full one. Load: live requests; 40 ms there and back is as
+long as most of them take, and bytes between regions cost more. Near engines come first until more
+than half of their places are taken by this daemon's own requests."""
+DISTANCE_COSTS = {
+    Distance.SAME_ZONE: 0.0,
+    Distance.SAME_REGION: ZONE_COST,
+    Distance.OTHER_REGION: REGION_COST,
+}
 CONNECTION_COST = 0.3
 JITTER = 0.1
 SLOWER_THAN_USUAL = 2.0
@@ -150,6 +168,7 @@
         gate: SendGate,
     ) -> None:
         self._zone = zone
+        self._silent_zones = SilentZones(zone)
         self._engines = engines
         self._gate = gate
         self._pool = pool
@@ -160,11 +179,17 @@
     def choose(
         self, service: str, tried: set[str], homes: frozenset[str] = frozenset()
     ) -> Engine | None:
-        """Return the engine with the least work, preferring this zone and open connections."""
+        """Return the engine with the least work, preferring near ones and open connections.
+
+        Engines of zones from which nothing answers, and those that failed just now, come last.
+        """
         now = clock.monotonic()
         usable = self._engines.usable(service, now, homes)
         fresh = [each for each in usable if each.identifier not in tried]
-        rested = [each for each in fresh if now >= each.not_before] or fresh
+        heard = [
+            each for each in fresh if not self._silent_zones.is_silent(each.entry.zone, now)
+        ] or fresh
+        rested = [each for each in heard if now >= each.not_before] or heard
         usual = min((each.answer_seconds for each in rested if each.answer_seconds), default=0.0)
         return min(rested, key=lambda each: self._cost(each, usual), default=None)
 
@@ -172,7 +197,7 @@
         cost = engine.running / engine.entry.slots + self._random.random() * JITTER
         if usual and engine.answer_seconds > usual * SLOWER_THAN_USUAL:
             cost += min(MOST_SLOWNESS_COST, engine.answer_seconds / usual - SLOWER_THAN_USUAL)
-        cost += 0.0 if engine.entry.zone == self._zone else ZONE_COST
+        cost += DISTANCE_COSTS[self._engines.places.distance(self._zone, engine.entry.zone)]
         cost += 0.0 if self._pool.has_kept(engine.identifier) else CONNECTION_COST
         return cost
 
@@ -282,7 +307,8 @@
         except HeldBackError as error:
             tries.hold_back(engine, error.reason)
             await ended.put(Attempt(engine, None, is_held=True))
-        except NotSentError:
+        except NotSentError as error:
+            self.note_unreachable(engine, error)
             await ended.put(Attempt(engine, None, f"{engine.identifier}:unreachable"))
         except BrokenError as error:
             broken = f"{engine.identifier}:broken({error})"
@@ -345,6 +371,7 @@
             tries.sent += 1
             request.beginning.sent(clock.monotonic())
             head = await self._send(connection, engine, request)
+            self.note_heard(engine)
             body = b"".join([piece async for piece in connection.read_body()])
             if engine_format.is_not_run(head.status, head.headers):
                 tries.sent -= 1
@@ -359,6 +386,18 @@
             if connection is not None:
                 await connection.close()
 
+    def note_unreachable(self, engine: Engine, error: NotSentError) -> None:
+        """Take that an engine could not be connected to: others of its zone may be cut off too."""
+        zone, now = engine.entry.zone, clock.monotonic()
+        is_silent = isinstance(error, SilentEngineError)
+        if is_silent and self._silent_zones.note_silent(zone, engine.identifier, now):
+            logs.decision("zone_silent", zone=zone, engine=engine.identifier)
+
+    def note_heard(self, engine: Engine) -> None:
+        """Take that an engine answered: its zone can be reached."""
+        if self._silent_zones.note_heard(engine.entry.zone):
+            logs.decision("zone_heard", zone=engine.entry.zone, engine=engine.identifier)
+
     def _note_time(self, engine: Engine, began: float, is_answered: bool) -> None:
         """Learn how fast an engine is; one that was left tells only that it took so long."""
         now = clock.monotonic()
--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -12,7 +12,10 @@
 from pondtiller.hashing import score
 from pondtiller.links.frames import Encoded, encode_message
 from pondtiller.rollouts.steps import keys_of_ended_steps
+from pondtiller.routes.places import Distance
 from pondtiller.steplog.entry import Entry
+from pondtiller.steplog.fault_tolerance import USUAL_RULES, PlaceRules, shortfall
+from pondtiller.steplog.group import write_quorum
 from pondtiller.steplog.group_policy import GroupInputs, next_members, spare_to_admit
 from pondtiller.steplog.instructions import Committed, Deposed, Loaded, Phase, Send, Won
 from pondtiller.steplog.leader import HEARTBEAT_SECONDS, LeaderLog
@@ -32,6 +35,9 @@
 DELAY_PER_SLOWNESS_SECONDS = 0.15
 LONGEST_HANDICAP_SECONDS = 0.5
 NO_MEMBER_IN_ZONE_SECONDS = 0.1
+NO_QUORUM_IN_REGION_SECONDS = 0.25
+"""Each commit of such a leader waits for another region, 40 ms there and back: it stands after the
+gateways of a region that holds a quorum, whose random delays are as long at most."""
 BACKOFF_SECONDS = 0.5
 
 
@@ -77,6 +83,14 @@
     cores
         Speed of this daemon's machine. A leader does the most work of all, so a slow machine
         stands later, and leads only where no faster one does.
+    rules
+        Which losses the group is to bear, and where zones lie.
+
+    Attributes
+    ----------
+    shortfall
+        Members more that this daemon's group would need to bear what is declared; 0 while it
+        bears it, and while another daemon leads.
     """
 
     def __init__(
@@ -88,6 +102,7 @@
         first_group: FirstGroupSource,
         metrics: GatewayMetrics,
         zone: str = "",
+        rules: PlaceRules | None = None,
     ) -> None:
         identity = score("epoch", f"{name}/{clock.new_incarnation()}") & 0xFFFFFFFF
         self.log = LeaderLog(name, address.host, address.port, identity, keys_of_ended_steps)
@@ -99,6 +114,8 @@
         self.zone = zone
         self._address = address
         self._wanted_size = wanted_size
+        self._rules = rules or USUAL_RULES
+        self.shortfall = 0
         self.losses = (wanted_size - 1) // 2
         self._first_group = first_group
         self._metrics = metrics
@@ -157,8 +174,20 @@
         if members and not any(member.zone == self.zone for member in members):
             # Every write would cross zones to all members.
             delay += NO_MEMBER_IN_ZONE_SECONDS
+        if self._is_far_from_quorum(members):
+            delay += NO_QUORUM_IN_REGION_SECONDS
         return delay
 
+    def _is_far_from_quorum(self, members: list[GroupMember]) -> bool:
+        """Return whether each write would wait for another region."""
+        distance = self._rules.places.distance
+        near = sum(distance(self.zone, each.zone) < Distance.OTHER_REGION for each in members)
+        return near < write_quorum(len(members)) and len(members) > 0
+
+    def member_links(self) -> list[int]:
+        """Return the links of the group's members, the nearest first."""
+        return self.log.member_links(self.zone, self._rules.places)
+
     def _pause(self, now: float) -> float:
         if self.log.phase is not Phase.IDLE:
             return HEARTBEAT_SECONDS / 3
@@ -255,6 +284,7 @@
             highest_epoch=self.replicas.highest_epoch,
             wait=deposed.wait_seconds,
         )
+        self.shortfall = 0
         await self.replicas.set_keeps_all(False)
         if self._duties is not None:
             await self._duties.end(deposed.reason)
@@ -295,6 +325,26 @@
 
     # The group
 
+    def _note_shortfall(self, synced: tuple[GroupMember, ...]) -> None:
+        """Tell when the members that are up to date begin or cease to bear what is declared."""
+        names = {member.name for member in synced}
+        members = self.log.group.members
+        present = [each for each in members if each.name in names]
+        lacking = shortfall(present, len(members), self._rules)
+        if bool(lacking) != bool(self.shortfall):
+            tolerance = self._rules.tolerance
+            logs.decision(
+                "group_bears_losses" if not lacking else "group_bears_too_little",
+                generation=self.log.group.generation,
+                members=len(members),
+                present=len(present),
+                zones=",".join(sorted(each.zone for each in present)),
+                shortfall=lacking,
+                to_bear=f"machines={tolerance.machines};zones={tolerance.zones};"
+                f"regions={tolerance.regions}",
+            )
+        self.shortfall = lacking
+
     def _change_group(self, now: float) -> None:
         synced = tuple(self.log.synced_members())
         names = {member.name for member in synced}
@@ -313,7 +363,9 @@
             retiring,
             self._wanted_size,
             tuple(follower.member for follower in self.log.followers.values()),
+            self._rules,
         )
+        self._note_shortfall(synced)
         spare = spare_to_admit(inputs, now)
         if spare is not None and spare.name not in self.log.admitted:
             logs.decision("replica_admitted", replica=spare.name, disk=spare.disk)
--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -16,6 +16,7 @@
     StoreChanges,
     StoreListing,
 )
+from pondtiller.routes.places import Places
 from pondtiller.wire.steplog import MirrorPage, ReadMirror
 
 ANSWER_SECONDS = 0.6
@@ -61,6 +62,8 @@
     ----------
     asks_store
         Returns whether to ask the store itself: a leader needs each change at once.
+    places
+        Zones with their regions.
 
     Attributes
     ----------
@@ -77,7 +80,9 @@
         store: StoreReader,
         replicas: ReplicaDirectory,
         asks_store: Callable[[], bool],
+        places: Places | None = None,
     ) -> None:
+        self._places = places or Places()
         self.reader: dict[str, str] = {}
         self.follows_mirrors = False
         self._name = name
@@ -180,7 +185,7 @@
         self._not_mirrored_seconds = min(2 * self._not_mirrored_seconds, NOT_MIRRORED_SECONDS)
 
     def _mirrors(self) -> list[Mirror]:
-        """Return the replicas that may tell: those of the own zone first, the others in turn."""
+        """Return the replicas that may tell: own zone, own region, then others."""
         now = clock.monotonic()
         found = [
             Mirror(place.view.replica.name, place.view.replica.zone, place.link)
@@ -188,9 +193,12 @@
             if place.link is not None and place.view is not None
         ]
         usable = [each for each in found if now >= self._refused_until.get(each.name, 0.0)]
-        return sorted(
-            usable, key=lambda each: (each.zone != self._zone, -score(self._name, each.name))
-        )
+        return sorted(usable, key=self._mirror_order)
+
+    def _mirror_order(self, mirror: Mirror) -> tuple[int, float]:
+        """Return the distance, and a share of the mirrors that is this gateway's own."""
+        distance = self._places.distance(self._zone, mirror.zone)
+        return distance, -score(self._name, mirror.name)
 
     async def _ask(self, mirror: Mirror, message: ReadMirror, wait: float) -> MirrorPage | None:
         try:
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -43,6 +43,7 @@
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.places import Places
 from pondtiller.routes.send_gate import SendGate
+from pondtiller.steplog.fault_tolerance import PlaceRules
 from pondtiller.usage.meter import UseMeter
 from pondtiller.wire.steplog import ScoreSample, Subscribe
 
@@ -94,14 +95,16 @@
             settings.zone, self.engines, self.pool, self.metrics, self.gate
         )
         self.sockets = GatewaySockets(settings)
+        rules = PlaceRules(settings.tolerance, self.places)
         self.leadership = Leadership(
             settings.name,
             self.sockets.address(self.sockets.links),
             settings.processor.speed,
             settings.wanted_replicas,
-            StoredFirstGroup(self.store, settings.wanted_replicas),
+            StoredFirstGroup(self.store, settings.wanted_replicas, rules),
             self.metrics,
             settings.zone,
+            rules,
         )
         self.steps = StepClient(settings.name, self.leadership.leader, self)
         streams = StreamForwarder(forwarder, self.pool, self.gate)
@@ -142,6 +145,7 @@
             self.store,
             self.leadership.replicas,
             lambda: self.leadership.log.is_leading,
+            self.places,
         )
         self.watches = GatewayWatches(
             self.mirrored_store,
@@ -215,6 +219,7 @@
             "engines": float(len(self.engines.engines)),
             "leads": float(self.leadership.log.holds_lease(now)),
             "replicas": float(len(self.leadership.replicas.views())),
+            "group_shortfall": float(self.leadership.shortfall),
             "open_requests": float(self.front.open_exchanges),
             "samples_open": float(len(term.scheduler.work) if term is not None else 0),
             "runs": float(len(term.scheduler.runs) if term is not None else 0),
--- a/src/pondtiller/gateway/run_links.py
+++ b/src/pondtiller/gateway/run_links.py
@@ -225,6 +225,8 @@
         This daemon, which leads and therefore runs nothing while others do.
     ask_member
         Calls a replica of the group; None where none answers.
+    zone
+        Of this daemon.
     """
 
     def __init__(
@@ -235,6 +237,7 @@
         local: Runner,
         ask_member: AskMember,
         checked: Callable[[list[int], float], None],
+        zone: str = "",
     ) -> None:
         self.links: dict[str, RunnerLink] = {}
         self._name = name
@@ -243,7 +246,7 @@
         self._local = local
         self._ask_member = ask_member
         self._checked = checked
-        self._chosen = EngineRunners()
+        self._chosen = EngineRunners(engines.places, zone)
         self._daemons: tuple[Daemon, ...] = ()
         self._revision = 0
         self._connecting: set[str] = set()
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -6,6 +6,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from pondtiller.core.entities import Address
+from pondtiller.steplog.fault_tolerance import Tolerance
 
 
 def _check_address(text: str) -> str:
@@ -193,10 +194,15 @@
     cold: Cold = Cold()
     rate_excess: float = Field(default=0.1, ge=0, le=10)
 
+    @property
+    def tolerance(self) -> Tolerance:
+        """What may be lost at one time."""
+        return Tolerance(self.losses, self.places_lost.zones, self.places_lost.regions)
+
     @property
     def wanted_replicas(self) -> int:
         """Replicas that a group should have."""
-        return 2 * self.losses + 1
+        return self.tolerance.smallest_size
 
 
 class ReplicaSettings(Section):
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -91,7 +91,8 @@
                 connection = None
                 return RETRY
             return await self._pass_on(exchange, request, route, engine, connection, state)
-        except NotSentError:
+        except NotSentError as error:
+            self._forwarder.note_unreachable(engine, error)
             engine.note_failure(clock.monotonic())
             tries.details.append(f"{engine.identifier}:unreachable")
             return RETRY
@@ -120,6 +121,7 @@
         await connection.send_plain(request.method, request.target, request.body, headers)
         state.tries.sent += 1
         head = await connection.read_answer(request.identifier)
+        self._forwarder.note_heard(engine)
         if not 200 <= head.status < 300:
             return await self._refused(exchange, connection, head, route, state)
         if not state.is_begun:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -101,7 +101,9 @@
         self.epoch = won.epoch
         self.book = StepBook()
         self.steward = VersionSteward(parts.engines)
-        self.scheduler = SampleScheduler(parts.engines, self.steward.is_loading)
+        self.scheduler = SampleScheduler(
+            parts.engines, self.steward.is_loading, parts.leadership.zone
+        )
         self.progress = ProgressSaver()
         self.wake = curio.Event()
         self._won = won
@@ -114,6 +116,7 @@
             parts.runner,
             self._ask_member,
             self.scheduler.runs_checked,
+            parts.leadership.zone,
         )
         self._runs: dict[int, Any] = {}
         self._waiters: dict[str, set[Any]] = {}
@@ -429,7 +432,7 @@
 
     async def _ask_member(self, message: Message, seconds: float) -> Message | None:
         """Call a replica of the group, the nearest that answers; None where none does."""
-        for number in self._leadership.log.member_links(self._leadership.zone):
+        for number in self._leadership.member_links():
             link = self._leadership.replicas.link(number)
             if link is None:
                 continue
@@ -458,7 +461,7 @@
     async def save_progress(self, is_last: bool = False) -> None:
         """Leave unfinished texts at replicas, one more than may be lost at a time."""
         now = clock.monotonic()
-        links = self._leadership.log.member_links(self._leadership.zone)
+        links = self._leadership.member_links()
         chosen = links[: self._leadership.losses + 1]
         works = self.scheduler.work.values()
         for news in self.progress.news_of(chosen, works, now, is_last):
@@ -475,7 +478,7 @@
         what those before it did not have.
         """
         wanted = set(self.book.open_samples())
-        for number in self._leadership.log.member_links(self._leadership.zone):
+        for number in self._leadership.member_links():
             link = self._leadership.replicas.link(number)
             if link is None or not wanted:
                 continue
--- a/src/pondtiller/rollouts/placement.py
+++ b/src/pondtiller/rollouts/placement.py
@@ -11,9 +11,14 @@
 
 from pondtiller.rollouts.sample_work import SampleWork
 from pondtiller.routes.engines import Engine, EngineDirectory, usual_pace
+from pondtiller.routes.places import Distance
 
 GROUP_BONUS = 0.4
 SLOWNESS_COST = 1.5
+REGION_COST = 0.25
+"""An engine in another region than the leader's, against a full one. Load: the events of its
+samples, some kilobytes each, cross to the leader; they wait 20 ms, which a sample does not feel.
+So the near engines take a quarter of their places more, and all are used when there is work."""
 LONGEST_SIZE = 3.0
 """Sizes of samples, against their step's mean, above which a slow engine costs no more."""
 
@@ -56,9 +61,14 @@
     ----------
     is_loading
         Returns whether an engine, by its identifier, is changing the weights of a model.
+    zone
+        Of the leader, to which all events of the runs go.
     """
 
-    def __init__(self, engines: EngineDirectory, is_loading: Callable[[str, str], bool]) -> None:
+    def __init__(
+        self, engines: EngineDirectory, is_loading: Callable[[str, str], bool], zone: str = ""
+    ) -> None:
+        self._zone = zone
         self.engines = engines
         self.is_loading = is_loading
         self.groups: dict[str, Counter[str]] = {}
@@ -172,6 +182,8 @@
         relative = engine.event_seconds / pace if engine.event_seconds and pace else 1.0
         cost = (engine.running + 1) / engine.entry.slots
         cost += SLOWNESS_COST * max(0.0, relative - 1.0) * min(work.size, LONGEST_SIZE)
+        distance = self.engines.places.distance(self._zone, engine.entry.zone)
+        cost += REGION_COST if distance is Distance.OTHER_REGION else 0.0
         shares_prompt = work.group in self.groups.get(engine.identifier, ())
         return cost - (GROUP_BONUS if shares_prompt else 0.0)
 
--- a/src/pondtiller/rollouts/runner_choice.py
+++ b/src/pondtiller/rollouts/runner_choice.py
@@ -11,6 +11,7 @@
 
 from pondtiller.core.entities import Address
 from pondtiller.routes.engines import Engine
+from pondtiller.routes.places import Distance, Places
 
 RUNS_PER_CORE = 30.0
 """Streams that a core may hold: each takes 0.7 % of one (20 events a second at 0.35 ms), with
@@ -66,27 +67,52 @@
 
 
 class EngineRunners:
-    """Remembers which runner serves which engine, so that connections stay in use."""
+    """Remembers which runner serves which engine, so that connections stay in use.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    places
+        Zones with their regions.
+    zone
+        Of the leader, which serves an engine itself where only runners of other regions could.
+    """
+
+    def __init__(self, places: Places | None = None, zone: str = "") -> None:
         self.runner_of: dict[str, str] = {}
+        self._places = places or Places()
+        self._zone = zone
 
     def choose(self, engine: Engine, runners: Mapping[str, Daemon]) -> str | None:
-        """Return the name of an engine's runner among those connected; None where none is."""
+        """Return the name of an engine's runner among those connected; None where none is.
+
+        One in its zone, else in its region; one of another region only where neither such a
+        runner nor the leader itself is nearer, and only until a nearer one is connected.
+        """
+        if not runners:
+            return None
+        distances = {name: self._distance(engine, each.zone) for name, each in runners.items()}
+        nearest = min(distances.values())
         known = self.runner_of.get(engine.identifier)
-        if known in runners:
+        if known is not None and known in runners and _may_stay(distances[known], nearest):
             return known
-        here = [each for each in runners.values() if each.zone == engine.entry.zone]
-        candidates = here or list(runners.values())
-        if not candidates:
+        if nearest is Distance.OTHER_REGION and self._distance(engine, self._zone) < nearest:
             return None
+        candidates = [runners[name] for name, each in distances.items() if each is nearest]
         taken = Counter(self.runner_of.values())
         chosen = min(candidates, key=lambda each: ((taken[each.name] + 1) / each.cores, each.name))
         self.runner_of[engine.identifier] = chosen.name
         return chosen.name
 
+    def _distance(self, engine: Engine, zone: str) -> Distance:
+        return self._places.distance(engine.entry.zone, zone)
+
     def forget(self, engines: Iterable[str]) -> None:
         """Forget engines that are not among those given."""
         known = set(engines)
         for identifier in [each for each in self.runner_of if each not in known]:
             del self.runner_of[identifier]
+
+
+def _may_stay(distance: Distance, nearest: Distance) -> bool:
+    """Return whether an engine's runner is kept; another zone costs less than new connections."""
+    return distance is nearest or distance < Distance.OTHER_REGION
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -52,10 +52,14 @@
     ----------
     is_loading
         Returns whether an engine, by its identifier, is changing the weights of a model.
+    zone
+        Of this leader, to which all events of the runs go.
     """
 
-    def __init__(self, engines: EngineDirectory, is_loading: Callable[[str, str], bool]) -> None:
-        self.placement = Placement(engines, is_loading)
+    def __init__(
+        self, engines: EngineDirectory, is_loading: Callable[[str, str], bool], zone: str = ""
+    ) -> None:
+        self.placement = Placement(engines, is_loading, zone)
         self.work: dict[tuple[str, str], SampleWork] = {}
         self.runs: dict[int, SampleWork] = {}
         self._engines = engines
--- a/src/pondtiller/steplog/group_policy.py
+++ b/src/pondtiller/steplog/group_policy.py
@@ -1,7 +1,16 @@
 """Which replicas should form the group: replaces what is gone, fills up, empties what retires."""
 
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from pondtiller.steplog.fault_tolerance import (
+    USUAL_RULES,
+    PlaceRules,
+    home_region,
+    lacks_at_home,
+    shortfall,
+    zone_crowding,
+)
 from pondtiller.steplog.group import SMALLEST_GROUP
 from pondtiller.wire.steplog import Group, GroupMember
 
@@ -24,6 +33,8 @@
         Names of replicas that are to be emptied, or are.
     wanted_size
         Replicas that a group should have: twice the losses to be borne, and one.
+    rules
+        Which losses the group is to bear, and where zones lie.
     """
 
     group: Group
@@ -32,23 +43,28 @@
     retiring: frozenset[str]
     wanted_size: int
     connected: tuple[GroupMember, ...] = ()
+    rules: PlaceRules = USUAL_RULES
 
 
 def spare_to_admit(inputs: GroupInputs, now: float) -> GroupMember | None:
     """Return the replica that is to be brought up to date, so that it can become a member."""
     members = list(inputs.group.members)
-    leaving = next((each for each in members if _should_go(inputs, each, now)), None)
+    staying = [each for each in members if not _should_go(inputs, each, now)]
+    spares = _spares(inputs, inputs.connected, members)
     is_short = len(members) < inputs.wanted_size
-    if (leaving is None and not is_short) or _spares(inputs, inputs.synced, members):
+    if len(staying) == len(members) and not is_short:
+        swapped = _repaired(inputs, spares)
+        return _unsynced(inputs, swapped) if swapped is not None else None
+    if not spares or _spares(inputs, inputs.synced, members):
         return None
-    spares = _spares(inputs, inputs.connected, members)
-    return _best(spares, members, leaving) if spares else None
+    return _best(spares, staying, max(len(members), inputs.wanted_size), inputs.rules, members)
 
 
 def next_members(inputs: GroupInputs, now: float) -> list[GroupMember] | None:
     """Return the members of the next group, or None where the present one is right.
 
-    One member changes at a time.
+    One member changes at a time. Where the members do not bear the losses that they should,
+    though all are there, a spare takes the place of one of them.
     """
     members = list(inputs.group.members)
     by_name = {member.name: member for member in inputs.synced}
@@ -57,30 +73,36 @@
         if fresh is not None and fresh != member:
             return [*members[:place], fresh, *members[place + 1 :]]
     spares = _spares(inputs, inputs.synced, members)
+    staying = [each for each in members if not _should_go(inputs, each, now)]
     for place, member in enumerate(members):
-        if not _should_go(inputs, member, now):
+        if member in staying:
             continue
         if spares:
-            return [*members[:place], _best(spares, members, member), *members[place + 1 :]]
+            best = _best(spares, staying, len(members), inputs.rules, members)
+            return [*members[:place], best, *members[place + 1 :]]
         if member.name in inputs.retiring and len(members) > SMALLEST_GROUP:
             return [*members[:place], *members[place + 1 :]]
     if len(members) < inputs.wanted_size and spares:
-        return [*members, _best(spares, members, None)]
-    return None
+        return [*members, _best(spares, staying, inputs.wanted_size, inputs.rules, members)]
+    return _repaired(inputs, spares)
 
 
 def first_members(
-    candidates: tuple[GroupMember, ...], wanted_size: int
+    candidates: tuple[GroupMember, ...], wanted_size: int, rules: PlaceRules | None = None
 ) -> list[GroupMember] | None:
     """Return the members of the first group, spread over zones; None while there are too few."""
     if len(candidates) < wanted_size:
         return None
+    rules = rules or USUAL_RULES
     chosen: list[GroupMember] = []
     left = sorted(candidates, key=lambda each: each.name)
     while len(chosen) < wanted_size:
-        best = _best(left, chosen, None)
+        best = _best(left, chosen, wanted_size, rules, chosen)
         chosen.append(best)
         left.remove(best)
+    while swapped := _swapped(chosen, [each for each in left if each not in chosen], rules):
+        left += [each for each in chosen if each not in swapped]
+        chosen = swapped
     return chosen
 
 
@@ -103,8 +125,63 @@
 
 
 def _best(
-    spares: list[GroupMember], members: list[GroupMember], leaving: GroupMember | None
+    spares: list[GroupMember],
+    staying: list[GroupMember],
+    size: int,
+    rules: PlaceRules,
+    members_now: Sequence[GroupMember],
 ) -> GroupMember:
-    """Return the spare in the zone that has the fewest of the members that stay."""
-    zones = [member.zone for member in members if member is not leaving]
-    return min(spares, key=lambda each: (zones.count(each.zone), each.name))
+    """Return the spare with which a group of a size bears most, and is spread most evenly.
+
+    A majority of the members stays in the region in which it is now, also when one goes.
+    """
+    home = home_region(members_now, [*staying, *spares], rules)
+
+    def cost(spare: GroupMember) -> tuple[int, int, int, str]:
+        members = [*staying, spare]
+        lacking = lacks_at_home(members, size, home, rules.places)
+        return shortfall(members, size, rules), lacking, zone_crowding(members), spare.name
+
+    return min(spares, key=cost)
+
+
+def _repaired(inputs: GroupInputs, spares: list[GroupMember]) -> list[GroupMember] | None:
+    """Return the members with one exchanged, so that they bear more; None where none is needed.
+
+    Only while all members are up to date: an exchange must not be what a quorum breaks on.
+    """
+    members = list(inputs.group.members)
+    synced = {each.name for each in inputs.synced}
+    if not all(each.name in synced for each in members):
+        return None
+    return _swapped(members, spares, inputs.rules)
+
+
+def _swapped(
+    members: list[GroupMember], spares: list[GroupMember], rules: PlaceRules
+) -> list[GroupMember] | None:
+    """Return the best exchange of one member, where the members do not bear what they should.
+
+    Each exchange makes the same figures smaller, so there is a last one: also where no choice
+    bears everything.
+    """
+    best, best_cost = None, _repair_cost(members, rules)
+    if not best_cost[0]:
+        return None
+    for place in range(len(members)):
+        for spare in spares:
+            after = [*members[:place], spare, *members[place + 1 :]]
+            cost = _repair_cost(after, rules)
+            if cost < best_cost:
+                best, best_cost = after, cost
+    return best
+
+
+def _repair_cost(members: list[GroupMember], rules: PlaceRules) -> tuple[int, int]:
+    return shortfall(members, len(members), rules), zone_crowding(members)
+
+
+def _unsynced(inputs: GroupInputs, members: Iterable[GroupMember]) -> GroupMember | None:
+    """Return the one that is to become a member and is not up to date yet, where there is one."""
+    synced = {each.name for each in inputs.synced}
+    return next((each for each in members if each.name not in synced), None)
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Collection
 
+from pondtiller.routes.places import Places
 from pondtiller.steplog import group as groups
 from pondtiller.steplog.deferred import DeferredValues
 from pondtiller.steplog.entry import Entry, pack_entries, unpack_entries
@@ -296,11 +297,11 @@
             if follower.is_synced and follower.acked >= 0
         ]
 
-    def member_links(self, zone: str = "") -> list[int]:
-        """Return the links of the group's members: those in a zone, then the longest connected."""
+    def member_links(self, zone: str, places: Places) -> list[int]:
+        """Return the links of the group's members: the nearest to a zone, the longest connected."""
         names = {member.name for member in self.group.members}
         links = [
-            (follower.member.zone != zone, link)
+            (places.distance(zone, follower.member.zone), link)
             for link, follower in self.followers.items()
             if follower.member.name in names
         ]
