--- a/src/pondtiller/steplog/tests/test_fault_tolerance.py
+++ b/src/pondtiller/steplog/tests/test_fault_tolerance.py
@@ -195,3 +195,21 @@
         last = settle(members, [each for each in up if each != lost], rules)[-1]
         assert [each.zone[0] for each in last].count("s") == 3
         assert bears(last, rules)
+
+
+@pytest.mark.parametrize("seed", range(80))
+def test_no_other_choice_bears_more_than_the_first_group_or_a_repaired_one(seed: int) -> None:
+    random_ = random.Random(seed)
+    tolerance = Tolerance(
+        random_.choice((1, 2)), random_.choice((0, 1, 1, 2)), random_.choice((0, 0, 1))
+    )
+    rules = PlaceRules(tolerance, TWO_REGIONS)
+    up = replicas(**{zone: random_.randint(0, 3) for zone in TWO_REGIONS.regions})
+    size = tolerance.smallest_size
+    up += replicas(s1=9)[3 : 3 + max(0, size - len(up))]
+    best = min(shortfall(each, size, rules) for each in combinations(up, size))
+    chosen = first_members(tuple(up), size, rules)
+    assert chosen is not None and shortfall(chosen, size, rules) == best
+    groups = settle(random_.sample(up, size), up, rules)
+    assert shortfall(groups[-1], size, rules) == best
+    assert len(groups) <= size
