--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -1,6 +1,7 @@
 """Standing for leader, and keeping the lease: the step log's leader over links."""
 
 import random
+from collections import Counter
 
 import curio
 from betterproto import Message
@@ -179,10 +180,15 @@
         return delay
 
     def _is_far_from_quorum(self, members: list[GroupMember]) -> bool:
-        """Return whether each write would wait for another region."""
-        distance = self._rules.places.distance
-        near = sum(distance(self.zone, each.zone) < Distance.OTHER_REGION for each in members)
-        return near < write_quorum(len(members)) and len(members) > 0
+        """Return whether each write would wait for another region, and for none elsewhere."""
+        places, quorum = self._rules.places, write_quorum(len(members))
+        near = [
+            each
+            for each in members
+            if places.distance(self.zone, each.zone) < Distance.OTHER_REGION
+        ]
+        by_region = Counter(places.region(each.zone) for each in members)
+        return len(near) < quorum <= max(by_region.values(), default=0)
 
     def member_links(self) -> list[int]:
         """Return the links of the group's members, the nearest first."""
--- a/src/pondtiller/gateway/tests/test_distances.py
+++ b/src/pondtiller/gateway/tests/test_distances.py
@@ -121,6 +121,8 @@
     near = leadership("s1", "s1", "s2", "n1")._stand_delay()
     far = leadership("n1", "s1", "s2", "n1")._stand_delay()
     assert far == pytest.approx(near + NO_QUORUM_IN_REGION_SECONDS)
+    nowhere = leadership("n1", "s1", "s2", "n1", "n2")._stand_delay()
+    assert nowhere == pytest.approx(near)
 
 
 def test_a_leader_calls_members_of_its_zone_then_of_its_region_first() -> None:
