--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -17,7 +17,12 @@
 from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.fault_tolerance import USUAL_RULES, PlaceRules, shortfall
 from pondtiller.steplog.group import write_quorum
-from pondtiller.steplog.group_policy import GroupInputs, next_members, spare_to_admit
+from pondtiller.steplog.group_policy import (
+    MISSING_SECONDS,
+    GroupInputs,
+    next_members,
+    spare_to_admit,
+)
 from pondtiller.steplog.instructions import Committed, Deposed, Loaded, Phase, Send, Won
 from pondtiller.steplog.leader import HEARTBEAT_SECONDS, LeaderLog
 from pondtiller.wire.steplog import (
@@ -331,11 +336,10 @@
 
     # The group
 
-    def _note_shortfall(self, synced: tuple[GroupMember, ...]) -> None:
-        """Tell when the members that are up to date begin or cease to bear what is declared."""
-        names = {member.name for member in synced}
-        members = self.log.group.members
-        present = [each for each in members if each.name in names]
+    def _note_shortfall(self, now: float) -> None:
+        """Tell when the members that are not missing begin or cease to bear what is declared."""
+        members, since = self.log.group.members, self._missing_since
+        present = [each for each in members if now < since.get(each.name, now) + MISSING_SECONDS]
         lacking = shortfall(present, len(members), self._rules)
         if bool(lacking) != bool(self.shortfall):
             tolerance = self._rules.tolerance
@@ -371,7 +375,7 @@
             tuple(follower.member for follower in self.log.followers.values()),
             self._rules,
         )
-        self._note_shortfall(synced)
+        self._note_shortfall(now)
         spare = spare_to_admit(inputs, now)
         if spare is not None and spare.name not in self.log.admitted:
             logs.decision("replica_admitted", replica=spare.name, disk=spare.disk)
