--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -7,6 +7,7 @@
 
 from pondtiller.core.entities import Address
 from pondtiller.gateway.evacuation_bounds import reason_against
+from pondtiller.steplog.fault_tolerance import Tolerance
 
 
 def _check_address(text: str) -> str:
@@ -201,10 +202,15 @@
     cold: Cold = Cold()
     rate_excess: float = Field(default=0.1, ge=0, le=10)
 
+    @property
+    def tolerance(self) -> Tolerance:
+        """What may be lost at one time."""
+        return Tolerance(self.losses, self.places_lost.zones, self.places_lost.regions)
+
     @property
     def wanted_replicas(self) -> int:
         """Replicas that a group should have."""
-        return 2 * self.losses + 1
+        return self.tolerance.smallest_size
 
 
 class ReplicaSettings(Section):
