Shares of rates that all daemons hold together, and cold engines behind them

A cold engine may get only so much in any second, summed over all machines. Leased shares of its rate, granted by the leader, bound the sum by construction: a holder counts its lease from when it asked, what it may use no more rests for one window, a successor renews what is held and grants no more until all else has ended. Weighed and left: a fixed few gateways by rendezvous (no list of gateways is agreed on), samples of the leader alone (live requests need cold engines where all are cold). The seeded test sums eight holders under successive leaders, freezes, lost and bunched messages; it fails with the rest, the successor's wait or the lease taken away (each tried by a test).

--- /dev/null
+++ b/src/pondtiller/coordination/rate_shares.py
@@ -0,0 +1,274 @@
+"""Rates held by many daemons together: leased shares of what may leave in any second. No I/O.
+
+A rate is a number of requests that may leave in any span of one second, summed over all daemons.
+A leader grants parts of it, each for a lease that its holder counts from when it asked, so it ends
+at the holder before it ends in the leader's book. What a holder may use no more rests for one
+window before it is granted to another: the two then never share a second.
+
+Two leaders: a holder's wish names the epoch of the leader that it asks, and only that leader takes
+it. A successor's book is empty, so for one lease and one window it renews what holders still have,
+and grants nothing more. Renewing adds nothing to the sum: the predecessor, which grants nothing
+any more, had it reserved for that holder.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from pondtiller.coordination.shares import HolderKey, divide
+
+WINDOW_SECONDS = 1.05
+"""Every span of one second counts; what is let through at the window's two ends may take up to
+50 ms longer or shorter to the wire."""
+REST_SECONDS = WINDOW_SECONDS + 0.1
+"""With a margin for clocks that run apart: below 1 % over the longest lease."""
+DEMAND_SECONDS = 2.0
+HEADROOM = 1.25
+"""Requests do not come evenly: asked for is a quarter more than came."""
+RENEW_PARTS = 3.0
+"""A share in use is renewed this many times within its lease."""
+RETRY_SECONDS = 0.15
+"""Pause before a share that was denied is asked for again."""
+
+
+class SlidingCount:
+    """Times within a window that ends now."""
+
+    def __init__(self, window_seconds: float = WINDOW_SECONDS) -> None:
+        self._window = window_seconds
+        self._times: deque[float] = deque()
+
+    def within(self, now: float) -> int:
+        """Return how many there are in the window."""
+        while self._times and self._times[0] <= now - self._window:
+            self._times.popleft()
+        return len(self._times)
+
+    def add(self, now: float) -> None:
+        """Note one."""
+        self._times.append(now)
+
+    def free_at(self, most: int, now: float) -> float:
+        """Return from when on there are fewer than `most`; infinite where that is never."""
+        if most <= 0:
+            return math.inf
+        if self.within(now) < most:
+            return now
+        return self._times[len(self._times) - most] + self._window
+
+
+class RateWish(NamedTuple):
+    """What a holder asks for.
+
+    Attributes
+    ----------
+    wanted
+        Requests in a window.
+    holding
+        What it may use until it is answered: at most this from now on.
+    """
+
+    subject: str
+    wanted: int
+    holding: int
+
+
+@dataclass
+class HeldRate:
+    """What one daemon may let through of one rate.
+
+    Attributes
+    ----------
+    waiting
+        Requests that wait for a share here.
+    answered_at
+        When the last answer came.
+    """
+
+    subject: str
+    lease_seconds: float
+    granted: int = 0
+    expires_at: float = -math.inf
+    asked_at: float = -math.inf
+    answered_at: float = -math.inf
+    waiting: int = 0
+    _sent: SlidingCount = field(default_factory=SlidingCount)
+    _arrived: SlidingCount = field(default_factory=lambda: SlidingCount(DEMAND_SECONDS))
+
+    @property
+    def renew_seconds(self) -> float:
+        """How often a share in use is renewed."""
+        return self.lease_seconds / RENEW_PARTS
+
+    def usable(self, now: float) -> int:
+        """Return how many may leave in a window now."""
+        return self.granted if now < self.expires_at else 0
+
+    def free_at(self, now: float) -> float:
+        """Return from when on one may leave, with what is held now; infinite where nothing is."""
+        at = self._sent.free_at(self.usable(now), now)
+        return at if at < self.expires_at else math.inf
+
+    def arrived(self, now: float) -> None:
+        """Note a request that is to leave."""
+        self._arrived.add(now)
+
+    def take(self, now: float) -> bool:
+        """Let one request through, and count it; False where it must not leave now."""
+        if self._sent.within(now) >= self.usable(now):
+            return False
+        self._sent.add(now)
+        return True
+
+    def needed(self, now: float) -> int:
+        """Return the share that is of use now; a lone request gives its share back at once."""
+        recent = self._arrived.within(now)
+        if not self.waiting and (recent <= 1 or not self.usable(now)):
+            return 0
+        return max(self.waiting, math.ceil(recent / DEMAND_SECONDS * WINDOW_SECONDS * HEADROOM))
+
+    def is_due(self, now: float) -> bool:
+        """Return whether the leader is to be asked now."""
+        needed, usable = self.needed(now), self.usable(now)
+        if needed > usable and now >= self.asked_at + RETRY_SECONDS:
+            return True
+        # A share that is a little too large is not worth a message each time.
+        is_useless = needed == 0 and usable > 0
+        return is_useless or (usable > 0 and now >= self.asked_at + self.renew_seconds)
+
+    def was_denied_since(self, moment: float) -> bool:
+        """Return whether the leader answered a wish that was made since a moment."""
+        return self.asked_at >= moment and self.answered_at >= self.asked_at
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether nothing is held, wanted or counted."""
+        return not (self.usable(now) or self.needed(now) or self._sent.within(now))
+
+    def wish(self, now: float) -> RateWish:
+        """Return what to ask for; from now on no more is used than is wanted."""
+        needed = self.needed(now)
+        self.granted = min(self.usable(now), needed)
+        self.asked_at = now
+        return RateWish(self.subject, needed, self.granted)
+
+    def receive(self, granted: int, now: float) -> None:
+        """Take the answer to the latest wish."""
+        self.granted = granted
+        self.expires_at = self.asked_at + self.lease_seconds
+        self.answered_at = now
+
+
+class _Reserved(NamedTuple):
+    amount: int
+    until: float
+
+
+class RateTerms(NamedTuple):
+    """How a rate is granted.
+
+    Attributes
+    ----------
+    total
+        Requests in a window, of all holders together.
+    most_each
+        Of one holder.
+    """
+
+    total: int
+    most_each: int
+    lease_seconds: float
+
+
+class _Book:
+    """Who may use how much of one rate, and who wants how much."""
+
+    def __init__(self) -> None:
+        self.reserved: dict[HolderKey, tuple[_Reserved, ...]] = {}
+        self.wanted: dict[HolderKey, tuple[int, float]] = {}
+
+    def amount(self, holder: HolderKey, now: float) -> int:
+        """Return the most that a holder may use now, or has used within a window."""
+        amounts = (each.amount for each in self.reserved.get(holder, ()) if each.until > now)
+        return max(amounts, default=0)
+
+    def others(self, holder: HolderKey, now: float) -> int:
+        """Return what all other holders may use together."""
+        return sum(self.amount(each, now) for each in self.reserved if each != holder)
+
+    def is_unmet(self, now: float) -> Iterator[HolderKey]:
+        """Return who wants more than it has."""
+        return (each for each, (want, _) in self.wanted.items() if want > self.amount(each, now))
+
+    def keep_house(self, now: float) -> None:
+        """Forget what has ended, and the wants of those that have not asked for long."""
+        for holder, entries in list(self.reserved.items()):
+            left = tuple(each for each in entries if each.until > now)
+            if left:
+                self.reserved[holder] = left
+            else:
+                del self.reserved[holder]
+        for holder, (_, until) in list(self.wanted.items()):
+            if until <= now:
+                del self.wanted[holder]
+
+
+class RateGrantor:
+    """A leader's part, for one term.
+
+    Parameters
+    ----------
+    began_at
+        When the term began: no earlier leader grants anything from then on.
+    """
+
+    def __init__(self, began_at: float) -> None:
+        self._began_at = began_at
+        self._books: dict[str, _Book] = {}
+        self._latest: dict[HolderKey, int] = {}
+
+    def is_latest(self, holder: HolderKey, sequence: int) -> bool:
+        """Return whether a message of wishes is newer than all before it; it is noted."""
+        if sequence <= self._latest.get(holder, 0):
+            return False
+        self._latest[holder] = sequence
+        return True
+
+    def grants_anew(self, terms: RateTerms, now: float) -> bool:
+        """Return whether all that earlier leaders granted has ended or is in the book."""
+        return now >= self._began_at + terms.lease_seconds + REST_SECONDS
+
+    def grant(self, holder: HolderKey, wish: RateWish, terms: RateTerms, now: float) -> int:
+        """Take a wish and return the share that the holder may use from when it asked."""
+        book = self._books.setdefault(wish.subject, _Book())
+        book.keep_house(now)
+        until = now + terms.lease_seconds + REST_SECONDS
+        book.wanted[holder] = (wish.wanted, now + terms.lease_seconds)
+        # What it held above what it says has been used until now at the latest.
+        before = [
+            _Reserved(each.amount, min(each.until, now + REST_SECONDS))
+            for each in book.reserved.get(holder, ())
+        ]
+        granted = self._share(book, holder, wish, terms, now)
+        book.reserved[holder] = (*before, _Reserved(max(granted, wish.holding), until))
+        return granted
+
+    def _share(
+        self, book: _Book, holder: HolderKey, wish: RateWish, terms: RateTerms, now: float
+    ) -> int:
+        wanted = min(wish.wanted, terms.most_each, terms.total)
+        if not self.grants_anew(terms, now):
+            return min(wanted, wish.holding)
+        free = max(0, terms.total - book.others(holder, now))
+        if any(each != holder for each in book.is_unmet(now)):
+            wants = {each: want for each, (want, _) in book.wanted.items()}
+            wanted = min(wanted, max(divide(terms.total, wants)[holder], 1))
+        return min(wanted, free)
+
+    def keep_house(self, now: float) -> None:
+        """Forget rates of which nothing is held or wanted."""
+        for subject, book in list(self._books.items()):
+            book.keep_house(now)
+            if not book.reserved and not book.wanted:
+                del self._books[subject]
--- /dev/null
+++ b/src/pondtiller/coordination/tests/test_rate_shares.py
@@ -0,0 +1,231 @@
+"""Rates held together: the sum over all holders in any second, whatever leaders and links do."""
+
+import random
+
+import pytest
+
+from pondtiller.coordination import rate_shares
+from pondtiller.coordination.rate_shares import (
+    REST_SECONDS,
+    HeldRate,
+    RateGrantor,
+    RateTerms,
+    RateWish,
+    SlidingCount,
+)
+from pondtiller.coordination.shares import HolderKey
+
+TICK_SECONDS = 0.01
+RUN_SECONDS = 25.0
+LEASE_SECONDS = 1.5
+WIRE_SECONDS = 0.04
+"""Longest time between a request's count and the wire."""
+TERMS = RateTerms(total=14, most_each=10, lease_seconds=LEASE_SECONDS)
+SEEDS = range(12)
+
+
+class Leader:
+    """One term; it grants until its successor begins, its answers may still be on their way."""
+
+    def __init__(self, epoch, now):
+        self.epoch = epoch
+        self.grantor = RateGrantor(now)
+        self.granted = 0
+
+    def take(self, name, epoch, sequence, wish, now):
+        holder = HolderKey(name, 1)
+        if epoch != self.epoch or not self.grantor.is_latest(holder, sequence):
+            return None
+        granted = self.grantor.grant(holder, wish, TERMS, now)
+        self.granted += granted
+        return granted
+
+
+class Holder:
+    """A gateway: asks, hears answers in any order, stands still now and then."""
+
+    def __init__(self, name):
+        self.name = name
+        self.rate = HeldRate("cold/e", LEASE_SECONDS)
+        self.sequence = 0
+        self.frozen_until = 0.0
+        self.is_cut = False
+        self.is_asking = False
+        self.give_up = 0.0
+
+
+class World:
+    """Holders, successive leaders, and links that delay, lose and bunch messages."""
+
+    def __init__(self, seed, holders=8):
+        self.source = random.Random(seed)
+        self.holders = [Holder(f"g{number}") for number in range(holders)]
+        self.leader = Leader(1, -100.0)
+        self.old = []
+        self.mail = []
+        self.left = []
+
+    def run(self):
+        change = self.source.uniform(4.0, 9.0)
+        for tick in range(round(RUN_SECONDS / TICK_SECONDS)):
+            now = tick * TICK_SECONDS
+            if now >= change:
+                self.old.append(self.leader)
+                self.leader = Leader(self.leader.epoch + 1, now)
+                change = now + self.source.uniform(1.0, 9.0)
+            self.deliver(now)
+            for holder in self.holders:
+                self.act(holder, now)
+        return self
+
+    def delay(self):
+        """Usually short; a stalled link holds messages back, and brings them all at once."""
+        if self.source.random() < 0.05:
+            return self.source.uniform(0.3, 4.0)
+        return self.source.uniform(0.0, 0.05)
+
+    def send(self, now, act):
+        if self.source.random() >= 0.05:
+            self.mail.append((now + self.delay(), act))
+
+    def deliver(self, now):
+        due = [each for each in self.mail if each[0] <= now]
+        self.mail = [each for each in self.mail if each[0] > now]
+        self.source.shuffle(due)
+        for _, act in due:
+            act(now)
+
+    def act(self, holder, now):
+        if now < holder.frozen_until:
+            return
+        if self.source.random() < 0.002:
+            holder.frozen_until = now + self.source.uniform(0.2, 4.0)
+        if self.source.random() < 0.001:
+            holder.is_cut = not holder.is_cut
+        if holder.is_asking and now >= holder.give_up:
+            holder.is_asking = False
+        holder.rate.waiting = self.source.choice((0, 0, 1, 6))
+        if holder.rate.waiting:
+            holder.rate.arrived(now)
+        for _ in range(holder.rate.waiting):
+            if holder.rate.take(now):
+                self.left.append(now + self.source.uniform(0.0, WIRE_SECONDS))
+        if not holder.is_asking and holder.rate.is_due(now):
+            self.ask(holder, now)
+
+    def ask(self, holder, now):
+        wish = holder.rate.wish(now)
+        holder.sequence += 1
+        holder.is_asking, holder.give_up = True, now + 0.5
+        sequence, leader = holder.sequence, self.leader
+        if not holder.is_cut:
+            self.send(now, lambda at: self.answer(holder, leader, sequence, wish, at))
+
+    def answer(self, holder, leader, sequence, wish, now):
+        # A deposed leader grants nothing; what it granted before may still be on its way.
+        if leader is not self.leader:
+            return
+        granted = leader.take(holder.name, leader.epoch, sequence, wish, now)
+        if granted is not None:
+            self.send(now, lambda at: self.hear(holder, sequence, granted, at))
+
+    def hear(self, holder, sequence, granted, now):
+        if now < holder.frozen_until:
+            self.mail.append(
+                (holder.frozen_until, lambda at: self.hear(holder, sequence, granted, at))
+            )
+        elif holder.is_asking and sequence == holder.sequence:
+            holder.is_asking = False
+            holder.rate.receive(granted, now)
+
+    def most_in_a_second(self):
+        times = sorted(self.left)
+        most = first = 0
+        for last, time in enumerate(times):
+            while times[first] < time - 1.0:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_second_sees_more_than_the_rate_of_all_holders_together(seed):
+    world = World(seed).run()
+    assert world.most_in_a_second() <= TERMS.total
+    # The rate is of use: what left is more than a third of what might have, in spite of all.
+    assert len(world.left) > RUN_SECONDS * TERMS.total / 3
+
+
+def broken_by(monkeypatch, target, name, value):
+    monkeypatch.setattr(target, name, value)
+    return any(World(seed).run().most_in_a_second() > TERMS.total for seed in SEEDS)
+
+
+def test_a_successor_that_grants_at_once_breaks_the_rate(monkeypatch):
+    assert broken_by(monkeypatch, RateGrantor, "grants_anew", lambda *_: True)
+
+
+def test_shares_that_pass_on_without_a_rest_break_the_rate(monkeypatch):
+    assert broken_by(monkeypatch, rate_shares, "REST_SECONDS", 0.0)
+
+
+def test_a_holder_whose_share_never_ends_breaks_the_rate(monkeypatch):
+    assert broken_by(monkeypatch, HeldRate, "usable", lambda held, _: held.granted)
+
+
+def held(granted, now=0.0):
+    rate = HeldRate("s", LEASE_SECONDS)
+    rate.waiting = granted
+    rate.wish(now)
+    rate.receive(granted, now)
+    return rate
+
+
+def test_a_holder_that_wakes_after_its_lease_sends_nothing():
+    rate = held(5)
+    assert rate.take(0.1)
+    assert not rate.take(LEASE_SECONDS)
+    assert rate.free_at(LEASE_SECONDS) == float("inf")
+
+
+def test_any_window_counts_and_not_a_bucket_that_fills():
+    rate = held(3)
+    assert [rate.take(at) for at in (0.9, 0.9, 0.9, 1.0, 1.4)] == [True] * 3 + [False] * 2
+    assert rate.free_at(1.4) == float("inf")  # The lease ends before the window does.
+    count = SlidingCount(1.0)
+    for at in (0.0, 0.5, 0.6):
+        count.add(at)
+    assert [count.free_at(most, 0.7) for most in (1, 2, 3, 4)] == [1.6, 1.5, 1.0, 0.7]
+
+
+def test_a_lone_request_gives_its_share_back_at_once():
+    rate = HeldRate("s", LEASE_SECONDS)
+    rate.arrived(0.0)
+    rate.waiting = 1
+    assert rate.is_due(0.0) and rate.wish(0.0).wanted == 1
+    rate.receive(1, 0.05)
+    rate.waiting = 0
+    assert rate.take(0.05) and rate.is_due(0.1)
+    assert rate.wish(0.1) == RateWish("s", 0, 0)
+    rate.receive(0, 0.15)
+    assert rate.is_idle(2.0) and not rate.is_due(2.0)
+
+
+def test_a_successor_renews_what_is_held_and_grants_no_more_until_all_else_has_ended():
+    grantor, one, two = RateGrantor(0.0), HolderKey("one", 1), HolderKey("two", 1)
+    assert grantor.grant(one, RateWish("s", 9, 4), TERMS, 0.2) == 4
+    assert grantor.grant(two, RateWish("s", 9, 0), TERMS, 0.3) == 0
+    later = LEASE_SECONDS + REST_SECONDS
+    assert grantor.grant(two, RateWish("s", 9, 0), TERMS, later + 0.01) == 9
+    assert grantor.grant(one, RateWish("s", 9, 0), TERMS, later + 0.02) == 5
+
+
+def test_a_rate_is_shared_by_need_and_nobody_keeps_all():
+    grantor, one, two = RateGrantor(-9.0), HolderKey("one", 1), HolderKey("two", 1)
+    assert grantor.grant(one, RateWish("s", 20, 0), TERMS, 0.0) == TERMS.most_each
+    assert grantor.grant(two, RateWish("s", 20, 0), TERMS, 0.0) == 4
+    assert grantor.grant(one, RateWish("s", 20, 10), TERMS, 0.5) == 7
+    assert grantor.grant(two, RateWish("s", 20, 4), TERMS, 0.6) == 4  # What one had rests first.
+    # Only when it says so is it known to have heard that it has less.
+    assert grantor.grant(one, RateWish("s", 20, 7), TERMS, 1.0) == 7
+    assert grantor.grant(two, RateWish("s", 20, 4), TERMS, 1.0 + REST_SECONDS) == 7
--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -9,12 +9,14 @@
 from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.instructions import Won
 from pondtiller.wire.steplog import (
+    AskShares,
     EndStep,
     OpenStep,
     ReadResults,
     ReadSample,
     ResultsPage,
     SampleBody,
+    SharesGranted,
     StepAnswer,
     UseTaken,
     UseTold,
@@ -77,6 +79,8 @@
                 return term.book.sample_body(message.step, message.id)
             case UseTold():
                 return term.take_use(message)
+            case AskShares():
+                return term.rates.take(message)
         return _unavailable(message)
 
     async def engines_changed(self) -> None:
@@ -98,4 +102,6 @@
             return SampleBody(status=StepStatus.UNAVAILABLE)
         case UseTold():
             return UseTaken(status=StepStatus.UNAVAILABLE)
+        case AskShares():
+            return SharesGranted(status=StepStatus.UNAVAILABLE)
     return StepAnswer(status=StepStatus.UNAVAILABLE)
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -9,6 +9,7 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.errors import ErrorKind, Failure, Ran
+from pondtiller.gateway.cold_sends import ColdSends
 from pondtiller.gateway.engine_pool import AnswerHead, EngineConnection, EnginePool
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.httpio.client import BrokenError, NotSentError
@@ -139,6 +140,8 @@
         Zone of this daemon; engines in it are preferred.
     gate
         Asked right before a request leaves.
+    cold
+        Which engines are cold, and this daemon's shares of them; None where none ever is.
     """
 
     def __init__(
@@ -148,8 +151,10 @@
         pool: EnginePool,
         metrics: GatewayMetrics,
         gate: SendGate,
+        cold: ColdSends | None = None,
     ) -> None:
         self._zone = zone
+        self._cold = cold
         self._engines = engines
         self._gate = gate
         self._pool = pool
@@ -164,6 +169,8 @@
         now = clock.monotonic()
         usable = self._engines.usable(service, now, homes)
         fresh = [each for each in usable if each.identifier not in tried]
+        if self._cold is not None:
+            fresh = self._cold.preferred(fresh, now)
         rested = [each for each in fresh if now >= each.not_before] or fresh
         usual = min((each.answer_seconds for each in rested if each.answer_seconds), default=0.0)
         return min(rested, key=lambda each: self._cost(each, usual), default=None)
@@ -336,6 +343,7 @@
         is_answered = False
         connection: EngineConnection | None = None
         try:
+            await self.prepare(engine, request)
             connection = await self._pool.take(engine.identifier, engine.entry.address)
             held = self._gate.check(engine.identifier, clock.monotonic())
             if held is not None:
@@ -359,6 +367,11 @@
             if connection is not None:
                 await connection.close()
 
+    async def prepare(self, engine: Engine, request: ForwardedRequest) -> None:
+        """Wait for what an engine's gate will ask for, before a connection is held."""
+        if self._cold is not None:
+            await self._cold.prepare(engine.identifier, request.deadline)
+
     def _note_time(self, engine: Engine, began: float, is_answered: bool) -> None:
         """Learn how fast an engine is; one that was left tells only that it took so long."""
         now = clock.monotonic()
--- a/src/pondtiller/gateway/metrics.py
+++ b/src/pondtiller/gateway/metrics.py
@@ -29,6 +29,8 @@
         Requests by route and outcome.
     commit_seconds
         From a write to the log until it is on a quorum of disks.
+    cold_sends, held_cold
+        Requests that left for cold engines, and that did not, since no share was held.
     """
 
     attempts: int = 0
@@ -42,6 +44,8 @@
     takeovers: int = 0
     use_reports: int = 0
     use_reports_failed: int = 0
+    cold_sends: int = 0
+    held_cold: int = 0
 
     def count(self, route: str, outcome: str) -> None:
         """Count a request's end."""
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -6,10 +6,12 @@
 from betterproto import Message
 
 from pondtiller.coordination.agreed_clock import AgreedClock
+from pondtiller.coordination.rate_shares import RateTerms
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.daemon.supervise import keep_running
+from pondtiller.gateway.cold_sends import ColdSends
 from pondtiller.gateway.duties import LeaderDuties
 from pondtiller.gateway.engine_pool import EnginePool
 from pondtiller.gateway.figures import GatewayFigures
@@ -26,6 +28,7 @@
 from pondtiller.gateway.run_host import RUN_MESSAGES, RunHost
 from pondtiller.gateway.sample_runner import SampleRunner
 from pondtiller.gateway.settings import GatewaySettings, to_address
+from pondtiller.gateway.share_asker import ShareAsker
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.store_watch import StoreHealth
 from pondtiller.gateway.streams import StreamForwarder
@@ -40,6 +43,8 @@
 from pondtiller.platform import names
 from pondtiller.platform.object_client import ObjectClient, StoreCallError
 from pondtiller.platform.operator_api import OperatorClient, wants_use
+from pondtiller.routes.cold import SUBJECT_PREFIX as COLD_PREFIX
+from pondtiller.routes.cold import ColdBound, ColdEngines
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.places import Places
 from pondtiller.routes.send_gate import SendGate
@@ -90,8 +95,18 @@
         client = HttpClient()
         self.store = ObjectClient(to_address(settings.store), client)
         health = StoreHealth()
+        bound = ColdBound(settings.cold.excess, settings.cold.slack)
+        cold = ColdEngines(self.engines, bound, lambda: self.front.table)
+        self.shares = ShareAsker(
+            settings.name,
+            lambda message, seconds: self.steps.ask_shares(message, seconds),
+            lambda: self.leadership.leader(),
+        )
+        self.cold = ColdSends(cold, self.shares, self.metrics)
+        self.gate.rules.append(self.cold.rule)
+        self.gate.unknown_rule = self.cold.unknown_rule
         forwarder = self.forwarder = Forwarder(
-            settings.zone, self.engines, self.pool, self.metrics, self.gate
+            settings.zone, self.engines, self.pool, self.metrics, self.gate, self.cold
         )
         self.sockets = GatewaySockets(settings)
         self.leadership = Leadership(
@@ -115,7 +130,7 @@
             self.teller = UsageTeller(
                 settings.name, meter, self.agreed, self.steps, self.leadership.leader
             )
-        runner = SampleRunner(self.gate, self.pool, forwarder, lambda: self.front.table)
+        runner = SampleRunner(self.gate, self.pool, forwarder, lambda: self.front.table, self.cold)
         self.run_host = RunHost(runner, lambda: self.leadership.replicas.highest_epoch)
         self.leadership.replicas.subscription = self._subscription()
         self._leader_watches = LeaderWatches(self.store, health, self.leadership.replicas)
@@ -133,6 +148,8 @@
             agreed=self.agreed,
             usage=usage,
             operator=_operator(settings),
+            cold=cold,
+            find_terms=self._rate_terms,
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
@@ -169,6 +186,12 @@
             cores=self.settings.processor.speed,
         )
 
+    def _rate_terms(self, subject: str) -> RateTerms | None:
+        """Return how this daemon, where it leads, grants shares of a rate."""
+        if subject.startswith(COLD_PREFIX):
+            return self.cold.terms(subject.removeprefix(COLD_PREFIX))
+        return None
+
     def render_metrics(self) -> bytes:
         """Return this gateway's figures as Prometheus text."""
         from pondtiller.gateway.metrics_text import render
@@ -206,6 +229,8 @@
             "takeovers": metrics.takeovers,
             "use_reports": metrics.use_reports,
             "use_reports_failed": metrics.use_reports_failed,
+            "cold_sends": metrics.cold_sends,
+            "held_cold": metrics.held_cold,
         }
 
     def _gauges(self, now: float) -> dict[str, float]:
@@ -213,6 +238,7 @@
         return {
             "table_version": float(table.version if table is not None else 0),
             "engines": float(len(self.engines.engines)),
+            "engines_cold": float(self.cold.count),
             "leads": float(self.leadership.log.holds_lease(now)),
             "replicas": float(len(self.leadership.replicas.views())),
             "open_requests": float(self.front.open_exchanges),
@@ -265,6 +291,7 @@
             await group.spawn(keep_running, "engines", self.watches.engines.run)
             await group.spawn(keep_running, "leadership", self.leadership.run)
             await group.spawn(keep_running, "housekeeping", self._keep_house)
+            await group.spawn(keep_running, "shares", self.shares.run)
             if self.teller is not None:
                 await group.spawn(keep_running, "use", self.teller.run)
             if self.metrics_server is not None:
@@ -370,6 +397,7 @@
                 await self._find_replicas()
             self.leadership.may_stand = self._is_ready()
             self.engines.keep_house(now)
+            self.cold.look(now)
             await self.pool.forget(set(self.engines.engines))
             await curio.sleep(HOUSEKEEPING_SECONDS)
 
--- a/src/pondtiller/gateway/run_host.py
+++ b/src/pondtiller/gateway/run_host.py
@@ -63,6 +63,7 @@
             message.expected_version or None,
             message.content,
             message.tenant,
+            message.is_cold,
         )
         self.tasks[order.run] = await self._group.spawn(self._run, order)
         if self._teller is None:
--- a/src/pondtiller/gateway/run_links.py
+++ b/src/pondtiller/gateway/run_links.py
@@ -210,6 +210,7 @@
         expected_version=order.expected_version or 0,
         content=order.content,
         tenant=order.tenant,
+        is_cold=order.is_cold,
     )
 
 
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -1,5 +1,6 @@
 """Carries out samples' runs and their scorers' requests."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import NamedTuple
@@ -7,6 +8,7 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.errors import Failure
+from pondtiller.gateway.cold_sends import ColdSends
 from pondtiller.gateway.engine_pool import EngineConnection, EnginePool
 from pondtiller.gateway.forward import ForwardedRequest, Forwarder
 from pondtiller.httpio.client import BrokenError, NotSentError
@@ -45,6 +47,8 @@
         The encoded `Sample`.
     tenant
         Whose sample it is; empty where the step has no tenant.
+    is_cold
+        Whether the leader takes the engine for cold.
     """
 
     run: int
@@ -56,6 +60,7 @@
     expected_version: int | None
     content: bytes
     tenant: str = ""
+    is_cold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +99,8 @@
         Returns the rows in force.
     gate
         Asked right before a sample leaves.
+    cold
+        Waits for a share of what a cold engine may get; None where no engine is ever cold.
     """
 
     def __init__(
@@ -102,8 +109,10 @@
         pool: EnginePool,
         forwarder: Forwarder,
         find_table: Callable[[], RouteTable | None],
+        cold: ColdSends | None = None,
     ) -> None:
         self._gate = gate
+        self._cold = cold
         self._pool = pool
         self._forwarder = forwarder
         self._find_table = find_table
@@ -113,6 +122,7 @@
         if self._gate.engines.has_left(order.engine, clock.monotonic()):
             return RunOutcome(RunEnd.REFUSED, Held.LEAVING.value)
         connection: EngineConnection | None = None
+        await self._prepare(order)
         try:
             connection = await self._pool.take(order.engine, order.address)
             held = self._gate.check(order.engine, clock.monotonic())
@@ -133,6 +143,13 @@
             if connection is not None:
                 await connection.close()
 
+    async def _prepare(self, order: RunOrder) -> None:
+        if self._cold is None:
+            return
+        if order.is_cold:
+            self._cold.told(order.engine)
+        await self._cold.prepare(order.engine, math.inf)
+
     async def _stream(
         self, order: RunOrder, connection: EngineConnection, take: EventSink
     ) -> RunOutcome:
--- /dev/null
+++ b/src/pondtiller/gateway/share_asker.py
@@ -0,0 +1,125 @@
+"""Asks the leader for shares of the rates that all daemons hold together, while any are of use.
+
+Where no such rate is touched it sends nothing and waits for nothing.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from pondtiller.coordination.rate_shares import HeldRate, RateWish
+from pondtiller.daemon import clock
+from pondtiller.gateway.replicas import LeaderPlace
+from pondtiller.wire.steplog import AskShares, SharesGranted
+
+LOOK_SECONDS = 0.05
+"""How often shares are looked at while there are any."""
+CALL_SECONDS = 0.5
+"""Ten times a leader's answer from another region."""
+MOST_SUBJECTS = 200
+"""In one message; the rest follows in the next."""
+
+Ask = Callable[[AskShares, float], Awaitable[SharesGranted | None]]
+
+
+class ShareAsker:
+    """The shares of one daemon.
+
+    Parameters
+    ----------
+    ask
+        Calls the leader; None where none took the message.
+    find_leader
+        Returns the leader as far as it is known.
+    """
+
+    def __init__(self, name: str, ask: Ask, find_leader: Callable[[], LeaderPlace | None]) -> None:
+        self._name = name
+        self._ask = ask
+        self._find_leader = find_leader
+        self._incarnation = clock.new_incarnation()
+        self._sequence = 0
+        self._held: dict[str, HeldRate] = {}
+        self._wake = curio.Event()
+        self._changed: Any = curio.Event()
+
+    def held(self, subject: str, lease_seconds: float) -> HeldRate:
+        """Return what is held of a rate."""
+        return self._held.setdefault(subject, HeldRate(subject, lease_seconds))
+
+    def take(self, subject: str, now: float) -> bool:
+        """Let one request of a rate leave, and count it; False where it must not."""
+        held = self._held.get(subject)
+        return held is not None and held.take(now)
+
+    def has_room(self, subject: str, now: float) -> bool:
+        """Return whether one request of a rate might leave now."""
+        held = self._held.get(subject)
+        return held is not None and held.free_at(now) <= now
+
+    async def wait(self, subject: str, lease_seconds: float, until: float) -> bool:
+        """Wait until one request might leave; False once the leader denied it, or time is up."""
+        held = self.held(subject, lease_seconds)
+        began = clock.monotonic()
+        held.arrived(began)
+        if held.free_at(began) <= began:
+            return True
+        held.waiting += 1
+        try:
+            return await self._wait_for(held, began, until)
+        finally:
+            held.waiting -= 1
+
+    async def _wait_for(self, held: HeldRate, began: float, until: float) -> bool:
+        while True:
+            now = clock.monotonic()
+            free_at = held.free_at(now)
+            if free_at <= now:
+                return True
+            if now >= until or (held.was_denied_since(began) and not held.usable(now)):
+                return False
+            await self._wake.set()
+            await curio.ignore_after(min(free_at, until) - now, self._changed.wait)
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            if not self._held:
+                await self._wake.wait()
+            self._wake.clear()
+            await self.look()
+            await curio.ignore_after(LOOK_SECONDS, self._wake.wait)
+
+    async def look(self) -> None:
+        """Ask for what is due; forget what is idle."""
+        now = clock.monotonic()
+        due = [each for each in self._held.values() if each.is_due(now)][:MOST_SUBJECTS]
+        leader = self._find_leader()
+        if due and leader is not None:
+            await self._call(due, leader.epoch, now)
+        now = clock.monotonic()
+        for subject, held in list(self._held.items()):
+            if held.is_idle(now):
+                del self._held[subject]
+
+    async def _call(self, due: list[HeldRate], epoch: int, now: float) -> None:
+        wishes: list[RateWish] = [each.wish(now) for each in due]
+        self._sequence += 1
+        message = AskShares(
+            daemon=self._name,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            epoch=epoch,
+            subjects=[each.subject for each in wishes],
+            wanted=[each.wanted for each in wishes],
+            holding=[each.holding for each in wishes],
+        )
+        answer = await self._ask(message, CALL_SECONDS)
+        if answer is None or len(answer.granted) != len(due):
+            return
+        answered_at = clock.monotonic()
+        for each, granted in zip(due, answer.granted, strict=True):
+            each.receive(granted, answered_at)
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
--- a/src/pondtiller/gateway/step_client.py
+++ b/src/pondtiller/gateway/step_client.py
@@ -13,12 +13,14 @@
 from pondtiller.links.link import Link, LinkLostError, connect
 from pondtiller.rollouts.steps import LARGEST_PAGE_BYTES, StepStatus, result_size
 from pondtiller.wire.steplog import (
+    AskShares,
     EndStep,
     OpenStep,
     ReadResults,
     ReadSample,
     ResultsPage,
     SampleBody,
+    SharesGranted,
     Step,
     StepAnswer,
     UseTaken,
@@ -120,6 +122,11 @@
         answer = await self._call(message, UseTaken, 0.0, seconds)
         return answer if isinstance(answer, UseTaken) else None
 
+    async def ask_shares(self, message: AskShares, seconds: float) -> SharesGranted | None:
+        """Ask the leader for shares of rates; None where no leader took it."""
+        answer = await self._call(message, SharesGranted, 0.0, seconds)
+        return answer if isinstance(answer, SharesGranted) else None
+
     async def _call(
         self, message: Message, expected: type[AnswerType], leader_wait: float, seconds: float
     ) -> AnswerType | StepStatus:
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -83,6 +83,7 @@
         engine.running += 1
         connection: EngineConnection | None = None
         try:
+            await self._forwarder.prepare(engine, request)
             connection = await self._pool.take(engine.identifier, engine.entry.address)
             held = self._gate.check(engine.identifier, clock.monotonic())
             if held is not None:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -17,6 +17,7 @@
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.order_rights import OrderRights
 from pondtiller.gateway.orders import EngineOrders
+from pondtiller.gateway.rate_duty import FindTerms, RateDuty, no_terms
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
 from pondtiller.gateway.usage_duty import UsageDuty, UsageParts, UsageSettings
@@ -35,6 +36,7 @@
 from pondtiller.rollouts.samples import SampleScheduler
 from pondtiller.rollouts.steps import STEP_PREFIX, StepBook, StepRecord, StepStatus
 from pondtiller.rollouts.versions import AskEngine, OrderVersion, VersionSteward
+from pondtiller.routes.cold import ColdEngines
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.table import RouteTable
 from pondtiller.steplog.entry import Entry
@@ -75,6 +77,10 @@
         What use is to be reported, and to whom; None where none is.
     agreed
         The time of day on which the machines agree.
+    cold
+        Which engines are cold; None where none ever is.
+    find_terms
+        Returns how a rate may be granted, by its subject.
     """
 
     leadership: Leadership
@@ -89,6 +95,8 @@
     agreed: AgreedClock
     usage: UsageSettings | None = None
     operator: OperatorClient | None = None
+    cold: ColdEngines | None = None
+    find_terms: FindTerms = no_terms
 
 
 class Term:
@@ -101,7 +109,7 @@
         self.epoch = won.epoch
         self.book = StepBook()
         self.steward = VersionSteward(parts.engines)
-        self.scheduler = SampleScheduler(parts.engines, self.steward.is_loading)
+        self.scheduler = SampleScheduler(parts.engines, self.steward.is_loading, parts.cold)
         self.progress = ProgressSaver()
         self.wake = curio.Event()
         self._won = won
@@ -124,6 +132,7 @@
         self.orders = OrderRights(
             parts.leadership, parts.engines, self.steward, won, parts.lease_seconds
         )
+        self.rates = RateDuty(won.epoch, parts.find_terms)
         self.usage = self._make_usage(
             [entry for entry in won.entries if entry.key.startswith(USE_PREFIX)]
         )
@@ -203,6 +212,7 @@
             if now >= next_expiry:
                 next_expiry = now + EXPIRE_SECONDS
                 await self._expire()
+                self.rates.keep_house(now)
             await curio.ignore_after(TICK_SECONDS, self.wake.wait)
 
     async def _tick(self, now: float) -> None:
@@ -389,7 +399,9 @@
         if engine is None:
             outcome = RunOutcome(RunEnd.REFUSED, "gone")
         else:
-            order = _run_order(start, engine.entry.address)
+            cold = self._parts.cold
+            is_cold = cold is not None and cold.is_cold(engine, clock.monotonic())
+            order = _run_order(start, engine.entry.address, is_cold)
             outcome = await runner.run(order, self.scheduler.run_event)
         self._runs.pop(start.run, None)
         self.scheduler.run_ended(start.run, outcome.end, clock.monotonic())
@@ -497,7 +509,7 @@
         await self._carry_out()
 
 
-def _run_order(start: StartRun, address: Address) -> RunOrder:
+def _run_order(start: StartRun, address: Address, is_cold: bool) -> RunOrder:
     return RunOrder(
         start.run,
         start.engine,
@@ -508,4 +520,5 @@
         start.expected_version,
         start.sample.content,
         start.tenant,
+        is_cold,
     )
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -99,7 +99,9 @@
         await self._changed()
 
     async def _take_engines(self, found: tuple[StoreObject, ...]) -> None:
-        entries = [engine_format.engine_entry(each.name, each.spec) for each in found]
+        entries = [
+            engine_format.engine_entry(each.name, each.spec, each.revision) for each in found
+        ]
         known = [entry for entry in entries if entry is not None]
         self._engines.replace(known, clock.monotonic())
         logs.decision("engines_listed", engines=len(known), revision=self._engines.revision)
@@ -107,13 +109,13 @@
 
     async def _engine_changed(self, change: StoreChange) -> None:
         name = change.object.name
-        entry = engine_format.engine_entry(name, change.object.spec)
+        entry = engine_format.engine_entry(name, change.object.spec, change.object.revision)
         if change.is_gone or entry is None:
             self._engines.gone(name, clock.monotonic())
             logs.decision("engine_gone", engine=name, revision=self._engines.revision)
         else:
             known = self._engines.engines.get(name)
-            self._engines.changed(entry)
+            self._engines.changed(entry, clock.monotonic())
             self._log_entry(entry, known.entry if known is not None else None)
         await self._changed()
 
--- a/src/pondtiller/links/frames.py
+++ b/src/pondtiller/links/frames.py
@@ -53,6 +53,8 @@
     29: steplog.MirrorPage,
     30: steplog.UseTold,
     31: steplog.UseTaken,
+    36: steplog.AskShares,
+    37: steplog.SharesGranted,
 }
 KIND_BY_TYPE = {message_type: kind for kind, message_type in TYPE_BY_KIND.items()}
 URGENT_TYPES = (steplog.Fetched, steplog.ProgressList)
--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -33,8 +33,8 @@
 """What says who calls: engines get neither a key nor a tenant that a caller claims to be."""
 
 
-def engine_entry(name: str, spec: Any) -> EngineEntry | None:
-    """Read an engine's list entry; None where it is not to be read."""
+def engine_entry(name: str, spec: Any, revision: int = 0) -> EngineEntry | None:
+    """Read an engine's list entry, as of a revision of the store; None where it is not to be read."""
     try:
         return EngineEntry(
             engine=name,
@@ -45,6 +45,7 @@
             state=EngineState.READY if spec.get("state") == "ready" else EngineState.LEAVING,
             models=_models(spec),
             cold_seconds=_cold_seconds(spec),
+            revision=revision,
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
--- a/src/pondtiller/rollouts/placement.py
+++ b/src/pondtiller/rollouts/placement.py
@@ -5,11 +5,14 @@
 a tick costs samples times engines with room, whatever else runs.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from pondtiller.coordination.rate_shares import SlidingCount
 from pondtiller.rollouts.sample_work import SampleWork
+from pondtiller.routes.cold import ColdEngines
 from pondtiller.routes.engines import Engine, EngineDirectory, usual_pace
 
 GROUP_BONUS = 0.4
@@ -56,10 +59,19 @@
     ----------
     is_loading
         Returns whether an engine, by its identifier, is changing the weights of a model.
+    cold
+        Which engines are cold; None where none ever is.
     """
 
-    def __init__(self, engines: EngineDirectory, is_loading: Callable[[str, str], bool]) -> None:
+    def __init__(
+        self,
+        engines: EngineDirectory,
+        is_loading: Callable[[str, str], bool],
+        cold: ColdEngines | None = None,
+    ) -> None:
         self.engines = engines
+        self._cold = cold
+        self._cold_starts: dict[str, SlidingCount] = {}
         self.is_loading = is_loading
         self.groups: dict[str, Counter[str]] = {}
         self.views: dict[str, ServiceView] = {}
@@ -71,6 +83,13 @@
     def began(self, work: SampleWork) -> None:
         """Count a run."""
         self.groups.setdefault(work.engine, Counter())[work.group] += 1
+        engine = self.engines.engines.get(work.engine)
+        if self._cold is not None and engine is not None:
+            if self._cold.is_cold(engine, work.run_started):
+                count = self._cold_starts.setdefault(work.engine, SlidingCount())
+                count.add(work.run_started)
+            else:
+                self._cold_starts.pop(work.engine, None)
 
     def ended(self, work: SampleWork) -> None:
         """Count the end of a run."""
@@ -91,7 +110,9 @@
             with_room = [
                 engine
                 for engine in usable
-                if now >= engine.not_before and engine.running < engine.entry.slots
+                if now >= engine.not_before
+                and engine.running < engine.entry.slots
+                and self._starts_left(engine, now) > 0
             ]
             found = ServiceView(usable, with_room, usual_pace(usable))
             self.views[service] = found
@@ -111,10 +132,24 @@
             view.unmet.add(need)
             return None
         chosen = min(candidates, key=lambda each: self._cost(each, work, view.pace))
-        if chosen.running + 1 >= chosen.entry.slots:
+        if min(chosen.entry.slots - chosen.running, self._starts_left(chosen, now)) <= 1:
             view.with_room.remove(chosen)
         return chosen
 
+    def _starts_left(self, engine: Engine, now: float) -> float:
+        """Return how many samples may start at an engine now; a cold one takes few in a second.
+
+        What a cold engine gets is bounded by the shares of those who send. This only keeps
+        samples from being ordered in vain.
+        """
+        if self._cold is None or not self._cold.is_cold(engine, now):
+            return math.inf
+        terms = self._cold.terms(engine.identifier)
+        if terms is None:
+            return math.inf
+        count = self._cold_starts.get(engine.identifier)
+        return terms.most_each - (count.within(now) if count is not None else 0)
+
     def reserve_better(self, work: SampleWork, pace: float, factor: float, now: float) -> bool:
         """Reserve a place for a run on an engine that is `factor` times as fast as a pace.
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -24,6 +24,7 @@
     Text,
 )
 from pondtiller.rollouts.steps import SampleHead, StepRecord
+from pondtiller.routes.cold import ColdEngines
 from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.table import RouteRow
 from pondtiller.routes.tenants import owned_name
@@ -52,10 +53,17 @@
     ----------
     is_loading
         Returns whether an engine, by its identifier, is changing the weights of a model.
+    cold
+        Which engines are cold; None where none ever is.
     """
 
-    def __init__(self, engines: EngineDirectory, is_loading: Callable[[str, str], bool]) -> None:
-        self.placement = Placement(engines, is_loading)
+    def __init__(
+        self,
+        engines: EngineDirectory,
+        is_loading: Callable[[str, str], bool],
+        cold: ColdEngines | None = None,
+    ) -> None:
+        self.placement = Placement(engines, is_loading, cold)
         self.work: dict[tuple[str, str], SampleWork] = {}
         self.runs: dict[int, SampleWork] = {}
         self._engines = engines
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -19,6 +19,8 @@
 """How long an engine's end is known, so that a late order to run something there is refused."""
 ANSWER_WEIGHT = 0.2
 PACE_SECONDS = 3.0
+LONGEST_COLD_SECONDS = 120.0
+"""A longer time in an entry is taken for an error; the next entry says it again if it is true."""
 PACE_SMOOTHING_SECONDS = 1.2
 """Reading a prompt slows all streams of an engine for some tens of milliseconds."""
 
@@ -40,6 +42,8 @@
         Version of the weights by model.
     cold_seconds
         How much longer it is slow, counted from when the entry was written; 0 once it is warm.
+    revision
+        Of the store, when the entry was last written; 0 where it is not known.
     """
 
     engine: str
@@ -50,6 +54,7 @@
     state: EngineState
     models: dict[str, int] = field(default_factory=dict)
     cold_seconds: float = 0.0
+    revision: int = field(default=0, compare=False)
 
 
 @dataclass
@@ -70,6 +75,10 @@
         Smoothed time between two events of a stream; 0 while unknown.
     answer_seconds
         Smoothed time of a whole answer; 0 while unknown.
+    cold_until
+        Until when it is slow, by its entry.
+    failed_at
+        When it last failed here, while no entry has been written since; None otherwise.
     """
 
     entry: EngineEntry
@@ -81,6 +90,8 @@
     paced_at: float = 0.0
     answer_seconds: float = 0.0
     answered_at: float = 0.0
+    cold_until: float = float("-inf")
+    failed_at: float | None = None
 
     @property
     def identifier(self) -> str:
@@ -99,6 +110,7 @@
     def note_failure(self, now: float) -> None:
         """Pause an engine that failed, longer each time."""
         self.failures += 1
+        self.failed_at = now
         pause = min(FAILURE_PAUSE_SECONDS * self.failures, LONGEST_PAUSE_SECONDS)
         self.not_before = now + pause
 
@@ -110,6 +122,18 @@
         """Forget earlier failures."""
         self.failures = 0
 
+    def take_entry(self, entry: EngineEntry, now: float) -> None:
+        """Take an entry; one that was read again, or comes late, says nothing new of its start."""
+        is_new = entry.revision == 0 or entry.revision > self.entry.revision
+        self.entry = entry
+        if is_new:
+            self.failed_at = None
+            self.note_cold(entry.cold_seconds, now)
+
+    def note_cold(self, seconds: float, now: float) -> None:
+        """Take how much longer the engine is slow, by its entry."""
+        self.cold_until = now + min(seconds, LONGEST_COLD_SECONDS) if seconds > 0 else -math.inf
+
     def note_event_gap(self, seconds: float, now: float) -> None:
         """Take the time between two events of one stream.
 
@@ -176,15 +200,21 @@
         self.revision += 1
         listed = {entry.engine for entry in entries}
         for entry in entries:
-            self._take(entry)
+            self._take(entry, now)
         for identifier in list(self.engines):
             if identifier not in listed:
                 self._entry_gone(identifier, now)
 
-    def changed(self, entry: EngineEntry) -> None:
-        """Take one engine's new entry."""
+    def changed(self, entry: EngineEntry, now: float = 0.0) -> None:
+        """Take one engine's new entry.
+
+        Parameters
+        ----------
+        now
+            Steady time; how long an engine is cold counts from it.
+        """
         self.revision += 1
-        self._take(entry)
+        self._take(entry, now)
 
     def gone(self, identifier: str, now: float) -> None:
         """Take the end of an engine's entry."""
@@ -244,14 +274,15 @@
             and now < each.gone_at + SUSPECT_SECONDS
         ]
 
-    def _take(self, entry: EngineEntry) -> None:
+    def _take(self, entry: EngineEntry, now: float) -> None:
         self._left_at.pop(entry.engine, None)
         engine = self.engines.get(entry.engine)
         if engine is None:
-            self.engines[entry.engine] = Engine(entry)
+            engine = self.engines[entry.engine] = Engine(entry)
+            engine.note_cold(entry.cold_seconds, now)
             return
         engine.gone_at = None
-        engine.entry = entry
+        engine.take_entry(entry, now)
 
     def _entry_gone(self, identifier: str, now: float) -> None:
         engine = self.engines.get(identifier)
--- a/src/pondtiller/routes/send_gate.py
+++ b/src/pondtiller/routes/send_gate.py
@@ -28,12 +28,23 @@
 """
 
 
+UnknownRule = Callable[[str, float], Held | None]
+"""As `Rule`, for an engine that is known by its identifier alone."""
+
+
 class SendGate:
-    """Asks all rules that are in force at this daemon."""
+    """Asks all rules that are in force at this daemon.
+
+    Attributes
+    ----------
+    unknown_rule
+        Asked for engines that are not known here; None where they pass.
+    """
 
     def __init__(self, engines: EngineDirectory) -> None:
         self.engines = engines
         self.rules: list[Rule] = [self._leaving, self._evacuated]
+        self.unknown_rule: UnknownRule | None = None
 
     def check(self, identifier: str, now: float) -> Held | None:
         """Return why a request must not leave for an engine, or None where it may leave now.
@@ -42,13 +53,18 @@
         """
         engine = self.engines.engines.get(identifier)
         if engine is None:
-            return Held.LEAVING if self.engines.has_left(identifier, now) else None
+            return self._check_unknown(identifier, now)
         for rule in self.rules:
             held = rule(engine, now)
             if held is not None:
                 return held
         return None
 
+    def _check_unknown(self, identifier: str, now: float) -> Held | None:
+        if self.engines.has_left(identifier, now):
+            return Held.LEAVING
+        return self.unknown_rule(identifier, now) if self.unknown_rule is not None else None
+
     def _leaving(self, engine: Engine, now: float) -> Held | None:
         return Held.LEAVING if self.engines.has_left(engine.identifier, now) else None
 
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -113,6 +113,11 @@
     tenant: str = betterproto.string_field(11)
     """Whose sample it is; empty where the step has no tenant."""
 
+    is_cold: bool = betterproto.bool_field(12)
+    """
+    Whether the leader takes the engine for cold: the runner may know less.
+    """
+
 
 @dataclass(eq=False, repr=False)
 class DropRun(betterproto.Message):
@@ -503,3 +508,35 @@
     """
     The time of day on which the machines agree, in seconds since 1970; 0 where not known.
     """
+
+
+@dataclass(eq=False, repr=False)
+class AskShares(betterproto.Message):
+    """
+    A daemon to the leader, while it needs shares of rates that all daemons hold together.
+    """
+
+    daemon: str = betterproto.string_field(1)
+    incarnation: int = betterproto.uint64_field(2)
+    sequence: int = betterproto.uint64_field(3)
+    """
+    Rises with each message of one start of the daemon; what comes late is not taken.
+    """
+
+    epoch: int = betterproto.uint64_field(4)
+    """The leader that is asked: no other one takes it."""
+
+    subjects: List[str] = betterproto.string_field(5)
+    """Columns, see `coordination.rate_shares.RateWish`."""
+
+    wanted: List[int] = betterproto.uint32_field(6)
+    holding: List[int] = betterproto.uint32_field(7)
+
+
+@dataclass(eq=False, repr=False)
+class SharesGranted(betterproto.Message):
+    status: int = betterproto.uint32_field(1)
+    """A number of `rollouts.steps.StepStatus`."""
+
+    granted: List[int] = betterproto.uint32_field(2)
+    """By subject, in the order in which they were asked for."""
