--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -34,7 +34,7 @@
 
 
 def engine_entry(name: str, spec: Any, revision: int = 0) -> EngineEntry | None:
-    """Read an engine's list entry, as of a revision of the store; None where it is not to be read."""
+    """Read an engine's list entry, written at a revision; None where it is not to be read."""
     try:
         return EngineEntry(
             engine=name,
