--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_cold.py
@@ -0,0 +1,122 @@
+"""Cold engines in a whole small system: what reaches them in any second, from all gateways."""
+
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from pondtiller.daemon import clock
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.platform.standins import StandInEngine, configuration
+
+RATE = 14
+CALLS = 50
+"""To each of two gateways at once: five times what two cold engines may get in a second."""
+
+
+class TimedEngine(StandInEngine):
+    """Notes when requests reach it."""
+
+    def __init__(self, identifier: str, service: str) -> None:
+        super().__init__(identifier, service)
+        self.times: list[float] = []
+
+    async def _handle(self, exchange: Any) -> None:
+        if not exchange.request.path.startswith("/pondtiller/"):
+            self.times.append(clock.monotonic())
+        await super()._handle(exchange)
+
+    def most_in_a_second(self) -> int:
+        return max(
+            (sum(at <= each < at + 1.0 for each in self.times) for at in self.times), default=0
+        )
+
+
+async def start(system: System, cold: dict[str, float]) -> list[TimedEngine]:
+    """Put timed engines in place of the system's; those named are cold for so many seconds."""
+    timed = [TimedEngine(f"t{number}", "app") for number in range(2)]
+    samplers = [TimedEngine(f"s{number}", "llm") for number in range(2)]
+    for engine in (*system.app, *system.llm):
+        system.store.remove("servers", engine.identifier)
+    for engine in (*timed, *samplers):
+        engine.models = ["m"] if engine.service == "llm" else []
+        await system.group.spawn(engine.serve)
+        left = round(cold.get(engine.identifier, 0.0) * 1000)
+        system.store.put("servers", engine.identifier, engine.entry() | {"cold_left_ms": left})
+    table = configuration(3, *timed, *samplers)
+    for row in table["services"]:
+        row.update(cold_start_s=3.0, cold_per_s=float(RATE))
+    system.store.put("config", "main", table)
+    leader = await system.until_led()
+    names = {each.identifier for each in (*timed, *samplers)}
+    for process in system.gateways:
+        engines = process.engines.engines
+        await system.until(lambda engines=engines: names <= set(engines))
+        await system.until(lambda process=process: process.front.table is not None)
+    # Until a leader knows that nobody holds anything of an earlier one.
+    began = clock.monotonic()
+    await system.until(lambda: clock.monotonic() > began + 3.0)
+    assert leader.duties.term is not None
+    return [*timed, *samplers]
+
+
+async def call_all(system: System) -> list[int]:
+    """Call both gateways at once, many times; return the statuses."""
+    statuses: list[int] = []
+
+    async def one(number: int) -> None:
+        answer = await system.call("POST", "/quote/x", b"q", number % 2, request_id=f"q{number}")
+        statuses.append(answer.status)
+
+    async with Spawner() as group:
+        for number in range(2 * CALLS):
+            await group.spawn(one, number)
+        await system.until(lambda: len(statuses) == 2 * CALLS, 20.0)
+    return statuses
+
+
+def test_a_burst_at_two_gateways_stays_within_what_cold_engines_bear(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        engines = await start(system, {"t0": 60.0, "t1": 60.0})
+        statuses = await call_all(system)
+        assert set(statuses) <= {200, 503}
+        assert all(each.most_in_a_second() <= RATE for each in engines)
+        # Cold engines do get work: at least half of what they bear in one second.
+        assert statuses.count(200) >= RATE
+        assert sum(each.metrics.held_cold for each in system.gateways) > 0
+
+    run_system(tmp_path, test, gateways=2, with_configuration=False)
+
+
+def test_the_burst_breaks_the_bound_where_no_gate_counts(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        engines = await start(system, {"t0": 60.0, "t1": 60.0})
+        for process in system.gateways:
+            process.gate.rules.remove(process.cold.rule)
+        await call_all(system)
+        assert max(each.most_in_a_second() for each in engines) > RATE
+
+    run_system(tmp_path, test, gateways=2, with_configuration=False)
+
+
+def test_a_warm_engine_serves_while_there_is_one(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        engines = await start(system, {"t0": 60.0})
+        statuses = await call_all(system)
+        assert statuses == [200] * (2 * CALLS)
+        assert not engines[0].times
+
+    run_system(tmp_path, test, gateways=2, with_configuration=False)
+
+
+def test_samples_run_on_cold_engines_within_the_bound(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        engines = await start(system, {"s0": 60.0, "s1": 60.0})
+        assert await system.submit("step", samples=60) == 202
+        listed: list[Any] = await system.read_all("step", 60)
+        assert all(each["state"] == "succeeded" for each in listed)
+        samplers = engines[2:]
+        assert all(0 < each.most_in_a_second() <= RATE for each in samplers)
+
+    run_system(tmp_path, test, gateways=2, with_configuration=False)
