--- a/src/pondtiller/gateway/tests/test_cold.py
+++ b/src/pondtiller/gateway/tests/test_cold.py
@@ -3,8 +3,6 @@
 from pathlib import Path
 from typing import Any
 
-import curio
-
 from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.gateway.tests.system import System, run_system
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -1,5 +1,7 @@
 """Samples on engines: order, moves, continuation, versions, giving up."""
 
+from dataclasses import replace
+
 from pondtiller.core.entities import Address
 from pondtiller.rollouts.sample_work import (
     CancelReason,
@@ -12,8 +14,9 @@
 )
 from pondtiller.rollouts.samples import SampleScheduler
 from pondtiller.rollouts.steps import StepBook, StepRecord, add_sample
+from pondtiller.routes.cold import ColdBound, ColdEngines
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
-from pondtiller.routes.table import RequestKind, RouteRow, ServiceShare
+from pondtiller.routes.table import RequestKind, RouteRow, RouteTable, ServiceRow, ServiceShare
 from pondtiller.wire.steplog import Sample, SampleProgress, Step
 
 ROUTE = RouteRow(
@@ -344,3 +347,21 @@
     (given_up,) = bench.scheduler.take()
     assert isinstance(given_up, ListResult)
     assert not given_up.result.succeeded
+
+
+def test_a_cold_engine_gets_no_more_starts_in_a_second_than_one_daemon_may_send() -> None:
+    bench = Bench(engines=2)
+    table = RouteTable(1, services={"llm": ServiceRow("llm", cold_seconds=9.0, cold_rate=2.0)})
+    cold = ColdEngines(bench.directory, ColdBound(1.5, 5.0), lambda: table)
+    bench.scheduler = SampleScheduler(bench.directory, lambda *_: False, cold)
+    bench.directory.changed(replace(entry("e0", slots=4), cold_seconds=9.0), 0.0)
+    bench.directory.changed(entry("e1", slots=4))
+    bench.open(groups=5)
+    began = [each.engine for each in starts(bench.tick(1.0))]
+    assert sorted(began) == ["e0", "e1", "e1", "e1", "e1"]
+    assert not starts(bench.tick(1.5))
+    bench.scheduler.note_stall(2.1)
+    assert [each.engine for each in starts(bench.tick(2.1))] == ["e0"]
+    # Once it is warm it takes what its places take.
+    bench.scheduler.note_stall(9.0)
+    assert [each.engine for each in starts(bench.tick(9.0))] == ["e0", "e0"]
