--- a/src/pondtiller/coordination/rate_shares.py
+++ b/src/pondtiller/coordination/rate_shares.py
@@ -22,8 +22,8 @@
 WINDOW_SECONDS = 1.05
 """Every span of one second counts; what is let through at the window's two ends may take up to
 50 ms longer or shorter to the wire."""
-REST_SECONDS = WINDOW_SECONDS + 0.1
-"""With a margin for clocks that run apart: below 1 % over the longest lease."""
+REST_MARGIN_SECONDS = 0.1
+"""For clocks that run apart: below 1 % over the longest lease."""
 DEMAND_SECONDS = 2.0
 HEADROOM = 1.25
 """Requests do not come evenly: asked for is a quarter more than came."""
@@ -37,12 +37,12 @@
     """Times within a window that ends now."""
 
     def __init__(self, window_seconds: float = WINDOW_SECONDS) -> None:
-        self._window = window_seconds
+        self.window_seconds = window_seconds
         self._times: deque[float] = deque()
 
     def within(self, now: float) -> int:
         """Return how many there are in the window."""
-        while self._times and self._times[0] <= now - self._window:
+        while self._times and self._times[0] <= now - self.window_seconds:
             self._times.popleft()
         return len(self._times)
 
@@ -56,7 +56,7 @@
             return math.inf
         if self.within(now) < most:
             return now
-        return self._times[len(self._times) - most] + self._window
+        return self._times[len(self._times) - most] + self.window_seconds
 
 
 class RateWish(NamedTuple):
@@ -75,12 +75,38 @@
     holding: int
 
 
+class RateTerms(NamedTuple):
+    """How a rate is granted.
+
+    Attributes
+    ----------
+    total
+        Requests in a window, of all holders together.
+    most_each
+        Of one holder.
+    window_seconds
+        Length of a window; longer than a second for rates below one a second.
+    """
+
+    total: int
+    most_each: int
+    lease_seconds: float
+    window_seconds: float = WINDOW_SECONDS
+
+    @property
+    def rest_seconds(self) -> float:
+        """How long what a holder may use no more is granted to nobody."""
+        return self.window_seconds + REST_MARGIN_SECONDS
+
+
 @dataclass
 class HeldRate:
     """What one daemon may let through of one rate.
 
     Attributes
     ----------
+    granted_of
+        The whole rate of which it was granted.
     waiting
         Requests that wait for a share here.
     answered_at
@@ -88,24 +114,41 @@
     """
 
     subject: str
-    lease_seconds: float
+    terms: RateTerms
     granted: int = 0
+    granted_of: int = 0
     expires_at: float = -math.inf
     asked_at: float = -math.inf
     answered_at: float = -math.inf
     waiting: int = 0
-    _sent: SlidingCount = field(default_factory=SlidingCount)
+    _sent: SlidingCount = field(init=False)
     _arrived: SlidingCount = field(default_factory=lambda: SlidingCount(DEMAND_SECONDS))
 
+    def __post_init__(self) -> None:
+        self._sent = SlidingCount(self.terms.window_seconds)
+
     @property
     def renew_seconds(self) -> float:
         """How often a share in use is renewed."""
-        return self.lease_seconds / RENEW_PARTS
+        return self.terms.lease_seconds / RENEW_PARTS
 
     def usable(self, now: float) -> int:
         """Return how many may leave in a window now."""
         return self.granted if now < self.expires_at else 0
 
+    def follow(self, terms: RateTerms) -> None:
+        """Take the rate as this daemon's rows have it: a lower one lowers what is held at once."""
+        if terms == self.terms:
+            return
+        if terms.window_seconds != self.terms.window_seconds:
+            # What was let through counts in windows of the new length from now on.
+            self.granted = 0
+            self._sent.window_seconds = terms.window_seconds
+        self.terms = terms
+        if self.granted_of > terms.total:
+            self.granted = self.granted * terms.total // self.granted_of
+            self.granted_of = terms.total
+
     def free_at(self, now: float) -> float:
         """Return from when on one may leave, with what is held now; infinite where nothing is."""
         at = self._sent.free_at(self.usable(now), now)
@@ -127,7 +170,8 @@
         recent = self._arrived.within(now)
         if not self.waiting and (recent <= 1 or not self.usable(now)):
             return 0
-        return max(self.waiting, math.ceil(recent / DEMAND_SECONDS * WINDOW_SECONDS * HEADROOM))
+        a_window = recent / DEMAND_SECONDS * self.terms.window_seconds
+        return max(self.waiting, math.ceil(a_window * HEADROOM))
 
     def is_due(self, now: float) -> bool:
         """Return whether the leader is to be asked now."""
@@ -138,7 +182,7 @@
         is_useless = needed == 0 and usable > 0
         return is_useless or (usable > 0 and now >= self.asked_at + self.renew_seconds)
 
-    def was_denied_since(self, moment: float) -> bool:
+    def was_answered_since(self, moment: float) -> bool:
         """Return whether the leader answered a wish that was made since a moment."""
         return self.asked_at >= moment and self.answered_at >= self.asked_at
 
@@ -153,10 +197,12 @@
         self.asked_at = now
         return RateWish(self.subject, needed, self.granted)
 
-    def receive(self, granted: int, now: float) -> None:
-        """Take the answer to the latest wish."""
-        self.granted = granted
-        self.expires_at = self.asked_at + self.lease_seconds
+    def receive(self, granted: int, total: int, now: float) -> None:
+        """Take the answer to the latest wish: a share, and the whole rate at the leader."""
+        own = self.terms.total
+        self.granted = granted * own // total if own < total else granted
+        self.granted_of = min(total, own)
+        self.expires_at = self.asked_at + self.terms.lease_seconds
         self.answered_at = now
 
 
@@ -165,22 +211,6 @@
     until: float
 
 
-class RateTerms(NamedTuple):
-    """How a rate is granted.
-
-    Attributes
-    ----------
-    total
-        Requests in a window, of all holders together.
-    most_each
-        Of one holder.
-    """
-
-    total: int
-    most_each: int
-    lease_seconds: float
-
-
 class _Book:
     """Who may use how much of one rate, and who wants how much."""
 
@@ -237,17 +267,17 @@
 
     def grants_anew(self, terms: RateTerms, now: float) -> bool:
         """Return whether all that earlier leaders granted has ended or is in the book."""
-        return now >= self._began_at + terms.lease_seconds + REST_SECONDS
+        return now >= self._began_at + terms.lease_seconds + terms.rest_seconds
 
     def grant(self, holder: HolderKey, wish: RateWish, terms: RateTerms, now: float) -> int:
         """Take a wish and return the share that the holder may use from when it asked."""
         book = self._books.setdefault(wish.subject, _Book())
         book.keep_house(now)
-        until = now + terms.lease_seconds + REST_SECONDS
+        until = now + terms.lease_seconds + terms.rest_seconds
         book.wanted[holder] = (wish.wanted, now + terms.lease_seconds)
         # What it held above what it says has been used until now at the latest.
         before = [
-            _Reserved(each.amount, min(each.until, now + REST_SECONDS))
+            _Reserved(each.amount, min(each.until, now + terms.rest_seconds))
             for each in book.reserved.get(holder, ())
         ]
         granted = self._share(book, holder, wish, terms, now)
--- a/src/pondtiller/coordination/tests/test_rate_shares.py
+++ b/src/pondtiller/coordination/tests/test_rate_shares.py
@@ -4,9 +4,7 @@
 
 import pytest
 
-from pondtiller.coordination import rate_shares
 from pondtiller.coordination.rate_shares import (
-    REST_SECONDS,
     HeldRate,
     RateGrantor,
     RateTerms,
@@ -46,7 +44,7 @@
 
     def __init__(self, name):
         self.name = name
-        self.rate = HeldRate("cold/e", LEASE_SECONDS)
+        self.rate = HeldRate("cold/e", TERMS)
         self.sequence = 0
         self.frozen_until = 0.0
         self.is_cut = False
@@ -136,7 +134,7 @@
             )
         elif holder.is_asking and sequence == holder.sequence:
             holder.is_asking = False
-            holder.rate.receive(granted, now)
+            holder.rate.receive(granted, TERMS.total, now)
 
     def most_in_a_second(self):
         times = sorted(self.left)
@@ -166,7 +164,7 @@
 
 
 def test_shares_that_pass_on_without_a_rest_break_the_rate(monkeypatch):
-    assert broken_by(monkeypatch, rate_shares, "REST_SECONDS", 0.0)
+    assert broken_by(monkeypatch, RateTerms, "rest_seconds", 0.0)
 
 
 def test_a_holder_whose_share_never_ends_breaks_the_rate(monkeypatch):
@@ -174,10 +172,10 @@
 
 
 def held(granted, now=0.0):
-    rate = HeldRate("s", LEASE_SECONDS)
+    rate = HeldRate("s", TERMS)
     rate.waiting = granted
     rate.wish(now)
-    rate.receive(granted, now)
+    rate.receive(granted, TERMS.total, now)
     return rate
 
 
@@ -199,15 +197,15 @@
 
 
 def test_a_lone_request_gives_its_share_back_at_once():
-    rate = HeldRate("s", LEASE_SECONDS)
+    rate = HeldRate("s", TERMS)
     rate.arrived(0.0)
     rate.waiting = 1
     assert rate.is_due(0.0) and rate.wish(0.0).wanted == 1
-    rate.receive(1, 0.05)
+    rate.receive(1, TERMS.total, 0.05)
     rate.waiting = 0
     assert rate.take(0.05) and rate.is_due(0.1)
     assert rate.wish(0.1) == RateWish("s", 0, 0)
-    rate.receive(0, 0.15)
+    rate.receive(0, TERMS.total, 0.15)
     assert rate.is_idle(2.0) and not rate.is_due(2.0)
 
 
@@ -215,7 +213,7 @@
     grantor, one, two = RateGrantor(0.0), HolderKey("one", 1), HolderKey("two", 1)
     assert grantor.grant(one, RateWish("s", 9, 4), TERMS, 0.2) == 4
     assert grantor.grant(two, RateWish("s", 9, 0), TERMS, 0.3) == 0
-    later = LEASE_SECONDS + REST_SECONDS
+    later = LEASE_SECONDS + TERMS.rest_seconds
     assert grantor.grant(two, RateWish("s", 9, 0), TERMS, later + 0.01) == 9
     assert grantor.grant(one, RateWish("s", 9, 0), TERMS, later + 0.02) == 5
 
@@ -228,4 +226,4 @@
     assert grantor.grant(two, RateWish("s", 20, 4), TERMS, 0.6) == 4  # What one had rests first.
     # Only when it says so is it known to have heard that it has less.
     assert grantor.grant(one, RateWish("s", 20, 7), TERMS, 1.0) == 7
-    assert grantor.grant(two, RateWish("s", 20, 4), TERMS, 1.0 + REST_SECONDS) == 7
+    assert grantor.grant(two, RateWish("s", 20, 4), TERMS, 1.0 + TERMS.rest_seconds) == 7
--- a/src/pondtiller/gateway/cold_sends.py
+++ b/src/pondtiller/gateway/cold_sends.py
@@ -11,6 +11,8 @@
 WAIT_SECONDS = 0.3
 """Longest wait for a share: a leader in another region answers within 0.05 s, and a run that is
 silent for 0.7 s is moved."""
+UNKNOWN_TERMS = RateTerms(1_000_000, 1_000_000, LEASE_SECONDS)
+"""Of an engine that this daemon does not know yet: what the leader grants counts."""
 NAMED_ENGINES = 12
 """Most engines that one log line names."""
 
@@ -48,7 +50,8 @@
         now = clock.monotonic()
         if self._cold.is_cold_name(identifier, now):
             until = min(deadline, now + WAIT_SECONDS)
-            await self._shares.wait(subject_of(identifier), LEASE_SECONDS, until)
+            terms = self._cold.terms(identifier) or UNKNOWN_TERMS
+            await self._shares.wait(subject_of(identifier), terms, until)
 
     def preferred(self, engines: list[Engine], now: float) -> list[Engine]:
         """Return the warm engines; where there are none, cold ones that may get something now."""
--- a/src/pondtiller/gateway/rate_duty.py
+++ b/src/pondtiller/gateway/rate_duty.py
@@ -8,10 +8,16 @@
 from pondtiller.rollouts.steps import StepStatus
 from pondtiller.wire.steplog import AskShares, SharesGranted
 
+LONGEST_LEASE_SECONDS = 10.0
+"""Longer than that of any rate."""
+
 FindTerms = Callable[[str], RateTerms | None]
 """Takes a rate's subject; None where there is no such rate, of which nothing is granted."""
 
 
+NO_RATE = RateTerms(0, 0, LONGEST_LEASE_SECONDS)
+
+
 def no_terms(_subject: str) -> None:
     """Return that there is no such rate."""
 
@@ -39,12 +45,13 @@
             return SharesGranted(status=StepStatus.UNAVAILABLE)
         now = clock.monotonic()
         columns = zip(message.subjects, message.wanted, message.holding, strict=True)
-        granted = [self._grant(holder, RateWish(*each), now) for each in columns]
-        return SharesGranted(status=StepStatus.OK, granted=granted)
-
-    def _grant(self, holder: HolderKey, wish: RateWish, now: float) -> int:
-        terms = self._find_terms(wish.subject)
-        return self._grantor.grant(holder, wish, terms, now) if terms is not None else 0
+        answer = SharesGranted(status=StepStatus.OK)
+        for each in columns:
+            wish = RateWish(*each)
+            terms = self._find_terms(wish.subject) or NO_RATE
+            answer.granted.append(self._grantor.grant(holder, wish, terms, now))
+            answer.totals.append(terms.total)
+        return answer
 
     def keep_house(self, now: float) -> None:
         """Forget rates that nobody uses."""
--- a/src/pondtiller/gateway/share_asker.py
+++ b/src/pondtiller/gateway/share_asker.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from pondtiller.coordination.rate_shares import HeldRate, RateWish
+from pondtiller.coordination.rate_shares import HeldRate, RateTerms, RateWish
 from pondtiller.daemon import clock
 from pondtiller.gateway.replicas import LeaderPlace
 from pondtiller.wire.steplog import AskShares, SharesGranted
@@ -44,9 +44,13 @@
         self._wake = curio.Event()
         self._changed: Any = curio.Event()
 
-    def held(self, subject: str, lease_seconds: float) -> HeldRate:
-        """Return what is held of a rate."""
-        return self._held.setdefault(subject, HeldRate(subject, lease_seconds))
+    def held(self, subject: str, terms: RateTerms) -> HeldRate:
+        """Return what is held of a rate, which is now as given."""
+        held = self._held.get(subject)
+        if held is None:
+            held = self._held[subject] = HeldRate(subject, terms)
+        held.follow(terms)
+        return held
 
     def take(self, subject: str, now: float) -> bool:
         """Let one request of a rate leave, and count it; False where it must not."""
@@ -58,26 +62,33 @@
         held = self._held.get(subject)
         return held is not None and held.free_at(now) <= now
 
-    async def wait(self, subject: str, lease_seconds: float, until: float) -> bool:
-        """Wait until one request might leave; False once the leader denied it, or time is up."""
-        held = self.held(subject, lease_seconds)
-        began = clock.monotonic()
-        held.arrived(began)
-        if held.free_at(began) <= began:
-            return True
+    async def wait(self, subject: str, terms: RateTerms, until: float) -> bool:
+        """Wait until one request might leave; False once that will not be in time."""
+        return await self._wait(self.held(subject, terms), until, takes=False)
+
+    async def admit(self, held: HeldRate, until: float) -> bool:
+        """Wait until one request may leave, and count it; False once that will not be in time."""
+        return await self._wait(held, until, takes=True)
+
+    async def _wait(self, held: HeldRate, until: float, takes: bool) -> bool:
+        now = clock.monotonic()
+        held.arrived(now)
+        if held.free_at(now) <= now:
+            return not takes or held.take(now)
         held.waiting += 1
         try:
-            return await self._wait_for(held, began, until)
+            return await self._wait_for(held, now, until, takes)
         finally:
             held.waiting -= 1
 
-    async def _wait_for(self, held: HeldRate, began: float, until: float) -> bool:
+    async def _wait_for(self, held: HeldRate, began: float, until: float, takes: bool) -> bool:
         while True:
             now = clock.monotonic()
             free_at = held.free_at(now)
             if free_at <= now:
-                return True
-            if now >= until or (held.was_denied_since(began) and not held.usable(now)):
+                return not takes or held.take(now)
+            is_answered = held.was_answered_since(began)
+            if now >= until or (is_answered and free_at > until):
                 return False
             await self._wake.set()
             await curio.ignore_after(min(free_at, until) - now, self._changed.wait)
@@ -116,10 +127,10 @@
             holding=[each.holding for each in wishes],
         )
         answer = await self._ask(message, CALL_SECONDS)
-        if answer is None or len(answer.granted) != len(due):
+        if answer is None or not len(answer.granted) == len(answer.totals) == len(due):
             return
         answered_at = clock.monotonic()
-        for each, granted in zip(due, answer.granted, strict=True):
-            each.receive(granted, answered_at)
+        for each, granted, total in zip(due, answer.granted, answer.totals, strict=True):
+            each.receive(granted, total, answered_at)
         changed, self._changed = self._changed, curio.Event()
         await changed.set()
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -540,3 +540,8 @@
 
     granted: List[int] = betterproto.uint32_field(2)
     """By subject, in the order in which they were asked for."""
+
+    totals: List[int] = betterproto.uint32_field(3)
+    """
+    The whole rates of which these are shares: a daemon whose rows have a lower one lowers them.
+    """
