Compare the best 40 engines for a sample, not all of them

Now engines are put in order once a tick and 40 compared for each sample; those that run its group are compared too. Up to 40 engines nothing changes. Ruled out: a heap by cost alone, since a sample's length and group change it.

--- a/src/pondtiller/rollouts/placement.py
+++ b/src/pondtiller/rollouts/placement.py
@@ -2,13 +2,15 @@
 
 What a choice needs of a service (its usable engines, which of them have room, the usual pace)
 is worked out once a tick, and runs are counted by engine and group as they begin and end. So
-a tick costs samples times engines with room, whatever else runs.
+a tick costs one look at each engine, and for each sample the engines that are compared for it
+(`candidates.py`) and those that run samples of its group.
 """
 
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from pondtiller.rollouts.candidates import Candidates
 from pondtiller.rollouts.sample_work import SampleWork
 from pondtiller.routes.engines import Engine, EngineDirectory, usual_pace
 
@@ -30,11 +32,12 @@
     usable
         Engines that may get new work.
     with_room
-        Those of them that have a free slot and are not paused; shrinks as samples start.
+        Those of them that have a free slot and are not paused, by identifier; shrinks as samples
+        start.
     pace
         Usual time between two events of a stream, in seconds; 0 while unknown.
-    unmet
-        Needs for which no engine has room, so that like samples are not looked at again.
+    candidates
+        Engines with room by what a sample needs.
     reserved
         Places promised to runs that move here in this tick, by engine.
     by_pace
@@ -42,9 +45,9 @@
     """
 
     usable: list[Engine]
-    with_room: list[Engine]
+    with_room: dict[str, Engine]
     pace: float
-    unmet: set[Need] = field(default_factory=set)
+    candidates: dict[Need, Candidates] = field(default_factory=dict)
     reserved: Counter[str] = field(default_factory=Counter)
     by_pace: list[Engine] | None = None
 
@@ -62,6 +65,7 @@
         self.engines = engines
         self.is_loading = is_loading
         self.groups: dict[str, Counter[str]] = {}
+        self.by_group: dict[str, Counter[str]] = {}
         self.views: dict[str, ServiceView] = {}
 
     def begin_tick(self) -> None:
@@ -69,30 +73,34 @@
         self.views.clear()
 
     def began(self, work: SampleWork) -> None:
-        """Count a run."""
+        """Count a run; its engine has one place less."""
         self.groups.setdefault(work.engine, Counter())[work.group] += 1
+        self.by_group.setdefault(work.group, Counter())[work.engine] += 1
+        view = self.views.get(work.service)
+        engine = view.with_room.get(work.engine) if view is not None else None
+        if view is None or engine is None:
+            return
+        is_full = engine.running >= engine.entry.slots
+        if is_full:
+            del view.with_room[engine.identifier]
+        for candidates in view.candidates.values():
+            candidates.filled(engine, is_full)
 
     def ended(self, work: SampleWork) -> None:
         """Count the end of a run."""
-        groups = self.groups.get(work.engine)
-        if groups is None:
-            return
-        groups[work.group] -= 1
-        if groups[work.group] <= 0:
-            del groups[work.group]
-        if not groups:
-            del self.groups[work.engine]
+        _count_down(self.groups, work.engine, work.group)
+        _count_down(self.by_group, work.group, work.engine)
 
     def view(self, service: str, now: float) -> ServiceView:
         """Return a service as it is in this tick."""
         found = self.views.get(service)
         if found is None:
             usable = self.engines.usable(service, now)
-            with_room = [
-                engine
+            with_room = {
+                engine.identifier: engine
                 for engine in usable
                 if now >= engine.not_before and engine.running < engine.entry.slots
-            ]
+            }
             found = ServiceView(usable, with_room, usual_pace(usable))
             self.views[service] = found
         return found
@@ -103,17 +111,35 @@
         view = self.view(service, now)
         if not view.with_room:
             return None
-        need = _need(service, work)
-        if need in view.unmet:
+        candidates = self._candidates(view, work)
+        if not candidates.compared:
             return None
-        candidates = [each for each in view.with_room if self.has_weights(each, work)]
-        if not candidates:
-            view.unmet.add(need)
-            return None
-        chosen = min(candidates, key=lambda each: self._cost(each, work, view.pace))
-        if chosen.running + 1 >= chosen.entry.slots:
-            view.with_room.remove(chosen)
-        return chosen
+        compared = [*candidates.compared.values(), *self._of_group(work, view, candidates)]
+        return min(compared, key=lambda each: self._cost(each, work, view.pace))
+
+    def _candidates(self, view: ServiceView, work: SampleWork) -> Candidates:
+        need = _need(work.service, work)
+        found = view.candidates.get(need)
+        if found is None:
+            suited = [each for each in view.with_room.values() if self.has_weights(each, work)]
+            found = Candidates(suited, lambda each: _base_cost(each, view.pace))
+            view.candidates[need] = found
+        return found
+
+    def _of_group(
+        self, work: SampleWork, view: ServiceView, candidates: Candidates
+    ) -> list[Engine]:
+        """Return the engines that run samples of the same group and are not compared yet."""
+        if candidates.compares_all:
+            return []
+        found = (view.with_room.get(each) for each in self.by_group.get(work.group, ()))
+        return [
+            each
+            for each in found
+            if each is not None
+            and each.identifier not in candidates.compared
+            and self.has_weights(each, work)
+        ]
 
     def reserve_better(self, work: SampleWork, pace: float, factor: float, now: float) -> bool:
         """Reserve a place for a run on an engine that is `factor` times as fast as a pace.
@@ -148,7 +174,9 @@
     def _by_pace(self, view: ServiceView) -> list[Engine]:
         """Return the engines with room, the fastest first; sorted once a tick."""
         if view.by_pace is None:
-            view.by_pace = sorted(view.with_room, key=lambda each: self.expected_pace(each, view))
+            view.by_pace = sorted(
+                view.with_room.values(), key=lambda each: self.expected_pace(each, view)
+            )
         return view.by_pace
 
     def expected_pace(self, engine: Engine, view: ServiceView) -> float:
@@ -169,12 +197,37 @@
 
     def _cost(self, engine: Engine, work: SampleWork, pace: float) -> float:
         """Return the cost of a place: a full engine, and a slow one the more a sample is long."""
-        relative = engine.event_seconds / pace if engine.event_seconds and pace else 1.0
-        cost = (engine.running + 1) / engine.entry.slots
+        relative = _relative_pace(engine, pace)
+        cost = _filling(engine)
         cost += SLOWNESS_COST * max(0.0, relative - 1.0) * min(work.size, LONGEST_SIZE)
         shares_prompt = work.group in self.groups.get(engine.identifier, ())
         return cost - (GROUP_BONUS if shares_prompt else 0.0)
 
 
+def _base_cost(engine: Engine, pace: float) -> float:
+    """Return what an engine costs a sample of the mean size whose group is nowhere."""
+    return _filling(engine) + SLOWNESS_COST * max(0.0, _relative_pace(engine, pace) - 1.0)
+
+
+def _filling(engine: Engine) -> float:
+    return (engine.running + 1) / engine.entry.slots
+
+
+def _relative_pace(engine: Engine, pace: float) -> float:
+    return engine.event_seconds / pace if engine.event_seconds and pace else 1.0
+
+
+def _count_down(counts: dict[str, Counter[str]], name: str, part: str) -> None:
+    """Count one less; what nobody counts any more is forgotten."""
+    counter = counts.get(name)
+    if counter is None:
+        return
+    counter[part] -= 1
+    if counter[part] <= 0:
+        del counter[part]
+    if not counter:
+        del counts[name]
+
+
 def _need(service: str, work: SampleWork) -> Need:
     return service, work.model, work.oldest_version, work.stays_with
