Load a version on as many engines as open steps need, in turn, found in one pass a tick

Cause: a version went to every engine of a model, and each tick walked all engines five times a model. Now, where the sound engines are as many as all models' steps need (samples over slots, half as many again to spare), each model gets what it needs, and engines of the last two versions take turns.

--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -230,7 +230,7 @@
         if record.step.id not in self._scheduled:
             self._scheduled.add(record.step.id)
             tokens = sum(each.expected_tokens for each in record.samples)
-            self.steward.step_opened(record.step.model, tokens)
+            self.steward.step_opened(record.step.model, tokens, record.total)
         self.scheduler.open(record, route)
 
     # Calls
--- a/src/pondtiller/rollouts/tests/test_versions.py
+++ b/src/pondtiller/rollouts/tests/test_versions.py
@@ -60,7 +60,7 @@
 def test_models_that_share_engines_share_the_loads_and_take_turns() -> None:
     made = steward(5, {"a": 1, "b": 1, "c": 1})
     for model in ("a", "b", "c"):
-        made.step_opened(model, 100.0)
+        made.step_opened(model, 100.0, samples=100)
     loaded: dict[int, set[str]] = {}
     for version in (2, 3):
         made.named("a", version)
@@ -149,3 +149,46 @@
     made.engines.replace([], 0.0)
     assert orders(made, 0.1) == []
     assert load_shares(3, {}) == {}
+
+
+def load_version(made: VersionSteward, version: int, now: float) -> list[str]:
+    for model in ("a", "b"):
+        made.named(model, version)
+    return [f"{order.model}/{order.engine}" for order in load_all(made, now)]
+
+
+def test_a_version_goes_to_as_many_engines_as_the_steps_need_and_a_part_to_spare() -> None:
+    made = steward(100, {"a": 1, "b": 1})
+    made.step_opened("a", 100.0, samples=32)
+    made.step_opened("b", 100.0, samples=16)
+    loaded = load_version(made, 2, 0.0)
+    assert len([each for each in loaded if each.startswith("a/")]) == 6
+    assert len([each for each in loaded if each.startswith("b/")]) == 3
+
+
+def test_engines_that_served_the_last_versions_take_turns_and_others_stay_as_they_are() -> None:
+    made = steward(100, {"a": 1, "b": 1})
+    for model in ("a", "b"):
+        made.step_opened(model, 100.0, samples=16)
+    used = {each for version in range(2, 12) for each in load_version(made, version, version * 9.0)}
+    assert len([each for each in used if each.startswith("a/")]) <= 2 * 3 + 3
+
+
+def test_a_lost_engine_is_replaced_by_one_that_was_not_needed() -> None:
+    made = steward(20, {"a": 1, "b": 1})
+    for model in ("a", "b"):
+        made.step_opened(model, 100.0, samples=16)
+    first = load_version(made, 2, 0.0)
+    made.engines.changed(entry(first[0].split("/")[1], {"a": 2, "b": 1}, EngineState.LEAVING))
+    again = load_all(made, 5.0)
+    assert [order.model for order in again] == ["a"]
+
+
+def test_the_engines_needed_follow_a_larger_step_at_once_and_smaller_ones_slowly() -> None:
+    made = steward(100, {"a": 1, "b": 1})
+    for samples in (16, 64, 16):
+        made.step_opened("a", 100.0, samples)
+        made.step_opened("b", 100.0, 8)
+    made.named("a", 2)
+    loaded = load_all(made, 0.0)
+    assert 3 < len(loaded) <= 12
--- a/src/pondtiller/rollouts/versions.py
+++ b/src/pondtiller/rollouts/versions.py
@@ -7,8 +7,9 @@
 
 from dataclasses import dataclass, field
 
-from pondtiller.rollouts.load_shares import load_shares
-from pondtiller.routes.engines import Engine, EngineDirectory, EngineState, usual_pace
+from pondtiller.rollouts.load_shares import engines_needed, load_shares
+from pondtiller.rollouts.model_fleet import ModelFleet, fleets_of
+from pondtiller.routes.engines import Engine, EngineDirectory
 
 LOADS_AT_ONCE_SHARE = 0.4
 FEWEST_LOADS_AT_ONCE = 2
@@ -16,7 +17,11 @@
 UNANSWERED_SECONDS = 0.8
 REFUSED_SECONDS = 0.4
 DEMAND_WEIGHT = 0.3
-SLOW_FACTOR = 2.0
+VERSIONS_IN_TURN = 2
+"""A step may use the version before its own: the engines of the last two versions serve, those of
+the one before that load the next."""
+PEAK_WEIGHT = 0.3
+"""How fast the places that a model needs follow smaller steps; larger ones count at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +72,8 @@
         may still arrive.
     demand
         Tokens of a step by model, smoothed.
+    places
+        Samples of a step by model: the most of late.
     """
 
     engines: EngineDirectory
@@ -75,9 +82,11 @@
     may_order_from: float = float("inf")
     waits: dict[str, float] = field(default_factory=dict)
     demand: dict[str, float] = field(default_factory=dict)
+    places: dict[str, float] = field(default_factory=dict)
     loads: dict[str, Load] = field(default_factory=dict)
     known: dict[str, tuple[dict[str, int], int]] = field(default_factory=dict)
     _pause: dict[str, float] = field(default_factory=dict)
+    _fleets: dict[str, ModelFleet] = field(default_factory=dict)
     _out: list[OrderVersion | AskEngine] = field(default_factory=list)
 
     def take(self) -> list[OrderVersion | AskEngine]:
@@ -89,10 +98,12 @@
         """Take a version that a trainer named."""
         self.newest[model] = max(version, self.newest.get(model, 0))
 
-    def step_opened(self, model: str, tokens: float) -> None:
+    def step_opened(self, model: str, tokens: float, samples: int) -> None:
         """Take the size of a step, for the sharing of engines among models."""
         before = self.demand.get(model, tokens)
         self.demand[model] = before + DEMAND_WEIGHT * (tokens - before)
+        most = self.places.get(model, 0.0)
+        self.places[model] = max(samples, most + PEAK_WEIGHT * (samples - most))
 
     def answered(self, engine: str, is_taken: bool, now: float) -> None:
         """Take an engine's consent or refusal."""
@@ -127,8 +138,9 @@
     def tick(self, now: float) -> None:
         """Give the orders that are due."""
         self._finish(now)
-        if now < self.may_order_from:
+        if now < self.may_order_from or not self.newest:
             return
+        self._fleets = fleets_of(self.engines)
         for model, version in self._by_need():
             for engine in self._to_load(model, version, now):
                 if len(self.loads) >= self._loads_at_once():
@@ -152,8 +164,8 @@
 
         The store of the weights slows down when more than a share of the engines load.
         """
-        with_models = sum(bool(each.entry.models) for each in self.engines.engines.values())
-        return max(FEWEST_LOADS_AT_ONCE, int(with_models * LOADS_AT_ONCE_SHARE))
+        with_models = {each for fleet in self._fleets.values() for each in fleet.engines}
+        return max(FEWEST_LOADS_AT_ONCE, int(len(with_models) * LOADS_AT_ONCE_SHARE))
 
     def _by_need(self) -> list[tuple[str, int]]:
         """Return the newest versions, those that fewest engines have first."""
@@ -161,56 +173,62 @@
         return sorted(versions, key=lambda each: len(self._holding(each[0], each[1])))
 
     def _to_load(self, model: str, version: int, now: float) -> list[Engine]:
-        """Return the engines that are to load a version now, the most outdated first."""
-        engines = self._engines_of(model)
-        wanted = self._wanted(model, engines)
+        """Return the engines that are to load a version now, the first ones first.
+
+        The most outdated come first, slow ones last. Where engines are left over, those that had
+        one of the last versions take turns, and the others stay as they are.
+        """
+        fleet = self._fleet(model)
+        is_enough = self._is_enough(fleet)
+        wanted = self._needed(model, fleet) if is_enough else self._share(model, fleet)
         missing = wanted - len(self._holding(model, version))
         if missing <= 0:
             return []
         behind = [
             engine
-            for engine in engines
+            for engine in fleet.engines.values()
             if self._version_of(engine, model) < version
             and engine.identifier not in self.loads
             and now >= self._pause.get(engine.identifier, 0.0)
             and now >= self.waits.get(engine.place, 0.0)
         ]
-        slow = self._slow(engines)
-        behind.sort(
-            key=lambda engine: (
-                engine.identifier in slow,
-                self._version_of(engine, model),
-                engine.running,
-                engine.identifier,
-            )
-        )
-        return behind[:missing]
 
-    def _engines_of(self, model: str) -> list[Engine]:
-        return [
-            engine
-            for engine in self.engines.engines.values()
-            if engine.gone_at is None
-            and engine.entry.state is EngineState.READY
-            and model in engine.entry.models
-        ]
+        def order(engine: Engine) -> tuple[bool, bool, int, int, str]:
+            has = self._version_of(engine, model)
+            is_spare = is_enough and version - has > VERSIONS_IN_TURN
+            is_slow = engine.identifier in fleet.slow
+            return is_slow, is_spare, has, engine.running, engine.identifier
 
-    def _wanted(self, model: str, engines: list[Engine]) -> int:
-        """Return how many engines should have a model's newest version."""
-        models = {each for engine in engines for each in engine.entry.models}
+        return sorted(behind, key=order)[:missing]
+
+    def _fleet(self, model: str) -> ModelFleet:
+        return self._fleets.get(model) or ModelFleet()
+
+    def _is_enough(self, fleet: ModelFleet) -> bool:
+        """Return whether the sound engines are as many as all their models' steps need."""
+        needed = sum(self._needed(model, fleet) for model in fleet.models)
+        return needed <= fleet.sound
+
+    def _share(self, model: str, fleet: ModelFleet) -> int:
+        """Return how many engines a model may have beside the others, by demand."""
         usual = sum(self.demand.values()) / len(self.demand) if self.demand else 1.0
-        demand = {each: self.demand.get(each, usual) for each in models}
-        sound = len(engines) - len(self._slow(engines))
-        return load_shares(max(sound, 1), demand).get(model, 1)
+        demand = {each: self.demand.get(each, usual) for each in fleet.models}
+        return load_shares(max(fleet.sound, 1), demand).get(model, 1)
+
+    def _needed(self, model: str, fleet: ModelFleet) -> int:
+        """Return how many engines a model's steps need; all while no step is known."""
+        samples = self.places.get(model)
+        if samples is None:
+            return len(fleet.engines)
+        return engines_needed(samples, fleet.slots)
 
     def _holding(self, model: str, version: int) -> set[str]:
         """Return the sound engines that have a version, or are loading it."""
-        engines = self._engines_of(model)
-        slow = self._slow(engines)
+        fleet = self._fleet(model)
         holding = {
-            engine.identifier
-            for engine in engines
-            if self._version_of(engine, model) >= version and engine.identifier not in slow
+            identifier
+            for identifier, engine in fleet.engines.items()
+            if self._version_of(engine, model) >= version and identifier not in fleet.slow
         }
         loading = {
             identifier
@@ -219,15 +237,6 @@
         }
         return holding | loading
 
-    def _slow(self, engines: list[Engine]) -> set[str]:
-        """Return the engines that are much slower than the usual one now."""
-        usual = usual_pace(engines)
-        return {
-            engine.identifier
-            for engine in engines
-            if usual and engine.event_seconds > SLOW_FACTOR * usual
-        }
-
     def _version_of(self, engine: Engine, model: str) -> int:
         reported, _ = self.known.get(engine.identifier, ({}, 0))
         return max(engine.entry.models.get(model, 0), reported.get(model, 0))
