Give a leader's ticks a bounded share of its time

Ticks now take a quarter of the time at most, with a gap of at most 0.1 s, and what happens between two is decided together. A stall is noted 0.1 s later for it.

--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -19,6 +19,7 @@
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
+from pondtiller.gateway.tick_pacing import LONGEST_GAP_SECONDS, TickPacing
 from pondtiller.gateway.usage_duty import UsageDuty, UsageParts, UsageSettings
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import LinkLostError
@@ -189,14 +190,17 @@
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
         due = next_progress + TICK_SECONDS
+        pacing = TickPacing()
         while True:
+            await curio.sleep(pacing.wait_seconds(clock.monotonic()))
             self.wake.clear()
             now = clock.monotonic()
             if now > due + STALL_SECONDS:
                 logs.decision("stalled", seconds=now - due, runs=len(self.scheduler.runs))
                 self.scheduler.note_stall(now)
-            due = now + TICK_SECONDS
+            due = now + TICK_SECONDS + LONGEST_GAP_SECONDS
             await self._tick(now)
+            pacing.ticked(now, clock.monotonic())
             if now >= next_progress:
                 next_progress = now + PROGRESS_SECONDS
                 await self.save_progress()
