Put groups behind that cannot be whole in time, once not everything fits

Load: three trainers ask 48 samples a second of engines that make 28. First come, first served made all steps a little late.

--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -23,6 +23,8 @@
     StartRun,
     Text,
 )
+from pondtiller.rollouts.shedding import RANK_SECONDS, GroupKey, RunTimes, groups_behind
+from pondtiller.rollouts.step_loads import step_loads
 from pondtiller.rollouts.steps import SampleHead, StepRecord
 from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.table import RouteRow
@@ -42,7 +44,8 @@
 LOOK_SECONDS = 0.1
 KEPT_SAMPLES = 4000
 QUEUE_MARGIN_SECONDS = 3.0
-PRIORITY_SECONDS = 0.2
+SHED_SECONDS = 0.2
+"""Between two looks at what can be made in time; a look costs all open samples."""
 
 
 class SampleScheduler:
@@ -61,6 +64,9 @@
         self._engines = engines
         self._kept: dict[str, Text] = {}
         self._last_run = 0
+        self.run_times = RunTimes()
+        self.behind: frozenset[GroupKey] = frozenset()
+        self._next_shed = float("-inf")
         self._next_look = float("-inf")
         self._out: list[Instruction] = []
 
@@ -82,7 +88,7 @@
             work.size = work.cost / mean if mean else 1.0
             work.text = self._adopt(record, route, sample)
             work.order = (
-                record.step.accepted_at + route.priority * PRIORITY_SECONDS,
+                record.step.accepted_at + route.priority * RANK_SECONDS,
                 -work.cost,
             )
             self.work[key] = work
@@ -161,6 +167,7 @@
         if engine is not None:
             _note_end(engine, end, now)
         if end is RunEnd.WHOLE:
+            self.run_times.note(now - work.run_started)
             work.text.is_whole = True
             self._score(work)
             return work
@@ -203,11 +210,31 @@
         self._move_slow(now)
         # What moved left room, and what failed is paused.
         self.placement.begin_tick()
+        self._put_behind(now, wall_now)
         waiting = [work for work in self.work.values() if work.stage is Stage.WAITING]
-        for work in sorted(waiting, key=lambda each: each.order):
+        for work in sorted(waiting, key=self._turn):
             if work.is_routed:
                 self._try_start(work, now)
 
+    def _turn(self, work: SampleWork) -> tuple[bool, tuple[float, ...]]:
+        return GroupKey(work.step_id, work.group) in self.behind, work.order
+
+    def _put_behind(self, now: float, wall_now: float) -> None:
+        """Look now and then which groups cannot be whole in time any more."""
+        if now < self._next_shed:
+            return
+        self._next_shed = now + SHED_SECONDS
+        by_service: dict[str, list[SampleWork]] = {}
+        for work in self.work.values():
+            if work.is_routed:
+                by_service.setdefault(work.service, []).append(work)
+        behind: set[GroupKey] = set()
+        for service, works in by_service.items():
+            usable = self.placement.view(service, now).usable
+            rate = self.run_times.rate(sum(each.entry.slots for each in usable))
+            behind |= groups_behind(step_loads(works), rate, wall_now)
+        self.behind = frozenset(behind)
+
     def _try_start(self, work: SampleWork, now: float) -> None:
         engine = self.placement.choose(work, now)
         if engine is None:
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -4,6 +4,7 @@
 final once it is written; readers see the positions up to the first that is not.
 """
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -161,6 +162,11 @@
         """The samples in the order submitted."""
         return tuple(sample_heads(self.step))
 
+    @cached_property
+    def group_sizes(self) -> Counter[str]:
+        """Samples of each group."""
+        return Counter(head.group for head in self.samples)
+
     @property
     def total(self) -> int:
         """Number of samples."""
--- /dev/null
+++ b/src/pondtiller/rollouts/tests/test_shedding.py
@@ -0,0 +1,182 @@
+"""Steps that engines cannot make in time together: which groups go first, and what trainers get."""
+
+from dataclasses import dataclass
+
+from pondtiller.core.entities import Address
+from pondtiller.rollouts import samples as samples_module
+from pondtiller.rollouts.sample_work import ListResult, RunEnd, ScoreEnd, ScoreText, StartRun
+from pondtiller.rollouts.samples import SampleScheduler
+from pondtiller.rollouts.shedding import (
+    GroupKey,
+    GroupLoad,
+    RunTimes,
+    StepLoad,
+    groups_behind,
+)
+from pondtiller.rollouts.steps import StepBook, StepRecord, add_sample
+from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
+from pondtiller.routes.table import RequestKind, RouteRow, ServiceShare
+from pondtiller.wire.steplog import Sample, Step
+
+DUE_SECONDS = 7.5
+
+
+def load(step: str, due: float, groups: int, rank: int = 0, wanted: int = 99) -> StepLoad:
+    parts = tuple(GroupLoad(f"g{number}", 8, False, number) for number in range(groups))
+    return StepLoad(step, rank, due, wanted, parts)
+
+
+def behind_by_step(steps: list[StepLoad], rate: float, now: float = 0.0) -> dict[str, int]:
+    found = groups_behind(steps, rate, now)
+    return {each.step: sum(key.step == each.step for key in found) for each in steps}
+
+
+def test_nothing_is_put_behind_while_everything_fits_or_the_rate_is_not_known() -> None:
+    steps = [load("a", 7.5, 9), load("b", 7.5, 9)]
+    assert behind_by_step(steps, 30.0) == {"a": 0, "b": 0}
+    assert behind_by_step(steps, 0.0) == {"a": 0, "b": 0}
+
+
+def test_of_a_step_as_many_groups_stay_as_can_be_whole_in_time() -> None:
+    assert behind_by_step([load("a", 4.7, 9)], 8.0) == {"a": 5}
+
+
+def test_a_step_that_is_late_anyway_goes_behind_one_that_can_be_whole() -> None:
+    steps = [load("late", 1.0, 9), load("young", 7.5, 6)]
+    assert behind_by_step(steps, 8.0) == {"late": 9, "young": 0}
+
+
+def test_of_two_steps_of_one_moment_the_lower_rank_gives_way() -> None:
+    steps = [load("low", 7.0, 6, rank=1), load("high", 7.1, 6, rank=0)]
+    assert behind_by_step(steps, 8.0) == {"low": 6, "high": 0}
+
+
+def test_a_group_that_is_nearly_whole_goes_before_one_that_is_not_begun() -> None:
+    groups = (GroupLoad("new", 8, False, 0), GroupLoad("begun", 2, True, 1))
+    found = groups_behind([StepLoad("s", 0, 1.7, 2, groups)], 8.0, 0.0)
+    assert found == {GroupKey("s", "new")}
+
+
+def test_what_the_trainer_does_not_wait_for_goes_behind_once_not_all_fits() -> None:
+    steps = [load("a", 7.5, 5, wanted=2), load("b", 7.5, 4, wanted=4)]
+    assert behind_by_step(steps, 8.0) == {"a": 3, "b": 0}
+
+
+def test_the_rate_follows_the_times_of_runs() -> None:
+    times = RunTimes()
+    assert times.rate(30) == 0.0
+    times.note(1.0)
+    assert times.rate(30) == 30.0
+    for _ in range(60):
+        times.note(2.0)
+    assert 14.9 < times.rate(30) < 15.2
+
+
+@dataclass
+class Run:
+    """A run at an engine."""
+
+    ends_at: float
+    events: int
+
+
+class Trainers:
+    """Three trainers that ask for a step each four seconds, more than the engines make.
+
+    Six engines of six places, 1.3 s a run: 28 samples a second, and 48 are asked.
+    """
+
+    def __init__(self) -> None:
+        engines = EngineDirectory()
+        place = Address("10.0.0.1", 1)
+        engines.replace(
+            [
+                EngineEntry(f"e{n}", "llm", place, "z", 6, EngineState.READY, {"m": 1})
+                for n in range(6)
+            ],
+            0.0,
+        )
+        self.scheduler = SampleScheduler(engines, lambda _engine, _model: False)
+        self.book = StepBook()
+        self.records: dict[str, StepRecord] = {}
+        self.runs: dict[int, Run] = {}
+        self.left: dict[tuple[str, str], int] = {}
+        self.in_time = dict.fromkeys(range(3), 0)
+        self.group_of: dict[tuple[str, str], str] = {}
+
+    def ask(self, number: int, rank: int, now: float) -> None:
+        step = Step(
+            id=f"{rank}-{number}",
+            model="m",
+            oldest_version=1,
+            desired_groups=8,
+            accepted_at=now,
+        )
+        for place in range(64):
+            sample = Sample(id=f"{step.id}-{place}", group=f"{step.id}-g{place // 8}")
+            add_sample(step, sample, 100.0 + place % 7)
+            self.left[step.id, sample.group] = 8
+            self.group_of[step.id, sample.id] = sample.group
+        record = self.records[step.id] = self.book.open(step)
+        route = RouteRow(
+            "r",
+            "h",
+            "/p/",
+            RequestKind.STEP,
+            (ServiceShare("llm", 1.0),),
+            attempts=3,
+            priority=rank,
+            step_seconds=DUE_SECONDS,
+        )
+        self.scheduler.open(record, route)
+
+    def play(self, seconds: float) -> None:
+        now = 0.0
+        while now < seconds:
+            for rank in range(3):
+                if abs((now - rank) % 4.0) < 0.05:
+                    self.ask(int(now // 4), rank, now)
+            self._go_on(now)
+            self.scheduler.tick(now, now)
+            self._carry_out(now)
+            now = round(now + 0.1, 1)
+
+    def _go_on(self, now: float) -> None:
+        """Let each run make an event, or end."""
+        for number, run in list(self.runs.items()):
+            if now >= run.ends_at:
+                del self.runs[number]
+                self.scheduler.run_ended(number, RunEnd.WHOLE, now)
+            else:
+                run.events += 1
+                self.scheduler.run_event(number, run.events, "x", 1, now)
+
+    def _carry_out(self, now: float) -> None:
+        for each in self.scheduler.take():
+            match each:
+                case StartRun():
+                    self.runs[each.run] = Run(now + 1.25, each.last_event)
+                case ScoreText():
+                    self.scheduler.scored(each.step, each.sample.id, ScoreEnd.SCORED, "x", 1)
+                    self._carry_out(now)
+                case ListResult():
+                    self._listed(each, now)
+
+    def _listed(self, listed: ListResult, now: float) -> None:
+        record = self.records[listed.step]
+        record.listed.add(listed.result.id)
+        group = self.group_of[listed.step, listed.result.id]
+        self.left[listed.step, group] -= 1
+        is_in_time = now <= record.step.accepted_at + DUE_SECONDS
+        if not self.left[listed.step, group] and is_in_time:
+            self.in_time[int(listed.step.partition("-")[0])] += 1
+
+
+def test_trainers_that_ask_for_too_much_get_more_groups_in_time(monkeypatch) -> None:
+    with_shedding = Trainers()
+    with_shedding.play(40.0)
+    monkeypatch.setattr(samples_module, "groups_behind", lambda *_: frozenset())
+    without = Trainers()
+    without.play(40.0)
+    assert sum(with_shedding.in_time.values()) > 2 * sum(without.in_time.values())
+    assert min(with_shedding.in_time.values()) > max(without.in_time.values())
