Begin a group once those before it have their places, where not all fit

Cause: with groups only split into those in time and the others, all groups in time shared the places, longest samples first: 1,000 samples were listed on the small twin, but only 41 of 273 groups became whole. Now groups take turns.

--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -23,7 +23,7 @@
     StartRun,
     Text,
 )
-from pondtiller.rollouts.shedding import RANK_SECONDS, GroupKey, RunTimes, groups_behind
+from pondtiller.rollouts.shedding import RANK_SECONDS, GroupKey, RunTimes, group_turns
 from pondtiller.rollouts.step_loads import step_loads
 from pondtiller.rollouts.steps import SampleHead, StepRecord
 from pondtiller.routes.engines import Engine, EngineDirectory
@@ -65,7 +65,7 @@
         self._kept: dict[str, Text] = {}
         self._last_run = 0
         self.run_times = RunTimes()
-        self.behind: frozenset[GroupKey] = frozenset()
+        self.turns: dict[GroupKey, int] = {}
         self._next_shed = float("-inf")
         self._next_look = float("-inf")
         self._out: list[Instruction] = []
@@ -210,17 +210,19 @@
         self._move_slow(now)
         # What moved left room, and what failed is paused.
         self.placement.begin_tick()
-        self._put_behind(now, wall_now)
+        self._give_turns(now, wall_now)
         waiting = [work for work in self.work.values() if work.stage is Stage.WAITING]
         for work in sorted(waiting, key=self._turn):
             if work.is_routed:
                 self._try_start(work, now)
 
-    def _turn(self, work: SampleWork) -> tuple[bool, tuple[float, ...]]:
-        return GroupKey(work.step_id, work.group) in self.behind, work.order
+    def _turn(self, work: SampleWork) -> tuple[int, tuple[float, ...]]:
+        """Return a key for who starts first: by group where not all can be whole in time."""
+        key = GroupKey(work.step_id, work.group)
+        return self.turns.get(key, len(self.turns)), work.order
 
-    def _put_behind(self, now: float, wall_now: float) -> None:
-        """Look now and then which groups cannot be whole in time any more."""
+    def _give_turns(self, now: float, wall_now: float) -> None:
+        """Look now and then whether all groups can be whole in time, and which go first if not."""
         if now < self._next_shed:
             return
         self._next_shed = now + SHED_SECONDS
@@ -228,12 +230,12 @@
         for work in self.work.values():
             if work.is_routed:
                 by_service.setdefault(work.service, []).append(work)
-        behind: set[GroupKey] = set()
+        turns: list[GroupKey] = []
         for service, works in by_service.items():
             usable = self.placement.view(service, now).usable
             rate = self.run_times.rate(sum(each.entry.slots for each in usable))
-            behind |= groups_behind(step_loads(works), rate, wall_now)
-        self.behind = frozenset(behind)
+            turns += group_turns(step_loads(works), rate, wall_now)
+        self.turns = {key: turn for turn, key in enumerate(turns)}
 
     def _try_start(self, work: SampleWork, now: float) -> None:
         engine = self.placement.choose(work, now)
--- a/src/pondtiller/rollouts/shedding.py
+++ b/src/pondtiller/rollouts/shedding.py
@@ -4,8 +4,9 @@
 pause in which nothing was made, on a fleet that has shrunk, or when more is asked than fits. Taken
 in the order in which they came, all steps are then a little late, and each trainer waits. So what
 can still be whole when its step is due goes first, group by group, and the rest goes behind it:
-those due later, and of a lower rank. Nothing is given up: what is behind is made when places are
-free.
+those due later, and of a lower rank. A group is begun once those before it have their places, so
+that a rate taken too high leaves some groups out, and not each of them in part. Nothing is given
+up: what is behind is made when places are free.
 
 While everything fits, nothing is put behind, and the order stays as it is. No I/O.
 """
@@ -88,18 +89,26 @@
         return places / self.mean_seconds if self.mean_seconds else 0.0
 
 
-def groups_behind(steps: Iterable[StepLoad], rate: float, now: float) -> frozenset[GroupKey]:
-    """Return the groups that go behind all others, since they cannot be whole in time.
+def group_turns(steps: Iterable[StepLoad], rate: float, now: float) -> tuple[GroupKey, ...]:
+    """Return the groups in the order in which they are to be made whole.
+
+    Those that can be whole in time come first, the others behind them.
 
     Parameters
     ----------
     rate
-        Samples a second that the engines make; 0 where it is not known, and nothing is behind.
+        Samples a second that the engines make; 0 where it is not known.
+
+    Returns
+    -------
+    tuple of GroupKey
+        Empty where everything fits, or where that is not known.
     """
     ordered = sorted(steps, key=lambda each: (each.due + each.rank * RANK_SECONDS, each.step))
     if rate <= 0.0 or _all_fit(ordered, rate, now):
-        return frozenset()
-    behind: set[GroupKey] = set()
+        return ()
+    first: list[GroupKey] = []
+    behind: list[GroupKey] = []
     free_at = now
     for step in ordered:
         wanted = step.wanted
@@ -108,9 +117,10 @@
             if wanted > 0 and whole_at <= step.due - READ_SECONDS:
                 free_at = whole_at
                 wanted -= 1
+                first.append(GroupKey(step.step, group.name))
             else:
-                behind.add(GroupKey(step.step, group.name))
-    return frozenset(behind)
+                behind.append(GroupKey(step.step, group.name))
+    return (*first, *behind)
 
 
 def _all_fit(steps: list[StepLoad], rate: float, now: float) -> bool:
--- a/src/pondtiller/rollouts/tests/test_shedding.py
+++ b/src/pondtiller/rollouts/tests/test_shedding.py
@@ -11,7 +11,7 @@
     GroupLoad,
     RunTimes,
     StepLoad,
-    groups_behind,
+    group_turns,
 )
 from pondtiller.rollouts.steps import StepBook, StepRecord, add_sample
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
@@ -26,40 +26,41 @@
     return StepLoad(step, rank, due, wanted, parts)
 
 
-def behind_by_step(steps: list[StepLoad], rate: float, now: float = 0.0) -> dict[str, int]:
-    found = groups_behind(steps, rate, now)
-    return {each.step: sum(key.step == each.step for key in found) for each in steps}
+def turns(steps: list[StepLoad], rate: float, now: float = 0.0) -> list[str]:
+    """Return the steps of the groups in their order."""
+    return [key.step for key in group_turns(steps, rate, now)]
 
 
-def test_nothing_is_put_behind_while_everything_fits_or_the_rate_is_not_known() -> None:
+def test_the_order_stays_while_everything_fits_or_the_rate_is_not_known() -> None:
     steps = [load("a", 7.5, 9), load("b", 7.5, 9)]
-    assert behind_by_step(steps, 30.0) == {"a": 0, "b": 0}
-    assert behind_by_step(steps, 0.0) == {"a": 0, "b": 0}
+    assert turns(steps, 30.0) == []
+    assert turns(steps, 0.0) == []
 
 
-def test_of_a_step_as_many_groups_stay_as_can_be_whole_in_time() -> None:
-    assert behind_by_step([load("a", 4.7, 9)], 8.0) == {"a": 5}
+def test_of_a_step_as_many_groups_stay_first_as_can_be_whole_in_time() -> None:
+    steps = [load("a", 4.7, 9), load("b", 6.8, 2)]
+    assert turns(steps, 8.0) == [*"aaaa", "b", "b", *"aaaaa"]
 
 
 def test_a_step_that_is_late_anyway_goes_behind_one_that_can_be_whole() -> None:
-    steps = [load("late", 1.0, 9), load("young", 7.5, 6)]
-    assert behind_by_step(steps, 8.0) == {"late": 9, "young": 0}
+    steps = [load("late", 1.0, 3), load("young", 7.5, 4)]
+    assert turns(steps, 8.0) == [*["young"] * 4, *["late"] * 3]
 
 
 def test_of_two_steps_of_one_moment_the_lower_rank_gives_way() -> None:
     steps = [load("low", 7.0, 6, rank=1), load("high", 7.1, 6, rank=0)]
-    assert behind_by_step(steps, 8.0) == {"low": 6, "high": 0}
+    assert turns(steps, 8.0) == [*["high"] * 6, *["low"] * 6]
 
 
 def test_a_group_that_is_nearly_whole_goes_before_one_that_is_not_begun() -> None:
     groups = (GroupLoad("new", 8, False, 0), GroupLoad("begun", 2, True, 1))
-    found = groups_behind([StepLoad("s", 0, 1.7, 2, groups)], 8.0, 0.0)
-    assert found == {GroupKey("s", "new")}
+    found = group_turns([StepLoad("s", 0, 1.7, 2, groups)], 8.0, 0.0)
+    assert found == (GroupKey("s", "begun"), GroupKey("s", "new"))
 
 
 def test_what_the_trainer_does_not_wait_for_goes_behind_once_not_all_fits() -> None:
     steps = [load("a", 7.5, 5, wanted=2), load("b", 7.5, 4, wanted=4)]
-    assert behind_by_step(steps, 8.0) == {"a": 3, "b": 0}
+    assert turns(steps, 8.0) == [*"aa", *"bbbb", *"aaa"]
 
 
 def test_the_rate_follows_the_times_of_runs() -> None:
@@ -175,7 +176,7 @@
 def test_trainers_that_ask_for_too_much_get_more_groups_in_time(monkeypatch) -> None:
     with_shedding = Trainers()
     with_shedding.play(40.0)
-    monkeypatch.setattr(samples_module, "groups_behind", lambda *_: frozenset())
+    monkeypatch.setattr(samples_module, "group_turns", lambda *_: ())
     without = Trainers()
     without.play(40.0)
     assert sum(with_shedding.in_time.values()) > 2 * sum(without.in_time.values())
