--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -20,6 +20,7 @@
 from pondtiller.gateway.rate_duty import FindTerms, RateDuty, no_terms
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
+from pondtiller.gateway.tick_pacing import LONGEST_GAP_SECONDS, TickPacing
 from pondtiller.gateway.usage_duty import UsageDuty, UsageParts, UsageSettings
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import LinkLostError
@@ -202,14 +203,17 @@
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
         due = next_progress + TICK_SECONDS
+        pacing = TickPacing()
         while True:
+            await curio.sleep(pacing.wait_seconds(clock.monotonic()))
             self.wake.clear()
             now = clock.monotonic()
             if now > due + STALL_SECONDS:
                 logs.decision("stalled", seconds=now - due, runs=len(self.scheduler.runs))
                 self.scheduler.note_stall(now)
-            due = now + TICK_SECONDS
+            due = now + TICK_SECONDS + LONGEST_GAP_SECONDS
             await self._tick(now)
+            pacing.ticked(now, clock.monotonic())
             if now >= next_progress:
                 next_progress = now + PROGRESS_SECONDS
                 await self.save_progress()
@@ -244,7 +248,7 @@
         if record.step.id not in self._scheduled:
             self._scheduled.add(record.step.id)
             tokens = sum(each.expected_tokens for each in record.samples)
-            self.steward.step_opened(record.step.model, tokens)
+            self.steward.step_opened(record.step.model, tokens, record.total)
         self.scheduler.open(record, route)
 
     # Calls
@@ -441,7 +445,8 @@
         self.scheduler.scored(
             instruction.step, sample.id, outcome.end, outcome.score, outcome.attempts
         )
-        await self._carry_out()
+        # The next tick writes it: one message to each replica holds all results until then.
+        await self.wake.set()
 
     async def _ask_member(self, message: Message, seconds: float) -> Message | None:
         """Call a replica of the group, the nearest that answers; None where none does."""
