--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -36,6 +36,7 @@
 from pondtiller.rollouts.steps import STEP_PREFIX, StepBook, StepRecord, StepStatus
 from pondtiller.rollouts.versions import AskEngine, OrderVersion, VersionSteward
 from pondtiller.routes.engines import EngineDirectory
+from pondtiller.routes.send_gate import Held
 from pondtiller.routes.table import RouteTable
 from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.instructions import Won
@@ -393,6 +394,8 @@
             outcome = await runner.run(order, self.scheduler.run_event)
         self._runs.pop(start.run, None)
         self.scheduler.run_ended(start.run, outcome.end, clock.monotonic())
+        if engine is not None and outcome.detail == Held.EVACUATED.value:
+            engine.note_evacuated(clock.monotonic())
         logs.decision(
             "sample_run_ended",
             sample=start.sample.id,
--- a/src/pondtiller/gateway/tests/test_evacuations.py
+++ b/src/pondtiller/gateway/tests/test_evacuations.py
@@ -212,18 +212,34 @@
 
 
 def test_an_order_that_reaches_a_runner_late_is_refused_there_and_goes_elsewhere(
-    tmp_path: Path,
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    refused: list[str] = []
+    decision = logs.decision
+
+    def noted(event: str, **given: Any) -> None:
+        if event == "sample_run_ended" and given["detail"] == "evacuated":
+            refused.append(given["outcome"])
+        decision(event, **given)
+
+    monkeypatch.setattr(logs, "decision", noted)
+
     async def test(system: System) -> None:
         leader = await system.until_led()
         term = leader.duties.term
         assert term is not None
         await system.until(lambda: len(term.runners.links) >= 1)
-        others = [each for each in system.gateways if each is not leader]
-        for each in others:
+        for each in system.gateways:
+            if each is not leader:
+                each.engines.evacuated = frozenset({"z", "y"})
+        assert await system.submit("s1", samples=12) == 202
+        await curio.sleep(1.2)
+        # Four places at each of two engines, asked for at once and then twice a second.
+        assert 0 < len(refused) <= 24
+        assert set(refused) == {"refused"}
+        for each in system.gateways:
             each.engines.evacuated = frozenset({"y"})
-        assert await system.submit("s1", samples=6) == 202
-        results = await system.read_all("s1", 6)
+        results = await system.read_all("s1", 12)
         assert all(each["state"] == "succeeded" for each in results)
         assert seen(system.llm[1]) == 0
         assert leader.engines.engines["m1"].failures == 0
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -15,6 +15,8 @@
 FAILURE_PAUSE_SECONDS = 0.5
 LONGEST_PAUSE_SECONDS = 2.0
 REFUSAL_PAUSE_SECONDS = 0.05
+EVACUATED_PAUSE_SECONDS = 0.5
+"""After another daemon refused to send there: this one learns of the evacuation within seconds."""
 REMEMBER_LEFT_SECONDS = 30.0
 """How long an engine's end is known, so that a late order to run something there is refused."""
 ANSWER_WEIGHT = 0.2
@@ -106,6 +108,10 @@
         """Pause an engine that was full."""
         self.not_before = max(self.not_before, now + REFUSAL_PAUSE_SECONDS)
 
+    def note_evacuated(self, now: float) -> None:
+        """Pause an engine that another daemon knows to be in an evacuated zone; it did not fail."""
+        self.not_before = max(self.not_before, now + EVACUATED_PAUSE_SECONDS)
+
     def note_success(self) -> None:
         """Forget earlier failures."""
         self.failures = 0
--- a/src/pondtiller/routes/tests/test_send_gate.py
+++ b/src/pondtiller/routes/tests/test_send_gate.py
@@ -42,6 +42,23 @@
     assert gate.check("one", 10.0) is Held.LEAVING
 
 
+def test_an_engine_that_is_not_known_here_is_held_back_while_a_zone_is_evacuated():
+    engines = directory()
+    gate = SendGate(engines)
+    engines.evacuated = frozenset({"nowhere"})
+    assert gate.check("new", 1.0) is Held.EVACUATED
+    assert gate.check("one", 1.0) is None
+
+
+def test_before_evacuations_are_known_nothing_leaves():
+    engines = directory()
+    gate = SendGate(engines)
+    engines.awaits_evacuations = True
+    assert gate.check("one", 1.0) is Held.EVACUATED
+    assert gate.check("new", 1.0) is Held.EVACUATED
+    assert engines.usable("llm", 1.0) == []
+
+
 def test_a_rule_that_counts_is_not_asked_where_another_forbids():
     engines = directory()
     gate = SendGate(engines)
