--- a/src/pondtiller/gateway/tests/test_distances.py
+++ b/src/pondtiller/gateway/tests/test_distances.py
@@ -9,6 +9,7 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.errors import Failure
+from pondtiller.gateway import forward
 from pondtiller.gateway.engine_pool import EnginePool, SilentEngineError
 from pondtiller.gateway.forward import ForwardedRequest, Forwarder, WholeAnswer
 from pondtiller.gateway.leadership import (
@@ -162,3 +163,47 @@
         assert names[0] == "s1" and set(names[1:3]) == {"s2", "s3"}
         orders.add(tuple(names))
     assert len(orders) > 1
+
+
+class MuteConnection:
+    """A kept connection into a zone that is cut off: takes everything, tells nothing."""
+
+    async def send_plain(self, *_given: object) -> None:
+        return
+
+    async def read_answer(self, _request: str) -> object:
+        await curio.sleep(60.0)
+        raise AssertionError("nobody waits for so long")
+
+    async def close(self) -> None:
+        return
+
+
+def test_kept_connections_that_say_nothing_tell_of_a_cut_as_new_ones_do(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(forward, "SILENT_ANSWER_SECONDS", 0.05)
+    engines = Fleet("s2", "s2", "s2", "n1").engines
+    pool = EnginePool()
+    asked: set[str] = set()
+
+    async def take(engine: str, _address: Address) -> MuteConnection:
+        asked.add(engine)
+        return MuteConnection()
+
+    pool.take = take  # type: ignore[method-assign,assignment]
+    forwarder = Forwarder("s1", engines, pool, GatewayMetrics(), SendGate(engines))
+    route = RouteRow("r", "h", "/", RequestKind.UNSAFE, (ServiceShare("app", 1.0),))
+
+    async def ask() -> None:
+        request = ForwardedRequest("q", "POST", "/", (), b"", clock.monotonic() + 0.1)
+        assert isinstance(await forwarder.whole(request, route), Failure)
+
+    def chosen() -> str:
+        engine = forwarder.choose("app", set())
+        return engine.entry.zone if engine is not None else ""
+
+    while len(asked) < 2:
+        assert chosen() == "s2"
+        curio.run(ask)
+    assert chosen() == "n1"
