--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -177,7 +177,8 @@
             return 0.0
         delay = self.handicap + self._random.random() * STAND_DELAY_SECONDS
         members = self.replicas.group.members
-        if members and not any(member.zone == self.zone for member in members):
+        distances = {self._rules.places.distance(self.zone, each.zone) for each in members}
+        if distances and Distance.SAME_ZONE not in distances:
             # Every write would cross zones to all members.
             delay += NO_MEMBER_IN_ZONE_SECONDS
         if self._is_far_from_quorum(members):
