--- a/src/pondtiller/coordination/rate_shares.py
+++ b/src/pondtiller/coordination/rate_shares.py
@@ -30,7 +30,7 @@
 RENEW_PARTS = 3.0
 """A share in use is renewed this many times within its lease."""
 RETRY_SECONDS = 0.15
-"""Pause before a share that was denied is asked for again."""
+"""Pause before what was denied is asked for again; what is wanted beyond that is asked at once."""
 
 
 class SlidingCount:
@@ -129,6 +129,7 @@
     asked_at: float = -math.inf
     answered_at: float = -math.inf
     waiting: int = 0
+    _wanted: int = 0
     _sent: SlidingCount = field(init=False)
     _arrived: SlidingCount = field(default_factory=lambda: SlidingCount(DEMAND_SECONDS))
 
@@ -177,13 +178,15 @@
         recent = self._arrived.within(now)
         if not self.waiting and (recent <= 1 or not self.usable(now)):
             return 0
+        # What waits needs places beside those that are taken in this window.
+        at_once = self.waiting + self._sent.within(now) if self.waiting else 0
         a_window = recent / DEMAND_SECONDS * self.terms.window_seconds
-        return max(self.waiting, math.ceil(a_window * HEADROOM))
+        return max(at_once, math.ceil(a_window * HEADROOM))
 
     def is_due(self, now: float) -> bool:
         """Return whether the leader is to be asked now."""
         needed, usable = self.needed(now), self.usable(now)
-        if needed > usable and now >= self.asked_at + RETRY_SECONDS:
+        if needed > usable and (needed > self._wanted or now >= self.asked_at + RETRY_SECONDS):
             return True
         # A share that is a little too large is not worth a message each time.
         is_useless = needed == 0 and usable > 0
@@ -202,6 +205,7 @@
         needed = self.needed(now)
         self.granted = min(self.usable(now), needed)
         self.asked_at = now
+        self._wanted = needed
         return RateWish(self.subject, needed, self.granted, self.granted_of)
 
     def receive(self, granted: int, total: int, now: float) -> None:
--- a/src/pondtiller/coordination/tests/test_rate_shares.py
+++ b/src/pondtiller/coordination/tests/test_rate_shares.py
@@ -246,6 +246,18 @@
     assert rate.is_idle(2.0) and not rate.is_due(2.0)
 
 
+def test_what_waits_needs_places_beside_those_that_are_taken():
+    """A burst that came in two parts: the second was refused though the rate had room."""
+    rate = held(2)
+    assert rate.take(0.1) and rate.take(0.1)
+    rate.waiting = 3
+    assert rate.is_due(0.12)
+    assert rate.wish(0.12).wanted == 5
+    assert not rate.is_due(0.13)
+    rate.waiting = 4
+    assert rate.is_due(0.13)
+
+
 def test_a_successor_renews_what_is_held_and_grants_no_more_until_all_else_has_ended():
     grantor, one, two = RateGrantor(0.0), HolderKey("one", 1), HolderKey("two", 1)
     assert grantor.grant(one, RateWish("s", 9, 4, TERMS.total), TERMS, 0.2) == 4
