--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_cold_sends.py
@@ -0,0 +1,111 @@
+"""One gateway's gate for cold engines, with and without a leader that answers."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.cold_sends import WAIT_SECONDS, ColdSends
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.replicas import LeaderPlace
+from pondtiller.gateway.share_asker import ShareAsker
+from pondtiller.routes.cold import ColdBound, ColdEngines
+from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
+from pondtiller.routes.send_gate import Held, SendGate
+from pondtiller.routes.table import RouteTable, ServiceRow
+from pondtiller.wire.steplog import AskShares, SharesGranted
+
+LEADER = LeaderPlace("leader", Address("10.0.0.9", 1), 7)
+TABLE = RouteTable(1, services={"llm": ServiceRow("llm", cold_seconds=3.0, cold_rate=14.0)})
+
+
+def entry(name: str, cold: float) -> EngineEntry:
+    return EngineEntry(name, "llm", Address("10.0.0.1", 1), "z", 6, EngineState.READY, {}, cold)
+
+
+class Gateway:
+    """A gate with shares; the leader answers as it is told."""
+
+    def __init__(self, leader: LeaderPlace | None = LEADER) -> None:
+        self.asked: list[AskShares] = []
+        self.most = 100
+        engines = EngineDirectory()
+        engines.replace([entry("cold", 9.0), entry("warm", 0.0)], clock.monotonic())
+        cold = ColdEngines(engines, ColdBound(1.5, 5.0), lambda: TABLE)
+        self.shares = ShareAsker("me", self.ask, lambda: leader)
+        self.sends = ColdSends(cold, self.shares, GatewayMetrics())
+        self.gate = SendGate(engines)
+        self.gate.rules.append(self.sends.rule)
+        self.gate.unknown_rule = self.sends.unknown_rule
+
+    async def ask(self, message: AskShares, _seconds: float) -> SharesGranted:
+        self.asked.append(message)
+        granted = [min(each, self.most) for each in message.wanted]
+        return SharesGranted(granted=granted, totals=[14] * len(granted))
+
+    async def send(self, engine: str) -> Held | None:
+        await self.sends.prepare(engine, clock.monotonic() + 9.0)
+        return self.gate.check(engine, clock.monotonic())
+
+
+def run(gateway: Gateway, test: Callable[[], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with Spawner() as group:
+            await group.spawn(gateway.shares.run)
+            await curio.timeout_after(10.0, test)
+
+    curio.run(main)
+
+
+def test_a_request_to_a_cold_engine_waits_for_the_leader_and_one_to_a_warm_engine_does_not() -> (
+    None
+):
+    gateway = Gateway()
+
+    async def test() -> None:
+        assert await gateway.send("warm") is None
+        assert not gateway.asked
+        assert await gateway.send("cold") is None
+        assert [each.epoch for each in gateway.asked][:1] == [LEADER.epoch]
+        # Nobody waited again: the gate alone decides.
+        assert gateway.gate.check("cold", clock.monotonic()) is Held.COLD
+
+    run(gateway, test)
+
+
+def test_a_share_that_is_denied_holds_a_request_back_at_once() -> None:
+    gateway = Gateway()
+    gateway.most = 0
+
+    async def test() -> None:
+        began = clock.monotonic()
+        assert await gateway.send("cold") is Held.COLD
+        assert clock.monotonic() < began + WAIT_SECONDS
+
+    run(gateway, test)
+
+
+def test_without_a_leader_a_request_is_held_back_after_a_short_wait() -> None:
+    gateway = Gateway(leader=None)
+
+    async def test() -> None:
+        assert await gateway.send("cold") is Held.COLD
+        assert not gateway.asked
+
+    run(gateway, test)
+
+
+def test_an_engine_of_which_only_the_leader_knows_that_it_is_cold_is_bounded_too() -> None:
+    gateway = Gateway()
+    gateway.most = 2
+
+    async def test() -> None:
+        assert await gateway.send("new") is None
+        for engine in ("new", "warm"):
+            gateway.sends.told(engine)
+            held = [await gateway.send(engine) for _ in range(4)]
+            assert held == [None, None, Held.COLD, Held.COLD]
+
+    run(gateway, test)
