--- a/src/pondtiller/coordination/tests/test_rate_shares.py
+++ b/src/pondtiller/coordination/tests/test_rate_shares.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from pondtiller.coordination.rate_grants import RateGrantor
 from pondtiller.coordination.rate_shares import (
     WINDOW_SECONDS,
     HeldRate,
-    RateGrantor,
     RateTerms,
     RateWish,
     SlidingCount,
--- a/src/pondtiller/gateway/rate_duty.py
+++ b/src/pondtiller/gateway/rate_duty.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from pondtiller.coordination.rate_shares import RateGrantor, RateTerms, RateWish
+from pondtiller.coordination.rate_grants import RateGrantor
+from pondtiller.coordination.rate_shares import RateTerms, RateWish
 from pondtiller.coordination.shares import HolderKey
 from pondtiller.daemon import clock
 from pondtiller.rollouts.steps import StepStatus
--- a/src/pondtiller/gateway/tests/test_cold_sends.py
+++ b/src/pondtiller/gateway/tests/test_cold_sends.py
@@ -3,14 +3,17 @@
 from collections.abc import Awaitable, Callable
 
 import curio
+import pytest
 
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
-from pondtiller.gateway.cold_sends import WAIT_SECONDS, ColdSends
+from pondtiller.gateway import cold_sends
+from pondtiller.gateway.cold_sends import ColdSends
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.replicas import LeaderPlace
 from pondtiller.gateway.share_asker import ShareAsker
+from pondtiller.routes import cold
 from pondtiller.routes.cold import ColdBound, ColdEngines
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
 from pondtiller.routes.send_gate import Held, SendGate
@@ -21,8 +24,8 @@
 TABLE = RouteTable(1, services={"llm": ServiceRow("llm", cold_seconds=3.0, cold_rate=14.0)})
 
 
-def entry(name: str, cold: float) -> EngineEntry:
-    return EngineEntry(name, "llm", Address("10.0.0.1", 1), "z", 6, EngineState.READY, {}, cold)
+def entry(name: str, seconds: float) -> EngineEntry:
+    return EngineEntry(name, "llm", Address("10.0.0.1", 1), "z", 6, EngineState.READY, {}, seconds)
 
 
 class Gateway:
@@ -33,9 +36,9 @@
         self.most = 100
         engines = EngineDirectory()
         engines.replace([entry("cold", 9.0), entry("warm", 0.0)], clock.monotonic())
-        cold = ColdEngines(engines, ColdBound(1.5, 5.0), lambda: TABLE)
+        known = ColdEngines(engines, ColdBound(1.5, 5.0), lambda: TABLE)
         self.shares = ShareAsker("me", self.ask, lambda: leader)
-        self.sends = ColdSends(cold, self.shares, GatewayMetrics())
+        self.sends = ColdSends(known, self.shares, GatewayMetrics())
         self.gate = SendGate(engines)
         self.gate.rules.append(self.sends.rule)
         self.gate.unknown_rule = self.sends.unknown_rule
@@ -59,9 +62,7 @@
     curio.run(main)
 
 
-def test_a_request_to_a_cold_engine_waits_for_the_leader_and_one_to_a_warm_engine_does_not() -> (
-    None
-):
+def test_a_request_waits_for_the_leader_only_where_its_engine_is_cold() -> None:
     gateway = Gateway()
 
     async def test() -> None:
@@ -75,14 +76,17 @@
     run(gateway, test)
 
 
-def test_a_share_that_is_denied_holds_a_request_back_at_once() -> None:
+def test_a_share_that_is_denied_holds_a_request_back_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(cold_sends, "WAIT_SECONDS", 5.0)
     gateway = Gateway()
     gateway.most = 0
 
     async def test() -> None:
         began = clock.monotonic()
         assert await gateway.send("cold") is Held.COLD
-        assert clock.monotonic() < began + WAIT_SECONDS
+        assert clock.monotonic() < began + 4.0
 
     run(gateway, test)
 
@@ -97,7 +101,10 @@
     run(gateway, test)
 
 
-def test_an_engine_of_which_only_the_leader_knows_that_it_is_cold_is_bounded_too() -> None:
+def test_an_engine_of_which_only_the_leader_knows_that_it_is_cold_is_bounded_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(cold, "TOLD_SECONDS", 60.0)
     gateway = Gateway()
     gateway.most = 2
 
