--- a/src/pondtiller/gateway/metrics.py
+++ b/src/pondtiller/gateway/metrics.py
@@ -42,6 +42,8 @@
     takeovers: int = 0
     use_reports: int = 0
     use_reports_failed: int = 0
+    scale_orders: int = 0
+    scale_orders_failed: int = 0
 
     def count(self, route: str, outcome: str) -> None:
         """Count a request's end."""
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -25,6 +25,7 @@
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.run_host import RUN_MESSAGES, RunHost
 from pondtiller.gateway.sample_runner import SampleRunner
+from pondtiller.gateway.scaling_duty import ScalingSettings
 from pondtiller.gateway.settings import GatewaySettings, to_address
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.store_watch import StoreHealth
@@ -39,7 +40,8 @@
 from pondtiller.links.link import Link, serve_links
 from pondtiller.platform import names
 from pondtiller.platform.object_client import ObjectClient, StoreCallError
-from pondtiller.platform.operator_api import OperatorClient, wants_use
+from pondtiller.platform.operator_api import OperatorClient, wants_scaling, wants_use
+from pondtiller.rollouts.scaling import PolicyName
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.places import Places
 from pondtiller.routes.send_gate import SendGate
@@ -133,6 +135,7 @@
             agreed=self.agreed,
             usage=usage,
             operator=_operator(settings),
+            scaling=_scaling_settings(settings),
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
@@ -206,6 +209,8 @@
             "takeovers": metrics.takeovers,
             "use_reports": metrics.use_reports,
             "use_reports_failed": metrics.use_reports_failed,
+            "scale_orders": metrics.scale_orders,
+            "scale_orders_failed": metrics.scale_orders_failed,
         }
 
     def _gauges(self, now: float) -> dict[str, float]:
@@ -401,6 +406,14 @@
     return UsageSettings(usage.window, usage.late, settings.durations.lease)
 
 
+def _scaling_settings(settings: GatewaySettings) -> ScalingSettings | None:
+    """Return by what engines are ordered; None where none are."""
+    operator, policy = settings.operator, settings.scaling.policy
+    if policy is PolicyName.LEAVE or not operator.address or not wants_scaling(operator.duties):
+        return None
+    return ScalingSettings(policy, settings.durations.lease)
+
+
 def _operator(settings: GatewaySettings) -> OperatorClient | None:
     address = settings.operator.address
     if not address:
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -6,6 +6,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from pondtiller.core.entities import Address
+from pondtiller.rollouts.scaling import PolicyName
 
 
 def _check_address(text: str) -> str:
@@ -103,6 +104,19 @@
     duties: tuple[str, ...] = ()
 
 
+class Scaling(Section):
+    """Engines by need.
+
+    Attributes
+    ----------
+    policy
+        By what engines are ordered, where the operator makes that a duty and a service's row says
+        how many there may be; `leave` orders none.
+    """
+
+    policy: PolicyName = PolicyName.LEAVE
+
+
 class Keys(Section):
     """What a gateway does with tenants' keys while it cannot hear of changes.
 
@@ -186,6 +200,7 @@
     processor: Processor = Processor()
     usage: Usage = Usage()
     operator: OperatorApi = OperatorApi()
+    scaling: Scaling = Scaling()
     keys: Keys = Keys()
     regions: dict[str, str] = Field(default_factory=dict)
     places_lost: Losses = Losses()
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -19,6 +19,7 @@
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.run_links import RunnerDirectory
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
+from pondtiller.gateway.scaling_duty import ScalingDuty, ScalingParts, ScalingSettings
 from pondtiller.gateway.usage_duty import UsageDuty, UsageParts, UsageSettings
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import LinkLostError
@@ -73,6 +74,8 @@
         How long a closed step stays readable.
     usage, operator
         What use is to be reported, and to whom; None where none is.
+    scaling
+        By what engines are ordered; None where none are.
     agreed
         The time of day on which the machines agree.
     """
@@ -89,6 +92,7 @@
     agreed: AgreedClock
     usage: UsageSettings | None = None
     operator: OperatorClient | None = None
+    scaling: ScalingSettings | None = None
 
 
 class Term:
@@ -127,6 +131,7 @@
         self.usage = self._make_usage(
             [entry for entry in won.entries if entry.key.startswith(USE_PREFIX)]
         )
+        self.scaling = self._make_scaling()
 
     def _make_usage(self, entries: list[Entry]) -> UsageDuty | None:
         parts = self._parts
@@ -143,6 +148,21 @@
         )
         return UsageDuty(usage, self.epoch, entries)
 
+    def _make_scaling(self) -> ScalingDuty | None:
+        parts = self._parts
+        if parts.scaling is None or parts.operator is None:
+            return None
+        scaling = ScalingParts(
+            parts.scaling,
+            parts.operator,
+            parts.leadership,
+            parts.front,
+            parts.engines,
+            self.orders,
+            parts.metrics,
+        )
+        return ScalingDuty(scaling, self.epoch, self.scheduler.work)
+
     async def start(self) -> None:
         """Restore the steps, then begin to work."""
         steps = [entry for entry in self._won.entries if not entry.key.startswith(USE_PREFIX)]
@@ -186,6 +206,8 @@
         await self._watch_group.spawn(keep_running, "runners", self.runners.run)
         if self.usage is not None:
             await self._watch_group.spawn(keep_running, "usage", self.usage.run)
+        if self.scaling is not None:
+            await self._watch_group.spawn(keep_running, "scaling", self.scaling.run)
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
         due = next_progress + TICK_SECONDS
@@ -392,6 +414,8 @@
             order = _run_order(start, engine.entry.address)
             outcome = await runner.run(order, self.scheduler.run_event)
         self._runs.pop(start.run, None)
+        if self.scaling is not None and outcome.end is RunEnd.WHOLE and not start.last_event:
+            self.scaling.note_run(work, clock.monotonic() - began)
         self.scheduler.run_ended(start.run, outcome.end, clock.monotonic())
         logs.decision(
             "sample_run_ended",
--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -44,19 +44,21 @@
             slots=int(spec.get("slots") or 1),
             state=EngineState.READY if spec.get("state") == "ready" else EngineState.LEAVING,
             models=_models(spec),
-            cold_seconds=_cold_seconds(spec),
+            cold_seconds=_seconds(spec.get("cold_left_ms")) or 0.0,
+            is_spot=spec.get("use_spot") is True,
+            leaves_seconds=_seconds(spec.get("leaves_ms")),
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
 
 
-def _cold_seconds(spec: dict[str, Any]) -> float:
-    """Return how much longer an engine is slow; a number that is none, or negative, says not."""
+def _seconds(given: Any) -> float | None:
+    """Return a duration that is given in ms; None where there is none, or no sensible number."""
     try:
-        seconds = float(spec.get("cold_left_ms") or 0) / 1000.0
+        seconds = float(given if given is not None else math.nan) / 1000.0
     except (TypeError, ValueError):
-        return 0.0
-    return seconds if 0.0 < seconds < math.inf else 0.0
+        return None
+    return seconds if 0.0 <= seconds < math.inf else None
 
 
 def address(text: str) -> Address:
--- a/src/pondtiller/platform/names.py
+++ b/src/pondtiller/platform/names.py
@@ -27,6 +27,8 @@
 OBJECTS_PATH = "/pondtiller/objects/"
 USAGE_PATH = "/usage"
 USAGE_DUTY = "usage_report"
+SCALE_PATH = "/scale"
+SCALING_DUTY = "autoscaler"
 
 ENGINES = "servers"
 CONFIGURATIONS = "config"
--- a/src/pondtiller/platform/operator_api.py
+++ b/src/pondtiller/platform/operator_api.py
@@ -7,6 +7,7 @@
 from pondtiller.core.entities import Address
 from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
 from pondtiller.platform import names
+from pondtiller.rollouts.scaling import ScaleOrder
 
 
 class CallOutcome(NamedTuple):
@@ -18,10 +19,13 @@
         Whether the platform took it.
     detail
         Its status, or why there is none.
+    has_none
+        Whether it said that no such engine is to be had there now.
     """
 
     is_done: bool
     detail: str
+    has_none: bool = False
 
 
 def wants_use(duties: Collection[str]) -> bool:
@@ -29,6 +33,23 @@
     return names.USAGE_DUTY in duties
 
 
+def wants_scaling(duties: Collection[str]) -> bool:
+    """Return whether engines are to be ordered, by the duties that the settings name."""
+    return names.SCALING_DUTY in duties
+
+
+def scale_body(order: ScaleOrder) -> bytes:
+    """Return the order of a number of engines of one kind in a zone."""
+    given: dict[str, object] = {
+        "service": order.service,
+        "zone": order.zone,
+        "desired": order.desired,
+    }
+    if order.is_spot:
+        given["use_spot"] = True
+    return json.dumps(given).encode()
+
+
 def usage_body(window: int, counts: Mapping[str, int]) -> bytes:
     """Return the report of a window: how many requests of each tenant began in it."""
     return json.dumps({"window_id": window, "counts": dict(counts)}, sort_keys=True).encode()
@@ -50,13 +71,20 @@
 
     async def report_use(self, content: bytes, fence: int, seconds: float) -> CallOutcome:
         """Report a window; only an answer that the platform took it counts as done."""
+        return await self._call(names.USAGE_PATH, content, fence, seconds)
+
+    async def order_engines(self, order: ScaleOrder, fence: int, seconds: float) -> CallOutcome:
+        """Order a number of engines; without an answer it may have been taken."""
+        return await self._call(names.SCALE_PATH, scale_body(order), fence, seconds)
+
+    async def _call(self, path: str, content: bytes, fence: int, seconds: float) -> CallOutcome:
         headers = ((names.DUTY_HOLDER, self._holder), (names.FENCE, str(fence)))
         try:
             answer = await self._client.request(
-                self._address, "POST", names.USAGE_PATH, content, seconds, headers
+                self._address, "POST", path, content, seconds, headers
             )
         except NotSentError as error:
             return CallOutcome(False, f"unreachable({error})")
         except BrokenError as error:
             return CallOutcome(False, f"unanswered({error})")
-        return CallOutcome(answer.status == 200, str(answer.status))
+        return CallOutcome(answer.status == 200, str(answer.status), answer.status == 409)
--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -225,20 +225,26 @@
 
 
 class StandInOperator(StandIn):
-    """The operator's interface: takes reports of use, and says when it does not.
+    """The operator's interface: takes reports of use and orders, and says when it does not.
 
     Attributes
     ----------
     reports
         Each call in order: holder, fence and content.
     next_statuses
-        Answers to the next calls, each taken or not; 0 ends the connection without one.
+        Answers to the next reports, each taken or not; 0 ends the connection without one.
+    scales
+        Each order of engines: holder, fence and content.
+    next_scale_statuses
+        The same answers to the next orders.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.reports: list[tuple[str, int, bytes]] = []
         self.next_statuses: list[int] = []
+        self.scales: list[tuple[str, int, dict[str, Any]]] = []
+        self.next_scale_statuses: list[int] = []
 
     def taken(self) -> dict[int, dict[str, int]]:
         """Return the counts of each window; two reports that differ are a fault."""
@@ -252,9 +258,14 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         headers = exchange.request.headers
-        fence = int(headers["fencing-token"])
-        self.reports.append((headers["duty-holder"], fence, exchange.request.body))
-        status = self.next_statuses.pop(0) if self.next_statuses else 200
+        fence, body = int(headers["fencing-token"]), exchange.request.body
+        if exchange.request.path == "/scale":
+            self.scales.append((headers["duty-holder"], fence, json.loads(body)))
+            answers = self.next_scale_statuses
+        else:
+            self.reports.append((headers["duty-holder"], fence, body))
+            answers = self.next_statuses
+        status = answers.pop(0) if answers else 200
         if not status:
             raise ConnectionLostError("cut")
         await exchange.respond(HttpResponse(status))
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -40,6 +40,10 @@
         Version of the weights by model.
     cold_seconds
         How much longer it is slow, counted from when the entry was written; 0 once it is warm.
+    is_spot
+        Whether it may be taken away, with all others of its kind in its zone.
+    leaves_seconds
+        How long it still runs, counted from when the entry was written; None while it is not said.
     """
 
     engine: str
@@ -50,6 +54,8 @@
     state: EngineState
     models: dict[str, int] = field(default_factory=dict)
     cold_seconds: float = 0.0
+    is_spot: bool = False
+    leaves_seconds: float | None = None
 
 
 @dataclass
