--- a/src/pondtiller/gateway/tests/system.py
+++ b/src/pondtiller/gateway/tests/system.py
@@ -16,6 +16,7 @@
     Keys,
     OperatorApi,
     ReplicaSettings,
+    Scaling,
     Usage,
 )
 from pondtiller.httpio.client import HttpClient
@@ -28,8 +29,10 @@
     step_body,
 )
 from pondtiller.replica.process import ReplicaProcess
+from pondtiller.rollouts.scaling import PolicyName
 
 ANY = "127.0.0.1:0"
+DUTIES = ("usage_report", "autoscaler")
 
 
 class System:
@@ -42,8 +45,10 @@
         replicas: int = 3,
         use_window: float = 0.0,
         keys: Keys | None = None,
+        scaling: PolicyName = PolicyName.LEAVE,
     ) -> None:
         self.folder = folder
+        self.scaling = scaling
         self.operator = StandInOperator()
         self.use_window = use_window
         self.keys = keys or Keys()
@@ -80,7 +85,8 @@
                 store=self.store.address,
                 usage=Usage(window=self.use_window),
                 keys=self.keys,
-                operator=OperatorApi(address=self.operator.address, duties=("usage_report",)),
+                operator=OperatorApi(address=self.operator.address, duties=DUTIES),
+                scaling=Scaling(policy=self.scaling),
             )
         )
 
@@ -171,11 +177,12 @@
     with_configuration: bool = True,
     use_window: float = 0.0,
     keys: Keys | None = None,
+    scaling: PolicyName = PolicyName.LEAVE,
 ) -> None:
     """Run one test against a fresh system."""
 
     async def main() -> None:
-        system = System(folder, gateways, replicas, use_window, keys)
+        system = System(folder, gateways, replicas, use_window, keys, scaling)
         await system.start(with_configuration)
         try:
             await curio.timeout_after(40.0, test, system)
--- a/src/pondtiller/platform/tests/test_formats.py
+++ b/src/pondtiller/platform/tests/test_formats.py
@@ -7,6 +7,8 @@
 from pondtiller.platform import engine_format, step_format
 from pondtiller.platform.configuration import route_table
 from pondtiller.platform.engine_format import EventReader
+from pondtiller.platform.operator_api import scale_body
+from pondtiller.rollouts.scaling import ScaleOrder
 from pondtiller.rollouts.steps import sample_heads
 from pondtiller.routes.engines import EngineState
 from pondtiller.routes.table import RequestKind
@@ -57,6 +59,24 @@
     assert engine_format.engine_report(b"{]") is None
 
 
+def test_an_engine_says_that_it_may_be_taken_away_and_when_it_leaves() -> None:
+    plain = {"service": "llm", "address": "10.0.0.1:80", "state": "ready"}
+    steady = engine_format.engine_entry("e", plain)
+    assert steady is not None and not steady.is_spot and steady.leaves_seconds is None
+    leaves = {**plain, "state": "draining", "use_spot": True, "leaves_ms": 2500}
+    spot = engine_format.engine_entry("e", leaves)
+    assert spot is not None and spot.is_spot and spot.leaves_seconds == 2.5
+    for nonsense in ("soon", -1, None):
+        found = engine_format.engine_entry("e", {**leaves, "leaves_ms": nonsense})
+        assert found is not None and found.leaves_seconds is None
+
+
+def test_an_order_of_engines_names_its_kind_only_where_it_may_be_taken_away() -> None:
+    steady = json.loads(scale_body(ScaleOrder("llm", "z", 3, False)))
+    assert steady == {"service": "llm", "zone": "z", "desired": 3}
+    assert json.loads(scale_body(ScaleOrder("llm", "z", 3, True)))["use_spot"] is True
+
+
 def test_events_are_read_whole_whatever_the_pieces() -> None:
     stream = b"id: 1\ndata: a\n\nweight-versions: 7\nid: 2\ndata: b\ndata: c\n\nid: 3\nda"
     whole = list(EventReader().feed(stream))
--- a/src/pondtiller/rollouts/scaling.py
+++ b/src/pondtiller/rollouts/scaling.py
@@ -274,7 +274,7 @@
     state: ServiceScale, counts: dict[str, int], beside: dict[str, int], target: int, now: float
 ) -> None:
     """Add engines where they are cheapest, up to what a zone may have."""
-    share = max(1, math.ceil(ZONE_MOST_SHARE * target))
+    share = _most_of_zone(target)
     while sum(counts.values()) < target:
         open_zones = [
             zone
@@ -296,4 +296,9 @@
         full = [zone for zone in counts if counts[zone] > floor]
         if not full:
             return
+        full = [zone for zone in full if counts[zone] > _most_of_zone(target)] or full
         counts[max(full, key=lambda zone: (state.price(zone), counts[zone], zone))] -= 1
+
+
+def _most_of_zone(target: int) -> int:
+    return max(1, math.ceil(ZONE_MOST_SHARE * target))
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -1,5 +1,7 @@
 """Samples on engines: order, moves, continuation, versions, giving up."""
 
+from dataclasses import replace
+
 from pondtiller.core.entities import Address
 from pondtiller.rollouts.sample_work import (
     CancelReason,
@@ -344,3 +346,23 @@
     (given_up,) = bench.scheduler.take()
     assert isinstance(given_up, ListResult)
     assert not given_up.result.succeeded
+
+
+def test_a_leaving_engine_takes_no_new_sample_and_keeps_what_it_runs() -> None:
+    bench = Bench(engines=2)
+    bench.open(groups=2, size=4)
+    bench.scheduler.tick(0.0, 0.0)
+    runs = [each for each in bench.scheduler.take() if isinstance(each, StartRun)]
+    there = [each for each in runs if each.engine == "e0"]
+    assert there
+    leaving = replace(entry("e0"), state=EngineState.LEAVING, leaves_seconds=2.0)
+    bench.directory.changed(leaving)
+    for run in there:
+        bench.scheduler.run_event(run.run, 1, "x", 1, 0.1)
+    bench.scheduler.run_ended(there[0].run, RunEnd.WHOLE, 0.2)
+    for now in (0.2, 0.3, 0.4):
+        bench.scheduler.tick(now, now)
+    done = bench.scheduler.take()
+    assert not [each for each in done if isinstance(each, CancelRun)]
+    assert not [each for each in done if isinstance(each, StartRun) and each.engine == "e0"]
+    assert len(bench.scheduler.runs) == len(runs) - 1
