--- a/src/pondtiller/rollouts/tests/test_engine_need.py
+++ b/src/pondtiller/rollouts/tests/test_engine_need.py
@@ -43,6 +43,8 @@
     assert pace.seconds_per_token is None
     pace.note_run(100.0, 1.0)
     assert pace.seconds_per_token == pytest.approx(0.01)
+    for _ in range(6 * PACE_RUNS):
+        pace.note_run(100.0, 1.0)
     for _ in range(6 * PACE_RUNS):
         pace.note_run(100.0, 3.0)
     assert pace.seconds_per_token == pytest.approx(0.03, rel=0.05)
