--- a/src/pondtiller/rollouts/scaling.py
+++ b/src/pondtiller/rollouts/scaling.py
@@ -16,6 +16,9 @@
 MARGIN = 1.3
 """Engines ordered against those that the need fills: of every 4 s an engine is without work for
 0.9 s while it changes its weights, which is 1.29."""
+RAISE_BELOW = 1.1
+"""Engines are added, up to the margin, only where there are fewer than this many times the need: a
+new engine costs its start and a load of each model, and comes cold."""
 LOWER_BELOW = 0.85
 """Engines are given back only where what stays is under this part of what is there: steps of one
 trainer differ by a tenth, and an engine that is ordered anew costs its start and its weights."""
@@ -172,7 +175,8 @@
         """Return the orders that are due."""
         if state.needed is None or not state.in_use():
             return []
-        return order_steady(state, math.ceil(state.needed * MARGIN), now)
+        low = math.ceil(state.needed * RAISE_BELOW)
+        return order_steady(state, low, math.ceil(state.needed * MARGIN), now)
 
 
 class EnginesByNeedSpot:
@@ -188,9 +192,11 @@
         target = math.ceil(state.needed * MARGIN)
         found = self._order_spot(state, target, now)
         serving = [state.ready(zone, True) for zone in state.in_use()]
-        steady = max(steady_floor(state, target), target - (sum(serving) - max(serving)))
+        beside = sum(serving) - max(serving)
+        floor = steady_floor(state, target)
+        low = max(floor, math.ceil(state.needed * RAISE_BELOW) - beside)
         wanted = {order.zone: order.desired for order in found}
-        return found + order_steady(state, steady, now, wanted)
+        return found + order_steady(state, low, max(floor, target - beside), now, wanted)
 
     def _order_spot(self, state: ServiceScale, target: int, now: float) -> list[ScaleOrder]:
         zones = [zone for zone in state.in_use() if not state.is_dry(zone, True, now)]
@@ -240,12 +246,14 @@
 
 
 def order_steady(
-    state: ServiceScale, target: int, now: float, spot: Mapping[str, int] | None = None
+    state: ServiceScale, low: int, target: int, now: float, spot: Mapping[str, int] | None = None
 ) -> list[ScaleOrder]:
     """Return what brings the steady engines to a target, with hysteresis; notes a shortage.
 
     Parameters
     ----------
+    low
+        Fewer engines than this are a shortage.
     spot
         Spot engines by zone that are about to be ordered: the limits hold for both kinds together.
     """
@@ -253,7 +261,7 @@
     counts = {zone: state.counted(zone, False, now) for zone in zones}
     before = dict(counts)
     total = sum(counts.values())
-    if target > total:
+    if low > total:
         if state.short_since is None:
             state.short_since = now
         if now < state.short_since + RAISE_AFTER_SECONDS:
