--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -127,6 +127,8 @@
             engine=entry.engine,
             service=entry.service,
             state=entry.state.value,
+            spot=entry.is_spot,
+            leaves_seconds=entry.leaves_seconds,
             models=",".join(f"{name}:{version}" for name, version in entry.models.items()),
             revision=self._engines.revision,
         )
