--- a/src/pondtiller/gateway/metrics.py
+++ b/src/pondtiller/gateway/metrics.py
@@ -50,6 +50,8 @@
     held_cold: int = 0
     rate_admitted: int = 0
     rate_refused: int = 0
+    scale_orders: int = 0
+    scale_orders_failed: int = 0
 
     def count(self, route: str, outcome: str) -> None:
         """Count a request's end."""
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -28,6 +28,7 @@
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.run_host import RUN_MESSAGES, RunHost
 from pondtiller.gateway.sample_runner import SampleRunner
+from pondtiller.gateway.scaling_duty import ScalingSettings
 from pondtiller.gateway.settings import GatewaySettings, to_address
 from pondtiller.gateway.share_asker import ShareAsker
 from pondtiller.gateway.step_client import StepClient
@@ -44,7 +45,8 @@
 from pondtiller.links.link import Link, serve_links
 from pondtiller.platform import names
 from pondtiller.platform.object_client import ObjectClient, StoreCallError
-from pondtiller.platform.operator_api import OperatorClient, wants_use
+from pondtiller.platform.operator_api import OperatorClient, wants_scaling, wants_use
+from pondtiller.rollouts.scaling import PolicyName
 from pondtiller.routes.cold import SUBJECT_PREFIX as COLD_PREFIX
 from pondtiller.routes.cold import ColdBound, ColdEngines
 from pondtiller.routes.engines import EngineDirectory
@@ -161,6 +163,7 @@
             operator=_operator(settings),
             cold=cold,
             find_terms=self._rate_terms,
+            scaling=_scaling_settings(settings),
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
@@ -258,6 +261,8 @@
             "held_cold": metrics.held_cold,
             "rate_admitted": metrics.rate_admitted,
             "rate_refused": metrics.rate_refused,
+            "scale_orders": metrics.scale_orders,
+            "scale_orders_failed": metrics.scale_orders_failed,
         }
 
     def _gauges(self, now: float) -> dict[str, float]:
@@ -468,6 +473,14 @@
     return UsageSettings(usage.window, usage.late, settings.durations.lease)
 
 
+def _scaling_settings(settings: GatewaySettings) -> ScalingSettings | None:
+    """Return by what engines are ordered; None where none are."""
+    operator, policy = settings.operator, settings.scaling.policy
+    if policy is PolicyName.LEAVE or not operator.address or not wants_scaling(operator.duties):
+        return None
+    return ScalingSettings(policy, settings.durations.lease)
+
+
 def _operator(settings: GatewaySettings) -> OperatorClient | None:
     address = settings.operator.address
     if not address:
--- a/src/pondtiller/gateway/tests/system.py
+++ b/src/pondtiller/gateway/tests/system.py
@@ -17,6 +17,7 @@
     Keys,
     OperatorApi,
     ReplicaSettings,
+    Scaling,
     Usage,
 )
 from pondtiller.httpio.client import HttpClient
@@ -29,8 +30,10 @@
     step_body,
 )
 from pondtiller.replica.process import ReplicaProcess
+from pondtiller.rollouts.scaling import PolicyName
 
 ANY = "127.0.0.1:0"
+DUTIES = ("usage_report", "autoscaler")
 
 
 class System:
@@ -44,9 +47,11 @@
         use_window: float = 0.0,
         keys: Keys | None = None,
         evacuate_within: float = 0.0,
+        scaling: PolicyName = PolicyName.LEAVE,
     ) -> None:
         self.evacuation = Evacuation(within=evacuate_within)
         self.folder = folder
+        self.scaling = scaling
         self.operator = StandInOperator()
         self.use_window = use_window
         self.keys = keys or Keys()
@@ -85,7 +90,8 @@
                 usage=Usage(window=self.use_window),
                 keys=self.keys,
                 evacuation=self.evacuation,
-                operator=OperatorApi(address=self.operator.address, duties=("usage_report",)),
+                operator=OperatorApi(address=self.operator.address, duties=DUTIES),
+                scaling=Scaling(policy=self.scaling),
             )
         )
 
@@ -177,11 +183,12 @@
     use_window: float = 0.0,
     keys: Keys | None = None,
     evacuate_within: float = 0.0,
+    scaling: PolicyName = PolicyName.LEAVE,
 ) -> None:
     """Run one test against a fresh system."""
 
     async def main() -> None:
-        system = System(folder, gateways, replicas, use_window, keys, evacuate_within)
+        system = System(folder, gateways, replicas, use_window, keys, evacuate_within, scaling)
         await system.start(with_configuration)
         try:
             await curio.timeout_after(40.0, test, system)
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -46,6 +46,10 @@
         How much longer it is slow, counted from when the entry was written; 0 once it is warm.
     revision
         Of the store, when the entry was last written; 0 where it is not known.
+    is_spot
+        Whether it may be taken away, with all others of its kind in its zone.
+    leaves_seconds
+        How long it still runs, counted from when the entry was written; None while it is not said.
     """
 
     engine: str
@@ -57,6 +61,8 @@
     models: dict[str, int] = field(default_factory=dict)
     cold_seconds: float = 0.0
     revision: int = field(default=0, compare=False)
+    is_spot: bool = False
+    leaves_seconds: float | None = None
 
 
 @dataclass
