Find engines by their service

Cause: each choice for a request or a service looked at every engine of every service. Behaviour is the same (a new test, all of routes).

--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -205,6 +205,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.awaits_evacuations = False
         self.engines: dict[str, Engine] = {}
+        self._by_service: dict[str, dict[str, Engine]] = {}
         self._left_at: dict[str, float] = {}
         self.revision = 0
         self.is_known = False
@@ -254,7 +255,7 @@
             if engine.gone_at is None or now < engine.gone_at + SUSPECT_SECONDS:
                 continue
             if engine.running == 0:
-                del self.engines[identifier]
+                self._forget(engine)
 
     def is_evacuated(self, engine: Engine) -> bool:
         """Return whether an engine's zone is evacuated, or may be as far as it is known."""
@@ -273,10 +274,8 @@
         """
         of_service = [
             each
-            for each in self.engines.values()
-            if each.entry.service == service
-            and not self.is_evacuated(each)
-            and self.places.may_hold(each.entry.zone, homes)
+            for each in self._by_service.get(service, {}).values()
+            if not self.is_evacuated(each) and self.places.may_hold(each.entry.zone, homes)
         ]
         listed = [
             each
@@ -299,9 +298,15 @@
         if engine is None:
             engine = self.engines[entry.engine] = Engine(entry)
             engine.note_cold(entry.cold_seconds, now)
-            return
-        engine.gone_at = None
-        engine.take_entry(entry, now)
+        else:
+            self._by_service[engine.entry.service].pop(entry.engine, None)
+            engine.gone_at = None
+            engine.take_entry(entry, now)
+        self._by_service.setdefault(engine.entry.service, {})[entry.engine] = engine
+
+    def _forget(self, engine: Engine) -> None:
+        del self.engines[engine.identifier]
+        del self._by_service[engine.entry.service][engine.identifier]
 
     def _entry_gone(self, identifier: str, now: float) -> None:
         engine = self.engines.get(identifier)
@@ -309,6 +314,6 @@
             return
         self._left_at[identifier] = now
         if engine.entry.state is EngineState.LEAVING and engine.running == 0:
-            del self.engines[identifier]
+            self._forget(engine)
         elif engine.gone_at is None:
             engine.gone_at = now
--- a/src/pondtiller/routes/tests/test_engines.py
+++ b/src/pondtiller/routes/tests/test_engines.py
@@ -1,5 +1,7 @@
 """What a daemon learns of engines by itself."""
 
+from dataclasses import replace
+
 from pondtiller.core.entities import Address
 from pondtiller.gateway.engine_pool import EnginePool
 from pondtiller.gateway.forward import Forwarder
@@ -29,3 +31,19 @@
     engines.keep_house(14.0)
     chosen = {forwarder.choose("app", set()).identifier for _ in range(200)}  # type: ignore[union-attr]
     assert chosen == {"e0", "e1", "e2"}
+
+
+def test_engines_are_found_by_their_service_through_all_changes() -> None:
+    engines = directory(3)
+    usable = [each.identifier for each in engines.usable("app", 0.0)]
+    assert sorted(usable) == ["e0", "e1", "e2"]
+    other = replace(engines.engines["e1"].entry, service="other")
+    engines.changed(other)
+    engines.gone("e2", 0.0)
+    engines.keep_house(5.0)
+    assert [each.identifier for each in engines.usable("app", 5.0)] == ["e0"]
+    assert [each.identifier for each in engines.usable("other", 5.0)] == ["e1"]
+    engines.changed(replace(other, state=EngineState.LEAVING))
+    engines.gone("e1", 6.0)
+    assert engines.usable("other", 6.0) == []
+    assert set(engines.engines) == {"e0"}
