--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -250,7 +250,7 @@
         for identifier, left_at in list(self._left_at.items()):
             if now > left_at + REMEMBER_LEFT_SECONDS:
                 del self._left_at[identifier]
-        for identifier, engine in list(self.engines.items()):
+        for engine in list(self.engines.values()):
             engine.forget_pace(now)
             if engine.gone_at is None or now < engine.gone_at + SUSPECT_SECONDS:
                 continue
