Soak learns zones and regions, evacuations and cold engines

Engines, gateways and replicas of a soak stand in three zones of two regions. New faults: all engines of a zone fall silent; a zone is evacuated for 7 to 14 s through further faults and comes back cold; an engine or all of a service turn cold. What a proxy had held up is not judged.

--- a/src/pondtiller/soak/proxy.py
+++ b/src/pondtiller/soak/proxy.py
@@ -7,11 +7,14 @@
 import curio
 
 from pondtiller.core.entities import Address
+from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.httpio.server import bind_tcp
 
 READ_BYTES = 65_536
 POLL_SECONDS = 0.05
+HEALED_SECONDS = 1.0
+"""For how long after a heal what had waited may still come."""
 
 
 class Proxy:
@@ -23,12 +26,15 @@
         How long each piece waits.
     is_silent
         Whether nothing is passed on; what waits goes on afterwards.
+    healed_at
+        When what had waited went on, on the steady clock.
     """
 
     def __init__(self, target: Address) -> None:
         self.target = target
         self.delay_seconds = 0.0
         self.is_silent = False
+        self.healed_at = float("-inf")
         self.listener = bind_tcp("127.0.0.1", 0)
         self._open: set[Any] = set()
 
@@ -41,6 +47,12 @@
     def heal(self) -> None:
         """Pass everything on at once again."""
         self.delay_seconds, self.is_silent = 0.0, False
+        self.healed_at = clock.monotonic()
+
+    def holds_up(self) -> bool:
+        """Return whether what comes through may have left long ago, or together with others."""
+        is_held = self.is_silent or self.delay_seconds > 0
+        return is_held or clock.monotonic() < self.healed_at + HEALED_SECONDS
 
     async def reset(self) -> None:
         """End all connections that are open."""
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import curio
 
@@ -15,6 +15,13 @@
 from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
 from pondtiller.platform import names
 from pondtiller.platform.standins import StandInStore, configuration, step_body
+from pondtiller.soak.engine_rules import (
+    COLD_EXCESS,
+    COLD_RATE,
+    COLD_SECONDS,
+    COLD_SLACK,
+    WITHIN_SECONDS,
+)
 from pondtiller.soak.programs import Program, ProgramSpec
 from pondtiller.soak.promises import Breach, Promises
 from pondtiller.soak.proxy import Proxy
@@ -29,7 +36,18 @@
 CALM_SECONDS = 25.0
 FAULT_PAUSE_SECONDS = (0.5, 4.0)
 FAULT_SECONDS = (0.2, 4.0)
+EVACUATED_SECONDS = (7.0, 14.0)
+"""Longer than an evacuation needs to be in force, so that the last seconds are checked."""
 CALL_LIMIT_SECONDS = 6.0
+ZONES = 3
+PLACES_SETTINGS = f"""
+[regions]
+z0 = "south"
+z1 = "south"
+z2 = "north"
+[evacuation]
+within = {WITHIN_SECONDS}
+"""
 
 
 class SoakReport(NamedTuple):
@@ -64,10 +82,12 @@
         self.store.page = 100
         self.store_proxy = Proxy(to_address(self.store.address))
         self.apps = [
-            SoakEngine(f"a{n}", "app", self.promises, self.store, EVENTS) for n in range(3)
+            SoakEngine(f"a{n}", "app", self.promises, self.store, EVENTS, f"z{n}")
+            for n in range(ZONES)
         ]
         self.models = [
-            SoakEngine(f"m{n}", "llm", self.promises, self.store, EVENTS) for n in range(3)
+            SoakEngine(f"m{n}", "llm", self.promises, self.store, EVENTS, f"z{n}")
+            for n in range(ZONES)
         ]
         for engine in self.models:
             engine.models = ["m"]
@@ -79,6 +99,7 @@
         self.began = clock.monotonic()
         self.version = 1
         self.is_calm = False
+        self.evacuated: dict[str, float] = {}
 
     # Programs
 
@@ -90,7 +111,7 @@
 store = "{self.store_proxy.address}"
 data_folder = "{folder / f"disk{number}"}"
 first_start = true
-"""
+{PLACES_SETTINGS}"""
         return ProgramSpec(f"r{number}", "replica", settings)
 
     def _gateway(self, number: int) -> ProgramSpec:
@@ -101,6 +122,10 @@
 readiness = "127.0.0.1:{_free_port()}"
 links = "127.0.0.1:{_free_port()}"
 store = "{self.store_proxy.address}"
+{PLACES_SETTINGS}
+[cold]
+excess = {COLD_EXCESS}
+slack = {COLD_SLACK}
 """
         return ProgramSpec(f"g{number}", "gateway", settings)
 
@@ -119,7 +144,7 @@
             engine.publish()
         await self.group.spawn(self.store.serve)
         await self.group.spawn(self.store_proxy.run)
-        self.store.put("config", "main", configuration(3, *self.apps, *self.models))
+        self.store.put("config", "main", self._configuration())
         try:
             for program in self.programs:
                 program.start()
@@ -145,6 +170,12 @@
             answers=promises.answers,
         )
 
+    def _configuration(self) -> dict[str, Any]:
+        made = configuration(3, *self.apps, *self.models)
+        for service in made["services"]:
+            service["cold_per_s"], service["cold_start_s"] = COLD_RATE, COLD_SECONDS
+        return made
+
     async def _finish(self) -> None:
         self.is_calm = True
         for program in self.programs:
@@ -152,6 +183,7 @@
             program.revive()
         for proxy in self._proxies():
             proxy.heal()
+        self._take_back(float("inf"))
         self.store.is_down = self.store.loses_answers = False
         give_up = clock.monotonic() + CALM_SECONDS
         while clock.monotonic() < give_up and self._missing():
@@ -182,10 +214,14 @@
             self._store_lossy,
             self._slow_link,
             self._silent_link,
+            self._silent_zone,
+            self._evacuate,
+            self._turn_cold,
         ]
         end = clock.monotonic() + seconds
         while clock.monotonic() < end:
             await curio.sleep(self.random.uniform(*FAULT_PAUSE_SECONDS))
+            self._take_back(clock.monotonic())
             kind, whom, undo = self.random.choice(faults)()
             self.schedule.append((round(clock.monotonic() - self.began, 2), kind, whom))
             await curio.sleep(self.random.uniform(*FAULT_SECONDS))
@@ -246,6 +282,57 @@
         proxy.is_silent = True
         return "silent_link", proxy.address, proxy.heal
 
+    def _silent_zone(self) -> tuple[str, str, Callable[[], None]]:
+        """Silence all engines of a zone; its gateway and replica stay in touch with the others."""
+        zone = self._draw_zone()
+        proxies = [each.proxy for each in self._engines_of(zone)]
+        for proxy in proxies:
+            proxy.is_silent = True
+
+        def undo() -> None:
+            for proxy in proxies:
+                proxy.heal()
+
+        return "silent_zone", zone, undo
+
+    def _evacuate(self) -> tuple[str, str, Callable[[], None]]:
+        """Have a zone evacuated; it stays so through the next faults, and comes back cold."""
+        zone = self._draw_zone()
+        engines = self._engines_of(zone)
+        if any(each.rules.evacuated_at is not None for each in engines):
+            return "evacuated_before", zone, lambda: None
+        self.store.put(names.EVACUATIONS, zone, {})
+        for engine in engines:
+            engine.rules.evacuated_at = clock.monotonic()
+        self.evacuated[zone] = clock.monotonic() + self.random.uniform(*EVACUATED_SECONDS)
+        return "evacuate", zone, lambda: None
+
+    def _take_back(self, now: float) -> None:
+        """End the evacuations that have lasted long enough."""
+        for zone, until in list(self.evacuated.items()):
+            if now < until:
+                continue
+            del self.evacuated[zone]
+            for engine in self._engines_of(zone):
+                engine.rules.evacuated_at = None
+                engine.turn_cold()
+            self.store.remove(names.EVACUATIONS, zone)
+            self.schedule.append((round(now - self.began, 2), "evacuation_ends", zone))
+
+    def _turn_cold(self) -> tuple[str, str, Callable[[], None]]:
+        """Have all engines of a service, or one of them, turn cold."""
+        service = self.random.choice((self.apps, self.models))
+        engines = service if self.random.random() < 0.5 else [self.random.choice(service)]
+        for engine in engines:
+            engine.turn_cold()
+        return "cold", ",".join(each.identifier for each in engines), lambda: None
+
+    def _draw_zone(self) -> str:
+        return f"z{self.random.randrange(ZONES)}"
+
+    def _engines_of(self, zone: str) -> list[SoakEngine]:
+        return [each for each in (*self.apps, *self.models) if each.zone == zone]
+
     # The trainer
 
     async def _train(self) -> None:
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -5,10 +5,12 @@
 import curio
 
 from pondtiller.core.entities import Address
+from pondtiller.daemon import clock
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange
 from pondtiller.platform import names
 from pondtiller.platform.standins import StandInEngine, StandInStore
+from pondtiller.soak.engine_rules import EngineRules
 from pondtiller.soak.promises import Promises
 from pondtiller.soak.proxy import Proxy
 
@@ -22,12 +24,24 @@
     ----------
     refused
         Requests whose callers were told that they did not run.
+    zone
+        Where it stands.
+    rules
+        What it may get.
     """
 
     def __init__(
-        self, identifier: str, service: str, promises: Promises, store: StandInStore, events: int
+        self,
+        identifier: str,
+        service: str,
+        promises: Promises,
+        store: StandInStore,
+        events: int,
+        zone: str = "z0",
     ) -> None:
         super().__init__(identifier, service, events)
+        self.zone = zone
+        self.rules = EngineRules(identifier, promises)
         self.store = store
         self.event_seconds = 0.02
         self.proxy = Proxy(to_address(self.address))
@@ -36,7 +50,18 @@
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return its list entry, with the proxy's address."""
-        return {**super().entry(state), "address": self.proxy.address}
+        cold = max(0.0, self.rules.cold_until - clock.monotonic())
+        own = {"address": self.proxy.address, "zone": self.zone}
+        return {**super().entry(state), **own, "cold_left_ms": int(cold * 1000)}
+
+    def turn_cold(self) -> None:
+        """Be slow from now on."""
+        self.rules.turn_cold(clock.monotonic())
+        self.publish()
+
+    def _check_rules(self, identifier: str) -> None:
+        if not self.proxy.holds_up():
+            self.rules.began(identifier, clock.monotonic())
 
     def publish(self) -> None:
         """Write its list entry into the store."""
@@ -51,6 +76,7 @@
         """Answer like a sound engine, and count the run."""
         identifier = exchange.request.headers[names.REQUEST_ID]
         is_once = exchange.request.path.startswith(ONCE_PATH)
+        self._check_rules(identifier)
         self.promises.began(identifier, is_once, identifier in self.refused)
         await curio.sleep(self.event_seconds)
         await super().whole(exchange)
@@ -58,6 +84,7 @@
     async def stream(self, exchange: Exchange, stop_after: int = 1_000_000) -> None:
         """Stream a sample's events, each with the version that made it."""
         identifier = exchange.request.headers[names.REQUEST_ID]
+        self._check_rules(identifier)
         first = int(exchange.request.headers.get(names.LAST_EVENT, "0")) + 1
         version = self.version
         headers = (
