Homes of rows and tenants bind; a step that cannot be kept inside is refused at once

Requests go to engines of the regions that the row and its tenant both allow; without one they are refused as not run. A step's body goes to the leader, the group and runners, which may be in any region: it is taken where the homes cover all regions, and refused otherwise, with home_refused in the log.

--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -1,6 +1,7 @@
 """What callers and trainers meet: routing of each request to an engine or to its step."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import h11
 from result import Err, Ok, Result
@@ -18,6 +19,7 @@
 from pondtiller.httpio.server import ConnectionLostError, Exchange
 from pondtiller.platform import engine_format, names, step_format
 from pondtiller.rollouts.steps import StepStatus
+from pondtiller.routes.places import Places
 from pondtiller.routes.table import RequestKind, RouteRow, RouteTable
 from pondtiller.routes.tenants import owned_name
 from pondtiller.usage.meter import Beginning, UseMeter
@@ -47,8 +49,10 @@
         meter: UseMeter,
         are_keys_fresh: Callable[[], bool],
         rates: TenantRates | None = None,
+        places: Places | None = None,
     ) -> None:
         self._rates = rates
+        self._places = places or Places()
         self.table: RouteTable | None = None
         self.open_exchanges = 0
         self._forwarder = forwarder
@@ -110,7 +114,15 @@
         owner = self._owner(request, table, route)
         if isinstance(owner, Err):
             await self._fail(exchange, owner.err_value, route.name)
-        elif route.kind is RequestKind.STEP and request.method == "POST":
+            return
+        homes = table.homes_for(route, owner.ok_value)
+        refusal = self._home_refusal(request, route, homes)
+        if homes is None or refusal is not None:
+            await self._fail(exchange, refusal or Failure(ErrorKind.NO_ENGINE), route.name)
+            return
+        if homes != route.homes:
+            route = replace(route, homes=homes)
+        if route.kind is RequestKind.STEP and request.method == "POST":
             if await self._admit(exchange, owner.ok_value, route, route.time_limit_seconds):
                 await self._open_step(exchange, route, owner.ok_value)
         else:
@@ -135,6 +147,29 @@
             await self._fail(exchange, failure, route.name)
         return failure is None
 
+    def _home_refusal(
+        self, request: HttpRequest, route: RouteRow, homes: frozenset[str] | None
+    ) -> Failure | None:
+        """Return why a request cannot be served and kept inside its homes; None where it can.
+
+        A step goes to the leader, to the members of the replicas' group and to runners, which may
+        be in any region: it is taken where all regions are homes.
+        """
+        if homes is None:
+            reason = "the row and the tenant have no home in common"
+        elif route.kind is RequestKind.STEP and not self._places.covers_all(homes):
+            reason = "a step cannot be kept inside its homes"
+        else:
+            return None
+        logs.decision(
+            "home_refused",
+            request=engine_format.request_id(request.raw_headers),
+            route=route.name,
+            homes=",".join(sorted(homes or ())),
+            reason=reason,
+        )
+        return Failure(ErrorKind.NO_ENGINE, reason)
+
     # Tenants
 
     def _owner(
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -136,7 +136,14 @@
             settings.rate_excess, self.shares, lambda: self.front.table, self.metrics
         )
         self.front = Front(
-            forwarder, streams, self.steps, self.metrics, meter, keys.is_fresh, self.rates
+            forwarder,
+            streams,
+            self.steps,
+            self.metrics,
+            meter,
+            keys.is_fresh,
+            self.rates,
+            self.places,
         )
         self.teller: UsageTeller | None = None
         if usage is not None:
--- a/src/pondtiller/rollouts/placement.py
+++ b/src/pondtiller/rollouts/placement.py
@@ -27,8 +27,8 @@
 LONGEST_SIZE = 3.0
 """Sizes of samples, against their step's mean, above which a slow engine costs no more."""
 
-Need = tuple[str, str, int, int | None]
-"""Service, model, oldest version, and the version that a begun text must stay with."""
+Need = tuple[str, str, int, int | None, frozenset[str]]
+"""Service, model, oldest version, the version that a begun text must stay with, and homes."""
 
 
 @dataclass
@@ -159,7 +159,7 @@
         need = _need(work.service, work)
         found = view.candidates.get(need)
         if found is None:
-            suited = [each for each in view.with_room.values() if self.has_weights(each, work)]
+            suited = [each for each in view.with_room.values() if self.suits(each, work)]
             found = Candidates(suited, lambda each: self._base_cost(each, view.pace))
             view.candidates[need] = found
         return found
@@ -176,7 +176,7 @@
             for each in found
             if each is not None
             and each.identifier not in candidates.compared
-            and self.has_weights(each, work)
+            and self.suits(each, work)
         ]
 
     def _has_room(self, engine: Engine, now: float) -> bool:
@@ -223,7 +223,7 @@
             if (
                 taken < other.entry.slots - 1
                 and other.identifier != work.engine
-                and self.has_weights(other, work)
+                and self.suits(other, work)
             ):
                 view.reserved[other.identifier] += 1
                 return True
@@ -241,6 +241,13 @@
         """Return the time between two events; an engine that made none lately is a usual one."""
         return engine.event_seconds or view.pace
 
+    def suits(self, engine: Engine, work: SampleWork) -> bool:
+        """Return whether an engine may make the rest of a sample: its region and its weights."""
+        homes = work.route.homes
+        return self.engines.places.may_hold(engine.entry.zone, homes) and self.has_weights(
+            engine, work
+        )
+
     def has_weights(self, engine: Engine, work: SampleWork) -> bool:
         """Return whether an engine has weights that may make the rest of a sample."""
         if self.is_loading(engine.identifier, work.model):
@@ -288,4 +295,4 @@
 
 
 def _need(service: str, work: SampleWork) -> Need:
-    return service, work.model, work.oldest_version, work.stays_with
+    return service, work.model, work.oldest_version, work.stays_with, work.route.homes
--- a/src/pondtiller/routes/places.py
+++ b/src/pondtiller/routes/places.py
@@ -65,6 +65,10 @@
         """Return whether what has these home regions may be in a zone; no homes bind nothing."""
         return not homes or self.region(zone) in homes
 
+    def covers_all(self, homes: Collection[str]) -> bool:
+        """Return whether what has these homes may be in every zone; no homes bind nothing."""
+        return not homes or set(self.regions.values()) <= set(homes)
+
 
 def common_homes(*homes: frozenset[str]) -> frozenset[str] | None:
     """Return the regions that all of several rules allow; empty where none of them binds.
--- a/src/pondtiller/routes/table.py
+++ b/src/pondtiller/routes/table.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from pondtiller.hashing import score
+from pondtiller.routes.places import common_homes
 from pondtiller.routes.tenants import TenantIndex, TenantRow
 
 HASH_SPAN = 1 << 64
@@ -196,12 +197,30 @@
         return None
 
     def find_for(self, host: str, path: str, tenant: str) -> RouteRow | None:
-        """Return the row for a tenant's requests: the tenant's rank goes before the row's."""
+        """Return the row for a tenant's requests; None where there is none that may serve them.
+
+        The tenant's rank goes before the row's, and the homes of both bind.
+        """
         row = self.find(host, path)
         owner = self.tenant_index.by_name.get(tenant)
-        if row is None or owner is None or owner.priority is None:
+        if row is None or owner is None:
             return row
-        return replace(row, priority=owner.priority)
+        priority = row.priority if owner.priority is None else owner.priority
+        homes = self.homes_for(row, tenant)
+        if homes is None:
+            return None
+        return replace(row, priority=priority, homes=homes)
+
+    def homes_for(self, route: RouteRow, tenant: str) -> frozenset[str] | None:
+        """Return the regions that may serve and keep a tenant's request on a row.
+
+        Returns
+        -------
+        frozenset of str, or None
+            Empty where any region may; None where the row's and the tenant's have none in common.
+        """
+        owner = self.tenant_index.by_name.get(tenant)
+        return common_homes(route.homes, owner.homes if owner is not None else frozenset())
 
     def needs_key(self, route: RouteRow) -> bool:
         """Return whether callers of a row must show a tenant's key."""
