--- a/src/pondtiller/gateway/evacuation_bounds.py
+++ b/src/pondtiller/gateway/evacuation_bounds.py
@@ -17,8 +17,8 @@
 
 MIRROR_TIMES = FollowTimes(wait_seconds=2.4, fresh_seconds=2.8)
 """How a mirror follows evacuations. Each wait is a priced call: 0.8 s, as for the engines, would be
-70 calls of a mirror in a day of 56 s, 2.4 s are 23. A mirror is fresh for as long as its wait, a slow
-store's answer (0.2 s, 50 times the usual) and a margin as long again."""
+70 calls of a mirror in a day of 56 s, 2.4 s are 23. A mirror is fresh for as long as its wait, a
+slow store's answer (0.2 s, 50 times the usual) and a margin as long again."""
 DIRECT_WAIT_SECONDS = 2.5
 """Longest wait of a gateway that asks the store itself. A call that hangs since its path was cut
 must have ended within the 4 s in which the platform takes a machine to be in touch again."""
