--- a/src/pondtiller/gateway/table_view.py
+++ b/src/pondtiller/gateway/table_view.py
@@ -57,4 +57,4 @@
     return ["-", "-", "-", str(states.count("ready")), str(states.count("leaving"))]
 
 
-REFUSED_OUTCOMES = ("no_engine", "not_ready", "expired_in_queue")
+REFUSED_OUTCOMES = ("no_engine", "not_ready", "expired_in_queue", "limit_reached")
