--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -55,7 +55,7 @@
 from pondtiller.routes.send_gate import SendGate
 from pondtiller.steplog.fault_tolerance import PlaceRules
 from pondtiller.usage.meter import UseMeter
-from pondtiller.wire.steplog import ScoreSample, Subscribe
+from pondtiller.wire.steplog import SaveProgress, ScoreSample, Subscribe
 
 TABLE_PATH = "/table"
 HOUSEKEEPING_SECONDS = 0.5
@@ -153,7 +153,17 @@
         runner = SampleRunner(self.gate, self.pool, forwarder, lambda: self.front.table, self.cold)
         self.run_host = RunHost(runner, lambda: self.leadership.replicas.highest_epoch)
         self.leadership.replicas.subscription = self._subscription()
-        self._leader_watches = LeaderWatches(self.store, health, self.leadership.replicas)
+        self.mirrored_store = MirroredStore(
+            settings.name,
+            settings.zone,
+            self.store,
+            self.leadership.replicas,
+            lambda: self.leadership.log.is_leading,
+            self.places,
+        )
+        self._leader_watches = LeaderWatches(
+            self.store, self.mirrored_store.for_leader, health, self.leadership.replicas
+        )
         self._leader_watches.follow_members(self._is_group_member)
         parts = DutyParts(
             leadership=self.leadership,
@@ -174,14 +184,6 @@
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
-        self.mirrored_store = MirroredStore(
-            settings.name,
-            settings.zone,
-            self.store,
-            self.leadership.replicas,
-            lambda: self.leadership.log.is_leading,
-            self.places,
-        )
         self.watches = GatewayWatches(
             self.mirrored_store,
             health,
@@ -420,6 +422,8 @@
             async def take(_link: Link, call: int, message: Message) -> None:
                 if isinstance(message, RUN_MESSAGES):
                     await self.run_host.take(link, message)
+                elif isinstance(message, SaveProgress):
+                    await self.leadership.replicas.send_to_members(message)
                 else:
                     await group.spawn(self._answer_call, link, call, message)
 
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -63,6 +63,12 @@
 PROGRESS_CALL_SECONDS = 0.3
 SCORE_RETRY_SECONDS = 0.1
 KEEP_MARGIN_SECONDS = 10.0
+MOST_BEARERS = 6
+"""Runners that pass on the texts of a leader that replicas do not hear, each a part of them: 50
+long texts are 1 MB, five times as much to five members, and a successor reads them soon."""
+HAND_OVER_SECONDS = 0.1
+"""How long a leader whose lease has ended waits for its texts to leave, before it ends its runs.
+A successor begins none before it was elected and has read log and texts: 0.3 s at least."""
 EXPIRE_SECONDS = 30.0
 
 
@@ -136,6 +142,7 @@
         self._waiters: dict[str, set[Any]] = {}
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
+        self._has_texts = False
         self._scheduled: set[str] = set()
         self._is_over = False
         self.orders = OrderRights(
@@ -202,27 +209,16 @@
     async def _run(self) -> None:
         """Work until the term ends; begins again where a part of it fails."""
         await self._watch_group.cancel_all()
-        began = clock.monotonic()
-        await self._read_progress()
-        read_at = clock.monotonic()
-        self._table = self._parts.front.table
-        for record in self.book.steps.values():
-            self._schedule(record)
-        logs.decision(
-            "term_began",
-            epoch=self.epoch,
-            steps=len(self.book.steps),
-            samples=len(self.scheduler.work),
-            texts_seconds=read_at - began,
-            schedule_seconds=clock.monotonic() - read_at,
-        )
+        # Nothing here needs the texts, so engines are ordered and runners found meanwhile.
         self.orders.claim()
+        await self._leadership.flush()
         await self._watch_group.spawn(self._parts.watches.run, self.steward, self.wake)
         await self._watch_group.spawn(keep_running, "runners", self.runners.run)
         if self.usage is not None:
             await self._watch_group.spawn(keep_running, "usage", self.usage.run)
         if self.scaling is not None:
             await self._watch_group.spawn(keep_running, "scaling", self.scaling.run)
+        await self._watch_group.spawn(keep_running, "samples", self._restore_samples)
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
         due = next_progress + TICK_SECONDS
@@ -246,11 +242,31 @@
                 self.rates.keep_house(now)
             await curio.ignore_after(TICK_SECONDS, self.wake.wait)
 
+    async def _restore_samples(self) -> None:
+        """Go on with the samples of open steps where an earlier leader left them."""
+        began = clock.monotonic()
+        await self._read_progress()
+        read_at = clock.monotonic()
+        self._has_texts = True
+        self._table = self._parts.front.table
+        for record in self.book.steps.values():
+            self._schedule(record)
+        logs.decision(
+            "term_began",
+            epoch=self.epoch,
+            steps=len(self.book.steps),
+            samples=len(self.scheduler.work),
+            texts_seconds=read_at - began,
+            schedule_seconds=clock.monotonic() - read_at,
+        )
+        await self.wake.set()
+        await self._leadership.read_rest()
+
     async def _tick(self, now: float) -> None:
         if not self._leadership.log.holds_lease(now):
             return
         table = self._parts.front.table
-        if table is not None and table is not self._table:
+        if self._has_texts and table is not None and table is not self._table:
             self._table = table
             self.scheduler.refresh_routes(table.find_for)
             for record in self.book.steps.values():
@@ -297,10 +313,10 @@
         return StepStatus.OK
 
     async def read(self, step: str, position: int, wait: float) -> ResultsPage:
-        """Return results from a position, held until there is one or the wait is over."""
+        """Return results from a position, held until the trainer can go on or the wait is over."""
         record = self.book.steps.get(step)
         if record is not None and wait > 0 and not record.is_end_written:
-            await self._until(step, lambda: record.visible > position, wait)
+            await self._until(step, lambda: record.is_worth_reading(position), wait)
         if self._is_over:
             return ResultsPage(status=StepStatus.UNAVAILABLE)
         return self.book.read(step, position)
@@ -516,6 +532,22 @@
                 if link is not None:
                     await link.send(encoded)
 
+    async def hand_over_texts(self) -> None:
+        """Have runners leave unfinished texts at replicas that this daemon no longer reaches.
+
+        A leader that is cut from the replicas goes on until its lease ends, and saves nothing
+        meanwhile. No successor leads before `LEASE_MARGIN_SECONDS` later, so it finds them.
+        """
+        samples = ProgressSaver().news(0, self.scheduler.work.values(), clock.monotonic(), True)
+        bearers = self.runners.bearers(MOST_BEARERS) if samples else []
+        logs.decision("texts_handed_over", epoch=self.epoch, texts=len(samples), to=len(bearers))
+        for place, link in enumerate(bearers):
+            part = samples[place :: len(bearers)]
+            await link.send(SaveProgress(epoch=self.epoch, samples=part))
+        give_up = clock.monotonic() + HAND_OVER_SECONDS
+        while any(each.has_unsent for each in bearers) and clock.monotonic() < give_up:
+            await curio.sleep(HAND_OVER_SECONDS / 10)
+
     async def _read_progress(self) -> None:
         """Read the texts of the samples that are still open, each from one member.
 
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -44,6 +44,8 @@
 TAKEOVER_SECONDS = 3.0
 CHUNK_KEYS = 64
 EPOCH_ROUND = 1 << 32
+LEASE_ENDED = "the lease ended"
+"""Why a leader is deposed that its replicas do not hear, while other daemons may."""
 
 
 def next_epoch(highest: int, identity: int) -> int:
@@ -66,6 +68,12 @@
         32-bit number of this process, for epochs.
     may_wait
         Returns which of some keys' values are not needed to lead: they are read afterwards.
+
+    Attributes
+    ----------
+    holds_back
+        Whether these are not read yet: what a new leader needs first is to have its links and
+        its processor. Ends with the leader's term.
     """
 
     def __init__(
@@ -80,6 +88,7 @@
         self.epoch = 0
         self.entries: dict[str, Entry] = {}
         self.deferred = DeferredValues()
+        self.holds_back = False
         self.group = Group()
         self.next_group: Group | None = None
         self.lost_disks: set[str] = set()
@@ -268,7 +277,7 @@
             self._depose("takeover took too long", self.epoch)
             return
         if self.phase is Phase.LEADING and now >= self.lease_until():
-            self._depose("the lease ended", self.epoch)
+            self._depose(LEASE_ENDED, self.epoch)
             return
         self._send_heartbeats(now)
         self._try_lead(now)
@@ -313,6 +322,7 @@
         self.phase = Phase.IDLE
         self.entries = {}
         self.deferred = DeferredValues()
+        self.holds_back = False
         self.group = Group()
         self.next_group = None
         self.admitted = set()
@@ -457,7 +467,7 @@
 
     def _read_deferred(self, now: float) -> None:
         """Ask a replica for a part of the values that were left for later."""
-        if not self.is_leading:
+        if not self.is_leading or self.holds_back:
             return
         synced = [link for link, follower in self.followers.items() if follower.is_synced]
         request = self.deferred.next_request(synced, now)
