Shares: a place is kept for a request that was woken for it

Six runs that waited for shares of a cold engine all woke at the first share, of one place; the gate let out one and refused five. A place is now kept for who was woken until the gate counts it, 0.5 s at most.

--- a/src/pondtiller/coordination/rate_shares.py
+++ b/src/pondtiller/coordination/rate_shares.py
@@ -23,6 +23,8 @@
 50 ms longer or shorter to the wire."""
 REST_MARGIN_SECONDS = 0.1
 """For clocks that run apart: below 1 % over the longest lease."""
+PROMISE_SECONDS = 0.5
+"""How long a place is kept for a request whose connection is being opened."""
 DEMAND_SECONDS = 2.0
 HEADROOM = 1.25
 """Requests do not come evenly: asked for is a quarter more than came."""
@@ -49,6 +51,11 @@
         """Note one."""
         self._times.append(now)
 
+    def drop_first(self) -> None:
+        """Forget the earliest one, where there is any."""
+        if self._times:
+            self._times.popleft()
+
     def free_at(self, most: int, now: float) -> float:
         """Return from when on there are fewer than `most`; infinite where that is never."""
         if most <= 0:
@@ -130,6 +137,7 @@
     waiting: int = 0
     _wanted: int = 0
     _sent: SlidingCount = field(init=False)
+    _promised: SlidingCount = field(default_factory=lambda: SlidingCount(PROMISE_SECONDS))
     _arrived: SlidingCount = field(default_factory=lambda: SlidingCount(DEMAND_SECONDS))
 
     def __post_init__(self) -> None:
@@ -158,15 +166,20 @@
 
     def free_at(self, now: float) -> float:
         """Return from when on one may leave, with what is held now; infinite where nothing is."""
-        at = self._sent.free_at(self.usable(now), now)
+        at = self._sent.free_at(self.usable(now) - self._promised.within(now), now)
         return at if at < self.expires_at else math.inf
 
     def arrived(self, now: float) -> None:
         """Note a request that is to leave."""
         self._arrived.add(now)
 
+    def promise(self, now: float) -> None:
+        """Keep a place for one that will leave in a moment; no right to leave follows from it."""
+        self._promised.add(now)
+
     def take(self, now: float) -> bool:
         """Let one request through, and count it; False where it must not leave now."""
+        self._promised.drop_first()
         if self._sent.within(now) >= self.usable(now):
             return False
         self._sent.add(now)
@@ -177,8 +190,9 @@
         recent = self._arrived.within(now)
         if not self.waiting and (recent <= 1 or not self.usable(now)):
             return 0
-        # What waits needs places beside those that are taken in this window.
-        at_once = self.waiting + self._sent.within(now) if self.waiting else 0
+        # What waits needs places beside those that are taken, or kept, in this window.
+        taken = self._sent.within(now) + self._promised.within(now)
+        at_once = self.waiting + taken if self.waiting else 0
         a_window = recent / DEMAND_SECONDS * self.terms.window_seconds
         return max(at_once, math.ceil(a_window * HEADROOM))
 
--- a/src/pondtiller/coordination/tests/test_rate_shares.py
+++ b/src/pondtiller/coordination/tests/test_rate_shares.py
@@ -258,6 +258,15 @@
     assert rate.is_due(0.13)
 
 
+def test_a_place_that_is_kept_is_given_to_nobody_else_until_it_is_used_or_forgotten():
+    rate = held(2)
+    rate.promise(0.1)
+    rate.promise(0.1)
+    assert rate.free_at(0.2) == float("inf")
+    assert rate.take(0.2) and rate.free_at(0.3) == 0.2 + WINDOW_SECONDS
+    assert rate.free_at(0.7) == 0.7
+
+
 def test_a_successor_renews_what_is_held_and_grants_no_more_until_all_else_has_ended():
     grantor, one, two = RateGrantor(0.0), HolderKey("one", 1), HolderKey("two", 1)
     assert grantor.grant(one, RateWish("s", 9, 4, TERMS.total), TERMS, 0.2) == 4
--- a/src/pondtiller/gateway/share_asker.py
+++ b/src/pondtiller/gateway/share_asker.py
@@ -63,7 +63,9 @@
         return held is not None and held.free_at(now) <= now
 
     async def wait(self, subject: str, terms: RateTerms, until: float) -> bool:
-        """Wait until one request might leave; False once that will not be in time."""
+        """Wait until one request might leave, and keep its place a moment; False once that will
+        not be in time.
+        """
         return await self._wait(self.held(subject, terms), until, takes=False)
 
     async def admit(self, held: HeldRate, until: float) -> bool:
@@ -74,7 +76,7 @@
         now = clock.monotonic()
         held.arrived(now)
         if held.free_at(now) <= now:
-            return not takes or held.take(now)
+            return _use(held, now, takes)
         held.waiting += 1
         try:
             return await self._wait_for(held, now, until, takes)
@@ -86,7 +88,7 @@
             now = clock.monotonic()
             free_at = held.free_at(now)
             if free_at <= now:
-                return not takes or held.take(now)
+                return _use(held, now, takes)
             is_answered = held.was_answered_since(began)
             if now >= until or (is_answered and free_at > until):
                 return False
@@ -135,3 +137,11 @@
             each.receive(granted, total, answered_at)
         changed, self._changed = self._changed, curio.Event()
         await changed.set()
+
+
+def _use(held: HeldRate, now: float, takes: bool) -> bool:
+    """Count a request that leaves now, or keep its place until the gate counts it."""
+    if takes:
+        return held.take(now)
+    held.promise(now)
+    return True
--- a/src/pondtiller/gateway/tests/test_cold_sends.py
+++ b/src/pondtiller/gateway/tests/test_cold_sends.py
@@ -116,3 +116,25 @@
             assert held == [None, None, Held.COLD, Held.COLD]
 
     run(gateway, test)
+
+
+def test_a_burst_gets_as_many_places_as_the_leader_grants_and_no_place_is_given_twice() -> None:
+    """Six that waited all woke at the first share, of one place, and five were refused."""
+    gateway = Gateway()
+    held: list[Held | None] = []
+
+    async def one() -> None:
+        await gateway.sends.prepare("cold", clock.monotonic() + 9.0)
+        await curio.sleep(0.05)  # A connection is opened.
+        held.append(gateway.gate.check("cold", clock.monotonic()))
+
+    async def test() -> None:
+        async with Spawner() as group:
+            for _ in range(6):
+                await group.spawn(one)
+                await curio.sleep(0.005)
+            while len(held) < 6:
+                await curio.sleep(0.01)
+        assert held == [None] * 6
+
+    run(gateway, test)
