A gateway's figures and a soak's faults in modules of their own

What pages show is gathered by figure_sources.py, what fails in a soak is in faults.py; both moved as they were. Tests read the figures there; their assertions stay.

--- /dev/null
+++ b/src/pondtiller/gateway/figure_sources.py
@@ -0,0 +1,100 @@
+"""Where a gateway's figures come from: gathered from its parts when a page is asked for."""
+
+from typing import NamedTuple
+
+from pondtiller.coordination.agreed_clock import AgreedClock
+from pondtiller.gateway.cold_sends import ColdSends
+from pondtiller.gateway.duties import LeaderDuties
+from pondtiller.gateway.engine_pool import EnginePool
+from pondtiller.gateway.figures import GatewayFigures
+from pondtiller.gateway.front import Front
+from pondtiller.gateway.leadership import Leadership
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.mirrored_store import MirroredStore
+from pondtiller.gateway.result_cache import ResultCache
+from pondtiller.gateway.run_host import RunHost
+from pondtiller.gateway.watches import GatewayWatches
+from pondtiller.platform.object_client import ObjectClient
+from pondtiller.routes.engines import EngineDirectory
+
+
+class FigureSources(NamedTuple):
+    """The parts of one gateway that its pages tell of."""
+
+    name: str
+    metrics: GatewayMetrics
+    front: Front
+    engines: EngineDirectory
+    pool: EnginePool
+    cold: ColdSends
+    store: ObjectClient
+    mirrored_store: MirroredStore
+    watches: GatewayWatches
+    leadership: Leadership
+    duties: LeaderDuties
+    run_host: RunHost
+    cache: ResultCache
+    agreed: AgreedClock
+
+    def figures(self, now: float) -> GatewayFigures:
+        """Return what the pages of this gateway show, at a steady time."""
+        leader = self.leadership.leader()
+        return GatewayFigures(
+            name=self.name,
+            metrics=self.metrics,
+            table=self.front.table,
+            engines=tuple(self.engines.engines.values()),
+            leader=leader.name if leader is not None else "",
+            readers=dict(self.mirrored_store.reader),
+            store_calls=dict(self.store.calls),
+            counters=self._counters(),
+            gauges=self._gauges(now),
+            evacuated=tuple(sorted(self.engines.evacuated)),
+            configuration_age_seconds=now - self.watches.configuration.heard_at,
+            engines_age_seconds=now - self.watches.engines.heard_at,
+        )
+
+    def _counters(self) -> dict[str, int]:
+        metrics = self.metrics
+        return {
+            "attempts": metrics.attempts,
+            "engine_connections": self.pool.opened,
+            "results_from_cache": self.cache.hits,
+            "samples_listed": metrics.samples_listed,
+            "samples_given_up": metrics.samples_given_up,
+            "runs_started": metrics.runs_started,
+            "orders": metrics.orders,
+            "takeovers": metrics.takeovers,
+            "use_reports": metrics.use_reports,
+            "use_reports_failed": metrics.use_reports_failed,
+            "cold_sends": metrics.cold_sends,
+            "held_cold": metrics.held_cold,
+            "rate_admitted": metrics.rate_admitted,
+            "rate_refused": metrics.rate_refused,
+            "scale_orders": metrics.scale_orders,
+            "scale_orders_failed": metrics.scale_orders_failed,
+        }
+
+    def _gauges(self, now: float) -> dict[str, float]:
+        table, term = self.front.table, self.duties.term
+        return {
+            "table_version": float(table.version if table is not None else 0),
+            "engines": float(len(self.engines.engines)),
+            "engines_cold": float(self.cold.count),
+            "leads": float(self.leadership.log.holds_lease(now)),
+            "replicas": float(len(self.leadership.replicas.views())),
+            "group_shortfall": float(self.leadership.shortfall),
+            "open_requests": float(self.front.open_exchanges),
+            "samples_open": float(len(term.scheduler.work) if term is not None else 0),
+            "runs": float(len(term.scheduler.runs) if term is not None else 0),
+            "runners": float(len(term.runners.links) if term is not None else 0),
+            "hosted_runs": float(self.run_host.runs),
+            "evacuated_zones": float(len(self.engines.evacuated)),
+            "evacuated_running": float(self._evacuated_running()),
+            "clock_spread_seconds": self.agreed.spread_seconds(now),
+        }
+
+    def _evacuated_running(self) -> int:
+        """Return how many requests this gateway still has at engines of evacuated zones."""
+        engines = self.engines
+        return sum(each.running for each in engines.engines.values() if engines.is_evacuated(each))
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -15,7 +15,7 @@
 from pondtiller.gateway.duties import LeaderDuties
 from pondtiller.gateway.engine_pool import EnginePool
 from pondtiller.gateway.evacuation_watch import EvacuationWatch
-from pondtiller.gateway.figures import GatewayFigures
+from pondtiller.gateway.figure_sources import FigureSources
 from pondtiller.gateway.first_group import StoredFirstGroup
 from pondtiller.gateway.forward import Forwarder
 from pondtiller.gateway.front import Front
@@ -204,6 +204,22 @@
                 self._view_changed,
                 self.watches.longest_retry,
             )
+        self.sources = FigureSources(
+            name=settings.name,
+            metrics=self.metrics,
+            front=self.front,
+            engines=self.engines,
+            pool=self.pool,
+            cold=self.cold,
+            store=self.store,
+            mirrored_store=self.mirrored_store,
+            watches=self.watches,
+            leadership=self.leadership,
+            duties=self.duties,
+            run_host=self.run_host,
+            cache=self.steps.cache,
+            agreed=self.agreed,
+        )
         self._stopped = curio.Event()
         self.metrics_server = (
             MetricsServer(settings.metrics, self.render_metrics) if settings.metrics else None
@@ -232,71 +248,7 @@
         """Return this gateway's figures as Prometheus text."""
         from pondtiller.gateway.metrics_text import render
 
-        return render(self._figures())
-
-    def _figures(self) -> GatewayFigures:
-        """Return what the pages of this gateway show."""
-        leader = self.leadership.leader()
-        now = clock.monotonic()
-        return GatewayFigures(
-            name=self.settings.name,
-            metrics=self.metrics,
-            table=self.front.table,
-            engines=tuple(self.engines.engines.values()),
-            leader=leader.name if leader is not None else "",
-            readers=dict(self.mirrored_store.reader),
-            store_calls=dict(self.store.calls),
-            counters=self._counters(),
-            gauges=self._gauges(now),
-            evacuated=tuple(sorted(self.engines.evacuated)),
-            configuration_age_seconds=now - self.watches.configuration.heard_at,
-            engines_age_seconds=now - self.watches.engines.heard_at,
-        )
-
-    def _counters(self) -> dict[str, int]:
-        metrics = self.metrics
-        return {
-            "attempts": metrics.attempts,
-            "engine_connections": self.pool.opened,
-            "results_from_cache": self.steps.cache.hits,
-            "samples_listed": metrics.samples_listed,
-            "samples_given_up": metrics.samples_given_up,
-            "runs_started": metrics.runs_started,
-            "orders": metrics.orders,
-            "takeovers": metrics.takeovers,
-            "use_reports": metrics.use_reports,
-            "use_reports_failed": metrics.use_reports_failed,
-            "cold_sends": metrics.cold_sends,
-            "held_cold": metrics.held_cold,
-            "rate_admitted": metrics.rate_admitted,
-            "rate_refused": metrics.rate_refused,
-            "scale_orders": metrics.scale_orders,
-            "scale_orders_failed": metrics.scale_orders_failed,
-        }
-
-    def _gauges(self, now: float) -> dict[str, float]:
-        table, term = self.front.table, self.duties.term
-        return {
-            "table_version": float(table.version if table is not None else 0),
-            "engines": float(len(self.engines.engines)),
-            "engines_cold": float(self.cold.count),
-            "leads": float(self.leadership.log.holds_lease(now)),
-            "replicas": float(len(self.leadership.replicas.views())),
-            "group_shortfall": float(self.leadership.shortfall),
-            "open_requests": float(self.front.open_exchanges),
-            "samples_open": float(len(term.scheduler.work) if term is not None else 0),
-            "runs": float(len(term.scheduler.runs) if term is not None else 0),
-            "runners": float(len(term.runners.links) if term is not None else 0),
-            "hosted_runs": float(self.run_host.runs),
-            "evacuated_zones": float(len(self.engines.evacuated)),
-            "evacuated_running": float(self._evacuated_running()),
-            "clock_spread_seconds": self.agreed.spread_seconds(now),
-        }
-
-    def _evacuated_running(self) -> int:
-        """Return how many requests this gateway still has at engines of evacuated zones."""
-        engines = self.engines
-        return sum(each.running for each in engines.engines.values() if engines.is_evacuated(each))
+        return render(self.sources.figures(clock.monotonic()))
 
     async def _view_changed(self) -> None:
         """Take a change of the engines or the table."""
@@ -406,7 +358,9 @@
             from pondtiller.gateway import table_view
 
             await exchange.respond(
-                HttpResponse(200, table_view.render(self._figures()), "text/plain")
+                HttpResponse(
+                    200, table_view.render(self.sources.figures(clock.monotonic())), "text/plain"
+                )
             )
         else:
             await exchange.respond(HttpResponse(404))
--- a/src/pondtiller/gateway/tests/test_evacuations.py
+++ b/src/pondtiller/gateway/tests/test_evacuations.py
@@ -82,7 +82,7 @@
         await evacuated(system, "y")
         assert await ask(system, 10) == [200] * 10
         assert seen(system.app[1]) == 0
-        figures = system.gateways[0]._figures()
+        figures = system.gateways[0].sources.figures(clock.monotonic())
         assert figures.gauges["evacuated_zones"] == 1.0
         assert b"evacuated y (0 still running)" in render(figures)
         system.store.remove("evacuations", "y")
--- a/src/pondtiller/gateway/tests/test_zone_loss.py
+++ b/src/pondtiller/gateway/tests/test_zone_loss.py
@@ -48,7 +48,7 @@
         return sorted(each.zone for each in self.gateways[0].leadership.log.group.members)
 
     def shortfall(self) -> float:
-        return self.gateways[0]._gauges(0.0)["group_shortfall"]
+        return self.gateways[0].sources.figures(0.0).gauges["group_shortfall"]
 
     async def lose(self, zone: str) -> None:
         for each in self.replicas:
--- /dev/null
+++ b/src/pondtiller/soak/faults.py
@@ -0,0 +1,207 @@
+"""Faults that a soak brings about from outside the programs, drawn from its seed."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import curio
+
+from pondtiller.daemon import clock
+from pondtiller.platform import names
+from pondtiller.platform.standins import StandInStore
+from pondtiller.soak.programs import Program
+from pondtiller.soak.proxy import Proxy
+from pondtiller.soak.stand_ins import SoakEngine
+
+ZONES = 3
+FAULT_PAUSE_SECONDS = (0.5, 4.0)
+FAULT_SECONDS = (0.2, 4.0)
+EVACUATED_SECONDS = (7.0, 14.0)
+"""Longer than an evacuation needs to be in force, so that the last seconds are checked."""
+RESET_SHARE = 0.3
+"""Of the faults after which one proxy's connections are reset."""
+
+
+class Fault(NamedTuple):
+    """A fault that was brought about, and how to undo it."""
+
+    kind: str
+    whom: str
+    undo: Callable[[], None]
+
+
+class Faults:
+    """What may fail in one soak.
+
+    Attributes
+    ----------
+    schedule
+        Each fault: seconds from the start, its kind and whom it struck.
+    evacuated
+        When each evacuation ends, by zone.
+    """
+
+    def __init__(
+        self,
+        source: random.Random,
+        programs: list[Program],
+        apps: list[SoakEngine],
+        models: list[SoakEngine],
+        store: StandInStore,
+        store_proxy: Proxy,
+    ) -> None:
+        self.random = source
+        self.programs = programs
+        self.apps = apps
+        self.models = models
+        self.store = store
+        self.store_proxy = store_proxy
+        self.schedule: list[tuple[float, str, str]] = []
+        self.evacuated: dict[str, float] = {}
+        self._began = clock.monotonic()
+
+    @property
+    def proxies(self) -> list[Proxy]:
+        """All proxies."""
+        return [self.store_proxy, *(each.proxy for each in (*self.apps, *self.models))]
+
+    async def strike(self, seconds: float) -> None:
+        """Bring faults about, one after the other; evacuations last through further ones."""
+        faults: list[Callable[[], Fault]] = [
+            self._kill,
+            self._kill_all,
+            self._terminate,
+            self._freeze,
+            self._store_down,
+            self._store_lossy,
+            self._slow_link,
+            self._silent_link,
+            self._silent_zone,
+            self._evacuate,
+            self._turn_cold,
+        ]
+        end = clock.monotonic() + seconds
+        while clock.monotonic() < end:
+            await curio.sleep(self.random.uniform(*FAULT_PAUSE_SECONDS))
+            self._take_back(clock.monotonic())
+            fault = self.random.choice(faults)()
+            self._note(fault.kind, fault.whom)
+            await curio.sleep(self.random.uniform(*FAULT_SECONDS))
+            fault.undo()
+            if self.random.random() < RESET_SHARE:
+                proxy = self.random.choice(self.proxies)
+                await proxy.reset()
+                self._note("reset", proxy.address)
+
+    def heal(self) -> None:
+        """Undo everything."""
+        for program in self.programs:
+            program.resume()
+            program.revive()
+        for proxy in self.proxies:
+            proxy.heal()
+        self._take_back(float("inf"))
+        self.store.is_down = self.store.loses_answers = False
+
+    def _note(self, kind: str, whom: str) -> None:
+        self.schedule.append((round(clock.monotonic() - self._began, 2), kind, whom))
+
+    def _kill(self) -> Fault:
+        program = self.random.choice(self.programs)
+        program.kill()
+        return Fault("kill", program.spec.name, program.revive)
+
+    def _kill_all(self) -> Fault:
+        for program in self.programs:
+            program.kill()
+
+        def undo() -> None:
+            for program in self.programs:
+                program.revive()
+
+        return Fault("kill", "all", undo)
+
+    def _terminate(self) -> Fault:
+        program = self.random.choice(self.programs)
+        program.terminate()
+        return Fault("terminate", program.spec.name, lambda: self._revive_later(program))
+
+    def _revive_later(self, program: Program) -> None:
+        if program.is_running():
+            program.kill()
+        program.revive()
+
+    def _freeze(self) -> Fault:
+        program = self.random.choice(self.programs)
+        program.pause()
+        return Fault("freeze", program.spec.name, program.resume)
+
+    def _store_down(self) -> Fault:
+        self.store.is_down = True
+        return Fault("store_down", "store", lambda: setattr(self.store, "is_down", False))
+
+    def _store_lossy(self) -> Fault:
+        self.store.loses_answers = True
+        self.store.forget_history()
+        return Fault("store_lossy", "store", lambda: setattr(self.store, "loses_answers", False))
+
+    def _slow_link(self) -> Fault:
+        proxy = self.random.choice(self.proxies)
+        proxy.delay_seconds = self.random.uniform(0.02, 0.5)
+        return Fault("slow_link", proxy.address, proxy.heal)
+
+    def _silent_link(self) -> Fault:
+        proxy = self.random.choice(self.proxies)
+        proxy.is_silent = True
+        return Fault("silent_link", proxy.address, proxy.heal)
+
+    def _silent_zone(self) -> Fault:
+        """Silence all engines of a zone; its gateway and replica stay in touch with the others."""
+        zone = self._draw_zone()
+        proxies = [each.proxy for each in self._engines_of(zone)]
+        for proxy in proxies:
+            proxy.is_silent = True
+
+        def undo() -> None:
+            for proxy in proxies:
+                proxy.heal()
+
+        return Fault("silent_zone", zone, undo)
+
+    def _evacuate(self) -> Fault:
+        """Have a zone evacuated; it stays so through the next faults, and comes back cold."""
+        zone = self._draw_zone()
+        engines = self._engines_of(zone)
+        if any(each.rules.evacuated_at is not None for each in engines):
+            return Fault("evacuated_before", zone, lambda: None)
+        self.store.put(names.EVACUATIONS, zone, {})
+        for engine in engines:
+            engine.rules.evacuated_at = clock.monotonic()
+        self.evacuated[zone] = clock.monotonic() + self.random.uniform(*EVACUATED_SECONDS)
+        return Fault("evacuate", zone, lambda: None)
+
+    def _take_back(self, now: float) -> None:
+        """End the evacuations that have lasted long enough."""
+        for zone, until in list(self.evacuated.items()):
+            if now < until:
+                continue
+            del self.evacuated[zone]
+            for engine in self._engines_of(zone):
+                engine.rules.evacuated_at = None
+                engine.turn_cold()
+            self.store.remove(names.EVACUATIONS, zone)
+            self._note("evacuation_ends", zone)
+
+    def _turn_cold(self) -> Fault:
+        """Have all engines of a service, or one of them, turn cold."""
+        service = self.random.choice((self.apps, self.models))
+        engines = service if self.random.random() < 0.5 else [self.random.choice(service)]
+        for engine in engines:
+            engine.turn_cold()
+        return Fault("cold", ",".join(each.identifier for each in engines), lambda: None)
+
+    def _draw_zone(self) -> str:
+        return f"z{self.random.randrange(ZONES)}"
+
+    def _engines_of(self, zone: str) -> list[SoakEngine]:
+        return [each for each in (*self.apps, *self.models) if each.zone == zone]
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -3,7 +3,6 @@
 import json
 import random
 import socket
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -22,6 +21,7 @@
     COLD_SLACK,
     WITHIN_SECONDS,
 )
+from pondtiller.soak.faults import ZONES, Faults
 from pondtiller.soak.programs import Program, ProgramSpec
 from pondtiller.soak.promises import Breach, Promises
 from pondtiller.soak.proxy import Proxy
@@ -34,12 +34,7 @@
 STEP_SECONDS = 2.0
 CALL_SECONDS = 0.1
 CALM_SECONDS = 25.0
-FAULT_PAUSE_SECONDS = (0.5, 4.0)
-FAULT_SECONDS = (0.2, 4.0)
-EVACUATED_SECONDS = (7.0, 14.0)
-"""Longer than an evacuation needs to be in force, so that the last seconds are checked."""
 CALL_LIMIT_SECONDS = 6.0
-ZONES = 3
 PLACES_SETTINGS = f"""
 [regions]
 z0 = "south"
@@ -77,7 +72,6 @@
         self.seed = seed
         self.random = random.Random(seed)
         self.promises = Promises()
-        self.schedule: list[tuple[float, str, str]] = []
         self.store = StandInStore()
         self.store.page = 100
         self.store_proxy = Proxy(to_address(self.store.address))
@@ -94,12 +88,13 @@
         self.ports = [_free_port() for _ in range(GATEWAYS)]
         self.replicas = [Program(self._replica(n, folder), folder) for n in range(REPLICAS)]
         self.gateways = [Program(self._gateway(n), folder) for n in range(GATEWAYS)]
+        self.faults = Faults(
+            self.random, self.programs, self.apps, self.models, self.store, self.store_proxy
+        )
         self.group = Spawner()
         self.client = HttpClient()
-        self.began = clock.monotonic()
         self.version = 1
         self.is_calm = False
-        self.evacuated: dict[str, float] = {}
 
     # Programs
 
@@ -151,7 +146,7 @@
             await curio.sleep(3.0)
             for task in (self._train, self._call):
                 await self.group.spawn(task)
-            await self._strike(seconds)
+            await self.faults.strike(seconds)
             await self._finish()
         finally:
             await self.group.cancel_all()
@@ -163,7 +158,7 @@
         return SoakReport(
             seed=self.seed,
             breaches=promises.breaches,
-            schedule=self.schedule,
+            schedule=self.faults.schedule,
             own_ends=[each.spec.name for each in self.programs if each.ends],
             steps=len(promises.accepted),
             results=sum(map(len, promises.results.values())),
@@ -178,13 +173,7 @@
 
     async def _finish(self) -> None:
         self.is_calm = True
-        for program in self.programs:
-            program.resume()
-            program.revive()
-        for proxy in self._proxies():
-            proxy.heal()
-        self._take_back(float("inf"))
-        self.store.is_down = self.store.loses_answers = False
+        self.faults.heal()
         give_up = clock.monotonic() + CALM_SECONDS
         while clock.monotonic() < give_up and self._missing():
             await curio.sleep(0.5)
@@ -199,140 +188,6 @@
             for step, samples in promises.accepted.items()
         )
 
-    # Faults
-
-    def _proxies(self) -> list[Proxy]:
-        return [self.store_proxy, *(each.proxy for each in (*self.apps, *self.models))]
-
-    async def _strike(self, seconds: float) -> None:
-        faults: list[Callable[[], tuple[str, str, Callable[[], None]]]] = [
-            self._kill,
-            self._kill_all,
-            self._terminate,
-            self._freeze,
-            self._store_down,
-            self._store_lossy,
-            self._slow_link,
-            self._silent_link,
-            self._silent_zone,
-            self._evacuate,
-            self._turn_cold,
-        ]
-        end = clock.monotonic() + seconds
-        while clock.monotonic() < end:
-            await curio.sleep(self.random.uniform(*FAULT_PAUSE_SECONDS))
-            self._take_back(clock.monotonic())
-            kind, whom, undo = self.random.choice(faults)()
-            self.schedule.append((round(clock.monotonic() - self.began, 2), kind, whom))
-            await curio.sleep(self.random.uniform(*FAULT_SECONDS))
-            undo()
-            if self.random.random() < 0.3:
-                proxy = self.random.choice(self._proxies())
-                await proxy.reset()
-                self.schedule.append(
-                    (round(clock.monotonic() - self.began, 2), "reset", proxy.address)
-                )
-
-    def _kill(self) -> tuple[str, str, Callable[[], None]]:
-        program = self.random.choice(self.programs)
-        program.kill()
-        return "kill", program.spec.name, program.revive
-
-    def _kill_all(self) -> tuple[str, str, Callable[[], None]]:
-        for program in self.programs:
-            program.kill()
-
-        def undo() -> None:
-            for program in self.programs:
-                program.revive()
-
-        return "kill", "all", undo
-
-    def _terminate(self) -> tuple[str, str, Callable[[], None]]:
-        program = self.random.choice(self.programs)
-        program.terminate()
-        return "terminate", program.spec.name, lambda: self._revive_later(program)
-
-    def _revive_later(self, program: Program) -> None:
-        if program.is_running():
-            program.kill()
-        program.revive()
-
-    def _freeze(self) -> tuple[str, str, Callable[[], None]]:
-        program = self.random.choice(self.programs)
-        program.pause()
-        return "freeze", program.spec.name, program.resume
-
-    def _store_down(self) -> tuple[str, str, Callable[[], None]]:
-        self.store.is_down = True
-        return "store_down", "store", lambda: setattr(self.store, "is_down", False)
-
-    def _store_lossy(self) -> tuple[str, str, Callable[[], None]]:
-        self.store.loses_answers = True
-        self.store.forget_history()
-        return "store_lossy", "store", lambda: setattr(self.store, "loses_answers", False)
-
-    def _slow_link(self) -> tuple[str, str, Callable[[], None]]:
-        proxy = self.random.choice(self._proxies())
-        proxy.delay_seconds = self.random.uniform(0.02, 0.5)
-        return "slow_link", proxy.address, proxy.heal
-
-    def _silent_link(self) -> tuple[str, str, Callable[[], None]]:
-        proxy = self.random.choice(self._proxies())
-        proxy.is_silent = True
-        return "silent_link", proxy.address, proxy.heal
-
-    def _silent_zone(self) -> tuple[str, str, Callable[[], None]]:
-        """Silence all engines of a zone; its gateway and replica stay in touch with the others."""
-        zone = self._draw_zone()
-        proxies = [each.proxy for each in self._engines_of(zone)]
-        for proxy in proxies:
-            proxy.is_silent = True
-
-        def undo() -> None:
-            for proxy in proxies:
-                proxy.heal()
-
-        return "silent_zone", zone, undo
-
-    def _evacuate(self) -> tuple[str, str, Callable[[], None]]:
-        """Have a zone evacuated; it stays so through the next faults, and comes back cold."""
-        zone = self._draw_zone()
-        engines = self._engines_of(zone)
-        if any(each.rules.evacuated_at is not None for each in engines):
-            return "evacuated_before", zone, lambda: None
-        self.store.put(names.EVACUATIONS, zone, {})
-        for engine in engines:
-            engine.rules.evacuated_at = clock.monotonic()
-        self.evacuated[zone] = clock.monotonic() + self.random.uniform(*EVACUATED_SECONDS)
-        return "evacuate", zone, lambda: None
-
-    def _take_back(self, now: float) -> None:
-        """End the evacuations that have lasted long enough."""
-        for zone, until in list(self.evacuated.items()):
-            if now < until:
-                continue
-            del self.evacuated[zone]
-            for engine in self._engines_of(zone):
-                engine.rules.evacuated_at = None
-                engine.turn_cold()
-            self.store.remove(names.EVACUATIONS, zone)
-            self.schedule.append((round(now - self.began, 2), "evacuation_ends", zone))
-
-    def _turn_cold(self) -> tuple[str, str, Callable[[], None]]:
-        """Have all engines of a service, or one of them, turn cold."""
-        service = self.random.choice((self.apps, self.models))
-        engines = service if self.random.random() < 0.5 else [self.random.choice(service)]
-        for engine in engines:
-            engine.turn_cold()
-        return "cold", ",".join(each.identifier for each in engines), lambda: None
-
-    def _draw_zone(self) -> str:
-        return f"z{self.random.randrange(ZONES)}"
-
-    def _engines_of(self, zone: str) -> list[SoakEngine]:
-        return [each for each in (*self.apps, *self.models) if each.zone == zone]
-
     # The trainer
 
     async def _train(self) -> None:
