--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -145,6 +145,7 @@
         self._has_texts = False
         self._scheduled: set[str] = set()
         self._is_over = False
+        self._takes_turns = False
         self.orders = OrderRights(
             parts.leadership, parts.engines, self.steward, won, parts.lease_seconds
         )
@@ -273,8 +274,23 @@
                 self._schedule(record)
         self.steward.tick(now)
         self.scheduler.tick(now, clock.wall())
+        self._note_turns()
         await self._carry_out()
 
+    def _note_turns(self) -> None:
+        """Tell when not all groups can be whole in time any more, and when they can again."""
+        groups = len(self.scheduler.turns)
+        if bool(groups) is self._takes_turns:
+            return
+        self._takes_turns = bool(groups)
+        logs.decision(
+            "groups_take_turns",
+            groups=groups,
+            steps=len({key.step for key in self.scheduler.turns}),
+            run_seconds=self.scheduler.run_times.mean_seconds,
+            epoch=self.epoch,
+        )
+
     def _schedule(self, record: StepRecord) -> None:
         if record.is_ended or not record.is_accepted or self._table is None:
             return
