Read the store for a leader through its replicas where the store turns it away

A step takes 6.3 s of the 8 s of its two slots: nothing is won back.

Ruled out: the closing loss of power as the main cause (2.4 s from the loss to the first sample, 0.98 s of it power off); the mirrors (all fresh throughout); taking a step's oldest version as named (no news of engines' loads, and a wrong one would order in vain for ever).

A leader's calls that are refused are passed on by a member of the group, for all kinds; the store itself is tried again each 2 s. Where nobody can tell it is as before.

--- a/src/pondtiller/gateway/leader_watches.py
+++ b/src/pondtiller/gateway/leader_watches.py
@@ -8,7 +8,7 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import logs
 from pondtiller.gateway.replicas import ReplicaDirectory
-from pondtiller.gateway.store_watch import RETRY_SECONDS, StoreHealth, Watch
+from pondtiller.gateway.store_watch import RETRY_SECONDS, StoreHealth, StoreReader, Watch
 from pondtiller.platform import engine_format, names, objects
 from pondtiller.platform.object_client import (
     ObjectClient,
@@ -20,12 +20,23 @@
 
 
 class LeaderWatches:
-    """What a leader follows: named versions, retirements of replicas, new replicas."""
+    """What a leader follows: named versions, retirements of replicas, new replicas.
+
+    Parameters
+    ----------
+    reader
+        The store as a leader reads it, also where it turns this machine away.
+    """
 
     def __init__(
-        self, store: ObjectClient, health: StoreHealth, replicas: ReplicaDirectory
+        self,
+        store: ObjectClient,
+        reader: StoreReader,
+        health: StoreHealth,
+        replicas: ReplicaDirectory,
     ) -> None:
         self._store = store
+        self._reader = reader
         self._health = health
         self._replicas = replicas
         self._retirements: dict[str, StoreObject] = {}
@@ -58,17 +69,17 @@
                 await take_version(change.object)
 
         versions = Watch(
-            self._store, self._health, names.VERSIONS_NAMED, take_versions, version_changed
+            self._reader, self._health, names.VERSIONS_NAMED, take_versions, version_changed
         )
         retirements = Watch(
-            self._store,
+            self._reader,
             self._health,
             names.RETIREMENTS,
             self._take_retirements,
             self._retirement_changed,
         )
         replicas = Watch(
-            self._store, self._health, names.REPLICAS, self.take_replicas, self._replica_changed
+            self._reader, self._health, names.REPLICAS, self.take_replicas, self._replica_changed
         )
         async with curio.TaskGroup() as group:
             await group.spawn(versions.run)
--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -6,6 +6,7 @@
 import curio
 
 from pondtiller.daemon import clock, logs
+from pondtiller.gateway.leader_store import LeaderStore
 from pondtiller.gateway.replicas import ReplicaDirectory
 from pondtiller.gateway.store_watch import StoreReader
 from pondtiller.hashing import score
@@ -68,6 +69,8 @@
         Who gave the last answer, by kind: a replica's name, or `store`.
     follows_mirrors
         Whether a mirror has told this gateway anything since one said that it does not mirror.
+    for_leader
+        The store as this gateway reads it while it leads.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         self._not_mirrored_seconds = FIRST_NOT_MIRRORED_SECONDS
         self._known: dict[str, int] = {}
         self._told_at: dict[str, float] = {}
+        self.for_leader = LeaderStore(store, self._ask_members, self._known, self._note_reader)
 
     async def list_all(self, kind: str) -> StoreListing:
         """Return all objects of a kind, never older than what was told before."""
@@ -135,6 +139,8 @@
         return found
 
     def _ask_store(self, kind: str) -> StoreReader:
+        if self._asks_store():
+            return self.for_leader
         self._note_reader(kind, "store")
         return self._store
 
@@ -167,6 +173,19 @@
                 return page
         return None
 
+    async def _ask_members(self, message: ReadMirror) -> MirrorPage | None:
+        """Return what a member of the group hears from the store; None where none can tell."""
+        wait = message.wait_milliseconds / 1000.0
+        names = {member.name for member in self._replicas.group.members}
+        members = [each for each in self._mirrors() if each.name in names]
+        for member in members[:MOST_MIRRORS]:
+            page = await self._ask(member, message, wait)
+            if page is not None and page.status != MirrorStatus.UNAVAILABLE:
+                self._note_reader(message.kind, member.name)
+                return page
+            self._refused_until[member.name] = clock.monotonic() + REFUSED_SECONDS
+        return None
+
     def _leave_mirrors(self) -> None:
         """Ask no mirror for a while, longer each time until one tells.
 
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -118,7 +118,16 @@
         runner = SampleRunner(self.gate, self.pool, forwarder, lambda: self.front.table)
         self.run_host = RunHost(runner, lambda: self.leadership.replicas.highest_epoch)
         self.leadership.replicas.subscription = self._subscription()
-        self._leader_watches = LeaderWatches(self.store, health, self.leadership.replicas)
+        self.mirrored_store = MirroredStore(
+            settings.name,
+            settings.zone,
+            self.store,
+            self.leadership.replicas,
+            lambda: self.leadership.log.is_leading,
+        )
+        self._leader_watches = LeaderWatches(
+            self.store, self.mirrored_store.for_leader, health, self.leadership.replicas
+        )
         self._leader_watches.follow_members(self._is_group_member)
         parts = DutyParts(
             leadership=self.leadership,
@@ -136,13 +145,6 @@
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
-        self.mirrored_store = MirroredStore(
-            settings.name,
-            settings.zone,
-            self.store,
-            self.leadership.replicas,
-            lambda: self.leadership.log.is_leading,
-        )
         self.watches = GatewayWatches(
             self.mirrored_store,
             health,
--- a/src/pondtiller/platform/mirror.py
+++ b/src/pondtiller/platform/mirror.py
@@ -108,6 +108,16 @@
     return page
 
 
+def listing_page(listing: StoreListing) -> MirrorPage:
+    """Return the page of a listing that the store itself gave."""
+    return _page(listing.at, [StoreChange(each, False) for each in listing.objects])
+
+
+def changes_page(changes: StoreChanges) -> MirrorPage:
+    """Return the page of changes that the store itself gave."""
+    return _page(changes.at, list(changes.changes))
+
+
 def read_listing(page: MirrorPage) -> StoreListing:
     """Return a page as a listing; raises `ValueError` where it is not sound."""
     return StoreListing(tuple(each.object for each in _changes(page)), page.at)
--- a/src/pondtiller/replica/mirror.py
+++ b/src/pondtiller/replica/mirror.py
@@ -15,8 +15,10 @@
 from pondtiller.daemon.supervise import keep_running
 from pondtiller.gateway.store_watch import StoreHealth, StoreReader, Watch
 from pondtiller.platform import names
-from pondtiller.platform.mirror import MirroredKind, MirrorStatus
+from pondtiller.platform.mirror import MirroredKind, MirrorStatus, changes_page, listing_page
 from pondtiller.platform.object_client import (
+    HistoryGoneError,
+    StoreCallError,
     StoreChange,
     StoreChanges,
     StoreListing,
@@ -69,6 +71,7 @@
         self.is_on = False
         self.answers = 0
         self.kinds = {names.CONFIGURATIONS: MirroredKind(), names.ENGINES: MirroredKind()}
+        self._store = store
         self._expected_followers = expected_followers
         self._health = StoreHealth()
         reader = MirroringReader(store, self.kinds)
@@ -128,6 +131,8 @@
     async def answer(self, message: ReadMirror) -> MirrorPage:
         """Return a listing, or the changes after a revision once there are any."""
         self.answers += 1
+        if message.passes_on:
+            return await self._pass_on(message)
         until = clock.monotonic() + message.wait_milliseconds / 1000.0
         event = curio.Event()
         self._waiting.add(event)
@@ -142,6 +147,19 @@
         finally:
             self._waiting.discard(event)
 
+    async def _pass_on(self, message: ReadMirror) -> MirrorPage:
+        """Ask the store for a leader that it turns away."""
+        wait = message.wait_milliseconds / 1000.0
+        try:
+            if not message.at:
+                return listing_page(await self._store.list_all(message.kind))
+            return changes_page(await self._store.watch(message.kind, message.at, wait))
+        except HistoryGoneError:
+            return MirrorPage(status=MirrorStatus.HISTORY_GONE)
+        except StoreCallError as error:
+            logs.decision("pass_on_failed", kind=message.kind, reason=str(error))
+            return MirrorPage(status=MirrorStatus.UNAVAILABLE)
+
     def _page(self, message: ReadMirror) -> MirrorPage:
         kind = self.kinds.get(message.kind)
         if not self.is_on:
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -445,6 +445,10 @@
     """
 
     wait_milliseconds: int = betterproto.uint32_field(3)
+    passes_on: bool = betterproto.bool_field(4)
+    """
+    Ask the store itself, whatever is mirrored: it turns the leader's machine away.
+    """
 
 
 @dataclass(eq=False, repr=False)
