Order engines and find runners while a new leader reads texts; read ended steps after

Texts shared the leader's links and processor with 1,430 values of ended steps, read as soon as it led. 78 of the first 177 samples ran at the leader itself, since no runner was known.

--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -139,6 +139,11 @@
         self.log.flush(clock.monotonic())
         await self._carry_out()
 
+    async def read_rest(self) -> None:
+        """Read the values that were not needed to lead, now that the duties have begun."""
+        self.log.holds_back = False
+        await self._wake.set()
+
     async def resign(self) -> None:
         """Give leadership back, and do not stand again."""
         self._has_resigned = True
@@ -241,6 +246,7 @@
         )
         await self.replicas.set_keeps_all(True)
         if self._duties is not None:
+            self.log.holds_back = True
             await self._duties.begin(won)
 
     async def _deposed(self, deposed: Deposed) -> None:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -119,6 +119,7 @@
         self._waiters: dict[str, set[Any]] = {}
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
+        self._has_texts = False
         self._scheduled: set[str] = set()
         self._is_over = False
         self.orders = OrderRights(
@@ -167,25 +168,14 @@
     async def _run(self) -> None:
         """Work until the term ends; begins again where a part of it fails."""
         await self._watch_group.cancel_all()
-        began = clock.monotonic()
-        await self._read_progress()
-        read_at = clock.monotonic()
-        self._table = self._parts.front.table
-        for record in self.book.steps.values():
-            self._schedule(record)
-        logs.decision(
-            "term_began",
-            epoch=self.epoch,
-            steps=len(self.book.steps),
-            samples=len(self.scheduler.work),
-            texts_seconds=read_at - began,
-            schedule_seconds=clock.monotonic() - read_at,
-        )
+        # Nothing here needs the texts, so engines are ordered and runners found meanwhile.
         self.orders.claim()
+        await self._leadership.flush()
         await self._watch_group.spawn(self._parts.watches.run, self.steward, self.wake)
         await self._watch_group.spawn(keep_running, "runners", self.runners.run)
         if self.usage is not None:
             await self._watch_group.spawn(keep_running, "usage", self.usage.run)
+        await self._watch_group.spawn(keep_running, "samples", self._restore_samples)
         next_progress = clock.monotonic()
         next_expiry = next_progress + EXPIRE_SECONDS
         due = next_progress + TICK_SECONDS
@@ -205,11 +195,31 @@
                 await self._expire()
             await curio.ignore_after(TICK_SECONDS, self.wake.wait)
 
+    async def _restore_samples(self) -> None:
+        """Go on with the samples of open steps where an earlier leader left them."""
+        began = clock.monotonic()
+        await self._read_progress()
+        read_at = clock.monotonic()
+        self._has_texts = True
+        self._table = self._parts.front.table
+        for record in self.book.steps.values():
+            self._schedule(record)
+        logs.decision(
+            "term_began",
+            epoch=self.epoch,
+            steps=len(self.book.steps),
+            samples=len(self.scheduler.work),
+            texts_seconds=read_at - began,
+            schedule_seconds=clock.monotonic() - read_at,
+        )
+        await self.wake.set()
+        await self._leadership.read_rest()
+
     async def _tick(self, now: float) -> None:
         if not self._leadership.log.holds_lease(now):
             return
         table = self._parts.front.table
-        if table is not None and table is not self._table:
+        if self._has_texts and table is not None and table is not self._table:
             self._table = table
             self.scheduler.refresh_routes(table.find_for)
             for record in self.book.steps.values():
--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_term_start.py
@@ -0,0 +1,43 @@
+"""The first second of a term: what does not need earlier texts does not wait for them."""
+
+from pathlib import Path
+
+import curio
+import pytest
+
+from pondtiller.gateway.term import Term
+from pondtiller.gateway.tests.system import System, run_system
+
+SLOW_SECONDS = 1.5
+
+
+def read_texts_slowly(monkeypatch: pytest.MonkeyPatch) -> None:
+    usual = Term._read_progress
+
+    async def slowly(term: Term) -> None:
+        await curio.sleep(SLOW_SECONDS)
+        await usual(term)
+
+    monkeypatch.setattr(Term, "_read_progress", slowly)
+
+
+def test_engines_are_ordered_and_runners_found_while_texts_are_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Trainers behind wait for the newest weights: these load while texts are on their way."""
+    read_texts_slowly(monkeypatch)
+
+    async def test(system: System) -> None:
+        system.store.put("versions", "m", {"model": "m", "version": 2})
+        leader = await system.until_led()
+        term = leader.duties.term
+        assert await system.submit("s1", oldest=2) == 202
+        await system.until(lambda: all(each.orders for each in system.llm), SLOW_SECONDS)
+        await system.until(lambda: len(term.runners.links) >= 1, SLOW_SECONDS)
+        assert not term.scheduler.work, "samples wait for the texts that were made of them"
+        for engine in system.llm:
+            system.store.put("servers", engine.identifier, engine.entry())
+        found = await system.read_all("s1", 4)
+        assert all(each["versions"] == [2] for each in found)
+
+    run_system(tmp_path, test, gateways=2)
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -65,6 +65,12 @@
         32-bit number of this process, for epochs.
     may_wait
         Returns which of some keys' values are not needed to lead: they are read afterwards.
+
+    Attributes
+    ----------
+    holds_back
+        Whether these are not read yet: what a new leader needs first is to have its links and
+        its processor. Ends with the leader's term.
     """
 
     def __init__(
@@ -79,6 +85,7 @@
         self.epoch = 0
         self.entries: dict[str, Entry] = {}
         self.deferred = DeferredValues()
+        self.holds_back = False
         self.group = Group()
         self.next_group: Group | None = None
         self.lost_disks: set[str] = set()
@@ -312,6 +319,7 @@
         self.phase = Phase.IDLE
         self.entries = {}
         self.deferred = DeferredValues()
+        self.holds_back = False
         self.group = Group()
         self.next_group = None
         self.admitted = set()
@@ -456,7 +464,7 @@
 
     def _read_deferred(self, now: float) -> None:
         """Ask a replica for a part of the values that were left for later."""
-        if not self.is_leading:
+        if not self.is_leading or self.holds_back:
             return
         synced = [link for link, follower in self.followers.items() if follower.is_synced]
         request = self.deferred.next_request(synced, now)
--- a/src/pondtiller/steplog/tests/test_cluster.py
+++ b/src/pondtiller/steplog/tests/test_cluster.py
@@ -3,8 +3,9 @@
 import pytest
 
 from pondtiller.steplog.deferred import DeferredValues
+from pondtiller.steplog.instructions import Won
 from pondtiller.steplog.leader import LeaderLog
-from pondtiller.steplog.tests.cluster import Cluster, ViolationError
+from pondtiller.steplog.tests.cluster import Cluster, Daemon, ViolationError
 from pondtiller.wire.steplog import Group
 
 SEEDS = range(24)
@@ -215,6 +216,28 @@
     assert not any(daemon.log.deferred.epochs for daemon in cluster.daemons)
 
 
+def test_values_that_wait_are_read_only_once_the_leader_says_so() -> None:
+    cluster = Cluster(3)
+    cluster.run(3.0)
+    usual = cluster._check_won
+
+    def hold_back(daemon: Daemon, won: Won) -> None:
+        daemon.log.holds_back = True
+        usual(daemon, won)
+
+    cluster._check_won = hold_back  # type: ignore[method-assign]
+    for name in cluster.nodes:
+        cluster.power_off(name, 0.5)
+    cluster.run(CALM_SECONDS)
+    leader = next(each.log for each in cluster.daemons if each.log.is_leading)
+    assert len(leader.deferred.epochs) > 5
+    assert cluster.loaded == 0
+    leader.holds_back = False
+    cluster.run(CALM_SECONDS)
+    assert not leader.deferred.epochs
+    assert cluster.loaded == cluster.deferred
+
+
 @pytest.mark.parametrize("may_lack", [False, True])
 def test_a_replica_that_lacks_values_that_wait_is_sent_them(
     may_lack: bool, monkeypatch: pytest.MonkeyPatch
