Begin long samples of steps that wait before short ones of older steps

Cause: after the closing loss of power 214 samples wait for 114 places. The oldest step's short samples went first, and the long ones of the youngest open step began 0.49 s to 0.69 s after the first sample (0.99 s at most); these take 6.3 s and decide when their step is whole.

Ruled out: long samples first whatever their step's age (the oldest of many steps would wait for all of them); a learned time for each token (nothing is learned in a term's first second).

--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -3,7 +3,8 @@
 Each sample goes from waiting to running to scoring to listed. A run that breaks is continued
 on another engine after its last whole event. The scheduler keeps all engines of a service
 busy, takes older steps first, and within a step the longest samples: the last of them decides
-when a step is whole, and one that is put off comes again in a later step.
+when a step is whole, and one that is put off comes again in a later step. Long samples of steps
+that are not much younger go first of all.
 """
 
 from collections.abc import Callable
@@ -43,6 +44,14 @@
 KEPT_SAMPLES = 4000
 QUEUE_MARGIN_SECONDS = 3.0
 PRIORITY_SECONDS = 0.2
+LONG_SIZE = 2.0
+"""Size of a sample, against its step's mean, from which on it decides when its step is whole."""
+LONG_HEAD_START_SECONDS = 3.0
+"""How much younger a step may be whose long samples go before the short ones of others. Answers
+the load after a pause, when several steps wait for fewer places than they have samples: a short
+sample that begins half a second later ends long before the long ones of its own step, whose runs
+take 3 s to 6 s more than the mean's (hjolsam-grown: 6.3 s against 0.9 s); a long one that
+begins later makes its step late by as much."""
 
 
 class SampleScheduler:
@@ -81,8 +90,9 @@
             work = SampleWork(record, route, sample, sample.expected_tokens)
             work.size = work.cost / mean if mean else 1.0
             work.text = self._adopt(record, route, sample)
+            head_start = LONG_HEAD_START_SECONDS if work.size >= LONG_SIZE else 0.0
             work.order = (
-                record.step.accepted_at + route.priority * PRIORITY_SECONDS,
+                record.step.accepted_at + route.priority * PRIORITY_SECONDS - head_start,
                 -work.cost,
             )
             self.work[key] = work
