Hold a page until its trainer can go on

A trainer pauses 0.5 s after each page, and a page was let go at its first result, so it paused while its last group became whole. Two steps share 8 s and the longest sample takes 6.3 s: that is most of what a trainer could win back.

--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -266,10 +266,10 @@
         return StepStatus.OK
 
     async def read(self, step: str, position: int, wait: float) -> ResultsPage:
-        """Return results from a position, held until there is one or the wait is over."""
+        """Return results from a position, held until the trainer can go on or the wait is over."""
         record = self.book.steps.get(step)
         if record is not None and wait > 0 and not record.is_end_written:
-            await self._until(step, lambda: record.visible > position, wait)
+            await self._until(step, lambda: record.is_worth_reading(position), wait)
         if self._is_over:
             return ResultsPage(status=StepStatus.UNAVAILABLE)
         return self.book.read(step, position)
--- a/src/pondtiller/rollouts/steps.py
+++ b/src/pondtiller/rollouts/steps.py
@@ -131,6 +131,12 @@
         Positions whose results are written.
     visible
         Positions that readers may see, from 0.
+    names
+        Samples by position, where the step is open.
+    whole_groups
+        Groups of which readers see all.
+    enough_until
+        Positions up to the one with which as many groups were whole as the trainer wants.
     """
 
     encoded: bytes | None
@@ -143,6 +149,9 @@
     listed: set[str] = field(default_factory=set)
     next_position: int = 0
     unread: set[int] = field(default_factory=set)
+    names: dict[int, str] = field(default_factory=dict)
+    whole_groups: int = 0
+    enough_until: int = 0
 
     @property
     def is_read(self) -> bool:
@@ -184,10 +193,47 @@
             self.next_position += 1
         return self.next_position
 
+    @cached_property
+    def _open_samples(self) -> dict[str, set[str]]:
+        """The samples of each group that readers do not see yet."""
+        found: dict[str, set[str]] = {}
+        for head in self.samples:
+            found.setdefault(head.group, set()).add(head.id)
+        return found
+
+    @cached_property
+    def _group_of(self) -> dict[str, str]:
+        return {head.id: head.group for head in self.samples}
+
     def advance(self) -> None:
         """Show readers what is written without a gap."""
         while self.visible in self.written:
+            name = self.names.pop(self.visible, "")
             self.visible += 1
+            if name:
+                self._note_visible(name)
+
+    def _note_visible(self, name: str) -> None:
+        group = self._group_of.get(name)
+        if group is None:
+            return
+        left = self._open_samples[group]
+        left.discard(name)
+        if left:
+            return
+        self.whole_groups += 1
+        if self.whole_groups == self.step.desired_groups:
+            self.enough_until = self.visible
+
+    def is_worth_reading(self, position: int) -> bool:
+        """Return whether a held page is to be let go.
+
+        A trainer goes on once enough groups are whole, and pauses after each page. A page with a
+        part of them would have it pause while the last one becomes whole.
+        """
+        if self.is_end_written or self.is_complete:
+            return True
+        return self.enough_until > position
 
 
 class StepBook:
@@ -268,7 +314,9 @@
             return True
         record.results[int(position)] = entry.value
         if not record.is_ended:
-            record.listed.add(SampleResult().parse(entry.value).id)
+            name = SampleResult().parse(entry.value).id
+            record.listed.add(name)
+            record.names[int(position)] = name
         record.written.add(int(position))
         record.advance()
         return True
@@ -302,6 +350,7 @@
         position = record.claim_position()
         record.results[position] = bytes(result)
         record.listed.add(result.id)
+        record.names[position] = result.id
         self._writes.append(Write(result_key(step, position), record.results[position]))
         return True
 
