Keep longer texts of a leader that was cut off though a successor is promised

Ruled out: texts that did not leave the old leader (it waits for that, 0.1 s at most).

A replica keeps a whole text of an older epoch where it is longer than its own. Texts are no part of what the log promises: a lost or older one costs time. What a step allows is checked as before.

--- a/src/pondtiller/replica/server.py
+++ b/src/pondtiller/replica/server.py
@@ -215,14 +215,20 @@
         return found
 
     def _save_progress(self, message: SaveProgress) -> None:
-        """Keep unfinished texts; a disk that takes no more keeps the earlier ones only."""
+        """Keep unfinished texts; a disk that takes no more keeps the earlier ones only.
+
+        Of a leader that another one has followed, only what is longer is worth keeping.
+        """
+        samples = message.samples
         if message.epoch < self._replica.promised:
+            samples = self._texts.longer(samples)
+        if not samples:
             return
-        self._texts.save(message.samples)
+        self._texts.save(samples)
         try:
-            self._file.write([DiskRecord(texts=message.samples)])
+            self._file.write([DiskRecord(texts=samples)])
         except OSError as error:
-            logs.decision("texts_refused", texts=len(message.samples), reason=str(error))
+            logs.decision("texts_refused", texts=len(samples), reason=str(error))
 
     async def _tell(self, only_changes: bool) -> None:
         now = clock.monotonic()
--- a/src/pondtiller/steplog/kept_texts.py
+++ b/src/pondtiller/steplog/kept_texts.py
@@ -33,6 +33,22 @@
         while len(self.by_sample) > MOST_TEXTS:
             del self.by_sample[next(iter(self.by_sample))]
 
+    def longer(self, parts: Iterable[SampleProgress]) -> list[SampleProgress]:
+        """Return the whole texts among some that are longer than those kept.
+
+        A leader that was cut off hands its texts over when its lease ends, and the next one may
+        be promised its epoch while they are on their way.
+        """
+        return [
+            each
+            for each in parts
+            if not each.after_event and self._length(each.id) < each.last_event
+        ]
+
+    def _length(self, sample: str) -> int:
+        kept = self.by_sample.get(sample)
+        return kept.last_event if kept is not None else 0
+
     def find(self, samples: Iterable[str]) -> list[SampleProgress]:
         """Return the texts of those samples that have one."""
         return [self.by_sample[each] for each in samples if each in self.by_sample]
