A sample does not go back for 4 s to an engine that its run left

Ruled out: a longer pause of the engine for all, which keeps sound ones idle after one broken answer. Where there is no other engine it goes back as before. Tests: three, the first two fail without it.

--- a/src/pondtiller/rollouts/placement.py
+++ b/src/pondtiller/rollouts/placement.py
@@ -153,7 +153,27 @@
         if not candidates.compared:
             return None
         compared = [*candidates.compared.values(), *self._of_group(work, view, candidates)]
-        return min(compared, key=lambda each: self._cost(each, work, view.pace))
+        return min(
+            self._new_to(work, compared, view, now),
+            key=lambda each: self._cost(each, work, view.pace),
+            default=None,
+        )
+
+    def _new_to(
+        self, work: SampleWork, engines: list[Engine], view: ServiceView, now: float
+    ) -> list[Engine]:
+        """Return the engines that a sample's runs have not left just now.
+
+        None where others could take it that have no room yet: one of them will, sooner than an
+        engine that is gone. All where there are no others.
+        """
+        if not work.left:
+            return engines
+        new = [each for each in engines if not work.has_left(each.identifier, now)]
+        others = (each for each in view.usable if not work.has_left(each.identifier, now))
+        if new or any(self.suits(each, work) for each in others):
+            return new
+        return engines
 
     def _candidates(self, view: ServiceView, work: SampleWork) -> Candidates:
         need = _need(work.service, work)
@@ -223,6 +243,7 @@
             if (
                 taken < other.entry.slots - 1
                 and other.identifier != work.engine
+                and not work.has_left(other.identifier, now)
                 and self.suits(other, work)
             ):
                 view.reserved[other.identifier] += 1
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -9,6 +9,11 @@
 from pondtiller.routes.tenants import owned_name
 from pondtiller.wire.steplog import SampleResult
 
+BACK_SECONDS = 4.0
+"""How long a sample does not go back to an engine that its run left. An engine without power stands
+in the list for three heartbeats (3.6 s), longer than its pause after a failure: a long sample went
+back to one four times, and its step was late by that."""
+
 
 class Stage(Enum):
     """How far a sample is."""
@@ -161,6 +166,8 @@
         Answers that say that the run failed.
     score_failures
         The same of the scorer.
+    left
+        When a run of it broke off at an engine, or left it, by the engine's identifier.
     """
 
     step: StepRecord
@@ -181,6 +188,7 @@
     attempts_failed: int = 0
     score_failures: int = 0
     is_routed: bool = True
+    left: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         step = self.step.step
@@ -192,6 +200,10 @@
         self.oldest_version: int = step.oldest_version
         self.accepted_at: float = step.accepted_at
 
+    def has_left(self, engine: str, now: float) -> bool:
+        """Return whether it is not to go back to an engine yet."""
+        return now < self.left.get(engine, float("-inf")) + BACK_SECONDS
+
     @property
     def service(self) -> str:
         """Service whose engines run it."""
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -193,6 +193,8 @@
             self._score(work)
             return work
         work.stage = Stage.WAITING
+        if end is RunEnd.BROKEN:
+            work.left[work.engine] = now
         if end is RunEnd.FAILED:
             work.attempts_failed += 1
         if end is RunEnd.IMPOSSIBLE or work.attempts_failed >= work.route.attempts:
@@ -294,6 +296,7 @@
             reason = self._why_move(work, now) if work.moves < MOST_MOVES else None
             if reason is not None:
                 work.moves += 1
+                work.left[work.engine] = now
                 self._stop_run(work, reason)
                 work.stage = Stage.WAITING
 
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -417,3 +417,42 @@
     assert not [each for each in done if isinstance(each, CancelRun)]
     assert not [each for each in done if isinstance(each, StartRun) and each.engine == "e0"]
     assert len(bench.scheduler.runs) == len(runs) - 1
+
+
+def break_off(bench: Bench, run: StartRun, now: float) -> None:
+    bench.scheduler.run_ended(run.run, RunEnd.BROKEN, now)
+
+
+def test_a_sample_does_not_go_back_to_an_engine_where_its_run_broke_off() -> None:
+    bench = Bench(engines=3)
+    bench.open(groups=1, size=1)
+    (run,) = starts(bench.tick(0.0))
+    seen = {run.engine}
+    for now in (0.7, 1.4):
+        break_off(bench, run, now - 0.1)
+        (run,) = starts(bench.tick(now))
+        assert run.engine not in seen
+        seen.add(run.engine)
+
+
+def test_it_waits_for_another_engine_rather_than_go_back_to_one_that_may_be_gone() -> None:
+    bench = Bench(engines=2)
+    bench.open(groups=2, size=2)
+    runs = starts(bench.tick(0.0))
+    broken = next(each for each in runs if each.engine == "e0")
+    break_off(bench, broken, 0.1)
+    bench.scheduler.note_stall(1.0)
+    assert starts(bench.tick(1.0)) == []
+    ended = next(each for each in runs if each.engine == "e1")
+    bench.scheduler.run_ended(ended.run, RunEnd.WHOLE, 1.1)
+    (again,) = starts(bench.tick(1.2))
+    assert again.engine == "e1"
+
+
+def test_it_goes_back_where_there_is_no_other_engine_and_after_a_while() -> None:
+    bench = Bench(engines=1)
+    bench.open(groups=1, size=1)
+    (run,) = starts(bench.tick(0.0))
+    break_off(bench, run, 0.1)
+    (again,) = starts(bench.tick(1.0))
+    assert again.engine == "e0"
