All watches of a process ask anew once one is told that history is gone; a leader mirrors configurations

A call sent 19 ms after the store had reset its watches, and before it dropped its history, heard nothing for its whole wait, up to 6 s. Another watch of the same process was told 410 at once. Now that wakes the others. A leader asks the store itself for engines only, and what is passed on to it waits 0.8 s, then 0 s: every chain stays below 3 s. Ruled out: mirrors passing over a change (logged calls: empty answers do not move on), stale reads.

--- a/src/pondtiller/gateway/leader_store.py
+++ b/src/pondtiller/gateway/leader_store.py
@@ -29,8 +29,10 @@
 """How long the first call after a refusal waits for changes: until it is answered nothing else is
 heard of its kind."""
 
-LONGEST_PASSED_WAIT_SECONDS = 1.5
-"""How long a call that is passed on waits: a replica that falls silent is left after it."""
+LONGEST_PASSED_WAIT_SECONDS = 0.8
+"""How long a call that is passed on waits: a replica that falls silent is left after it and 0.6 s,
+and the next one tells what there is: 2 s in all, as long as an engine that leaves may go on
+getting work at the least."""
 
 AskReplicas = Callable[[ReadMirror], Awaitable[MirrorPage | None]]
 
--- a/src/pondtiller/gateway/mirrored_store.py
+++ b/src/pondtiller/gateway/mirrored_store.py
@@ -11,6 +11,7 @@
 from pondtiller.gateway.store_watch import StoreReader
 from pondtiller.hashing import score
 from pondtiller.links.link import Link, LinkLostError
+from pondtiller.platform import names
 from pondtiller.platform.mirror import MirrorStatus, read_changes, read_listing
 from pondtiller.platform.object_client import (
     HistoryGoneError,
@@ -45,6 +46,10 @@
 """From a change of the store until a gateway knows it, at most, while mirrors fall silent: the
 first is silent through the whole wait, the others are asked for what they have now."""
 
+LEADER_KINDS = frozenset({names.ENGINES})
+"""What a leader asks the store itself for: it places samples by the engines' loads. All else it
+hears of as other gateways do, within the same sum of waits."""
+
 Found = TypeVar("Found", StoreListing, StoreChanges)
 
 
@@ -62,7 +67,7 @@
     Parameters
     ----------
     asks_store
-        Returns whether to ask the store itself: a leader needs each change at once.
+        Returns whether this daemon leads: it then asks the store itself for `LEADER_KINDS`.
     places
         Zones with their regions.
 
@@ -116,7 +121,7 @@
             await curio.sleep(RETRY_SECONDS)
             page = await self._ask_mirrors(message, wait)
         if page is None:
-            if self._may_ask_mirrors() and self._knows_mirrors():
+            if self._may_ask_mirrors(kind) and self._knows_mirrors():
                 # The mirrors may tell again soon; a long call to the store may hang for its wait.
                 wait_seconds = wait
             return self._told(kind, await self._ask_store(kind).watch(kind, at, wait_seconds))
@@ -124,9 +129,13 @@
             raise HistoryGoneError
         return self._told(kind, read_changes(page))
 
-    def _may_ask_mirrors(self) -> bool:
+    def _may_ask_mirrors(self, kind: str) -> bool:
         """Return whether replicas may mirror the store, as far as it is known."""
-        return not self._asks_store() and clock.monotonic() >= self._not_before
+        return not self._asks_itself(kind) and clock.monotonic() >= self._not_before
+
+    def _asks_itself(self, kind: str) -> bool:
+        """Return whether this daemon leads and needs each change of a kind at once."""
+        return kind in LEADER_KINDS and self._asks_store()
 
     def _knows_mirrors(self) -> bool:
         """Return whether there is a link to any replica, whether or not it could tell lately."""
@@ -134,7 +143,7 @@
 
     def _may_wait(self, kind: str) -> bool:
         """Return whether what is known is new enough to wait for a mirror."""
-        if not self._may_ask_mirrors():
+        if not self._may_ask_mirrors(kind):
             return False
         return clock.monotonic() < self._told_at.get(kind, float("-inf")) + TOLD_SECONDS
 
@@ -144,7 +153,7 @@
         return found
 
     def _ask_store(self, kind: str) -> StoreReader:
-        if self._asks_store():
+        if self._asks_itself(kind):
             return self.for_leader
         self._note_reader(kind, "store")
         return self._store
@@ -157,7 +166,7 @@
 
     async def _ask_mirrors(self, message: ReadMirror, wait: float) -> MirrorPage | None:
         """Return the answer of the first mirror that can tell; None where none can."""
-        if not self._may_ask_mirrors():
+        if not self._may_ask_mirrors(message.kind):
             return None
         for mirror in self._mirrors()[:MOST_MIRRORS]:
             page = await self._ask(mirror, message, wait)
@@ -181,14 +190,16 @@
     async def _ask_members(self, message: ReadMirror) -> MirrorPage | None:
         """Return what a member of the group hears from the store; None where none can tell."""
         wait = message.wait_milliseconds / 1000.0
-        names = {member.name for member in self._replicas.group.members}
-        members = [each for each in self._mirrors() if each.name in names]
+        in_group = {member.name for member in self._replicas.group.members}
+        members = [each for each in self._mirrors() if each.name in in_group]
         for member in members[:MOST_MIRRORS]:
             page = await self._ask(member, message, wait)
             if page is not None and page.status != MirrorStatus.UNAVAILABLE:
                 self._note_reader(message.kind, member.name)
                 return page
             self._refused_until[member.name] = clock.monotonic() + REFUSED_SECONDS
+            # It may have been silent through the whole wait: what came meanwhile is late.
+            message, wait = _without_wait(message), 0.0
         return None
 
     def _leave_mirrors(self) -> None:
@@ -229,4 +240,4 @@
 
 def _without_wait(message: ReadMirror) -> ReadMirror:
     """Return the same question for what there is now."""
-    return ReadMirror(kind=message.kind, at=message.at)
+    return ReadMirror(kind=message.kind, at=message.at, passes_on=message.passes_on)
--- a/src/pondtiller/gateway/store_watch.py
+++ b/src/pondtiller/gateway/store_watch.py
@@ -62,11 +62,22 @@
             return
         self._is_lost = False
         logs.decision("store_regained", kind=kind, at=at)
+        await self._wake_all()
+
+    async def history_gone(self) -> None:
+        """Take that the store, or a mirror, has forgotten a history that was asked for.
+
+        A call that reached the store in the moment of forgetting is not told: it hears nothing
+        for its whole wait, 6 s at the longest. So all waiting watches ask anew.
+        """
+        await self._wake_all()
+
+    async def _wake_all(self) -> None:
         for event in list(self._regained):
             await event.set()
 
     async def wait_regained(self) -> None:
-        """Return when the store answers again after a failure."""
+        """Return when the store answers again after a failure, or has forgotten its history."""
         event = curio.Event()
         self._regained.add(event)
         try:
@@ -130,6 +141,7 @@
                 await self._follow()
             except HistoryGoneError:
                 logs.decision("history_gone", kind=self._kind)
+                await self._health.history_gone()
             except StoreCallError as error:
                 await self._pause(error)
 
--- a/src/pondtiller/gateway/tests/test_watches.py
+++ b/src/pondtiller/gateway/tests/test_watches.py
@@ -101,6 +101,26 @@
     assert store.asked[:2] == [100, 100]
 
 
+def test_a_watch_that_hangs_asks_anew_when_another_is_told_that_history_is_gone() -> None:
+    """Incident 18: a call sent as the store forgot its history heard nothing for 6 s."""
+
+    async def main() -> list[int]:
+        health = StoreHealth()
+        hanging, other = ScriptedStore(["hang", "a"]), ScriptedStore(["", HistoryGoneError()])
+        recorder = Recorder()
+        tasks = []
+        for store in (hanging, other):
+            watch = Watch(store, health, "kind", recorder.replace, recorder.change)
+            tasks.append(await curio.spawn(watch.run))
+        await curio.sleep(0.3)
+        for task in tasks:
+            await task.cancel()
+        assert "a" in recorder.told
+        return hanging.asked
+
+    assert curio.run(main)[:2] == [100, 100]
+
+
 def test_a_store_that_refuses_at_once_is_not_asked_without_a_pause() -> None:
     """Incident 3: a daemon spent its processor on a store that reset each connection."""
     store, _ = play([StoreCallError("reset")] * 1000)
