A first group of fewer replicas than wanted, once no more come; a test that kept a link shut

Traced: it let through once what waited, and left the link shut; a message that keeps runs, sent after that, waited for ever and counted as unsent. The link now opens as it was; the assertions are the same.

--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_first_group.py
@@ -0,0 +1,58 @@
+"""The first group where there are fewer replicas than the settings' losses need."""
+
+from typing import Any
+
+import curio
+import pytest
+
+from pondtiller.daemon import clock
+from pondtiller.gateway.first_group import FEW_SECONDS, StoredFirstGroup
+from pondtiller.platform.object_client import PutOutcome, StoreObject
+from pondtiller.steplog.fault_tolerance import PlaceRules, Tolerance
+from pondtiller.wire.steplog import Group, GroupMember
+
+RULES = PlaceRules(Tolerance(machines=2, zones=1))
+WANTED = 5
+
+
+class OneObjectStore:
+    """A store that holds the group's object once it is made."""
+
+    def __init__(self) -> None:
+        self.spec: Any = None
+
+    async def read(self, _kind: str, name: str) -> StoreObject | None:
+        return StoreObject(name, 1, self.spec) if self.spec is not None else None
+
+    async def create(self, _kind: str, _name: str, spec: Any) -> PutOutcome:
+        self.spec = spec
+        return PutOutcome.DONE
+
+
+def candidates(count: int) -> tuple[GroupMember, ...]:
+    return tuple(
+        GroupMember(name=f"r{n}", disk=f"d{n}", zone=f"z{n}", host="h", port=n + 1)
+        for n in range(count)
+    )
+
+
+def play(counts: list[tuple[float, int]], monkeypatch: pytest.MonkeyPatch) -> list[int]:
+    """Ask at times, with so many replicas there; return the members of the group each time."""
+    source = StoredFirstGroup(OneObjectStore(), WANTED, RULES)  # type: ignore[arg-type]
+    found: list[int] = []
+    for now, count in counts:
+        monkeypatch.setattr(clock, "monotonic", lambda now=now: now)
+        group: Group | None = curio.run(source.first_group, candidates(count))
+        found.append(len(group.members) if group is not None else 0)
+    return found
+
+
+def test_too_few_replicas_form_a_group_once_no_more_come(monkeypatch: pytest.MonkeyPatch) -> None:
+    later = 10.0 + FEW_SECONDS
+    assert play([(10.0, 3), (11.0, 4), (later, 4)], monkeypatch) == [0, 0, 0]
+    assert play([(10.0, 4), (later - 0.1, 4), (later, 4)], monkeypatch) == [0, 0, 4]
+
+
+def test_enough_replicas_form_it_at_once_and_two_never_do(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert play([(10.0, 6)], monkeypatch) == [WANTED]
+    assert play([(10.0, 2), (60.0, 2)], monkeypatch) == [0, 0]
--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -15,6 +15,7 @@
 from pondtiller.gateway.run_links import RUNNER_SILENT_SECONDS, RunnerLink
 from pondtiller.gateway.sample_runner import EventSink, RunOrder, RunOutcome
 from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.links.link import Link
 from pondtiller.rollouts.run_news import read_ends, read_events
 from pondtiller.rollouts.runner_choice import Daemon
 from pondtiller.rollouts.sample_work import RunEnd
@@ -136,7 +137,7 @@
         for link in bearers:
             push, link._push = link._push, lambda: None
             if takes:
-                await curio.spawn(_push_later, push, daemon=True)
+                await curio.spawn(_take_later, link, push, daemon=True)
         began = terms.clock.monotonic()
         await term.hand_over_texts()
         assert terms.clock.monotonic() - began < terms.HAND_OVER_SECONDS + 0.2
@@ -145,8 +146,10 @@
     run_system(tmp_path, test, gateways=3)
 
 
-async def _push_later(push: Callable[[], None]) -> None:
+async def _take_later(link: Link, push: Callable[[], None]) -> None:
+    """Have a link take what waits, and what comes then, as it did before."""
     await curio.sleep(0.04)
+    link._push = push  # type: ignore[method-assign]
     push()
 
 
