--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -4,7 +4,8 @@
 on another engine after its last whole event. The scheduler keeps all engines of a service
 busy, takes older steps first, and within a step the longest samples: the last of them decides
 when a step is whole, and one that is put off comes again in a later step. Long samples of steps
-that are not much younger go first of all.
+that are not much younger go first of all. Where not all groups can be whole in time, groups take
+turns instead (`shedding.py`).
 """
 
 from collections.abc import Callable
