Take a connection and ask the gate in one place; drop a reason that nothing gives

Cause: callers' whole requests, streams and samples each opened a connection, asked the gate, gave the unused connection back and told that the request was held: three copies of one rule, of which the next sender would have made a fourth. EnginePool.take_to_send does it for all; who sends says what a held request means to it. Held.AWAY was never given and goes. Ruled out: asking the gate in take itself, which tests and trials of connections use without a request. Behaviour is the same: tests of evacuations, distances, cold engines, rates, homes, tenants, runs elsewhere, the small system and routes passed, unchanged.

--- a/src/pondtiller/gateway/engine_pool.py
+++ b/src/pondtiller/gateway/engine_pool.py
@@ -17,6 +17,7 @@
 from pondtiller.httpio.sockets import tune
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import Headers
+from pondtiller.routes.send_gate import Held, SendGate
 
 CONNECT_SECONDS = 0.5
 IDLE_SECONDS = 20.0
@@ -105,6 +106,14 @@
     """An engine, or all that lies on the way to it, did not answer within the time to connect."""
 
 
+class HeldBackError(NotSentError):
+    """A request must not leave for an engine now; the engine did not fail."""
+
+    def __init__(self, reason: Held) -> None:
+        super().__init__(f"held({reason.value})")
+        self.reason = reason
+
+
 class EnginePool:
     """Kept connections by engine.
 
@@ -142,6 +151,19 @@
         self.opened += 1
         return EngineConnection(engine, address, stream)
 
+    async def take_to_send(self, engine: str, address: Address, gate: SendGate) -> EngineConnection:
+        """Return a connection on which a request is to leave at once.
+
+        The gate is asked once the connection is open, since that may have taken a while. Raises
+        `HeldBackError`, `NotSentError`.
+        """
+        connection = await self.take(engine, address)
+        held = gate.check(engine, clock.monotonic())
+        if held is None:
+            return connection
+        await self.give_back_unused(connection)
+        raise HeldBackError(held)
+
     async def give_back(self, connection: EngineConnection) -> None:
         """Keep a connection whose answer was read whole, where it may be used again."""
         kept = self._kept.setdefault(connection.engine, [])
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -14,6 +14,7 @@
     AnswerHead,
     EngineConnection,
     EnginePool,
+    HeldBackError,
     SilentEngineError,
 )
 from pondtiller.gateway.metrics import GatewayMetrics
@@ -144,14 +145,6 @@
         return Ran.UNKNOWN if self.sent else Ran.NO
 
 
-class HeldBackError(NotSentError):
-    """A request must not leave for an engine now."""
-
-    def __init__(self, reason: Held) -> None:
-        super().__init__(f"held({reason.value})")
-        self.reason = reason
-
-
 class Forwarder:
     """Sends requests to engines on behalf of callers and of the leader's scorers.
 
@@ -374,12 +367,9 @@
         try:
             await self.prepare(engine, request)
             began = clock.monotonic()
-            connection = await self._pool.take(engine.identifier, engine.entry.address)
-            held = self._gate.check(engine.identifier, clock.monotonic())
-            if held is not None:
-                await self._pool.give_back_unused(connection)
-                connection = None
-                raise HeldBackError(held)
+            connection = await self._pool.take_to_send(
+                engine.identifier, engine.entry.address, self._gate
+            )
             tries.sent += 1
             request.beginning.sent(clock.monotonic())
             is_silent = True
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -9,7 +9,7 @@
 from pondtiller.daemon import clock
 from pondtiller.errors import Failure
 from pondtiller.gateway.cold_sends import ColdSends
-from pondtiller.gateway.engine_pool import EngineConnection, EnginePool
+from pondtiller.gateway.engine_pool import EngineConnection, EnginePool, HeldBackError
 from pondtiller.gateway.forward import ForwardedRequest, Forwarder
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
@@ -124,17 +124,14 @@
         connection: EngineConnection | None = None
         await self._prepare(order)
         try:
-            connection = await self._pool.take(order.engine, order.address)
-            held = self._gate.check(order.engine, clock.monotonic())
-            if held is not None:
-                await self._pool.give_back_unused(connection)
-                connection = None
-                return RunOutcome(RunEnd.REFUSED, held.value)
+            connection = await self._pool.take_to_send(order.engine, order.address, self._gate)
             outcome = await self._stream(order, connection, take)
             if outcome.end is not RunEnd.STALE:
                 await self._pool.give_back(connection)
                 connection = None
             return outcome
+        except HeldBackError as error:
+            return RunOutcome(RunEnd.REFUSED, error.reason.value)
         except NotSentError as error:
             return RunOutcome(RunEnd.BROKEN, f"unreachable({error})")
         except BrokenError as error:
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -4,7 +4,12 @@
 
 from pondtiller.daemon import clock, logs
 from pondtiller.errors import ErrorKind, Failure
-from pondtiller.gateway.engine_pool import AnswerHead, EngineConnection, EnginePool
+from pondtiller.gateway.engine_pool import (
+    AnswerHead,
+    EngineConnection,
+    EnginePool,
+    HeldBackError,
+)
 from pondtiller.gateway.forward import ForwardedRequest, Forwarder, Tries
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
@@ -84,14 +89,13 @@
         connection: EngineConnection | None = None
         try:
             await self._forwarder.prepare(engine, request)
-            connection = await self._pool.take(engine.identifier, engine.entry.address)
-            held = self._gate.check(engine.identifier, clock.monotonic())
-            if held is not None:
-                tries.hold_back(engine, held)
-                await self._pool.give_back_unused(connection)
-                connection = None
-                return RETRY
+            connection = await self._pool.take_to_send(
+                engine.identifier, engine.entry.address, self._gate
+            )
             return await self._pass_on(exchange, request, route, engine, connection, state)
+        except HeldBackError as error:
+            tries.hold_back(engine, error.reason)
+            return RETRY
         except NotSentError as error:
             self._forwarder.note_unreachable(engine, error)
             engine.note_failure(clock.monotonic())
--- a/src/pondtiller/routes/send_gate.py
+++ b/src/pondtiller/routes/send_gate.py
@@ -18,7 +18,6 @@
     LEAVING = "leaving"
     EVACUATED = "evacuated"
     COLD = "cold"
-    AWAY = "away"
 
 
 Rule = Callable[[Engine, float], Held | None]
