A test of texts that leave: the link opens at the next turn of the loop, not after a time

Cause: test_a_leader_waits_for_its_texts_to_leave_but_not_for_long[True] failed once more, beside two other runs of tests. The link was opened by a timer of 40 ms, and the leader waits 100 ms: a process that stands still for longer than the rest reaches the end of the wait first. Shown by a run with a pause of 0.15 s put in: failed before, passes now; without the leader's wait the test still fails. Assertions unchanged.

--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -147,8 +147,13 @@
 
 
 async def _take_later(link: Link, push: Callable[[], None]) -> None:
-    """Have a link take what waits, and what comes then, as it did before."""
-    await curio.sleep(0.04)
+    """Have a link take what waits once something does, and what comes then, as it did before.
+
+    It does so at the next turn of the loop, not after a time: a process that stands still for a
+    moment would otherwise reach the end of the leader's wait first.
+    """
+    while not link.has_unsent:
+        await curio.sleep(0)
     link._push = push  # type: ignore[method-assign]
     push()
 
