The stand-in store ends waiting watches when it is down

The stand-in looked at `is_down` only when a call came; a watch that already waited (up to 2.5 s) still told what changed. The test passed only where its six requests were done within one 20 ms look of the stand-in; on a busy machine they were not.

Ruled out: the gateway. It took a true answer of the store; a real store that is down gives none.

The assertions are as they were, and the pause makes the test stricter: each look of a waiting watch falls into it.

--- a/src/pondtiller/gateway/tests/test_evacuations.py
+++ b/src/pondtiller/gateway/tests/test_evacuations.py
@@ -294,6 +294,7 @@
         system.store.is_down = True
         await curio.sleep(0.3)
         system.store.remove("evacuations", "z")
+        await curio.sleep(0.3)
         assert await ask(system) == [200] * 6
         assert seen(system.app[0]) == 0
         system.store.is_down = False
--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -103,6 +103,9 @@
         at = int(exchange.request.query["watch"])
         steps = int(exchange.request.query["wait_ms"]) // 20
         for _ in range(max(1, steps)):
+            if self.is_down:
+                await exchange.respond(HttpResponse(503))
+                return
             if at < self.oldest:
                 await exchange.respond(HttpResponse(410))
                 return
