Tests of the scheduler share one route, engine entries and bench

Cause: test_samples and test_catching_up had the same route to the letter, and five test files of rollouts each built engine entries of their own; test_progress and test_placement imported from another test file. They stand once in rollouts/tests/scheduling.py; values, loads and assertions are as they were. Entries in test_catching_up had ports of their own, which nothing there reads.

--- a/src/pondtiller/rollouts/tests/test_catching_up.py
+++ b/src/pondtiller/rollouts/tests/test_catching_up.py
@@ -2,13 +2,12 @@
 
 import pytest
 
-from pondtiller.core.entities import Address
 from pondtiller.rollouts import samples
 from pondtiller.rollouts.sample_work import RunEnd, StartRun
 from pondtiller.rollouts.samples import SampleScheduler
 from pondtiller.rollouts.steps import StepBook, add_sample
-from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
-from pondtiller.routes.table import RequestKind, RouteRow, ServiceShare
+from pondtiller.rollouts.tests.scheduling import ROUTE, entry
+from pondtiller.routes.engines import EngineDirectory
 from pondtiller.wire.steplog import Sample, Step
 
 ENGINES = 4
@@ -19,34 +18,14 @@
 SHORT_TOKENS = 40.0
 LONG_TOKENS = 400.0
 TICK_SECONDS = 0.1
-ROUTE = RouteRow(
-    name="r",
-    host="h",
-    path_prefix="/p/",
-    kind=RequestKind.STEP,
-    shares=(ServiceShare("llm", 1.0),),
-    attempts=3,
-    queue_seconds=40.0,
-)
 
 
 class Pause:
     """Three trainers whose steps wait when a leader is there again; engines run at one pace."""
 
     def __init__(self) -> None:
-        entries = [
-            EngineEntry(
-                f"e{number}",
-                "llm",
-                Address("10.0.0.1", number),
-                "z",
-                SLOTS,
-                EngineState.READY,
-                {"m": VERSION},
-            )
-            for number in range(ENGINES)
-        ]
         self.directory = EngineDirectory()
+        entries = [entry(f"e{number}", VERSION, SLOTS) for number in range(ENGINES)]
         self.directory.replace(entries, 0.0)
         self.scheduler = SampleScheduler(self.directory, lambda _engine, _model: False)
         self.whole_at: dict[str, float] = {}
--- a/src/pondtiller/rollouts/tests/test_placement.py
+++ b/src/pondtiller/rollouts/tests/test_placement.py
@@ -1,10 +1,9 @@
 """Where a sample runs, by the distance of engines from the leader."""
 
-from pondtiller.core.entities import Address
 from pondtiller.rollouts.samples import SampleScheduler
 from pondtiller.rollouts.steps import StepBook, add_sample
-from pondtiller.rollouts.tests.test_samples import ROUTE
-from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
+from pondtiller.rollouts.tests.scheduling import ROUTE, entry
+from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.places import Places
 from pondtiller.wire.steplog import Sample, Step
 
@@ -14,12 +13,7 @@
 def shares(samples: int, places: Places = PLACES) -> dict[str, int]:
     """Return how many samples run on each of three engines of eight places; a leader in s1."""
     directory = EngineDirectory(places)
-    at = Address("10.0.0.1", 1)
-    entries = [
-        EngineEntry(zone, "llm", at, zone, 8, EngineState.READY, {"m": 1})
-        for zone in ("n1", "s1", "s2")
-    ]
-    directory.replace(entries, 0.0)
+    directory.replace([entry(zone, slots=8, zone=zone) for zone in ("n1", "s1", "s2")], 0.0)
     scheduler = SampleScheduler(directory, lambda _engine, _model: False, "s1")
     step = Step(id="step", model="m", oldest_version=1, accepted_at=0.0)
     for number in range(samples):
--- a/src/pondtiller/rollouts/tests/test_progress.py
+++ b/src/pondtiller/rollouts/tests/test_progress.py
@@ -1,7 +1,7 @@
 """Unfinished texts: what is kept for a successor, and that each event is sent once."""
 
 from pondtiller.rollouts.progress import ProgressSaver, pack_events, unpack_events
-from pondtiller.rollouts.tests.test_samples import Bench
+from pondtiller.rollouts.tests.scheduling import Bench
 from pondtiller.steplog.kept_texts import extend
 from pondtiller.wire.steplog import SampleProgress
 
--- a/src/pondtiller/rollouts/tests/test_shedding.py
+++ b/src/pondtiller/rollouts/tests/test_shedding.py
@@ -1,8 +1,7 @@
 """Steps that engines cannot make in time together: which groups go first, and what trainers get."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from pondtiller.core.entities import Address
 from pondtiller.rollouts import samples as samples_module
 from pondtiller.rollouts.sample_work import ListResult, RunEnd, ScoreEnd, ScoreText, StartRun
 from pondtiller.rollouts.samples import SampleScheduler
@@ -14,8 +13,8 @@
     group_turns,
 )
 from pondtiller.rollouts.steps import StepBook, StepRecord, add_sample
-from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
-from pondtiller.routes.table import RequestKind, RouteRow, ServiceShare
+from pondtiller.rollouts.tests.scheduling import ROUTE, entry
+from pondtiller.routes.engines import EngineDirectory
 from pondtiller.wire.steplog import Sample, Step
 
 DUE_SECONDS = 7.5
@@ -89,14 +88,7 @@
 
     def __init__(self) -> None:
         engines = EngineDirectory()
-        place = Address("10.0.0.1", 1)
-        engines.replace(
-            [
-                EngineEntry(f"e{n}", "llm", place, "z", 6, EngineState.READY, {"m": 1})
-                for n in range(6)
-            ],
-            0.0,
-        )
+        engines.replace([entry(f"e{number}", slots=6) for number in range(6)], 0.0)
         self.scheduler = SampleScheduler(engines, lambda _engine, _model: False)
         self.book = StepBook()
         self.records: dict[str, StepRecord] = {}
@@ -119,16 +111,7 @@
             self.left[step.id, sample.group] = 8
             self.group_of[step.id, sample.id] = sample.group
         record = self.records[step.id] = self.book.open(step)
-        route = RouteRow(
-            "r",
-            "h",
-            "/p/",
-            RequestKind.STEP,
-            (ServiceShare("llm", 1.0),),
-            attempts=3,
-            priority=rank,
-            step_seconds=DUE_SECONDS,
-        )
+        route = replace(ROUTE, priority=rank, step_seconds=DUE_SECONDS, queue_seconds=120.0)
         self.scheduler.open(record, route)
 
     def play(self, seconds: float) -> None:
