A scorer's look for room asks for its row's homes

Cause: the scorer's request goes to its row's home regions only, but the look before it took the best engine of any region. With the homes full and room elsewhere the request was sent, to wait in a queue of two runs a place and more; with a nearer engine elsewhere full it was held back though home engines had room. has_room now takes the homes, without a default, so that no call forgets them.

Ruled out: the tenant's homes, which a step's samples never reach (a step that is not covered by all regions is refused at the front).

Two tests, both red before (404 from a full engine where no room was due; no room where a home engine had some), green after; the other tests of distances pass.

--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -270,9 +270,9 @@
         """Return the time within which nearly all answers of a service came here."""
         return self._times.setdefault(service, AnswerTimes()).usual_seconds
 
-    def has_room(self, service: str) -> bool:
-        """Return whether an engine of a service would begin a request soon, by own work."""
-        engine = self.choose(service, set())
+    def has_room(self, service: str, homes: frozenset[str]) -> bool:
+        """Return whether an engine in the homes would begin a request soon, by own work."""
+        engine = self.choose(service, set(), homes)
         return engine is not None and engine.running < engine.entry.slots * QUEUE_FILL
 
     def _may_hedge(self, route: RouteRow, tries: Tries) -> bool:
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -192,7 +192,7 @@
         if route is None:
             return ScoreOutcome(ScoreEnd.LOST, "", "no route")
         service = route.choose_service(scorer.id)
-        if not self._forwarder.has_room(service):
+        if not self._forwarder.has_room(service, route.homes):
             return ScoreOutcome(ScoreEnd.LOST, "", "no room")
         usual = self._forwarder.usual_seconds(service)
         seconds = max(SHORTEST_SCORER_SECONDS, SCORER_TIMES * usual)
--- a/src/pondtiller/gateway/tests/test_distances.py
+++ b/src/pondtiller/gateway/tests/test_distances.py
@@ -19,13 +19,15 @@
 )
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.mirrored_store import MirroredStore
+from pondtiller.gateway.sample_runner import SampleRunner, ScoreOutcome
+from pondtiller.rollouts.sample_work import ScoreEnd
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
 from pondtiller.routes.places import Places
 from pondtiller.routes.send_gate import SendGate
-from pondtiller.routes.table import RequestKind, RouteRow, ServiceShare
+from pondtiller.routes.table import RequestKind, RouteRow, RouteTable, ServiceShare
 from pondtiller.steplog.fault_tolerance import PlaceRules, Tolerance
 from pondtiller.steplog.follower import Follower
-from pondtiller.wire.steplog import Group, GroupMember
+from pondtiller.wire.steplog import Group, GroupMember, Sample, Scorer
 
 PLACES = Places({"s1": "s", "s2": "s", "s3": "s", "n1": "n", "n2": "n"})
 
@@ -105,6 +107,41 @@
     assert fleet.tried[4:] == ["s2"]
 
 
+def score_at_home(fleet: Fleet, home: str) -> ScoreOutcome:
+    """Return how one scorer's request ends whose row has one home region."""
+    row = RouteRow(
+        "r",
+        "h",
+        "/",
+        RequestKind.SAFE,
+        (ServiceShare("app", 1.0),),
+        attempts=2,
+        homes=frozenset({home}),
+    )
+    table = RouteTable(1, (row,))
+    runner = SampleRunner(SendGate(fleet.engines), EnginePool(), fleet.forwarder, lambda: table)
+    sample = Sample(scorer=Scorer(id="q", host="h", path="/"))
+    return curio.run(runner.score, 1, bytes(sample))
+
+
+def test_a_scorer_is_not_asked_while_only_engines_outside_its_homes_have_room() -> None:
+    """The request may go to its homes only, and would wait there in a long queue."""
+    fleet = Fleet("s1", "n1")
+    fleet.engines.engines["n1.1"].running = 12
+    outcome = score_at_home(fleet, "n")
+    assert (outcome.end, outcome.detail) == (ScoreEnd.LOST, "no room")
+    assert fleet.tried == []
+
+
+def test_a_scorer_is_asked_at_home_though_a_nearer_engine_elsewhere_is_full() -> None:
+    fleet = Fleet("s1", "n1")
+    fleet.engines.engines["s1.0"].running = 12
+    fleet.engines.engines["n1.1"].running = 11
+    outcome = score_at_home(fleet, "n")
+    assert (outcome.end, outcome.detail) == (ScoreEnd.FAILED, "404")
+    assert fleet.tried == ["n1"]
+
+
 def member(zone: str) -> GroupMember:
     return GroupMember(name=zone, disk=f"{zone}-0", zone=zone, host="h", port=1)
 
--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -395,7 +395,7 @@
         service = busy[0].entry.service
         for engine in busy:
             engine.running = engine.entry.slots
-        assert gateway.forwarder.has_room(service)
+        assert gateway.forwarder.has_room(service, frozenset())
         for stand_in in system.app:
             stand_in.next_behaviours = [slow]
         answer = await system.call("POST", "/quote/7", b"x", request_id="q1")
@@ -403,7 +403,7 @@
         assert sum(len(stand_in.seen) for stand_in in system.app) == 1
         for engine in busy:
             engine.running = 2 * engine.entry.slots
-        assert not gateway.forwarder.has_room(service)
+        assert not gateway.forwarder.has_room(service, frozenset())
 
     run_system(tmp_path, test)
 
