Places.place and Place go: only a test used them

The test asks Places.region for what it asked Place.region: a zone that is not named has no region. Nothing in the programs or the library's examples reads either name (searched src, tools, examples, deploy, docs).

--- a/src/pondtiller/routes/places.py
+++ b/src/pondtiller/routes/places.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Collection, Mapping
 from enum import IntEnum
-from typing import NamedTuple
 
 
 class Distance(IntEnum):
@@ -17,19 +16,6 @@
     OTHER_REGION = 2
 
 
-class Place(NamedTuple):
-    """Where a machine or an engine stands.
-
-    Attributes
-    ----------
-    region
-        Empty where the settings do not tell the zone's region.
-    """
-
-    zone: str
-    region: str = ""
-
-
 class Places:
     """The zones of a deployment, as its settings name them.
 
@@ -43,10 +29,6 @@
     def __init__(self, regions: Mapping[str, str] | None = None) -> None:
         self.regions = dict(regions or {})
 
-    def place(self, zone: str) -> Place:
-        """Return a zone with its region."""
-        return Place(zone, self.region(zone))
-
     def region(self, zone: str) -> str:
         """Return a zone's region, or empty text where it is not known."""
         return self.regions.get(zone, "")
--- a/src/pondtiller/routes/tests/test_places.py
+++ b/src/pondtiller/routes/tests/test_places.py
@@ -1,4 +1,4 @@
-from pondtiller.routes.places import Distance, Place, Places, common_homes
+from pondtiller.routes.places import Distance, Places, common_homes
 
 TWO_REGIONS = Places({"a": "south", "b": "south", "c": "north"})
 
@@ -10,7 +10,7 @@
 
 
 def test_an_unknown_zone_is_near_nothing_but_itself():
-    assert TWO_REGIONS.place("x") == Place("x", "")
+    assert TWO_REGIONS.region("x") == ""
     assert TWO_REGIONS.distance("x", "x") is Distance.SAME_ZONE
     assert TWO_REGIONS.distance("x", "a") is Distance.OTHER_REGION
     assert TWO_REGIONS.distance("x", "y") is Distance.OTHER_REGION
