Ports of programs that are started again lie outside those that connections get

Cause: the soak and the test of separate processes asked the kernel for a free port, let it go and gave it to a program that bound it seconds later, or again after a kill. In between the kernel may give the same port to any connection or listener of another test; the program then ends with address in use. Beside a second test process this gets likelier. Ports are now drawn, all of one run together, from below the kernel's range, in one function for both.

Ruled out: ports held with SO_REUSEPORT (a listener of another run could share them unseen).

--- a/src/pondtiller/cli/tests/test_processes.py
+++ b/src/pondtiller/cli/tests/test_processes.py
@@ -10,6 +10,7 @@
 import pytest
 
 from pondtiller.emulator.text import expected_answer
+from pondtiller.soak.ports import free_ports
 
 COMMAND = [sys.executable, "-c", "from pondtiller.cli.application import main; main()"]
 START_SECONDS = 60.0
@@ -44,16 +45,6 @@
     return done.stdout + done.stderr
 
 
-def free_ports(count):
-    import socket
-
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
-
-
 @pytest.fixture(scope="module")
 def platform():
     process = subprocess.Popen(
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -2,7 +2,6 @@
 
 import json
 import random
-import socket
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -22,6 +21,7 @@
     WITHIN_SECONDS,
 )
 from pondtiller.soak.faults import ZONES, Faults
+from pondtiller.soak.ports import free_ports
 from pondtiller.soak.programs import Program, ProgramSpec
 from pondtiller.soak.promises import Breach, Promises
 from pondtiller.soak.proxy import Proxy
@@ -29,6 +29,7 @@
 
 GATEWAYS = 3
 REPLICAS = 3
+PORTS_A_GATEWAY = 3
 EVENTS = 12
 SAMPLES = 8
 STEP_SECONDS = 2.0
@@ -85,9 +86,14 @@
         ]
         for engine in self.models:
             engine.models = ["m"]
-        self.ports = [_free_port() for _ in range(GATEWAYS)]
-        self.replicas = [Program(self._replica(n, folder), folder) for n in range(REPLICAS)]
-        self.gateways = [Program(self._gateway(n), folder) for n in range(GATEWAYS)]
+        ports = iter(free_ports(PORTS_A_GATEWAY * GATEWAYS + REPLICAS))
+        self.ports = [next(ports) for _ in range(GATEWAYS)]
+        self.replicas = [
+            Program(self._replica(n, next(ports), folder), folder) for n in range(REPLICAS)
+        ]
+        self.gateways = [
+            Program(self._gateway(n, next(ports), next(ports)), folder) for n in range(GATEWAYS)
+        ]
         self.faults = Faults(
             self.random, self.programs, self.apps, self.models, self.store, self.store_proxy
         )
@@ -98,24 +104,24 @@
 
     # Programs
 
-    def _replica(self, number: int, folder: Path) -> ProgramSpec:
+    def _replica(self, number: int, links: int, folder: Path) -> ProgramSpec:
         settings = f"""
 name = "r{number}"
 zone = "z{number}"
-links = "127.0.0.1:{_free_port()}"
+links = "127.0.0.1:{links}"
 store = "{self.store_proxy.address}"
 data_folder = "{folder / f"disk{number}"}"
 first_start = true
 {PLACES_SETTINGS}"""
         return ProgramSpec(f"r{number}", "replica", settings)
 
-    def _gateway(self, number: int) -> ProgramSpec:
+    def _gateway(self, number: int, readiness: int, links: int) -> ProgramSpec:
         settings = f"""
 name = "g{number}"
 zone = "z{number}"
 callers = "127.0.0.1:{self.ports[number]}"
-readiness = "127.0.0.1:{_free_port()}"
-links = "127.0.0.1:{_free_port()}"
+readiness = "127.0.0.1:{readiness}"
+links = "127.0.0.1:{links}"
 store = "{self.store_proxy.address}"
 {PLACES_SETTINGS}
 [cold]
@@ -301,13 +307,6 @@
         return head.status_code, b"".join(pieces)
 
 
-def _free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def play(seed: int, seconds: float, folder: Path) -> SoakReport:
     """Play one seed; logs and the schedule are left in the folder."""
     folder.mkdir(parents=True, exist_ok=True)
