One admission of prepare and accept in the registers' acceptor; one start of rate tests

Prepare and accept began with the same seven lines (shard, record, ballot, two refusals); three tests of rates with the same four.

--- a/src/pondtiller/coordination/registers/acceptor.py
+++ b/src/pondtiller/coordination/registers/acceptor.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, field, replace
+from typing import NamedTuple
 
 from pondtiller import wire
 from pondtiller.coordination.registers.ballot import ZERO, Ballot
@@ -56,6 +57,14 @@
     records: dict[str, Record] = field(default_factory=dict)
 
 
+class _Admitted(NamedTuple):
+    """What a replica may vote on: the shard's number, the record, and the ballot of the message."""
+
+    number: int
+    record: Record
+    ballot: Ballot
+
+
 @dataclass(frozen=True, slots=True)
 class _Pending:
     """State received for a configuration that is not in force yet."""
@@ -241,7 +250,8 @@
             self._shards[number] = shard
             self._numbers[epoch_label(number, shard.epoch, shard.nonce)] = number
 
-    def _prepare(self, message: wire.Prepare, now: float) -> wire.Promise | wire.Reject:
+    def _admit(self, message: wire.Prepare | wire.Accept) -> _Admitted | wire.Reject:
+        """Return the record that a message is about, or why this replica does not vote on it."""
         number = self._active(message.configuration, message.key)
         if number is None:
             return _reject(message, wire.RejectReason.NOT_ACTIVE, ZERO)
@@ -249,6 +259,13 @@
         ballot = Ballot(message.counter, message.proposer)
         if ballot < record.promised:
             return _reject(message, wire.RejectReason.HIGHER_BALLOT, record.promised)
+        return _Admitted(number, record, ballot)
+
+    def _prepare(self, message: wire.Prepare, now: float) -> wire.Promise | wire.Reject:
+        found = self._admit(message)
+        if isinstance(found, wire.Reject):
+            return found
+        number, record, ballot = found
         record.promised = ballot
         record.changed_at = now
         self._note_record(number, message.key, record)
@@ -262,13 +279,10 @@
         )
 
     def _accept(self, message: wire.Accept, now: float) -> wire.Accepted | wire.Reject:
-        number = self._active(message.configuration, message.key)
-        if number is None:
-            return _reject(message, wire.RejectReason.NOT_ACTIVE, ZERO)
-        record = self._shards[number].records.setdefault(message.key, Record())
-        ballot = Ballot(message.counter, message.proposer)
-        if ballot < record.promised:
-            return _reject(message, wire.RejectReason.HIGHER_BALLOT, record.promised)
+        found = self._admit(message)
+        if isinstance(found, wire.Reject):
+            return found
+        number, record, ballot = found
         record.promised = max(ballot, Ballot(message.next_counter, message.proposer))
         record.accepted = ballot
         record.value = message.value
--- a/src/pondtiller/gateway/tests/test_rates.py
+++ b/src/pondtiller/gateway/tests/test_rates.py
@@ -70,16 +70,21 @@
         return sum(answer.status == status for answer in self.answers)
 
 
+async def limited(system: System) -> Callers:
+    """Put a rate in force and wait until it is granted; return its tenant's callers."""
+    put_rate(system, 3, RATE)
+    await until_in_force(system, 3)
+    await until_granted(system)
+    return Callers(system, ANN)
+
+
 def test_a_burst_above_a_rate_is_refused_as_not_run_and_told_when_to_come_back(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     through = LetThrough(monkeypatch)
 
     async def test(system: System) -> None:
-        put_rate(system, 3, RATE)
-        await until_in_force(system, 3)
-        await until_granted(system)
-        ann = Callers(system, ANN)
+        ann = await limited(system)
         await ann.burst(60)
         assert {answer.status for answer in ann.answers} == {200, 429}
         assert MOST // 2 <= through.most_in_a_second(SUBJECT) <= MOST
@@ -116,10 +121,7 @@
     through = LetThrough(monkeypatch)
 
     async def test(system: System) -> None:
-        put_rate(system, 3, RATE)
-        await until_in_force(system, 3)
-        await until_granted(system)
-        ann = Callers(system, ANN)
+        ann = await limited(system)
         first = await system.until_led()
         for step in range(45):
             if step == 10:
@@ -141,10 +143,7 @@
     through = LetThrough(monkeypatch)
 
     async def test(system: System) -> None:
-        put_rate(system, 3, RATE)
-        await until_in_force(system, 3)
-        await until_granted(system)
-        ann = Callers(system, ANN)
+        ann = await limited(system)
         await ann.burst(30)
         put_rate(system, 4, 3.0)
         await until_in_force(system, 4)
