Runs go on at their runners when the leader is lost, and the next one takes them over

Now the runner holds the runs of a lost leader and offers them to the one that the replicas name; that one begins them under its own numbers, and the runner tells what it lacks.

--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -12,10 +12,12 @@
 from pondtiller.wire.steplog import (
     AskShares,
     EndStep,
+    OfferRuns,
     OpenStep,
     ReadResults,
     ReadSample,
     ResultsPage,
+    RunsTaken,
     SampleBody,
     SharesGranted,
     StepAnswer,
@@ -84,6 +86,8 @@
                 return term.take_use(message)
             case AskShares():
                 return term.rates.take(message, now)
+            case OfferRuns():
+                return await term.take_offered(message)
         return _unavailable(message)
 
     async def engines_changed(self) -> None:
@@ -107,4 +111,6 @@
             return UseTaken(status=StepStatus.UNAVAILABLE)
         case AskShares():
             return SharesGranted(status=StepStatus.UNAVAILABLE)
+        case OfferRuns():
+            return RunsTaken(status=StepStatus.UNAVAILABLE)
     return StepAnswer(status=StepStatus.UNAVAILABLE)
--- a/src/pondtiller/gateway/figure_sources.py
+++ b/src/pondtiller/gateway/figure_sources.py
@@ -63,6 +63,7 @@
             "samples_listed": metrics.samples_listed,
             "samples_given_up": metrics.samples_given_up,
             "runs_started": metrics.runs_started,
+            "runs_taken_over": metrics.runs_taken_over,
             "orders": metrics.orders,
             "takeovers": metrics.takeovers,
             "use_reports": metrics.use_reports,
--- /dev/null
+++ b/src/pondtiller/gateway/held_runs.py
@@ -0,0 +1,168 @@
+"""Runs that go on here though their leader is lost, offered to the one that follows."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+
+import curio
+
+from pondtiller.daemon import clock, logs
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.hosted_run import HostedRun
+from pondtiller.rollouts.run_holding import (
+    TAKEN_SECONDS,
+    HoldChoice,
+    HoldStep,
+    LostLeader,
+    next_step,
+)
+from pondtiller.wire.steplog import OfferRuns, RunsTaken, Subscribe
+
+LOOK_SECONDS = 0.05
+"""How soon a new leader is noticed. It waits 0.2 s for offers (`HELD_WAIT_SECONDS`)."""
+OFFER_SECONDS = 0.8
+"""Longest wait for an answer: a leader that has just won reads texts first, 0.2 s or less."""
+
+Offer = Callable[[OfferRuns, float], Awaitable[RunsTaken | None]]
+
+
+@dataclass
+class HeldRun:
+    """A run whose leader is lost.
+
+    Attributes
+    ----------
+    taken_until
+        Until when a leader that took it may begin it anew; None while none did.
+    """
+
+    run: HostedRun
+    lost: LostLeader
+    taken_until: float | None = None
+
+
+class HeldRuns:
+    """Keeps runs until a leader takes them or they must end.
+
+    Parameters
+    ----------
+    subscription
+        Returns who this daemon is, and where a leader finds it.
+    leader_epoch
+        Returns the epoch of the leader that replicas name; None while they name none.
+    hears_quorum
+        Returns whether most members of the replicas' group were heard lately.
+    offer
+        Calls the leader; None where none answers.
+
+    Attributes
+    ----------
+    runs
+        By the name under which the sample's text is kept.
+    """
+
+    def __init__(
+        self,
+        subscription: Callable[[], Subscribe],
+        leader_epoch: Callable[[], int | None],
+        hears_quorum: Callable[[], bool],
+        offer: Offer,
+    ) -> None:
+        self.runs: dict[str, HeldRun] = {}
+        self._subscription = subscription
+        self._leader_epoch = leader_epoch
+        self._hears_quorum = hears_quorum
+        self._offer_runs = offer
+        self._group = Spawner()
+        self._is_looking = False
+
+    async def hold(self, runs: Iterable[HostedRun], lost: LostLeader, reason: str) -> None:
+        """Take runs whose leader is lost."""
+        held = {each.order.sample: HeldRun(each, lost) for each in runs}
+        if not held:
+            return
+        for each in held.values():
+            each.run.listener = None
+        self.runs.update(held)
+        logs.decision("runs_held", runs=len(held), epoch=lost.epoch, reason=reason)
+        if not self._is_looking:
+            self._is_looking = True
+            await self._group.spawn(self._look)
+
+    def take(self, sample: str) -> HostedRun | None:
+        """Return a run that a leader wants; it is no longer held."""
+        held = self.runs.pop(sample, None)
+        return held.run if held is not None else None
+
+    async def end(self, reason: str) -> None:
+        """End all."""
+        await self._end(list(self.runs.values()), reason)
+
+    async def _look(self) -> None:
+        try:
+            while self.runs:
+                await self._end_untaken(clock.monotonic())
+                for lost in {each.lost for each in self.runs.values() if not each.taken_until}:
+                    await self._decide(lost)
+                await curio.sleep(LOOK_SECONDS)
+        finally:
+            self._is_looking = False
+
+    async def _end_untaken(self, now: float) -> None:
+        late = [each for each in self.runs.values() if each.taken_until and now > each.taken_until]
+        await self._end(late, "the leader that took them did not begin them")
+
+    async def _decide(self, lost: LostLeader) -> None:
+        choice = self._next_step(lost)
+        if choice.step is HoldStep.END:
+            await self._end(self._of(lost), choice.reason)
+        elif choice.step is HoldStep.OFFER:
+            await self._offer(self._of(lost), choice.reason)
+
+    def _next_step(self, lost: LostLeader) -> HoldChoice:
+        return next_step(lost, self._leader_epoch(), self._hears_quorum(), clock.monotonic())
+
+    def _of(self, lost: LostLeader) -> list[HeldRun]:
+        return [each for each in self.runs.values() if each.lost == lost and not each.taken_until]
+
+    async def _offer(self, held: list[HeldRun], reason: str) -> None:
+        answer = await self._offer_runs(self._message(held), OFFER_SECONDS)
+        if answer is None:
+            return
+        until = clock.monotonic() + TAKEN_SECONDS
+        left = []
+        for each, is_taken in zip(held, answer.taken, strict=False):
+            if is_taken:
+                each.taken_until = until
+            else:
+                left.append(each)
+        logs.decision(
+            "held_runs_offered",
+            runs=len(held),
+            taken=len(held) - len(left),
+            epoch=self._leader_epoch(),
+            reason=reason,
+        )
+        await self._end(left, "the leader did not take them")
+
+    def _message(self, held: list[HeldRun]) -> OfferRuns:
+        who = self._subscription()
+        return OfferRuns(
+            daemon=who.daemon,
+            zone=who.zone,
+            host=who.host,
+            port=who.port,
+            cores=who.cores,
+            samples=[each.run.order.sample for each in held],
+            engines=[each.run.order.engine for each in held],
+            after_events=[each.run.began_after for each in held],
+        )
+
+    async def _end(self, held: list[HeldRun], reason: str) -> None:
+        ended = 0
+        for each in held:
+            if self.runs.get(each.run.order.sample) is each:
+                del self.runs[each.run.order.sample]
+                await each.run.drop()
+                ended += 1
+        if ended:
+            logs.decision("held_runs_ended", runs=ended, reason=reason)
--- /dev/null
+++ b/src/pondtiller/gateway/hosted_run.py
@@ -0,0 +1,96 @@
+"""One run at a runner: its order, what its engine made, and who is told."""
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, ScoreOutcome
+from pondtiller.rollouts.run_news import EndedRun, RunEvent, ScoredRun
+
+
+class RunListener(Protocol):
+    """Who is told of a run: the link of a leader."""
+
+    def take_event(self, event: RunEvent) -> None:
+        """Take an event."""
+
+    async def take_end(self, ended: EndedRun) -> None:
+        """Take the end of a run."""
+
+    async def take_score(self, scored: ScoredRun) -> None:
+        """Take what became of scoring a whole text."""
+
+
+@dataclass
+class HostedRun:
+    """A run that goes on here, whoever leads.
+
+    Attributes
+    ----------
+    order
+        What the leader asked for; its number changes with the leader.
+    began_after
+        The event after which the run began.
+    events
+        What the engine made in this run.
+    listener
+        Who is told; None while its leader is lost.
+    outcome, score
+        How the run ended, and what became of scoring its text; None before.
+    is_dropped
+        Whether nobody wants it any more.
+    """
+
+    order: RunOrder
+    listener: RunListener | None
+    began_after: int = 0
+    events: list[RunEvent] = field(default_factory=list)
+    outcome: RunOutcome | None = None
+    score: ScoreOutcome | None = None
+    is_dropped: bool = False
+    task: Any = None
+
+    def take(self, _run: int, number: int, data: str, version: int, now: float) -> bool:
+        """Take an event of the engine; False where the run is to stop."""
+        if self.is_dropped:
+            return False
+        event = RunEvent(self.order.run, number, data, version, now)
+        self.events.append(event)
+        if self.listener is not None:
+            self.listener.take_event(event)
+        return True
+
+    async def ended(self, outcome: RunOutcome) -> None:
+        """Take that the engine has ended."""
+        self.outcome = outcome
+        if self.listener is not None:
+            await self.listener.take_end(EndedRun(self.order.run, outcome.end, outcome.detail))
+
+    async def scored(self, score: ScoreOutcome) -> None:
+        """Take what became of scoring."""
+        self.score = score
+        if self.listener is not None:
+            await self.listener.take_score(scored_run(self.order.run, score))
+
+    async def go_on(self, order: RunOrder, listener: RunListener) -> None:
+        """Go on under another leader; it is told what it does not know yet."""
+        self.order, self.listener = order, listener
+        self.events = [event._replace(run=order.run) for event in self.events]
+        for event in self.events:
+            if event.number > order.last_event:
+                listener.take_event(event)
+        if self.outcome is not None:
+            await self.ended(self.outcome)
+        if self.score is not None:
+            await self.scored(self.score)
+
+    async def drop(self) -> None:
+        """Stop, since nobody wants it any more."""
+        self.is_dropped = True
+        self.listener = None
+        if self.task is not None:
+            await self.task.cancel(blocking=False)
+
+
+def scored_run(run: int, score: ScoreOutcome) -> ScoredRun:
+    """Return what a leader is told of a score."""
+    return ScoredRun(run, score.end, score.score, score.detail, score.attempts, score.request)
--- a/src/pondtiller/gateway/metrics.py
+++ b/src/pondtiller/gateway/metrics.py
@@ -33,6 +33,8 @@
         Requests that left for cold engines, and that did not, since no share was held.
     rate_admitted, rate_refused
         Requests of tenants that have a rate.
+    runs_taken_over
+        Runs of an earlier leader that this one went on with.
     """
 
     attempts: int = 0
@@ -42,6 +44,7 @@
     samples_listed: int = 0
     samples_given_up: int = 0
     runs_started: int = 0
+    runs_taken_over: int = 0
     orders: int = 0
     takeovers: int = 0
     use_reports: int = 0
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -19,6 +19,7 @@
 from pondtiller.gateway.first_group import StoredFirstGroup
 from pondtiller.gateway.forward import Forwarder
 from pondtiller.gateway.front import Front
+from pondtiller.gateway.held_runs import HeldRuns
 from pondtiller.gateway.key_freshness import KeyFreshness
 from pondtiller.gateway.leader_watches import LeaderWatches
 from pondtiller.gateway.leadership import Leadership
@@ -63,6 +64,8 @@
 SEARCH_SECONDS = 1.0
 LONGEST_SEARCH_SECONDS = 4.0
 """Searches are calls to the store; one that finds nothing new is repeated later each time."""
+HEARD_SECONDS = 1.2
+"""A replica tells its view each second; one that was not heard for longer may be cut off."""
 NOT_READY_SECONDS = 3.0
 STOP_MARGIN_SECONDS = 0.7
 LAST_USE_SECONDS = 0.4
@@ -151,7 +154,9 @@
                 settings.name, meter, self.agreed, self.steps, self.leadership.leader
             )
         runner = SampleRunner(self.gate, self.pool, forwarder, lambda: self.front.table, self.cold)
-        self.run_host = RunHost(runner, lambda: self.leadership.replicas.highest_epoch)
+        self.run_host = RunHost(
+            runner, lambda: self.leadership.replicas.highest_epoch, self._make_held_runs()
+        )
         self.leadership.replicas.subscription = self._subscription()
         self.mirrored_store = MirroredStore(
             settings.name,
@@ -236,6 +241,20 @@
             cores=self.settings.processor.speed,
         )
 
+    def _make_held_runs(self) -> HeldRuns:
+        replicas = self.leadership.replicas
+
+        def leader_epoch() -> int | None:
+            leader = self.leadership.leader()
+            return leader.epoch if leader is not None else None
+
+        return HeldRuns(
+            lambda: replicas.subscription,
+            leader_epoch,
+            lambda: replicas.hears_quorum(HEARD_SECONDS),
+            self.steps.offer_runs,
+        )
+
     def _rate_terms(self, subject: str) -> RateTerms | None:
         """Return how this daemon, where it leads, grants shares of a rate."""
         if subject.startswith(COLD_PREFIX):
--- a/src/pondtiller/gateway/replicas.py
+++ b/src/pondtiller/gateway/replicas.py
@@ -169,6 +169,13 @@
         """Return when any replica was last heard."""
         return max((place.heard_at for place in self.places.values()), default=0.0)
 
+    def hears_quorum(self, seconds: float) -> bool:
+        """Return whether most members of the group were heard within so many seconds."""
+        since = clock.monotonic() - seconds
+        heard = {at for at, place in self.places.items() if place.link and place.heard_at >= since}
+        members = [Address(each.host, each.port) for each in self.group.members]
+        return 2 * sum(each in heard for each in members) > len(members)
+
     async def _keep_link(self, place: ReplicaLink) -> None:
         while True:
             if not self.is_needed(place):
--- a/src/pondtiller/gateway/run_host.py
+++ b/src/pondtiller/gateway/run_host.py
@@ -1,9 +1,9 @@
 """Runs samples for a leader elsewhere: holds their streams, and tells what they make.
 
-A run belongs to the link on which it was begun. It ends with the link, when the leader has not
-been heard for `LEADER_SILENT_SECONDS`, and when another leader's epoch is known to be higher:
-so it has ended before a successor begins the same sample at another engine. What a run made is
-the leader's to keep; this daemon keeps nothing.
+A run belongs to the link on which it was begun. When the link ends, or the leader has not been
+heard for `LEADER_SILENT_SECONDS`, the run is held for the leader that follows (`held_runs.py`), or
+ends where that is not known in time: a successor may begin the same sample at another engine.
+What a run made is the leader's to keep; this daemon keeps what was made in the runs that it has.
 """
 
 from collections.abc import Callable
@@ -15,11 +15,13 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.held_runs import HeldRuns
+from pondtiller.gateway.hosted_run import HostedRun
 from pondtiller.gateway.sample_runner import RunOrder, SampleRunner
 from pondtiller.links.link import Link
+from pondtiller.rollouts.run_holding import LEADER_SILENT_SECONDS, LostLeader
 from pondtiller.rollouts.run_news import EndedRun, NewsGatherer, RunEvent, ScoredRun
 from pondtiller.rollouts.sample_work import RunEnd
-from pondtiller.steplog.replica import LEASE_SECONDS
 from pondtiller.wire.steplog import (
     BeginRun,
     DropRun,
@@ -28,103 +30,97 @@
     ScoreSample,
 )
 
-LEADER_SILENT_SECONDS = LEASE_SECONDS - 0.2
-"""A successor leads one lease after its predecessor's last message to the replicas at the
-earliest. The last one to this daemon may have left 0.3 s (`KEEP_SECONDS`) before that, or been
-on its way for longer; what is cut here a moment too late is not wrong, only made twice."""
 NEWS_SECONDS = 0.25
 """How long events are gathered; texts are saved every 0.5 s, so no more often than that helps."""
 RUN_MESSAGES = (BeginRun, DropRun, KeepRuns)
 
 
 class HostedRuns:
-    """The runs that one leader's link has begun here."""
+    """The runs that one leader's link has begun here.
+
+    Attributes
+    ----------
+    runs
+        By the leader's number, those whose engines work.
+    judged
+        The same of those whose texts are whole and wait for their scorers.
+    """
 
     def __init__(self, host: "RunHost", link: Link) -> None:
-        self.tasks: dict[int, Any] = {}
+        self.runs: dict[int, HostedRun] = {}
+        self.judged: dict[int, HostedRun] = {}
         self.heard_at = clock.monotonic()
+        self.epoch = 0
         self._host = host
         self._link = link
         self._news = NewsGatherer()
         self._group = Spawner()
-        self._scoring = 0
         self._teller: Any = None
         self._has_news = curio.Event()
 
     async def begin(self, message: BeginRun) -> None:
-        """Begin a run; its outcome follows with the news."""
-        order = RunOrder(
-            message.run,
-            message.engine,
-            Address(message.engine_host, message.engine_port),
-            message.host,
-            message.priority,
-            message.last_event,
-            message.expected_version or None,
-            message.content,
-            message.tenant,
-            message.is_cold,
-        )
-        self.tasks[order.run] = await self._group.spawn(self._run, order)
+        """Begin a run, or go on with a held one; its outcome follows with the news."""
+        self.epoch = message.epoch
+        order = _order(message)
+        held = self._host.take_held(order)
+        if message.adopts:
+            await self._go_on(order, held)
+        else:
+            if held is not None:
+                await held.drop()
+            self.runs[order.run] = await self._host.start(order, self)
         if self._teller is None:
             self._teller = await self._group.spawn(self._tell)
 
+    async def _go_on(self, order: RunOrder, held: HostedRun | None) -> None:
+        if held is None:
+            await self.take_end(EndedRun(order.run, RunEnd.STALE, "no longer held"))
+            return
+        self.runs[order.run] = held
+        await held.go_on(order, self)
+
     async def drop(self, run: int) -> None:
         """End a run whose outcome nobody waits for."""
-        task = self.tasks.pop(run, None)
+        dropped = self.runs.pop(run, None) or self.judged.pop(run, None)
         self._news.drop(run)
-        if task is not None:
-            await task.cancel(blocking=False)
+        if dropped is not None:
+            await dropped.drop()
 
     async def tell_now(self) -> None:
         """Send what was gathered, before the link is ended here."""
         await self._link.send(self._news.take(clock.monotonic()))
 
-    async def end(self, reason: str) -> None:
-        """End all runs."""
-        if self.tasks:
-            logs.decision("hosted_runs_ended", runs=len(self.tasks), reason=reason)
-        self.tasks.clear()
-        self._teller = None
+    async def end(self) -> None:
+        """Take the end of the link."""
+        await self._leave_runs("the link ended")
         await self._group.__aexit__()
 
-    async def _run(self, order: RunOrder) -> None:
-        outcome = await self._host.runner.run(order, self._take)
-        if self.tasks.pop(order.run, None) is None:
-            return
-        self._news.ended.append(EndedRun(order.run, outcome.end, outcome.detail))
-        await self._has_news.set()
-        if outcome.end is RunEnd.WHOLE:
-            await self._score(order)
-
-    async def _score(self, order: RunOrder) -> None:
-        """Have a text judged at once that was made whole here, and tell what became of it."""
-        self._scoring += 1
-        try:
-            outcome = await self._host.runner.score(order.run, order.content)
-        finally:
-            self._scoring -= 1
-        self._news.scored.append(
-            ScoredRun(
-                order.run,
-                outcome.end,
-                outcome.score,
-                outcome.detail,
-                outcome.attempts,
-                outcome.request,
-            )
-        )
+    async def _leave_runs(self, reason: str) -> None:
+        runs = [*self.runs.values(), *self.judged.values()]
+        self.runs, self.judged, self._teller = {}, {}, None
+        await self._host.leave(runs, LostLeader(self.epoch, self.heard_at), reason)
+
+    def take_event(self, event: RunEvent) -> None:
+        """Take an event of an engine."""
+        self._news.events.append(event)
+
+    async def take_end(self, ended: EndedRun) -> None:
+        """Take that an engine ended a run."""
+        run = self.runs.pop(ended.run, None)
+        if run is not None and ended.end is RunEnd.WHOLE:
+            self.judged[ended.run] = run
+        self._news.ended.append(ended)
         await self._has_news.set()
 
-    def _take(self, run: int, number: int, data: str, version: int, now: float) -> bool:
-        if run not in self.tasks:
-            return False
-        self._news.events.append(RunEvent(run, number, data, version, now))
-        return True
+    async def take_score(self, scored: ScoredRun) -> None:
+        """Take what became of scoring a whole text."""
+        self.judged.pop(scored.run, None)
+        self._news.scored.append(scored)
+        await self._has_news.set()
 
     async def _tell(self) -> None:
         """Send news while there are runs or scores are made; ends and scores are told at once."""
-        while self.tasks or self._scoring or self._news.ended or self._news.scored:
+        while self.runs or self.judged or self._news.ended or self._news.scored:
             await curio.ignore_after(NEWS_SECONDS, self._has_news.wait)
             self._has_news.clear()
             now = clock.monotonic()
@@ -135,13 +131,9 @@
         self._teller = None
 
     async def _leave_leader(self) -> None:
-        """End all runs of a leader that is silent; ends the link, so that it hears of it."""
+        """Leave a leader that is silent; ends the link, so that it hears of it."""
         await self.tell_now()
-        tasks, self.tasks = list(self.tasks.values()), {}
-        logs.decision("hosted_runs_ended", runs=len(tasks), reason="the leader is silent")
-        for task in tasks:
-            await task.cancel(blocking=False)
-        self._teller = None
+        await self._leave_runs("the leader is silent")
         await self._link.drop()
 
 
@@ -152,18 +144,28 @@
     ----------
     highest_epoch
         Returns the highest epoch that this daemon has heard of from replicas.
+    held
+        Keeps runs whose leader is lost; None where they end with it.
     """
 
-    def __init__(self, runner: SampleRunner, highest_epoch: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        runner: SampleRunner,
+        highest_epoch: Callable[[], int],
+        held: HeldRuns | None = None,
+    ) -> None:
         self.runner = runner
         self.hosted: dict[Link, HostedRuns] = {}
         self.is_stopping = False
+        self.held = held
         self._highest_epoch = highest_epoch
+        self._group = Spawner()
 
     @property
     def runs(self) -> int:
         """Runs that go on here."""
-        return sum(len(each.tasks) for each in self.hosted.values())
+        held = len(self.held.runs) if self.held is not None else 0
+        return held + sum(len(each.runs) for each in self.hosted.values())
 
     async def take(self, link: Link, message: Message) -> None:
         """Take a message that begins, drops or keeps runs."""
@@ -178,6 +180,35 @@
             case DropRun():
                 await hosted.drop(message.run)
 
+    async def start(self, order: RunOrder, hosted: HostedRuns) -> HostedRun:
+        """Begin a run at its engine."""
+        run = HostedRun(order, hosted, order.last_event)
+        run.task = await self._group.spawn(self._run, run)
+        return run
+
+    async def _run(self, run: HostedRun) -> None:
+        """Run a sample; a text that is made whole here is judged at once."""
+        outcome = await self.runner.run(run.order, run.take)
+        if run.is_dropped:
+            return
+        await run.ended(outcome)
+        if outcome.end is RunEnd.WHOLE:
+            await run.scored(await self.runner.score(run.order.run, run.order.content))
+
+    def take_held(self, order: RunOrder) -> HostedRun | None:
+        """Return the held run of an order's sample; it is no longer held."""
+        return self.held.take(order.sample) if self.held is not None else None
+
+    async def leave(self, runs: list[HostedRun], lost: LostLeader, reason: str) -> None:
+        """Hold runs whose leader is lost, or end them."""
+        if self.held is not None and not self.is_stopping:
+            await self.held.hold(runs, lost, reason)
+            return
+        if runs:
+            logs.decision("hosted_runs_ended", runs=len(runs), reason=reason)
+        for run in runs:
+            await run.drop()
+
     async def _may_begin(self, link: Link, message: BeginRun) -> bool:
         """Return whether a run may begin; the link of a leader that is deposed is ended."""
         highest = self._highest_epoch()
@@ -199,11 +230,13 @@
         """Take the end of a link."""
         hosted = self.hosted.pop(link, None)
         if hosted is not None:
-            await hosted.end("the link ended")
+            await hosted.end()
 
     async def stop(self) -> None:
         """End all runs, since this daemon stops; their leaders go on elsewhere."""
         self.is_stopping = True
+        if self.held is not None:
+            await self.held.end("this daemon stops")
         for link, hosted in list(self.hosted.items()):
             await hosted.tell_now()
             await link.drop()
@@ -218,3 +251,19 @@
             attempts=outcome.attempts,
             request=outcome.request,
         )
+
+
+def _order(message: BeginRun) -> RunOrder:
+    return RunOrder(
+        message.run,
+        message.engine,
+        Address(message.engine_host, message.engine_port),
+        message.host,
+        message.priority,
+        message.last_event,
+        message.expected_version or None,
+        message.content,
+        message.tenant,
+        message.is_cold,
+        message.sample,
+    )
--- a/src/pondtiller/gateway/run_links.py
+++ b/src/pondtiller/gateway/run_links.py
@@ -39,6 +39,7 @@
 RUNNER_SILENT_SECONDS = 4 * NEWS_SECONDS
 """A runner with runs tells something each `NEWS_SECONDS`."""
 FIND_SECONDS = 1.0
+CONNECT_LOOK_SECONDS = 0.01
 DAEMONS_CALL_SECONDS = 0.5
 SCORE_CALL_SECONDS = 6.0
 """Longer than any scorer is given; a runner that is gone ends the call with its link."""
@@ -211,6 +212,8 @@
         content=order.content,
         tenant=order.tenant,
         is_cold=order.is_cold,
+        sample=order.sample,
+        adopts=order.adopts,
     )
 
 
@@ -257,13 +260,27 @@
         """Return who serves an engine now, with the name: a connected daemon, else this one."""
         known = self._engines.engines.get(engine)
         connected = {
-            name: each.daemon for name, each in self.links.items() if not each.link.is_lost
+            name: each.daemon
+            for name, each in self.links.items()
+            if not each.link.is_lost and name != self._name
         }
         name = self._chosen.choose(known, connected) if known is not None else None
         if name is None:
             return self._name, self._local
         return name, self.links[name]
 
+    async def connect_to(self, daemon: Daemon) -> RunnerLink | None:
+        """Return the link to a daemon that has runs for this leader; None where there is none.
+
+        This daemon itself may be one: it ran samples for the leader before.
+        """
+        if daemon.name not in self.links and daemon.name not in self._connecting:
+            self._connecting.add(daemon.name)
+            await self._group.spawn(self._connect, daemon)
+        while daemon.name in self._connecting:
+            await curio.sleep(CONNECT_LOOK_SECONDS)
+        return self.links.get(daemon.name)
+
     def bearers(self, most: int) -> list[Link]:
         """Return the links of some connected daemons, of different zones where there are."""
         by_zone = {each.daemon.zone: each for each in self.links.values()}
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -49,6 +49,10 @@
         Whose sample it is; empty where the step has no tenant.
     is_cold
         Whether the leader takes the engine for cold.
+    sample
+        Name under which the sample's unfinished text is kept.
+    adopts
+        Whether the runner has a run of the sample on this engine that is to go on.
     """
 
     run: int
@@ -61,6 +65,8 @@
     content: bytes
     tenant: str = ""
     is_cold: bool = False
+    sample: str = ""
+    adopts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pondtiller/gateway/step_client.py
+++ b/src/pondtiller/gateway/step_client.py
@@ -15,10 +15,12 @@
 from pondtiller.wire.steplog import (
     AskShares,
     EndStep,
+    OfferRuns,
     OpenStep,
     ReadResults,
     ReadSample,
     ResultsPage,
+    RunsTaken,
     SampleBody,
     SharesGranted,
     Step,
@@ -127,6 +129,11 @@
         answer = await self._call(message, SharesGranted, 0.0, seconds)
         return answer if isinstance(answer, SharesGranted) else None
 
+    async def offer_runs(self, message: OfferRuns, seconds: float) -> RunsTaken | None:
+        """Offer the leader runs that go on here; None where no leader answered."""
+        answer = await self._call(message, RunsTaken, 0.0, seconds)
+        return answer if isinstance(answer, RunsTaken) else None
+
     async def _call(
         self, message: Message, expected: type[AnswerType], leader_wait: float, seconds: float
     ) -> AnswerType | StepStatus:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -27,9 +27,11 @@
 from pondtiller.links.link import LinkLostError
 from pondtiller.platform.operator_api import OperatorClient
 from pondtiller.rollouts.progress import ProgressSaver
+from pondtiller.rollouts.runner_choice import Daemon
 from pondtiller.rollouts.sample_work import (
     CancelRun,
     ListResult,
+    OfferedRun,
     RunEnd,
     ScoreEnd,
     ScoreText,
@@ -42,13 +44,16 @@
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.send_gate import Held
 from pondtiller.routes.table import RouteTable
+from pondtiller.routes.tenants import owned_name
 from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.instructions import Won
 from pondtiller.usage.reports import USE_PREFIX
 from pondtiller.wire.steplog import (
+    OfferRuns,
     ProgressList,
     ReadProgress,
     ResultsPage,
+    RunsTaken,
     SaveProgress,
     Step,
     UseTaken,
@@ -70,6 +75,11 @@
 """How long a leader whose lease has ended waits for its texts to leave, before it ends its runs.
 A successor begins none before it was elected and has read log and texts: 0.3 s at least."""
 EXPIRE_SECONDS = 30.0
+HELD_WAIT_SECONDS = 0.2
+"""From a term's start until a sample of an earlier leader is begun anew: a replica's view is on its
+way for 20 ms at most, a runner looks each 0.05 s, connects and offers its runs in 60 ms."""
+OFFER_WAIT_SECONDS = 0.6
+OFFER_LOOK_SECONDS = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +260,7 @@
         read_at = clock.monotonic()
         self._has_texts = True
         self._table = self._parts.front.table
+        self.scheduler.starts_from = began + HELD_WAIT_SECONDS
         for record in self.book.steps.values():
             self._schedule(record)
         logs.decision(
@@ -263,6 +274,31 @@
         await self.wake.set()
         await self._leadership.read_rest()
 
+    async def take_offered(self, message: OfferRuns) -> RunsTaken:
+        """Go on with runs of an earlier leader that their runner still has."""
+        give_up = clock.monotonic() + OFFER_WAIT_SECONDS
+        while not self._has_texts and clock.monotonic() < give_up and not self._is_over:
+            await curio.sleep(OFFER_LOOK_SECONDS)
+        place = Address(message.host, message.port)
+        daemon = Daemon(message.daemon, message.zone, place, message.cores)
+        link = await self.runners.connect_to(daemon)
+        columns = zip(message.samples, message.engines, message.after_events, strict=True)
+        offered = [OfferedRun(*each) for each in columns]
+        now = clock.monotonic()
+        may_take = link is not None and self._leadership.log.holds_lease(now)
+        taken = [may_take and self.scheduler.take_over(each, daemon.name, now) for each in offered]
+        self._metrics.runs_taken_over += sum(taken)
+        logs.decision(
+            "runs_offered",
+            runner=daemon.name,
+            runs=len(offered),
+            taken=sum(taken),
+            epoch=self.epoch,
+            connected=link is not None,
+        )
+        await self._carry_out()
+        return RunsTaken(status=StepStatus.OK, taken=taken)
+
     async def _tick(self, now: float) -> None:
         if not self._leadership.log.holds_lease(now):
             return
@@ -448,6 +484,8 @@
         if work is None:
             return
         name, runner = self.runners.runner_for(start.engine)
+        if start.runner and start.runner in self.runners.links:
+            name, runner = start.runner, self.runners.links[start.runner]
         logs.decision(
             "sample_started",
             sample=start.sample.id,
@@ -456,6 +494,7 @@
             runner=name,
             run=start.run,
             after_event=start.last_event,
+            taken_over=bool(start.runner),
             epoch=self.epoch,
         )
         began = clock.monotonic()
@@ -605,4 +644,6 @@
         start.sample.content,
         start.tenant,
         is_cold,
+        owned_name(start.tenant, start.sample.id),
+        bool(start.runner),
     )
--- a/src/pondtiller/links/frames.py
+++ b/src/pondtiller/links/frames.py
@@ -55,6 +55,8 @@
     31: steplog.UseTaken,
     36: steplog.AskShares,
     37: steplog.SharesGranted,
+    38: steplog.OfferRuns,
+    39: steplog.RunsTaken,
 }
 KIND_BY_TYPE = {message_type: kind for kind, message_type in TYPE_BY_KIND.items()}
 URGENT_TYPES = (steplog.Fetched, steplog.ProgressList)
--- /dev/null
+++ b/src/pondtiller/rollouts/run_holding.py
@@ -0,0 +1,77 @@
+"""What becomes of runs whose leader is lost: they go on until another leader takes them. No I/O.
+
+A takeover takes 1.5 s and more. A long sample lost as much each time, since its run was ended
+and another one began from the text saved last. Now the runner goes on, and offers its runs to
+the leader that the replicas name. What must not be is that an engine works on a sample while a
+leader has begun it at another one: so a run ends as soon as its runner cannot know that any more.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from pondtiller.steplog.replica import LEASE_SECONDS
+
+LEADER_SILENT_SECONDS = LEASE_SECONDS - 0.2
+"""A successor leads one lease after its predecessor's last message to the replicas at the
+earliest. The last one to a runner may have left 0.3 s before that, or been on its way for longer;
+what is ended here a moment too late is not wrong, only made twice."""
+SAME_LEADER_SECONDS = LEASE_SECONDS + 0.1
+"""Replicas that still name the leader after this time hear it: it leads, does not reach this
+daemon, and began the samples elsewhere after 1.0 s of silence (`RUNNER_SILENT_SECONDS`)."""
+LONGEST_SECONDS = 4.0
+"""Elections took 1.5 s to 3.7 s, the longest on machines of 0.12 of a core. While the replicas name
+no leader nobody else works on the sample, so this bounds an engine's work in vain only."""
+TAKEN_SECONDS = 1.0
+"""From the answer that a run is taken until it is begun anew: a connection and a message."""
+
+
+class HoldStep(StrEnum):
+    """What to do with runs whose leader is lost."""
+
+    KEEP = "keep"
+    OFFER = "offer"
+    END = "end"
+
+
+class LostLeader(NamedTuple):
+    """Whose runs they were, and when it was last heard here, in seconds of the steady clock."""
+
+    epoch: int
+    heard_at: float
+
+
+class HoldChoice(NamedTuple):
+    """A step with its reason, for the logs."""
+
+    step: HoldStep
+    reason: str
+
+
+def next_step(
+    lost: LostLeader, leader_epoch: int | None, hears_quorum: bool, now: float
+) -> HoldChoice:
+    """Return what to do with the runs of a lost leader.
+
+    Parameters
+    ----------
+    leader_epoch
+        Of the leader that replicas name now; None while they name none.
+    hears_quorum
+        Whether most members of the replicas' group were heard lately, so that a new leader would
+        be known here.
+    """
+    silence = now - lost.heard_at
+    if silence >= LONGEST_SECONDS:
+        return HoldChoice(HoldStep.END, "no leader took them")
+    if not hears_quorum and silence >= LEADER_SILENT_SECONDS:
+        return HoldChoice(HoldStep.END, "the replicas are not heard")
+    if leader_epoch is None:
+        return HoldChoice(HoldStep.KEEP, "no leader is known")
+    if leader_epoch > lost.epoch:
+        return HoldChoice(HoldStep.OFFER, "another leader is known")
+    if silence >= SAME_LEADER_SECONDS:
+        return HoldChoice(HoldStep.END, "the leader leads and does not reach this daemon")
+    if silence >= LEADER_SILENT_SECONDS:
+        return HoldChoice(HoldStep.KEEP, "the leader is silent")
+    # Its connection ended, but it may live: then it says that it has begun them elsewhere.
+    return HoldChoice(HoldStep.OFFER, "the link ended")
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -59,6 +59,8 @@
     ----------
     tenant
         Whose sample it is; empty where the step has no tenant.
+    runner
+        Daemon where a run of it goes on that this one takes over; empty where it is begun.
     """
 
     run: int
@@ -69,6 +71,23 @@
     last_event: int
     expected_version: int | None
     tenant: str = ""
+    runner: str = ""
+
+
+class OfferedRun(NamedTuple):
+    """A run of an earlier leader that goes on at its runner.
+
+    Attributes
+    ----------
+    sample
+        Name under which the sample's unfinished text is kept.
+    after_event
+        The run began after this event.
+    """
+
+    sample: str
+    engine: str
+    after_event: int
 
 
 class CancelRun(NamedTuple):
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -17,6 +17,7 @@
     CancelRun,
     Instruction,
     ListResult,
+    OfferedRun,
     RunEnd,
     SampleWork,
     ScoreEnd,
@@ -70,6 +71,11 @@
         Of this leader, to which all events of the runs go.
     cold
         Which engines are cold; None where none ever is.
+
+    Attributes
+    ----------
+    starts_from
+        Before this time no run is begun, so that those of an earlier leader can be taken over.
     """
 
     def __init__(
@@ -87,6 +93,7 @@
         self._last_run = 0
         self.run_times = RunTimes()
         self.turns: dict[GroupKey, int] = {}
+        self.starts_from = float("-inf")
         self._next_shed = float("-inf")
         self._next_look = float("-inf")
         self._out: list[Instruction] = []
@@ -235,6 +242,8 @@
         # What moved left room, and what failed is paused.
         self.placement.begin_tick()
         self._give_turns(now, wall_now)
+        if now < self.starts_from:
+            return
         waiting = [work for work in self.work.values() if work.stage is Stage.WAITING]
         for work in sorted(waiting, key=self._turn):
             if work.is_routed:
@@ -261,10 +270,33 @@
             turns += group_turns(step_loads(works), rate, wall_now)
         self.turns = {key: turn for turn, key in enumerate(turns)}
 
+    def take_over(self, offered: OfferedRun, runner: str, now: float) -> bool:
+        """Go on with a run that an earlier leader began and that its runner still has.
+
+        Returns
+        -------
+        bool
+            False where the sample is wanted no more, runs elsewhere by now, or what came before
+            the run is not known.
+        """
+        work = next((each for each in self.work.values() if each.kept_as == offered.sample), None)
+        engine = self._engines.engines.get(offered.engine)
+        if work is None or engine is None or work.stage is not Stage.WAITING:
+            return False
+        is_wanted = work.is_routed and not work.has_left(engine.identifier, now)
+        knows_text = work.text.last_event >= offered.after_event
+        in_home = self._engines.places.may_hold(engine.entry.zone, work.route.homes)
+        if not (is_wanted and knows_text and in_home):
+            return False
+        self._start(work, engine, now, runner)
+        return True
+
     def _try_start(self, work: SampleWork, now: float) -> None:
         engine = self.placement.choose(work, now)
-        if engine is None:
-            return
+        if engine is not None:
+            self._start(work, engine, now)
+
+    def _start(self, work: SampleWork, engine: Engine, now: float, runner: str = "") -> None:
         self._last_run += 1
         work.run = self._last_run
         work.engine = engine.identifier
@@ -285,6 +317,7 @@
                 work.text.last_event,
                 work.stays_with,
                 work.step.step.tenant,
+                runner,
             )
         )
 
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -118,6 +118,46 @@
     Whether the leader takes the engine for cold: the runner may know less.
     """
 
+    sample: str = betterproto.string_field(13)
+    """Name under which the sample's unfinished text is kept."""
+
+    adopts: bool = betterproto.bool_field(14)
+    """
+    The runner holds a run of the sample on this engine, which it offered: that one goes on.
+    """
+
+
+@dataclass(eq=False, repr=False)
+class OfferRuns(betterproto.Message):
+    """
+    A runner whose leader is lost, to the leader: runs that go on here, by column.
+    """
+
+    daemon: str = betterproto.string_field(1)
+    zone: str = betterproto.string_field(2)
+    host: str = betterproto.string_field(3)
+    port: int = betterproto.uint32_field(4)
+    cores: float = betterproto.double_field(5)
+    samples: List[str] = betterproto.string_field(6)
+    """Names under which the samples' texts are kept."""
+
+    engines: List[str] = betterproto.string_field(7)
+    after_events: List[int] = betterproto.uint64_field(8)
+    """The runs began after these events."""
+
+
+@dataclass(eq=False, repr=False)
+class RunsTaken(betterproto.Message):
+    """
+    Which of the runs go on under this leader, in the order in which they were offered; it begins
+     those under numbers of its own. The others are to end.
+    """
+
+    status: int = betterproto.uint32_field(1)
+    """A number of `rollouts.steps.StepStatus`."""
+
+    taken: List[bool] = betterproto.bool_field(2)
+
 
 @dataclass(eq=False, repr=False)
 class DropRun(betterproto.Message):
