A run is taken over only where it continues the text that is known

Cause, found on reading: a leader that is cut from a runner leaves its run and begins another one elsewhere; after a takeover both may be offered. Taking the older one would put its next event behind events of the other: text of two runs. Ruled out: comparing events (an engine may make the same ones, or not).

Now a saved text names the run that made its last event, and a run is taken over where the text ends at the run's beginning or was made by it. Two cases of test_taking_over.py fail without the check.

--- a/src/pondtiller/gateway/held_runs.py
+++ b/src/pondtiller/gateway/held_runs.py
@@ -155,6 +155,8 @@
             samples=[each.run.order.sample for each in held],
             engines=[each.run.order.engine for each in held],
             after_events=[each.run.began_after for each in held],
+            epochs=[each.lost.epoch for each in held],
+            runs=[each.run.order.run for each in held],
         )
 
     async def _end(self, held: list[HeldRun], reason: str) -> None:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -33,6 +33,7 @@
     ListResult,
     OfferedRun,
     RunEnd,
+    RunName,
     ScoreEnd,
     ScoreText,
     StartRun,
@@ -136,6 +137,7 @@
         self.scheduler = SampleScheduler(
             parts.engines, self.steward.is_loading, parts.leadership.zone, parts.cold
         )
+        self.scheduler.epoch = won.epoch
         self.progress = ProgressSaver()
         self.wake = curio.Event()
         self._won = won
@@ -295,7 +297,8 @@
         give_up = clock.monotonic() + OFFER_WAIT_SECONDS
         while not self._has_texts and clock.monotonic() < give_up and not self._is_over:
             await curio.sleep(OFFER_LOOK_SECONDS)
-        columns = zip(message.samples, message.engines, message.after_events, strict=True)
+        names = map(RunName, message.epochs, message.runs)
+        columns = zip(message.samples, message.engines, message.after_events, names, strict=True)
         offered = [OfferedRun(*each) for each in columns]
         now = clock.monotonic()
         may_take = link is not None and self._leadership.log.holds_lease(now)
--- a/src/pondtiller/rollouts/progress.py
+++ b/src/pondtiller/rollouts/progress.py
@@ -85,4 +85,6 @@
         versions=text.versions,
         last_event=text.last_event,
         after_event=after,
+        epoch=text.made_by.epoch,
+        run=text.made_by.run,
     )
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -74,6 +74,16 @@
     runner: str = ""
 
 
+class RunName(NamedTuple):
+    """A run among those of all leaders: the leader's epoch, and the number that it gave."""
+
+    epoch: int
+    run: int
+
+
+NO_RUN = RunName(0, 0)
+
+
 class OfferedRun(NamedTuple):
     """A run of an earlier leader that goes on at its runner.
 
@@ -83,11 +93,14 @@
         Name under which the sample's unfinished text is kept.
     after_event
         The run began after this event.
+    name
+        Of the leader that began it, or took it over last.
     """
 
     sample: str
     engine: str
     after_event: int
+    name: RunName
 
 
 class CancelRun(NamedTuple):
@@ -142,16 +155,20 @@
         Versions that made them, without repeats.
     last_event
         Number of the last event; 0 before the first.
+    made_by
+        The run that made the last event.
     """
 
     events: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     last_event: int = 0
     is_whole: bool = False
+    made_by: RunName = NO_RUN
 
-    def add(self, number: int, data: str, version: int) -> None:
+    def add(self, number: int, data: str, version: int, made_by: RunName) -> None:
         """Take the next event."""
         self.events.append(data)
+        self.made_by = made_by
         self.last_event = number
         if version not in self.versions:
             self.versions.append(version)
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -19,6 +19,7 @@
     ListResult,
     OfferedRun,
     RunEnd,
+    RunName,
     SampleWork,
     ScoreEnd,
     ScoreText,
@@ -74,6 +75,8 @@
 
     Attributes
     ----------
+    epoch
+        Of the leader, which names its runs with it.
     begins_none
         Whether no run is begun, since those of an earlier leader may be taken over.
     """
@@ -93,6 +96,7 @@
         self._last_run = 0
         self.run_times = RunTimes()
         self.turns: dict[GroupKey, int] = {}
+        self.epoch = 0
         self.begins_none = False
         self._next_shed = float("-inf")
         self._next_look = float("-inf")
@@ -152,7 +156,8 @@
         if known is not None and known.last_event >= progress.last_event:
             return
         events = unpack_events(progress.parts)
-        text = Text(events, list(progress.versions), progress.last_event)
+        made_by = RunName(progress.epoch, progress.run)
+        text = Text(events, list(progress.versions), progress.last_event, made_by=made_by)
         self._kept[progress.id] = text
 
     # Runs
@@ -170,7 +175,7 @@
         engine = self._engines.engines.get(work.engine)
         if engine is not None and work.run_events:
             engine.note_event_gap(now - work.last_heard, now)
-        work.text.add(number, data, version)
+        work.text.add(number, data, version, RunName(self.epoch, run))
         work.run_events += 1
         work.last_heard = now
         return True
@@ -276,19 +281,25 @@
         Returns
         -------
         bool
-            False where the sample is wanted no more, runs elsewhere by now, or what came before
-            the run is not known.
+            False where the sample is wanted no more, runs elsewhere by now, or the text that is
+            known is not the one that the run continues.
         """
         work = next((each for each in self.work.values() if each.kept_as == offered.sample), None)
         engine = self._engines.engines.get(offered.engine)
         if work is None or engine is None or work.stage is not Stage.WAITING:
             return False
         is_wanted = work.is_routed and not work.has_left(engine.identifier, now)
-        knows_text = work.text.last_event >= offered.after_event
+        # Events of another run must not stand before those of this one.
+        text = work.text
+        knows_text = text.last_event == offered.after_event or (
+            text.last_event > offered.after_event and text.made_by == offered.name
+        )
         in_home = self._engines.places.may_hold(engine.entry.zone, work.route.homes)
         if not (is_wanted and knows_text and in_home):
             return False
         self._start(work, engine, now, runner)
+        if text.last_event > offered.after_event:
+            text.made_by = RunName(self.epoch, work.run)
         return True
 
     def _try_start(self, work: SampleWork, now: float) -> None:
--- /dev/null
+++ b/src/pondtiller/rollouts/tests/test_taking_over.py
@@ -0,0 +1,96 @@
+"""Runs of an earlier leader: taken over only where they continue the text that is known."""
+
+import pytest
+
+from pondtiller.rollouts.progress import pack_events
+from pondtiller.rollouts.sample_work import OfferedRun, RunName, Stage, StartRun
+from pondtiller.rollouts.tests.test_samples import Bench, starts
+from pondtiller.wire.steplog import SampleProgress
+
+EARLIER = RunName(4, 17)
+SAMPLE = "s-0-0"
+
+
+def bench(last_event: int, made_by: RunName = EARLIER) -> Bench:
+    """Return a new leader with one open sample, of which a text is known."""
+    made = Bench()
+    made.scheduler.epoch = 9
+    made.scheduler.begins_none = True
+    if last_event:
+        made.scheduler.keep_progress(
+            SampleProgress(
+                id=SAMPLE,
+                parts=[pack_events([f"e{number}" for number in range(1, last_event + 1)])],
+                versions=[1],
+                last_event=last_event,
+                epoch=made_by.epoch,
+                run=made_by.run,
+            )
+        )
+    made.open(size=1)
+    return made
+
+
+def offer(made: Bench, after_event: int, engine: str = "e1", name: RunName = EARLIER) -> bool:
+    return made.scheduler.take_over(OfferedRun(SAMPLE, engine, after_event, name), "d", 1.0)
+
+
+def test_a_run_is_taken_over_at_its_engine_and_runner() -> None:
+    made = bench(last_event=5)
+    assert made.tick(0.9) == []
+    assert offer(made, after_event=0)
+    (start,) = starts(made.scheduler.take())
+    assert isinstance(start, StartRun)
+    assert (start.engine, start.runner, start.last_event) == ("e1", "d", 5)
+    assert made.directory.engines["e1"].running == 1
+    made.scheduler.run_event(start.run, 6, "e6", 1, 1.1)
+    work = made.scheduler.work[("s", SAMPLE)]
+    assert work.text.events == [f"e{number}" for number in range(1, 7)]
+
+
+@pytest.mark.parametrize(
+    ("last_event", "made_by", "after_event", "is_taken"),
+    [
+        (0, EARLIER, 0, True),
+        (5, EARLIER, 5, True),
+        (5, EARLIER, 2, True),
+        # It began after the text that is known: what lies between is lost.
+        (5, EARLIER, 6, False),
+        # Another run made the end of the text: this one would not continue it.
+        (5, RunName(4, 18), 2, False),
+        (5, RunName(3, 17), 2, False),
+        # Both continue the same text.
+        (5, RunName(4, 16), 5, True),
+    ],
+)
+def test_events_of_two_runs_are_never_joined(
+    last_event: int, made_by: RunName, after_event: int, is_taken: bool
+) -> None:
+    made = bench(last_event, made_by)
+    assert offer(made, after_event) is is_taken
+    assert len(starts(made.scheduler.take())) == is_taken
+
+
+def test_a_run_is_taken_over_again_under_the_name_of_its_last_leader() -> None:
+    made = bench(last_event=5)
+    assert offer(made, after_event=2)
+    (start,) = starts(made.scheduler.take())
+    work = made.scheduler.work[("s", SAMPLE)]
+    assert work.text.made_by == RunName(9, start.run)
+
+
+@pytest.mark.parametrize("why", ["runs elsewhere", "unknown engine", "ended", "other sample"])
+def test_what_is_not_wanted_is_not_taken_over(why: str) -> None:
+    made = bench(last_event=0)
+    if why == "runs elsewhere":
+        made.scheduler.begins_none = False
+        made.tick(0.9)
+        assert made.scheduler.work[("s", SAMPLE)].stage is Stage.RUNNING
+    if why == "ended":
+        made.scheduler.close("s")
+    engine = "gone" if why == "unknown engine" else "e1"
+    sample = "s-0-9" if why == "other sample" else SAMPLE
+    made.scheduler.take()
+    offered = OfferedRun(sample, engine, 0, EARLIER)
+    assert not made.scheduler.take_over(offered, "d", 1.0)
+    assert made.scheduler.take() == []
--- a/src/pondtiller/steplog/kept_texts.py
+++ b/src/pondtiller/steplog/kept_texts.py
@@ -65,4 +65,6 @@
         parts=[*kept.parts, *news.parts],
         versions=news.versions,
         last_event=news.last_event,
+        epoch=news.epoch,
+        run=news.run,
     )
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -145,6 +145,13 @@
     after_events: List[int] = betterproto.uint64_field(8)
     """The runs began after these events."""
 
+    epochs: List[int] = betterproto.uint64_field(9)
+    """
+    The leader that began or took them over last, and the numbers that it gave them.
+    """
+
+    runs: List[int] = betterproto.uint64_field(10)
+
 
 @dataclass(eq=False, repr=False)
 class RunsTaken(betterproto.Message):
@@ -457,6 +464,13 @@
     The events follow this one, of which the replica has been told; 0 where they are all.
     """
 
+    epoch: int = betterproto.uint64_field(20)
+    """
+    Which run made the last event: its leader's epoch, and the number that this leader gave it.
+    """
+
+    run: int = betterproto.uint64_field(21)
+
 
 @dataclass(eq=False, repr=False)
 class SaveProgress(betterproto.Message):
