--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -27,10 +27,13 @@
 from pondtiller.links.link import LinkLostError
 from pondtiller.platform.operator_api import OperatorClient
 from pondtiller.rollouts.progress import ProgressSaver
+from pondtiller.rollouts.runner_choice import Daemon
 from pondtiller.rollouts.sample_work import (
     CancelRun,
     ListResult,
+    OfferedRun,
     RunEnd,
+    RunName,
     ScoreEnd,
     ScoreText,
     StartRun,
@@ -42,13 +45,16 @@
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.send_gate import Held
 from pondtiller.routes.table import RouteTable
+from pondtiller.routes.tenants import owned_name
 from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.instructions import Won
 from pondtiller.usage.reports import USE_PREFIX
 from pondtiller.wire.steplog import (
+    OfferRuns,
     ProgressList,
     ReadProgress,
     ResultsPage,
+    RunsTaken,
     SaveProgress,
     Step,
     UseTaken,
@@ -70,6 +76,13 @@
 """How long a leader whose lease has ended waits for its texts to leave, before it ends its runs.
 A successor begins none before it was elected and has read log and texts: 0.3 s at least."""
 EXPIRE_SECONDS = 30.0
+HELD_WAIT_SECONDS = 0.2
+"""From a term's start until a sample of an earlier leader is begun anew: a replica's view is on its
+way for 20 ms at most, a runner looks each 0.05 s, connects and offers its runs in 60 ms. In two
+regions the last of nine offers came 0.16 s after the election."""
+OFFER_WAIT_SECONDS = 0.6
+"""The same while an offer is looked at: a connection may take as long (`CONNECT_SECONDS`)."""
+OFFER_LOOK_SECONDS = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +137,7 @@
         self.scheduler = SampleScheduler(
             parts.engines, self.steward.is_loading, parts.leadership.zone, parts.cold
         )
+        self.scheduler.epoch = won.epoch
         self.progress = ProgressSaver()
         self.wake = curio.Event()
         self._won = won
@@ -143,6 +157,8 @@
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
         self._has_texts = False
+        self._began = clock.monotonic()
+        self._offers = 0
         self._scheduled: set[str] = set()
         self._is_over = False
         self._takes_turns = False
@@ -263,6 +279,42 @@
         await self.wake.set()
         await self._leadership.read_rest()
 
+    async def take_offered(self, message: OfferRuns) -> RunsTaken:
+        """Go on with runs of an earlier leader that their runner still has.
+
+        No sample is begun anew while an offer is looked at, for a while at most.
+        """
+        self._offers += 1
+        try:
+            return await self._take_over(message)
+        finally:
+            self._offers -= 1
+
+    async def _take_over(self, message: OfferRuns) -> RunsTaken:
+        place = Address(message.host, message.port)
+        daemon = Daemon(message.daemon, message.zone, place, message.cores)
+        link = await self.runners.connect_to(daemon)
+        give_up = clock.monotonic() + OFFER_WAIT_SECONDS
+        while not self._has_texts and clock.monotonic() < give_up and not self._is_over:
+            await curio.sleep(OFFER_LOOK_SECONDS)
+        names = map(RunName, message.epochs, message.runs)
+        columns = zip(message.samples, message.engines, message.after_events, names, strict=True)
+        offered = [OfferedRun(*each) for each in columns]
+        now = clock.monotonic()
+        may_take = link is not None and self._leadership.log.holds_lease(now)
+        taken = [may_take and self.scheduler.take_over(each, daemon.name, now) for each in offered]
+        self._metrics.runs_taken_over += sum(taken)
+        logs.decision(
+            "runs_offered",
+            runner=daemon.name,
+            runs=len(offered),
+            taken=sum(taken),
+            epoch=self.epoch,
+            connected=link is not None,
+        )
+        await self._carry_out()
+        return RunsTaken(status=StepStatus.OK, taken=taken)
+
     async def _tick(self, now: float) -> None:
         if not self._leadership.log.holds_lease(now):
             return
@@ -273,10 +325,22 @@
             for record in self.book.steps.values():
                 self._schedule(record)
         self.steward.tick(now)
+        self.scheduler.begins_none = self._awaits_offers(now)
         self.scheduler.tick(now, clock.wall())
         self._note_turns()
         await self._carry_out()
 
+    def _awaits_offers(self, now: float) -> bool:
+        """Return whether runs of an earlier leader may still be taken over in place of new ones.
+
+        A daemon that knows no earlier leader does not wait: after all machines lost power nobody
+        has runs.
+        """
+        if not 0 < self._leadership.replicas.first_leader < self.epoch:
+            return False
+        lasted = now - self._began
+        return lasted < HELD_WAIT_SECONDS or (self._offers > 0 and lasted < OFFER_WAIT_SECONDS)
+
     def _note_turns(self) -> None:
         """Tell when not all groups can be whole in time any more, and when they can again."""
         groups = len(self.scheduler.turns)
@@ -448,6 +512,8 @@
         if work is None:
             return
         name, runner = self.runners.runner_for(start.engine)
+        if start.runner and start.runner in self.runners.links:
+            name, runner = start.runner, self.runners.links[start.runner]
         logs.decision(
             "sample_started",
             sample=start.sample.id,
@@ -456,6 +522,7 @@
             runner=name,
             run=start.run,
             after_event=start.last_event,
+            taken_over=bool(start.runner),
             epoch=self.epoch,
         )
         began = clock.monotonic()
@@ -605,4 +672,6 @@
         start.sample.content,
         start.tenant,
         is_cold,
+        owned_name(start.tenant, start.sample.id),
+        bool(start.runner),
     )
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -17,7 +17,9 @@
     CancelRun,
     Instruction,
     ListResult,
+    OfferedRun,
     RunEnd,
+    RunName,
     SampleWork,
     ScoreEnd,
     ScoreText,
@@ -70,6 +72,13 @@
         Of this leader, to which all events of the runs go.
     cold
         Which engines are cold; None where none ever is.
+
+    Attributes
+    ----------
+    epoch
+        Of the leader, which names its runs with it.
+    begins_none
+        Whether no run is begun, since those of an earlier leader may be taken over.
     """
 
     def __init__(
@@ -87,6 +96,8 @@
         self._last_run = 0
         self.run_times = RunTimes()
         self.turns: dict[GroupKey, int] = {}
+        self.epoch = 0
+        self.begins_none = False
         self._next_shed = float("-inf")
         self._next_look = float("-inf")
         self._out: list[Instruction] = []
@@ -145,7 +156,8 @@
         if known is not None and known.last_event >= progress.last_event:
             return
         events = unpack_events(progress.parts)
-        text = Text(events, list(progress.versions), progress.last_event)
+        made_by = RunName(progress.epoch, progress.run)
+        text = Text(events, list(progress.versions), progress.last_event, made_by=made_by)
         self._kept[progress.id] = text
 
     # Runs
@@ -163,7 +175,7 @@
         engine = self._engines.engines.get(work.engine)
         if engine is not None and work.run_events:
             engine.note_event_gap(now - work.last_heard, now)
-        work.text.add(number, data, version)
+        work.text.add(number, data, version, RunName(self.epoch, run))
         work.run_events += 1
         work.last_heard = now
         return True
@@ -235,6 +247,8 @@
         # What moved left room, and what failed is paused.
         self.placement.begin_tick()
         self._give_turns(now, wall_now)
+        if self.begins_none:
+            return
         waiting = [work for work in self.work.values() if work.stage is Stage.WAITING]
         for work in sorted(waiting, key=self._turn):
             if work.is_routed:
@@ -261,10 +275,39 @@
             turns += group_turns(step_loads(works), rate, wall_now)
         self.turns = {key: turn for turn, key in enumerate(turns)}
 
+    def take_over(self, offered: OfferedRun, runner: str, now: float) -> bool:
+        """Go on with a run that an earlier leader began and that its runner still has.
+
+        Returns
+        -------
+        bool
+            False where the sample is wanted no more, runs elsewhere by now, or the text that is
+            known is not the one that the run continues.
+        """
+        work = next((each for each in self.work.values() if each.kept_as == offered.sample), None)
+        engine = self._engines.engines.get(offered.engine)
+        if work is None or engine is None or work.stage is not Stage.WAITING:
+            return False
+        is_wanted = work.is_routed and not work.has_left(engine.identifier, now)
+        # Events of another run must not stand before those of this one.
+        text = work.text
+        knows_text = text.last_event == offered.after_event or (
+            text.last_event > offered.after_event and text.made_by == offered.name
+        )
+        in_home = self._engines.places.may_hold(engine.entry.zone, work.route.homes)
+        if not (is_wanted and knows_text and in_home):
+            return False
+        self._start(work, engine, now, runner)
+        if text.last_event > offered.after_event:
+            text.made_by = RunName(self.epoch, work.run)
+        return True
+
     def _try_start(self, work: SampleWork, now: float) -> None:
         engine = self.placement.choose(work, now)
-        if engine is None:
-            return
+        if engine is not None:
+            self._start(work, engine, now)
+
+    def _start(self, work: SampleWork, engine: Engine, now: float, runner: str = "") -> None:
         self._last_run += 1
         work.run = self._last_run
         work.engine = engine.identifier
@@ -285,6 +328,7 @@
                 work.text.last_event,
                 work.stays_with,
                 work.step.step.tenant,
+                runner,
             )
         )
 
