A test of warm engines does without second tries

Cause: test_a_warm_engine_serves_while_there_is_one failed in two of two runs beside load (average 14 on 12 processors). The choice is what the test is about, so its usual time is longer than any request. Its assertions are as they were; with the preference for warm engines taken out of cold_sends.py it still fails.

Ruled out: a gateway that did not know the engine's entry or row yet (start() waits for both).

--- a/src/pondtiller/gateway/tests/test_cold.py
+++ b/src/pondtiller/gateway/tests/test_cold.py
@@ -10,12 +10,16 @@
 from pondtiller.gateway.tests.let_through import LetThrough
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.platform.standins import StandInEngine, configuration
+from pondtiller.routes.answer_times import AnswerTimes
 from pondtiller.routes.cold import subject_of
 
 RATE = 14
 CALLS = 50
 """To each of two gateways at once: five times what two cold engines may get in a second."""
 
+NO_SECOND_TRY_SECONDS = 60.0
+"""Longer than any request may take."""
+
 
 class TimedEngine(StandInEngine):
     """Notes when requests reach it."""
@@ -114,7 +118,12 @@
     run_system(tmp_path, test, gateways=2, with_configuration=False)
 
 
-def test_a_warm_engine_serves_while_there_is_one(tmp_path: Path) -> None:
+def test_a_warm_engine_serves_while_there_is_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Without second tries, which may go to a cold engine within its share where this is slow."""
+    monkeypatch.setattr(AnswerTimes, "usual_seconds", NO_SECOND_TRY_SECONDS)
+
     async def test(system: System) -> None:
         engines = await start(system, {"t0": 60.0})
         statuses = await call_all(system)
