A gateway's process split by job: parts, sockets, links, pages, housekeeping, stop

Now parts.py makes and joins the parts (248), sockets.py listens, link_service.py and pages.py answer, housekeeping.py looks after replicas and engines, duty_settings.py reads a leader's duties from settings, and process.py (120) starts, reloads and stops. Each moved piece is as it was. GatewayProcess stays the object with all parts (it derives from GatewayParts), so that what reads process.engines and the like stays too; the other way, a field of its own for the parts, would touch 160 lines of tests that others work on.

is_ready is public now, since housekeeping and tests ask it; render_metrics stands at the pages. Tests keep their assertions; the test of late imports looks at the module that has the late import.

--- /dev/null
+++ b/src/pondtiller/gateway/housekeeping.py
@@ -0,0 +1,58 @@
+"""What a gateway looks after at intervals: replicas that it must find, engines that are gone."""
+
+import curio
+
+from pondtiller.daemon import clock
+from pondtiller.gateway.parts import GatewayParts
+from pondtiller.platform import names
+from pondtiller.platform.object_client import StoreCallError
+
+HOUSEKEEPING_SECONDS = 0.5
+NO_REPLICA_SECONDS = 2.5
+SEARCH_SECONDS = 1.0
+LONGEST_SEARCH_SECONDS = 4.0
+"""Searches are calls to the store; one that finds nothing new is repeated later each time."""
+
+
+class Housekeeping:
+    """Finds replicas when none is heard, forgets engines that are gone."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+
+    async def run(self) -> None:
+        """Look after both until cancelled."""
+        parts = self._parts
+        next_search, pause = 0.0, SEARCH_SECONDS
+        while True:
+            now = clock.monotonic()
+            if not self._lacks_replicas(now):
+                pause = SEARCH_SECONDS
+            elif now >= next_search:
+                next_search = now + pause
+                pause = min(2 * pause, LONGEST_SEARCH_SECONDS)
+                await self._find_replicas()
+            parts.leadership.may_stand = parts.is_ready()
+            parts.engines.keep_house(now)
+            parts.cold.look(now)
+            await parts.pool.forget(set(parts.engines.engines))
+            await curio.sleep(HOUSEKEEPING_SECONDS)
+
+    def _lacks_replicas(self, now: float) -> bool:
+        """Return whether to look for replicas: none is heard, or too few for a first group.
+
+        Once there is a group, one replica that is heard names the others.
+        """
+        replicas = self._parts.leadership.replicas
+        if now > replicas.last_heard() + NO_REPLICA_SECONDS:
+            return True
+        views = replicas.views()
+        has_group = any(view.group.generation for view in views)
+        return not has_group and len(views) < self._parts.settings.wanted_replicas
+
+    async def _find_replicas(self) -> None:
+        try:
+            listing = await self._parts.store.list_all(names.REPLICAS)
+        except StoreCallError:
+            return
+        await self._parts.leader_watches.take_replicas(listing.objects)
--- /dev/null
+++ b/src/pondtiller/gateway/parts.py
@@ -0,0 +1,248 @@
+"""The parts of one gateway, made from its settings and joined; nothing of them runs yet."""
+
+from betterproto import Message
+
+from pondtiller.coordination.agreed_clock import AgreedClock
+from pondtiller.coordination.rate_shares import RateTerms
+from pondtiller.gateway.cold_sends import ColdSends
+from pondtiller.gateway.duties import LeaderDuties
+from pondtiller.gateway.duty_settings import operator_client, scaling_settings, usage_settings
+from pondtiller.gateway.engine_pool import EnginePool
+from pondtiller.gateway.evacuation_watch import EvacuationWatch
+from pondtiller.gateway.figure_sources import FigureSources
+from pondtiller.gateway.first_group import StoredFirstGroup
+from pondtiller.gateway.forward import Forwarder
+from pondtiller.gateway.front import Front
+from pondtiller.gateway.held_runs import HeldRuns
+from pondtiller.gateway.key_freshness import KeyFreshness
+from pondtiller.gateway.leader_watches import LeaderWatches
+from pondtiller.gateway.leadership import Leadership
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.mirrored_store import MirroredStore
+from pondtiller.gateway.orders import EngineOrders
+from pondtiller.gateway.run_host import RunHost
+from pondtiller.gateway.sample_runner import SampleRunner
+from pondtiller.gateway.settings import GatewaySettings, to_address
+from pondtiller.gateway.share_asker import ShareAsker
+from pondtiller.gateway.sockets import GatewaySockets
+from pondtiller.gateway.step_client import StepClient
+from pondtiller.gateway.store_watch import StoreHealth
+from pondtiller.gateway.streams import StreamForwarder
+from pondtiller.gateway.tenant_rates import TenantRates
+from pondtiller.gateway.term import DutyParts
+from pondtiller.gateway.usage_teller import UsageTeller
+from pondtiller.gateway.watches import GatewayWatches
+from pondtiller.httpio.client import HttpClient
+from pondtiller.platform.object_client import ObjectClient
+from pondtiller.routes.cold import SUBJECT_PREFIX as COLD_PREFIX
+from pondtiller.routes.cold import ColdBound, ColdEngines
+from pondtiller.routes.engines import EngineDirectory
+from pondtiller.routes.places import Places
+from pondtiller.routes.rates import SUBJECT_PREFIX as TENANT_PREFIX
+from pondtiller.routes.send_gate import SendGate
+from pondtiller.steplog.fault_tolerance import PlaceRules
+from pondtiller.usage.meter import UseMeter
+from pondtiller.wire.steplog import Subscribe
+
+HEARD_SECONDS = 1.2
+"""A replica tells its view each second; one that was not heard for longer may be cut off."""
+
+
+class GatewayParts:
+    """A gateway's parts.
+
+    Attributes
+    ----------
+    is_stopping
+        Whether it takes no new callers and does not stand as a leader.
+    """
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.settings = settings
+        self.is_stopping = False
+        self.metrics = GatewayMetrics()
+        self.places = Places(settings.regions)
+        self.engines = EngineDirectory(self.places)
+        self.gate = SendGate(self.engines)
+        self.pool = EnginePool()
+        client = HttpClient()
+        self.store = ObjectClient(to_address(settings.store), client)
+        health = StoreHealth()
+        bound = ColdBound(settings.cold.excess, settings.cold.slack)
+        cold = ColdEngines(self.engines, bound, lambda: self.front.table)
+        self.shares = ShareAsker(
+            settings.name,
+            lambda message, seconds: self.steps.ask_shares(message, seconds),
+            lambda: self.leadership.leader(),
+        )
+        self.cold = ColdSends(cold, self.shares, self.metrics)
+        self.gate.rules.append(self.cold.rule)
+        self.gate.unknown_rule = self.cold.unknown_rule
+        forwarder = self.forwarder = Forwarder(
+            settings.zone, self.engines, self.pool, self.metrics, self.gate, self.cold
+        )
+        self.sockets = GatewaySockets(settings)
+        rules = PlaceRules(settings.tolerance, self.places)
+        self.leadership = Leadership(
+            settings.name,
+            self.sockets.address(self.sockets.links),
+            settings.processor.speed,
+            settings.wanted_replicas,
+            StoredFirstGroup(self.store, settings.wanted_replicas, rules),
+            self.metrics,
+            settings.zone,
+            rules,
+        )
+        self.steps = StepClient(settings.name, self.leadership.leader, self)
+        streams = StreamForwarder(forwarder, self.pool, self.gate)
+        self.agreed = AgreedClock()
+        usage = usage_settings(settings)
+        meter = UseMeter(usage.window_seconds if usage is not None else 0.0)
+        keys = KeyFreshness(settings.keys, lambda: self.watches.configuration.heard_at)
+        self.rates = TenantRates(
+            settings.rate_excess, self.shares, lambda: self.front.table, self.metrics
+        )
+        self.front = Front(
+            forwarder,
+            streams,
+            self.steps,
+            self.metrics,
+            meter,
+            keys.is_fresh,
+            self.rates,
+            self.places,
+        )
+        self.teller: UsageTeller | None = None
+        if usage is not None:
+            self.teller = UsageTeller(
+                settings.name, meter, self.agreed, self.steps, self.leadership.leader
+            )
+        runner = SampleRunner(self.gate, self.pool, forwarder, lambda: self.front.table, self.cold)
+        self.run_host = RunHost(
+            runner, lambda: self.leadership.replicas.highest_epoch, self._make_held_runs()
+        )
+        self.leadership.replicas.subscription = self._subscription()
+        self.mirrored_store = MirroredStore(
+            settings.name,
+            settings.zone,
+            self.store,
+            self.leadership.replicas,
+            lambda: self.leadership.log.is_leading,
+            self.places,
+        )
+        self.leader_watches = LeaderWatches(
+            self.store, self.mirrored_store.for_leader, health, self.leadership.replicas
+        )
+        self.leader_watches.follow_members(self._is_group_member)
+        parts = DutyParts(
+            leadership=self.leadership,
+            engines=self.engines,
+            front=self.front,
+            runner=runner,
+            orders=EngineOrders(settings.name, self.engines, HttpClient()),
+            watches=self.leader_watches,
+            metrics=self.metrics,
+            lease_seconds=settings.durations.lease,
+            keep_seconds=settings.durations.keep_steps,
+            agreed=self.agreed,
+            usage=usage,
+            operator=operator_client(settings),
+            cold=cold,
+            find_terms=self._rate_terms,
+            scaling=scaling_settings(settings),
+        )
+        self.duties = LeaderDuties(parts)
+        self.leadership.serve(self.duties)
+        self.watches = GatewayWatches(
+            self.mirrored_store,
+            health,
+            self.engines,
+            self.front,
+            self._view_changed,
+            lambda: self.leadership.log.is_leading,
+            lambda: self.mirrored_store.follows_mirrors,
+            keys.wait_seconds,
+        )
+        self.evacuations: EvacuationWatch | None = None
+        if settings.evacuation.within:
+            self.evacuations = EvacuationWatch(
+                self.mirrored_store,
+                health,
+                self.engines,
+                {settings.zone, *settings.regions},
+                self._view_changed,
+                self.watches.longest_retry,
+            )
+        self.sources = FigureSources(
+            name=settings.name,
+            metrics=self.metrics,
+            front=self.front,
+            engines=self.engines,
+            pool=self.pool,
+            cold=self.cold,
+            store=self.store,
+            mirrored_store=self.mirrored_store,
+            watches=self.watches,
+            leadership=self.leadership,
+            duties=self.duties,
+            run_host=self.run_host,
+            cache=self.steps.cache,
+            agreed=self.agreed,
+        )
+
+    def _subscription(self) -> Subscribe:
+        """Return what replicas are told of this daemon, for a leader to find it."""
+        place = self.sockets.address(self.sockets.links)
+        return Subscribe(
+            daemon=self.settings.name,
+            zone=self.settings.zone,
+            host=place.host,
+            port=place.port,
+            cores=self.settings.processor.speed,
+        )
+
+    def _make_held_runs(self) -> HeldRuns:
+        replicas = self.leadership.replicas
+
+        def leader_epoch() -> int | None:
+            leader = self.leadership.leader()
+            return leader.epoch if leader is not None else None
+
+        return HeldRuns(
+            lambda: replicas.subscription,
+            leader_epoch,
+            lambda: replicas.hears_quorum(HEARD_SECONDS),
+            self.steps.offer_runs,
+        )
+
+    def _rate_terms(self, subject: str) -> RateTerms | None:
+        """Return how this daemon, where it leads, grants shares of a rate."""
+        if subject.startswith(COLD_PREFIX):
+            return self.cold.terms(subject.removeprefix(COLD_PREFIX))
+        if subject.startswith(TENANT_PREFIX):
+            return self.rates.terms(subject.removeprefix(TENANT_PREFIX))
+        return None
+
+    async def _view_changed(self) -> None:
+        """Take a change of the engines or the table."""
+        if not self.leadership.may_stand and self.is_ready():
+            self.leadership.may_stand = True
+            await self.leadership.wake_up()
+        await self.duties.engines_changed()
+
+    async def answer(self, message: Message) -> Message:
+        """Answer a step call as the leader."""
+        return await self.duties.answer(message)
+
+    def _is_group_member(self, name: str) -> bool:
+        """Return whether a replica belongs to the group, or may while it is not known."""
+        log = self.leadership.log
+        if not log.is_leading or log.next_group is not None:
+            return True
+        return any(member.name == name for member in log.group.members)
+
+    def is_ready(self) -> bool:
+        """Return whether this gateway may get callers and stand as a leader."""
+        if self.is_stopping or self.engines.awaits_evacuations:
+            return False
+        return self.front.table is not None and self.engines.is_known
--- /dev/null
+++ b/src/pondtiller/gateway/sockets.py
@@ -0,0 +1,25 @@
+"""A gateway's listeners: for callers, for the platform's questions, for other daemons."""
+
+from typing import Any
+
+from pondtiller.core.entities import Address
+from pondtiller.gateway.settings import GatewaySettings, to_address
+from pondtiller.httpio.server import bind_tcp
+
+
+class GatewaySockets:
+    """A gateway's listeners, bound before it starts so that others can know its ports."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.callers = self._bind(settings.callers)
+        self.readiness = self._bind(settings.readiness)
+        self.links = self._bind(settings.links)
+
+    def address(self, listener: Any) -> Address:
+        """Return where a listener is bound."""
+        host, port = listener.getsockname()
+        return Address(host, port)
+
+    def _bind(self, text: str) -> Any:
+        place = to_address(text)
+        return bind_tcp(place.host, place.port)
--- a/src/pondtiller/gateway/tests/test_evacuations.py
+++ b/src/pondtiller/gateway/tests/test_evacuations.py
@@ -39,7 +39,7 @@
         stream["service"] = "llm"
         system.store.put("config", "main", {**spec, "routes": [*spec["routes"], stream]})
         await system.until_led()
-        await system.until(lambda: all(each._is_ready() for each in system.gateways))
+        await system.until(lambda: all(each.is_ready() for each in system.gateways))
 
         def is_known(gateway: GatewayProcess) -> bool:
             zones = {each.entry.zone for each in gateway.engines.engines.values()}
@@ -320,11 +320,11 @@
         system.gateways.append(later)
         await system.group.spawn(later.run)
         await system.until(lambda: later.front.table is not None and later.engines.is_known)
-        assert not later._is_ready()
+        assert not later.is_ready()
         answer = await system.call("POST", "/quote/7", b"x", gateway=1, request_id="q1")
         assert answer.status == 503
         await may_list.set()
-        await system.until(later._is_ready, WITHIN)
+        await system.until(later.is_ready, WITHIN)
         assert later.engines.evacuated == {"y"}
 
     run(tmp_path, test)
--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -28,7 +28,7 @@
 
 async def connected(system: System, runners: int) -> GatewayProcess:
     leader = await system.until_led()
-    await system.until(lambda: all(each._is_ready() for each in system.gateways))
+    await system.until(lambda: all(each.is_ready() for each in system.gateways))
     term = leader.duties.term
     assert term is not None
     await system.until(lambda: len(term.runners.links) >= runners)
--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -15,7 +15,7 @@
 
 async def ready(system: System) -> None:
     gateway = await system.until_led()
-    await system.until(lambda: all(each._is_ready() for each in system.gateways))
+    await system.until(lambda: all(each.is_ready() for each in system.gateways))
     assert gateway.duties.term is not None
 
 
--- a/src/pondtiller/gateway/tests/test_tenants.py
+++ b/src/pondtiller/gateway/tests/test_tenants.py
@@ -192,7 +192,7 @@
             await curio.sleep(0.05)
         places = {
             "engines": json.dumps(seen_at([*system.app, *system.llm])),
-            "metrics": "".join(each.render_metrics().decode() for each in system.gateways),
+            "metrics": "".join(each.pages.render_metrics().decode() for each in system.gateways),
             "store": json.dumps(
                 {kind: each for kind, each in system.store.kinds.items() if kind != "config"}
             ),
--- a/src/pondtiller/routes/tests/test_sheet_rows.py
+++ b/src/pondtiller/routes/tests/test_sheet_rows.py
@@ -79,7 +79,7 @@
 
 def test_a_gateway_shows_its_table_filled_with_status(tmp_path: Path) -> None:
     async def test(system: System) -> None:
-        await system.until(lambda: system.gateways[0]._is_ready())
+        await system.until(lambda: system.gateways[0].is_ready())
         await system.until(lambda: len(system.gateways[0].engines.engines) == 4)
         await system.call("POST", "/quote/7", request_id="q1")
         answer = await system.client.request(system.readiness(), "GET", "/table")
--- a/tools/tests/test_check_imports.py
+++ b/tools/tests/test_check_imports.py
@@ -22,5 +22,5 @@
 
 def test_imports_for_types_only_and_within_functions_count() -> None:
     imports = CHECK.module_imports()
-    assert "pondtiller.gateway.metrics_text" in imports["pondtiller.gateway.process"]
+    assert "pondtiller.gateway.metrics_text" in imports["pondtiller.gateway.pages"]
     assert CHECK.circles(imports) == []
