--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,20 @@
 READY := $(VENV)/.ready
 # Tests that are known to fail, one a line: test, cause, issue. They are printed and passed over.
 RED := $(shell [ ! -f KNOWN-RED.txt ] || sed -n 's/^\([^,]*\),.*/--deselect \1/p' KNOWN-RED.txt)
-
-.PHONY: setup demo test check proto format lock
+# Parts of the tests that run beside each other: those of the gateway mostly wait, the other named
+# ones mostly compute. Whatever no part names falls to the last one.
+GATEWAY := src/pondtiller/gateway
+SIMULATION := src/pondtiller/simulation
+DECISIONS := src/pondtiller/steplog src/pondtiller/coordination
+TESTS_gateway-a-m := --ignore-glob='$(GATEWAY)/tests/test_[n-z]*' $(GATEWAY)
+TESTS_gateway-n-z := --ignore-glob='$(GATEWAY)/tests/test_[!n-z]*' $(GATEWAY)
+TESTS_checks := $(SIMULATION)/tests/test_checks.py
+TESTS_simulation := --ignore=$(SIMULATION)/tests/test_checks.py $(SIMULATION)
+TESTS_decisions := $(DECISIONS)
+TESTS_others := $(addprefix --ignore=,$(GATEWAY) $(SIMULATION) $(DECISIONS))
+PARTS := $(addprefix test-,gateway-a-m gateway-n-z checks simulation decisions others)
+
+.PHONY: setup demo test check proto format lock $(PARTS)
 
 $(READY): requirements/dev.txt pyproject.toml
 	python3.11 -m venv $(VENV)
@@ -19,7 +31,11 @@
 
 test: $(READY)
 	@[ ! -s KNOWN-RED.txt ] || { echo "known red, passed over:"; cat KNOWN-RED.txt; }
-	$(PYTHON) -m pytest $(RED)
+	@echo "parts beside each other, each printed when it ends: $(PARTS)"
+	@$(MAKE) --no-print-directory --keep-going --jobs=$(words $(PARTS)) --output-sync=target $(PARTS)
+
+$(PARTS): test-%:
+	$(PYTHON) -m pytest $(RED) $(TESTS_$*)
 
 check: $(READY)
 	$(VENV)/bin/ruff format --check src tools examples deploy
