A leader right after its own start waits for no offers

Replicas name a candidate as leader when they promise, so an election that failed right after the start counted as an earlier leader.

Now a daemon that leads within 2 s of its own start does not wait.

--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -94,6 +94,8 @@
 
     Attributes
     ----------
+    started_at
+        When this daemon started.
     shortfall
         Members more that this daemon's group would need to bear what is declared; 0 while it
         bears it, and while another daemon leads.
@@ -113,6 +115,7 @@
         identity = score("epoch", f"{name}/{clock.new_incarnation()}") & 0xFFFFFFFF
         self.log = LeaderLog(name, address.host, address.port, identity, keys_of_ended_steps)
         self.replicas = ReplicaDirectory(name, self._connected, self._lost, self.wake_up)
+        self.started_at = clock.monotonic()
         self.may_stand = False
         self._has_resigned = False
         self.handicap = min(LONGEST_HANDICAP_SECONDS, DELAY_PER_SLOWNESS_SECONDS / cores)
--- a/src/pondtiller/gateway/replicas.py
+++ b/src/pondtiller/gateway/replicas.py
@@ -75,11 +75,6 @@
     ----------
     connected, lost
         Told of each link with the replica's view, and of its end; by number of the link.
-
-    Attributes
-    ----------
-    first_leader
-        Epoch of the first leader that replicas named since this daemon's start; 0 before.
     """
 
     def __init__(
@@ -91,7 +86,6 @@
     ) -> None:
         self.places: dict[Address, ReplicaLink] = {}
         self.highest_epoch = 0
-        self.first_leader = 0
         self.group = Group()
         self.keeps_all = False
         self.subscription = Subscribe(daemon=daemon)
@@ -241,8 +235,6 @@
             return
         place.view = message
         self.highest_epoch = max(self.highest_epoch, message.epoch)
-        if message.leader and not self.first_leader:
-            self.first_leader = message.epoch
         if message.group.generation > self.group.generation:
             self.group = message.group
             for member in message.group.members:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -80,6 +80,8 @@
 """From a term's start until a sample of an earlier leader is begun anew: a replica's view is on its
 way for 20 ms at most, a runner looks each 0.05 s, connects and offers its runs in 60 ms. In two
 regions the last of nine offers came 0.16 s after the election."""
+FRESH_START_SECONDS = 2.0
+"""A start of all machines has a leader 0.7 s to 1.1 s after the gateways' own (note 23)."""
 OFFER_WAIT_SECONDS = 0.6
 """The same while an offer is looked at: a connection may take as long (`CONNECT_SECONDS`)."""
 OFFER_LOOK_SECONDS = 0.02
@@ -333,10 +335,10 @@
     def _awaits_offers(self, now: float) -> bool:
         """Return whether runs of an earlier leader may still be taken over in place of new ones.
 
-        A daemon that knows no earlier leader does not wait: after all machines lost power nobody
-        has runs.
+        A daemon that leads right after its own start does not wait: all machines have lost power
+        then, as a rule, and nobody has runs.
         """
-        if not 0 < self._leadership.replicas.first_leader < self.epoch:
+        if self._began < self._leadership.started_at + FRESH_START_SECONDS:
             return False
         lasted = now - self._began
         return lasted < HELD_WAIT_SECONDS or (self._offers > 0 and lasted < OFFER_WAIT_SECONDS)
