--- a/src/pondtiller/gateway/held_runs.py
+++ b/src/pondtiller/gateway/held_runs.py
@@ -9,6 +9,8 @@
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.gateway.hosted_run import HostedRun
 from pondtiller.rollouts.run_holding import (
+    NEXT_LEADER_SECONDS,
+    SAME_LEADER_SECONDS,
     TAKEN_SECONDS,
     HoldChoice,
     HoldStep,
@@ -20,10 +22,10 @@
 
 LOOK_SECONDS = 0.05
 """How soon a new leader is noticed. It waits 0.2 s for offers (`HELD_WAIT_SECONDS`)."""
-OFFER_SECONDS = 0.8
-"""Longest wait for an answer: a leader that has just won reads texts first, 0.2 s or less."""
+OFFER_PAUSE_SECONDS = 0.1
+"""Between two offers that were refused at once: nobody listens there, or does not lead yet."""
 
-Offer = Callable[[OfferRuns, float], Awaitable[RunsTaken | None]]
+AskLeader = Callable[[OfferRuns, float], Awaitable[RunsTaken | None]]
 
 
 @dataclass
@@ -54,8 +56,8 @@
         Returns whether most members of the replicas' group were heard lately.
     leader_age
         Returns how long ago the replicas heard the leader of an epoch; None where it is not known.
-    offer
-        Calls the leader; None where none answers.
+    ask_leader
+        Calls the leader that replicas name; None where none answers.
 
     Attributes
     ----------
@@ -69,26 +71,35 @@
         leader_epoch: Callable[[], int | None],
         hears_quorum: Callable[[], bool],
         leader_age: Callable[[int], Awaitable[float | None]],
-        offer: Offer,
+        ask_leader: AskLeader,
     ) -> None:
         self.runs: dict[str, HeldRun] = {}
         self._subscription = subscription
         self._leader_epoch = leader_epoch
         self._hears_quorum = hears_quorum
         self._leader_age = leader_age
-        self._offer_runs = offer
+        self._ask_leader = ask_leader
         self._group = Spawner()
         self._is_looking = False
+        self._offering: set[LostLeader] = set()
 
     async def hold(self, runs: Iterable[HostedRun], lost: LostLeader, reason: str) -> None:
         """Take runs whose leader is lost."""
-        held = {each.order.sample: HeldRun(each, lost) for each in runs}
+        held = 0
+        for run in runs:
+            run.listener = None
+            replaced = self.runs.pop(run.order.sample, None)
+            if replaced is not None:
+                await replaced.run.drop()
+            if run.order.sample:
+                self.runs[run.order.sample] = HeldRun(run, lost)
+                held += 1
+            else:
+                # A leader of an earlier version gives no name: nobody could ask for it.
+                await run.drop()
         if not held:
             return
-        for each in held.values():
-            each.run.listener = None
-        self.runs.update(held)
-        logs.decision("runs_held", runs=len(held), epoch=lost.epoch, reason=reason)
+        logs.decision("runs_held", runs=held, epoch=lost.epoch, reason=reason)
         if not self._is_looking:
             self._is_looking = True
             await self._group.spawn(self._look)
@@ -102,6 +113,10 @@
         """End all."""
         await self._end(list(self.runs.values()), reason)
 
+    async def close(self) -> None:
+        """End all tasks, since the process ends."""
+        await self._group.__aexit__()
+
     async def _look(self) -> None:
         try:
             while self.runs:
@@ -109,6 +124,8 @@
                 for lost in {each.lost for each in self.runs.values() if not each.taken_until}:
                     await self._decide(lost)
                 await curio.sleep(LOOK_SECONDS)
+        except Exception as error:
+            await self.end(f"{type(error).__name__}: {error}")
         finally:
             self._is_looking = False
 
@@ -122,8 +139,9 @@
             choice = after_asking(await self._leader_age(lost.epoch))
         if choice.step is HoldStep.END:
             await self._end(self._of(lost), choice.reason)
-        elif choice.step is HoldStep.OFFER:
-            await self._offer(self._of(lost), choice.reason)
+        elif choice.step is HoldStep.OFFER and lost not in self._offering:
+            self._offering.add(lost)
+            await self._group.spawn(self._offer, lost, choice.reason)
 
     def _next_step(self, lost: LostLeader) -> HoldChoice:
         return next_step(lost, self._leader_epoch(), self._hears_quorum(), clock.monotonic())
@@ -131,13 +149,31 @@
     def _of(self, lost: LostLeader) -> list[HeldRun]:
         return [each for each in self.runs.values() if each.lost == lost and not each.taken_until]
 
-    async def _offer(self, held: list[HeldRun], reason: str) -> None:
-        answer = await self._offer_runs(self._message(held), OFFER_SECONDS)
-        if answer is None:
-            return
+    async def _offer(self, lost: LostLeader, reason: str) -> None:
+        """Offer the runs of one lost leader; nothing else waits for the answer."""
+        try:
+            await self._offer_once(lost, reason)
+        except Exception as error:
+            await self._end(self._of(lost), f"{type(error).__name__}: {error}")
+        finally:
+            self._offering.discard(lost)
+
+    async def _offer_once(self, lost: LostLeader, reason: str) -> None:
+        held, epoch = self._of(lost), self._leader_epoch()
+        limit = SAME_LEADER_SECONDS if epoch == lost.epoch else NEXT_LEADER_SECONDS
+        late_at = clock.monotonic() + limit
+        answer = await curio.ignore_after(limit, self._ask_leader, self._message(held), limit)
+        if answer is not None and len(answer.taken) == len(held):
+            await self._answered(held, answer, reason)
+        elif clock.monotonic() >= late_at:
+            await self._end(held, "the leader that is named does not answer")
+        else:
+            await curio.sleep(OFFER_PAUSE_SECONDS)
+
+    async def _answered(self, held: list[HeldRun], answer: RunsTaken, reason: str) -> None:
         until = clock.monotonic() + TAKEN_SECONDS
         left = []
-        for each, is_taken in zip(held, answer.taken, strict=False):
+        for each, is_taken in zip(held, answer.taken, strict=True):
             if is_taken:
                 each.taken_until = until
             else:
@@ -162,8 +198,10 @@
             samples=[each.run.order.sample for each in held],
             engines=[each.run.order.engine for each in held],
             after_events=[each.run.began_after for each in held],
-            epochs=[each.lost.epoch for each in held],
+            epochs=[each.run.epoch for each in held],
             runs=[each.run.order.run for each in held],
+            text_epochs=[each.run.text_by.epoch for each in held],
+            text_runs=[each.run.text_by.run for each in held],
         )
 
     async def _end(self, held: list[HeldRun], reason: str) -> None:
--- a/src/pondtiller/gateway/hosted_run.py
+++ b/src/pondtiller/gateway/hosted_run.py
@@ -5,6 +5,7 @@
 
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, ScoreOutcome
 from pondtiller.rollouts.run_news import EndedRun, RunEvent, ScoredRun
+from pondtiller.rollouts.sample_work import NO_RUN, RunName
 
 
 class RunListener(Protocol):
@@ -26,10 +27,10 @@
 
     Attributes
     ----------
-    order
-        What the leader asked for; its number changes with the leader.
-    began_after
-        The event after which the run began.
+    order, epoch
+        What the leader asked for, and its epoch; they change with the leader.
+    began_after, text_by
+        The event after which the run began, and the run that made it.
     events
         What the engine made in this run.
     listener
@@ -41,14 +42,21 @@
     """
 
     order: RunOrder
+    epoch: int
     listener: RunListener | None
     began_after: int = 0
+    text_by: RunName = NO_RUN
     events: list[RunEvent] = field(default_factory=list)
     outcome: RunOutcome | None = None
     score: ScoreOutcome | None = None
     is_dropped: bool = False
     task: Any = None
 
+    @property
+    def name(self) -> RunName:
+        """Return its name among the runs of all leaders."""
+        return RunName(self.epoch, self.order.run)
+
     def take(self, _run: int, number: int, data: str, version: int, now: float) -> bool:
         """Take an event of the engine; False where the run is to stop."""
         if self.is_dropped:
@@ -71,9 +79,9 @@
         if self.listener is not None:
             await self.listener.take_score(scored_run(self.order.run, score))
 
-    async def go_on(self, order: RunOrder, listener: RunListener) -> None:
+    async def go_on(self, order: RunOrder, epoch: int, listener: RunListener) -> None:
         """Go on under another leader; it is told what it does not know yet."""
-        self.order, self.listener = order, listener
+        self.order, self.epoch, self.listener = order, epoch, listener
         self.events = [event._replace(run=order.run) for event in self.events]
         for event in self.events:
             if event.number > order.last_event:
--- a/src/pondtiller/gateway/leadership.py
+++ b/src/pondtiller/gateway/leadership.py
@@ -45,6 +45,9 @@
 """Each commit of such a leader waits for another region, 40 ms there and back: it stands after the
 gateways of a region that holds a quorum, whose random delays are as long at most."""
 BACKOFF_SECONDS = 0.5
+DISAGREE_SECONDS = 0.1
+"""Between two looks for a leader while some replicas name one and others none: nothing arrives when
+the last word of a replica that is cut off gets too old."""
 
 
 class FirstGroupSource:
@@ -213,6 +216,8 @@
             return HEARTBEAT_SECONDS / 3
         if self._stand_at is not None:
             return max(0.01, max(self._stand_at, self._not_before) - now)
+        if self.replicas.disagree():
+            return DISAGREE_SECONDS
         return 1.0
 
     # Standing
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -65,8 +65,6 @@
 SEARCH_SECONDS = 1.0
 LONGEST_SEARCH_SECONDS = 4.0
 """Searches are calls to the store; one that finds nothing new is repeated later each time."""
-HEARD_SECONDS = 1.2
-"""A replica tells its view each second; one that was not heard for longer may be cut off."""
 NOT_READY_SECONDS = 3.0
 STOP_MARGIN_SECONDS = 0.7
 LAST_USE_SECONDS = 0.4
@@ -252,7 +250,7 @@
         return HeldRuns(
             lambda: replicas.subscription,
             leader_epoch,
-            lambda: replicas.hears_quorum(HEARD_SECONDS),
+            replicas.hears_quorum,
             lambda epoch: leader_age(replicas, epoch),
             self.steps.offer_runs,
         )
@@ -324,6 +322,7 @@
         finally:
             await self.leadership.replicas.close()
             await self.duties.end("the process ends")
+            await self.run_host.close()
             await group.cancel_all()
         logs.decision("stopped", daemon=settings.name, open=self.front.open_exchanges)
 
--- a/src/pondtiller/gateway/replicas.py
+++ b/src/pondtiller/gateway/replicas.py
@@ -21,6 +21,10 @@
 """How long a link must have lasted for the next pause to be the first: a replica that ends each
 link at once, as with a full disk, is not tried at this pace."""
 SILENT_SECONDS = 2.5
+STALE_VIEW_SECONDS = 1.2
+"""A replica tells its view each second (`VIEW_SECONDS`). Answers the loss of a zone with the leader
+and a replica in it: gateways outside stood for leader only when their links to that replica were
+given up, 2.5 s after the cut, though the lease had ended after 1.2 s."""
 LONELY_SECONDS = 5.0
 FORGET_SECONDS = 20.0
 
@@ -134,9 +138,14 @@
         await self._group.cancel_all()
 
     def leader(self) -> LeaderPlace | None:
-        """Return the leader of the highest epoch that a replica follows."""
+        """Return the leader of the highest epoch that a replica follows.
+
+        A replica that was not heard for longer than its views are apart may be cut off, and the
+        leader with it: what it said last names nobody any more.
+        """
         best: LeaderPlace | None = None
-        for view in self.views():
+        since = clock.monotonic() - STALE_VIEW_SECONDS
+        for view in self._views_since(since):
             if view.leader and (best is None or view.epoch > best.epoch):
                 address = Address(view.leader_host, view.leader_port)
                 best = LeaderPlace(view.leader, address, view.epoch)
@@ -144,10 +153,17 @@
 
     def views(self) -> list[ReplicaView]:
         """Return what the connected replicas last said."""
+        return self._views_since(float("-inf"))
+
+    def disagree(self) -> bool:
+        """Return whether some replicas last named a leader and others none."""
+        return len({bool(view.leader) for view in self.views()}) > 1
+
+    def _views_since(self, since: float) -> list[ReplicaView]:
         return [
             place.view
             for place in self.places.values()
-            if place.link is not None and place.view is not None
+            if place.link is not None and place.view is not None and place.heard_at >= since
         ]
 
     def link(self, number: int) -> Link | None:
@@ -175,9 +191,9 @@
         found = (place.link for at, place in self.places.items() if at in members)
         return [link for link in found if link is not None]
 
-    def hears_quorum(self, seconds: float) -> bool:
-        """Return whether most members of the group were heard within so many seconds."""
-        since = clock.monotonic() - seconds
+    def hears_quorum(self) -> bool:
+        """Return whether most members of the group were heard lately."""
+        since = clock.monotonic() - STALE_VIEW_SECONDS
         heard = {at for at, place in self.places.items() if place.link and place.heard_at >= since}
         members = [Address(each.host, each.port) for each in self.group.members]
         return 2 * sum(each in heard for each in members) > len(members)
--- a/src/pondtiller/gateway/run_host.py
+++ b/src/pondtiller/gateway/run_host.py
@@ -4,6 +4,9 @@
 heard for `LEADER_SILENT_SECONDS`, the run is held for the leader that follows (`held_runs.py`), or
 ends where that is not known in time: a successor may begin the same sample at another engine.
 What a run made is the leader's to keep; this daemon keeps what was made in the runs that it has.
+
+`HostedRun` is one run, `HostedRuns` are those of one leader's link, `HeldRuns` those whose leader
+is lost.
 """
 
 from collections.abc import Callable
@@ -17,11 +20,11 @@
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.gateway.held_runs import HeldRuns
 from pondtiller.gateway.hosted_run import HostedRun
-from pondtiller.gateway.sample_runner import RunOrder, SampleRunner
+from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner, ScoreOutcome
 from pondtiller.links.link import Link
 from pondtiller.rollouts.run_holding import LEADER_SILENT_SECONDS, LostLeader
 from pondtiller.rollouts.run_news import EndedRun, NewsGatherer, RunEvent, ScoredRun
-from pondtiller.rollouts.sample_work import RunEnd
+from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
 from pondtiller.wire.steplog import (
     BeginRun,
     DropRun,
@@ -63,12 +66,13 @@
         self.epoch = message.epoch
         order = _order(message)
         held = self._host.take_held(order)
-        if message.adopts:
-            await self._go_on(order, held)
+        if held is not None and held.name != order.held:
+            await held.drop()
+            held = None
+        if order.held == NO_RUN:
+            self.runs[order.run] = await self._host.start(order, self, self.epoch)
         else:
-            if held is not None:
-                await held.drop()
-            self.runs[order.run] = await self._host.start(order, self)
+            await self._go_on(order, held)
         if self._teller is None:
             self._teller = await self._group.spawn(self._tell)
 
@@ -77,7 +81,7 @@
             await self.take_end(EndedRun(order.run, RunEnd.STALE, "no longer held"))
             return
         self.runs[order.run] = held
-        await held.go_on(order, self)
+        await held.go_on(order, self.epoch, self)
 
     async def drop(self, run: int) -> None:
         """End a run whose outcome nobody waits for."""
@@ -182,20 +186,36 @@
             case DropRun():
                 await hosted.drop(message.run)
 
-    async def start(self, order: RunOrder, hosted: HostedRuns) -> HostedRun:
+    async def start(self, order: RunOrder, hosted: HostedRuns, epoch: int) -> HostedRun:
         """Begin a run at its engine."""
-        run = HostedRun(order, hosted, order.last_event)
+        run = HostedRun(order, epoch, hosted, order.last_event, order.text_by)
         run.task = await self._group.spawn(self._run, run)
         return run
 
     async def _run(self, run: HostedRun) -> None:
         """Run a sample; a text that is made whole here is judged at once."""
-        outcome = await self.runner.run(run.order, run.take)
+        try:
+            outcome = await self.runner.run(run.order, run.take)
+        except Exception as error:
+            outcome = RunOutcome(RunEnd.BROKEN, self._note_error(run, error))
         if run.is_dropped:
             return
         await run.ended(outcome)
-        if outcome.end is RunEnd.WHOLE:
-            await run.scored(await self.runner.score(run.order.run, run.order.content))
+        if outcome.end is not RunEnd.WHOLE:
+            return
+        try:
+            score = await self.runner.score(run.order.run, run.order.content)
+        except Exception as error:
+            score = ScoreOutcome(ScoreEnd.LOST, "", self._note_error(run, error))
+        await run.scored(score)
+
+    def _note_error(self, run: HostedRun, error: Exception) -> str:
+        """Log a fault of this program; the leader goes on with the sample elsewhere."""
+        reason = f"{type(error).__name__}: {error}"
+        logs.decision(
+            "hosted_run_failed", run=run.order.run, engine=run.order.engine, reason=reason
+        )
+        return reason
 
     def take_held(self, order: RunOrder) -> HostedRun | None:
         """Return the held run of an order's sample; it is no longer held."""
@@ -243,6 +263,12 @@
             await hosted.tell_now()
             await link.drop()
 
+    async def close(self) -> None:
+        """End all tasks, since the process ends."""
+        await self._group.__aexit__()
+        if self.held is not None:
+            await self.held.close()
+
     async def score(self, message: ScoreSample) -> ScoreAnswer:
         """Have a finished sample judged."""
         outcome = await self.runner.score(0, message.content)
@@ -268,4 +294,6 @@
         message.tenant,
         message.is_cold,
         message.sample,
+        RunName(message.held_epoch, message.held_run),
+        RunName(message.text_epoch, message.text_run),
     )
--- a/src/pondtiller/gateway/run_links.py
+++ b/src/pondtiller/gateway/run_links.py
@@ -41,6 +41,7 @@
 they go on for 0.35 s at most after the leader has begun them elsewhere."""
 FIND_SECONDS = 1.0
 CONNECT_LOOK_SECONDS = 0.01
+"""How often one who waits for a connection looks; a connection in a zone takes 3 ms."""
 DAEMONS_CALL_SECONDS = 0.5
 SCORE_CALL_SECONDS = 6.0
 """Longer than any scorer is given; a runner that is gone ends the call with its link."""
@@ -214,7 +215,10 @@
         tenant=order.tenant,
         is_cold=order.is_cold,
         sample=order.sample,
-        adopts=order.adopts,
+        held_epoch=order.held.epoch,
+        held_run=order.held.run,
+        text_epoch=order.text_by.epoch,
+        text_run=order.text_by.run,
     )
 
 
@@ -280,13 +284,15 @@
             await self._group.spawn(self._connect, daemon)
         while daemon.name in self._connecting:
             await curio.sleep(CONNECT_LOOK_SECONDS)
-        return self.links.get(daemon.name)
+        found = self.links.get(daemon.name)
+        return found if found is not None and not found.link.is_lost else None
 
     def bearers(self, most: int) -> list[Link]:
         """Return the links of some connected daemons, of different zones where there are."""
         by_zone = {each.daemon.zone: each for each in self.links.values()}
         ordered = [*by_zone.values(), *self.links.values()]
         chosen = {each.daemon.name: each.link for each in ordered if not each.link.is_lost}
+        chosen.pop(self._name, None)
         return list(chosen.values())[:most]
 
     async def run(self) -> None:
@@ -301,7 +307,7 @@
             await self._group.__aexit__()
 
     async def close(self) -> None:
-        """End all links: the runners' runs for this leader end at once."""
+        """End all links: the runners hold their runs for the next leader, or end them."""
         for each in list(self.links.values()):
             await each.link.drop()
         await self._group.__aexit__()
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -14,7 +14,7 @@
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import EventReader
-from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd
+from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
 from pondtiller.routes.send_gate import Held, SendGate
 from pondtiller.routes.table import RouteTable
 from pondtiller.wire.steplog import Sample, Scorer
@@ -51,8 +51,10 @@
         Whether the leader takes the engine for cold.
     sample
         Name under which the sample's unfinished text is kept.
-    adopts
-        Whether the runner has a run of the sample on this engine that is to go on.
+    held
+        Name of a run that the runner offered and that goes on; `NO_RUN` where one is begun.
+    text_by
+        The run that made the text's last event.
     """
 
     run: int
@@ -66,7 +68,8 @@
     tenant: str = ""
     is_cold: bool = False
     sample: str = ""
-    adopts: bool = False
+    held: RunName = NO_RUN
+    text_by: RunName = NO_RUN
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -18,13 +18,13 @@
 from pondtiller.gateway.order_rights import OrderRights
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.rate_duty import FindTerms, RateDuty, no_terms
-from pondtiller.gateway.run_links import RunnerDirectory
+from pondtiller.gateway.run_links import RUNNER_LOST, Runner, RunnerDirectory, RunnerLink
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
 from pondtiller.gateway.scaling_duty import ScalingDuty, ScalingParts, ScalingSettings
 from pondtiller.gateway.tick_pacing import LONGEST_GAP_SECONDS, TickPacing
 from pondtiller.gateway.usage_duty import UsageDuty, UsageParts, UsageSettings
 from pondtiller.links.frames import encode_message
-from pondtiller.links.link import LinkLostError
+from pondtiller.links.link import CONNECT_SECONDS, LinkLostError
 from pondtiller.platform.operator_api import OperatorClient
 from pondtiller.rollouts.progress import ProgressSaver
 from pondtiller.rollouts.runner_choice import Daemon
@@ -82,9 +82,6 @@
 regions the last of nine offers came 0.16 s after the election."""
 FRESH_START_SECONDS = 2.0
 """A start of all machines has a leader 0.7 s to 1.1 s after the gateways' own (note 23)."""
-OFFER_WAIT_SECONDS = 0.6
-"""The same while an offer is looked at: a connection may take as long (`CONNECT_SECONDS`)."""
-OFFER_LOOK_SECONDS = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +152,7 @@
             parts.leadership.zone,
         )
         self._runs: dict[int, Any] = {}
+        self._taken_over: dict[int, RunnerLink] = {}
         self._waiters: dict[str, set[Any]] = {}
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
@@ -215,7 +213,7 @@
         """Cancel everything; calls that wait learn that their outcome is not known."""
         self._is_over = True
         self.scheduler.abandon()
-        # Runners end what they run for this daemon with their links, whatever else is delayed.
+        # Runners hold what they run for this daemon once their links end, whatever is delayed.
         await self.runners.close()
         for task in list(self._runs.values()):
             await task.cancel(blocking=False)
@@ -288,23 +286,26 @@
         """
         self._offers += 1
         try:
-            return await self._take_over(message)
+            place = Address(message.host, message.port)
+            daemon = Daemon(message.daemon, message.zone, place, message.cores)
+            link = await self.runners.connect_to(daemon)
         finally:
             self._offers -= 1
-
-    async def _take_over(self, message: OfferRuns) -> RunsTaken:
-        place = Address(message.host, message.port)
-        daemon = Daemon(message.daemon, message.zone, place, message.cores)
-        link = await self.runners.connect_to(daemon)
-        give_up = clock.monotonic() + OFFER_WAIT_SECONDS
-        while not self._has_texts and clock.monotonic() < give_up and not self._is_over:
-            await curio.sleep(OFFER_LOOK_SECONDS)
-        names = map(RunName, message.epochs, message.runs)
-        columns = zip(message.samples, message.engines, message.after_events, names, strict=True)
-        offered = [OfferedRun(*each) for each in columns]
+        if not self._has_texts or self._is_over:
+            # The runner asks again; it must not wait for an answer to know that this leader lives.
+            return RunsTaken(status=StepStatus.UNAVAILABLE)
+        return await self._take_over(_offered(message), daemon, link)
+
+    async def _take_over(
+        self, offered: list[OfferedRun], daemon: Daemon, link: RunnerLink | None
+    ) -> RunsTaken:
         now = clock.monotonic()
-        may_take = link is not None and self._leadership.log.holds_lease(now)
-        taken = [may_take and self.scheduler.take_over(each, daemon.name, now) for each in offered]
+        if not self._leadership.log.holds_lease(now):
+            return RunsTaken(status=StepStatus.UNAVAILABLE)
+        taken = [
+            link is not None and self.scheduler.take_over(each, daemon.name, now)
+            for each in offered
+        ]
         self._metrics.runs_taken_over += sum(taken)
         logs.decision(
             "runs_offered",
@@ -341,7 +342,7 @@
         if self._began < self._leadership.started_at + FRESH_START_SECONDS:
             return False
         lasted = now - self._began
-        return lasted < HELD_WAIT_SECONDS or (self._offers > 0 and lasted < OFFER_WAIT_SECONDS)
+        return lasted < HELD_WAIT_SECONDS or (self._offers > 0 and lasted < CONNECT_SECONDS)
 
     def _note_turns(self) -> None:
         """Tell when not all groups can be whole in time any more, and when they can again."""
@@ -513,9 +514,7 @@
         engine = self._parts.engines.engines.get(start.engine)
         if work is None:
             return
-        name, runner = self.runners.runner_for(start.engine)
-        if start.runner and start.runner in self.runners.links:
-            name, runner = start.runner, self.runners.links[start.runner]
+        name, runner = self._runner_of(start)
         logs.decision(
             "sample_started",
             sample=start.sample.id,
@@ -528,7 +527,9 @@
             epoch=self.epoch,
         )
         began = clock.monotonic()
-        if engine is None:
+        if runner is None:
+            outcome = RUNNER_LOST
+        elif engine is None:
             outcome = RunOutcome(RunEnd.REFUSED, "gone")
         else:
             cold = self._parts.cold
@@ -536,7 +537,8 @@
             order = _run_order(start, engine.entry.address, is_cold)
             outcome = await runner.run(order, self.scheduler.run_event)
         self._runs.pop(start.run, None)
-        if self.scaling is not None and outcome.end is RunEnd.WHOLE and not start.last_event:
+        is_measured = outcome.end is RunEnd.WHOLE and not start.last_event and not start.runner
+        if self.scaling is not None and is_measured:
             self.scaling.note_run(work, clock.monotonic() - began)
         self.scheduler.run_ended(start.run, outcome.end, clock.monotonic())
         if engine is not None and outcome.detail == Held.EVACUATED.value:
@@ -555,9 +557,21 @@
         )
         await self.wake.set()
 
+    def _runner_of(self, start: StartRun) -> tuple[str, Runner | None]:
+        """Return who runs a sample; a run that is taken over goes on where it is, or nowhere."""
+        if not start.runner:
+            return self.runners.runner_for(start.engine)
+        runner = self.runners.links.get(start.runner)
+        if runner is not None:
+            self._taken_over[start.run] = runner
+        return start.runner, runner
+
     async def _score(self, instruction: ScoreText) -> None:
         sample = instruction.sample
         name, runner = self.runners.runner_for(instruction.engine)
+        own = self._taken_over.pop(instruction.run, None)
+        if own is not None:
+            name, runner = own.daemon.name, own
         outcome = await runner.score(instruction.run, sample.content)
         if outcome.end is not ScoreEnd.SCORED:
             logs.decision(
@@ -662,6 +676,17 @@
         await self._carry_out()
 
 
+def _offered(message: OfferRuns) -> list[OfferedRun]:
+    columns = (
+        message.samples,
+        message.engines,
+        message.after_events,
+        map(RunName, message.epochs, message.runs),
+        map(RunName, message.text_epochs, message.text_runs),
+    )
+    return [OfferedRun(*each) for each in zip(*columns, strict=True)]
+
+
 def _run_order(start: StartRun, address: Address, is_cold: bool) -> RunOrder:
     return RunOrder(
         start.run,
@@ -675,5 +700,6 @@
         start.tenant,
         is_cold,
         owned_name(start.tenant, start.sample.id),
-        bool(start.runner),
+        start.held,
+        start.text_by,
     )
--- a/src/pondtiller/gateway/tests/test_held_runs.py
+++ b/src/pondtiller/gateway/tests/test_held_runs.py
@@ -8,17 +8,18 @@
 import pytest
 
 from pondtiller.daemon import clock
-from pondtiller.gateway import held_runs, term
+from pondtiller.gateway import held_runs, replicas, term
 from pondtiller.gateway.held_runs import HeldRuns
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.run_host import RunHost
-from pondtiller.gateway.sample_runner import ScoreOutcome
+from pondtiller.gateway.run_links import RUNNER_LOST, RunnerLink
+from pondtiller.gateway.sample_runner import EventSink, RunOrder, RunOutcome, ScoreOutcome
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.gateway.tests.test_runs_elsewhere import Engine, FakeLink, connected, texts
 from pondtiller.platform.standins import StandInEngine
 from pondtiller.rollouts import run_holding
 from pondtiller.rollouts.run_news import read_ends, read_events, read_scores
-from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd
+from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, ScoreEnd
 from pondtiller.wire.steplog import BeginRun, OfferRuns, RunNews, RunsTaken, Subscribe
 
 EVENTS = 60
@@ -32,6 +33,7 @@
 
     def __init__(self, engines: list[StandInEngine]) -> None:
         self.spans: list[tuple[str, float, float]] = []
+        self.open: list[tuple[str, float]] = []
         for engine in engines:
             self._watch(engine)
 
@@ -39,21 +41,24 @@
         stream = engine.stream
 
         async def noted(exchange: Any, *given: Any) -> None:
-            began = clock.monotonic()
+            work = (exchange.request.headers["request-id"], clock.monotonic())
+            self.open.append(work)
             try:
                 await stream(exchange, *given)
             finally:
-                sample = exchange.request.headers["request-id"]
-                self.spans.append((sample, began, clock.monotonic()))
+                self.open.remove(work)
+                self.spans.append((*work, clock.monotonic()))
 
         engine.stream = noted  # type: ignore[method-assign]
 
     def doubled_seconds(self) -> float:
         """Return for how long at most one sample was worked on after it was begun elsewhere."""
+        now = clock.monotonic()
+        spans = [*self.spans, *((*work, now) for work in self.open)]
         longest = 0.0
-        for sample, _, ended in self.spans:
-            later = [s for s in self.spans if s[0] == sample and s[2] > ended]
-            longest = max([longest, *(ended - began for _, began, _ in later)])
+        for sample, began, ended in spans:
+            later = [each[1] for each in spans if each[0] == sample and each[1] > began]
+            longest = max([longest, *(ended - each for each in later)])
         return longest
 
 
@@ -81,6 +86,10 @@
 async def end_process(system: System, leader: GatewayProcess) -> None:
     """End a leader without a word to a successor, as a kill does."""
     await system.tasks[leader].cancel()
+    await leader.sockets.links.close()
+
+
+LONG_SECONDS = 5.0
 
 
 async def _nothing(*_given: object) -> None:
@@ -105,9 +114,7 @@
         leader, working = await running(system)
         others = [each for each in system.gateways if each is not leader]
         await lose(system, leader)
-        await system.until(lambda: any(each.duties.term for each in others), 6.0)
-        number = next(each for each, one in enumerate(system.gateways) if one in others)
-        texts(await system.read_all("s1", 4, gateway=number), EVENTS)
+        await read_elsewhere(system, others)
         # Each engine was asked once for each of its samples: nothing was begun anew.
         assert bool(sum(len(each.seen) for each in system.llm) == 4) is is_on
         assert working.doubled_seconds() < TWICE_SECONDS
@@ -158,11 +165,10 @@
             runner.link.send = _nothing
 
         async def hangs(*_given: object) -> None:
-            await curio.sleep(run_links_seconds())
-            return None
+            await curio.sleep(LONG_SECONDS)
 
         for each in others:
-            each.run_host.held._offer_runs = hangs
+            each.run_host.held._ask_leader = hangs
             for link in each.run_host.hosted:
                 link.send = _nothing
         texts(await system.read_all("s1", 4), EVENTS)
@@ -171,8 +177,106 @@
     run_system(tmp_path, test, gateways=3)
 
 
-def run_links_seconds() -> float:
-    return held_runs.OFFER_SECONDS
+def test_a_successor_that_runners_do_not_reach_has_no_sample_run_twice(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(term, "FRESH_START_SECONDS", 0.0)
+
+    async def hangs(*_given: object) -> None:
+        await curio.sleep(LONG_SECONDS)
+
+    async def test(system: System) -> None:
+        leader, working = await running(system)
+        others = [each for each in system.gateways if each is not leader]
+        for each in others:
+            each.run_host.held._ask_leader = hangs
+        await end_process(system, leader)
+        await read_elsewhere(system, others)
+        assert working.doubled_seconds() < TWICE_SECONDS
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_a_link_that_is_lost_after_the_answer_has_no_sample_run_twice(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(term, "FRESH_START_SECONDS", 0.0)
+    monkeypatch.setattr(term, "HELD_WAIT_SECONDS", 0.4)
+    run = RunnerLink.run
+
+    async def is_reset(link: RunnerLink, order: RunOrder, take: EventSink) -> RunOutcome:
+        if order.held == NO_RUN:
+            return await run(link, order, take)
+        await link.link.drop()
+        return RUNNER_LOST
+
+    monkeypatch.setattr(RunnerLink, "run", is_reset)
+
+    async def test(system: System) -> None:
+        leader, working = await running(system)
+        others = [each for each in system.gateways if each is not leader]
+        await end_process(system, leader)
+        await read_elsewhere(system, others)
+        assert working.doubled_seconds() < TWICE_SECONDS
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_a_leader_that_stops_hands_its_runs_on_and_each_text_is_scored_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(term, "HELD_WAIT_SECONDS", 1.0)
+    monkeypatch.setattr(term, "FRESH_START_SECONDS", 0.0)
+
+    async def test(system: System) -> None:
+        leader, working = await running(system)
+        others = [each for each in system.gateways if each is not leader]
+        await curio.spawn(leader.stop, daemon=True)
+        await read_elsewhere(system, others)
+        assert sum(len(each.seen) for each in system.llm) == 4
+        assert working.doubled_seconds() < TWICE_SECONDS
+        scored = [headers["request-id"] for each in system.app for _, _, headers in each.seen]
+        assert len(scored) == len(set(scored)) == 4
+        second = next(each.duties.term for each in others if each.duties.term)
+        assert not any(link.scores for link in second.runners.links.values())
+
+    run_system(tmp_path, test, gateways=4)
+
+
+def test_runs_end_with_their_process(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        leader, _ = await running(system)
+        others = [each for each in system.gateways if each is not leader]
+        for each in others:
+            await system.tasks[each].cancel()
+        await curio.sleep(0.1)
+        assert all(len(each.run_host._group) == 0 for each in others)
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_a_leader_is_found_though_a_silent_replica_still_names_the_last_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A zone is cut off with the leader and a replica in it: the links to both stay open."""
+    monkeypatch.setattr(replicas, "SILENT_SECONDS", 60.0)
+
+    async def test(system: System) -> None:
+        leader = await connected(system, 2)
+        others = [each for each in system.gateways if each is not leader]
+        for link in system.replicas[0].server.subscribers:
+            link.send = link.reply = _nothing
+        await cut_from_replicas(system, leader)
+        await system.until(lambda: any(each.duties.term for each in others), 6.0)
+
+    run_system(tmp_path, test, gateways=3)
+
+
+async def read_elsewhere(system: System, others: list[GatewayProcess]) -> None:
+    """Read the step whole at a gateway that goes on."""
+    await system.until(lambda: any(each.duties.term for each in others), 6.0)
+    number = next(each for each, one in enumerate(system.gateways) if one in others)
+    texts(await system.read_all("s1", 4, gateway=number), EVENTS)
 
 
 class World:
@@ -220,7 +324,9 @@
         world.epoch = 6
         await curio.sleep(2 * held_runs.LOOK_SECONDS)
         assert [each.samples for each in world.offers] == [["s"]]
-        again = BeginRun(epoch=6, run=7, engine="e", sample="s", last_event=3, adopts=True)
+        again = BeginRun(
+            epoch=6, run=7, engine="e", sample="s", last_event=3, held_epoch=5, held_run=1
+        )
         await world.host.take(second, again)
         await curio.sleep(0.3)
         assert (world.host.runs, world.engine.working, world.held.runs) == (1, 1, {})
@@ -241,7 +347,7 @@
         held = world.held.runs["s"].run
         await held.ended(term.RunOutcome(RunEnd.WHOLE, "200"))
         await held.scored(ScoreOutcome(ScoreEnd.SCORED, "good", "200"))
-        again = BeginRun(epoch=6, run=7, engine="e", sample="s", adopts=True)
+        again = BeginRun(epoch=6, run=7, engine="e", sample="s", held_epoch=5, held_run=1)
         await world.host.take(second, again)
         await curio.sleep(0.05)
         news = second.of(RunNews)
@@ -279,7 +385,9 @@
 def test_a_run_that_is_not_held_any_more_goes_back_to_its_leader() -> None:
     async def main() -> None:
         world, link = World(), FakeLink()
-        await world.host.take(link, BeginRun(epoch=6, run=7, engine="e", sample="s", adopts=True))
+        await world.host.take(
+            link, BeginRun(epoch=6, run=7, engine="e", sample="s", held_epoch=5, held_run=1)
+        )
         await curio.sleep(0.05)
         ends = [each for news in link.of(RunNews) for each in read_ends(news)]
         assert [(each.run, each.end) for each in ends] == [(7, RunEnd.STALE)]
@@ -299,3 +407,102 @@
         assert (world.host.runs, world.engine.working, world.held.runs) == (1, 1, {})
 
     curio.run(main)
+
+
+def test_runs_of_one_name_are_not_left_running() -> None:
+    """A link that the runner takes for alive still has a run that the leader began anew."""
+
+    async def main() -> None:
+        world, first, second = World(), FakeLink(), FakeLink()
+        await world.host.take(first, BEGIN)
+        await world.host.take(second, BeginRun(epoch=5, run=9, engine="e", sample="s"))
+        await world.host.take(second, BeginRun(epoch=5, run=10, engine="e"))
+        await curio.sleep(0.05)
+        assert world.engine.working == 3
+        await world.host.lost(first)
+        await world.host.lost(second)
+        await curio.sleep(0.05)
+        assert (world.host.runs, world.engine.working) == (1, 1)
+        world.hears = False
+        await curio.sleep(0.2)
+        assert (world.host.runs, world.engine.working) == (0, 0)
+
+    curio.run(main)
+
+
+def test_a_leader_that_asks_for_another_run_than_the_held_one_gets_none() -> None:
+    async def main() -> None:
+        world, first, second = World(), FakeLink(), FakeLink()
+        await world.host.take(first, BEGIN)
+        await curio.sleep(0.05)
+        await world.host.lost(first)
+        other = BeginRun(epoch=6, run=7, engine="e", sample="s", held_epoch=5, held_run=2)
+        await world.host.take(second, other)
+        await curio.sleep(0.05)
+        ends = [each for news in second.of(RunNews) for each in read_ends(news)]
+        assert [(each.run, each.end) for each in ends] == [(7, RunEnd.STALE)]
+        assert (world.host.runs, world.engine.working) == (0, 0)
+
+    curio.run(main)
+
+
+def test_an_offer_that_raises_ends_the_runs() -> None:
+    async def main() -> None:
+        world, link = World(), FakeLink()
+        world.epoch = 6
+
+        async def raises(*_given: object) -> None:
+            raise ValueError("a fault")
+
+        world.held._ask_leader = raises
+        await world.host.take(link, BEGIN)
+        await curio.sleep(0.05)
+        await world.host.lost(link)
+        await curio.sleep(0.2)
+        assert (world.host.runs, world.engine.working) == (0, 0)
+
+    curio.run(main)
+
+
+def test_a_leader_that_does_not_answer_is_waited_for_less_than_0_4_s() -> None:
+    async def main() -> None:
+        world, link = World(), FakeLink()
+        world.epoch = 5
+
+        async def hangs(*_given: object) -> None:
+            await curio.sleep(LONG_SECONDS)
+
+        world.held._ask_leader = hangs
+        await world.host.take(link, BEGIN)
+        await curio.sleep(0.05)
+        await world.host.lost(link)
+        await curio.sleep(run_holding.SAME_LEADER_SECONDS + 2 * held_runs.LOOK_SECONDS)
+        assert (world.host.runs, world.engine.working) == (0, 0)
+
+    assert run_holding.SAME_LEADER_SECONDS < TWICE_SECONDS
+    curio.run(main)
+
+
+@pytest.mark.parametrize("what", ["run", "score"])
+def test_a_fault_of_a_run_or_its_scorer_is_told_and_not_waited_for(what: str) -> None:
+    class Faulty:
+        async def run(self, _order: RunOrder, _take: EventSink) -> RunOutcome:
+            if what == "run":
+                raise ValueError("a fault")
+            return RunOutcome(RunEnd.WHOLE, "200")
+
+        async def score(self, _run: int, _content: bytes) -> ScoreOutcome:
+            raise ValueError("a fault")
+
+    async def main() -> None:
+        host, link = RunHost(Faulty(), lambda: 5), FakeLink()
+        await host.take(link, BEGIN)
+        await curio.sleep(0.1)
+        news = link.of(RunNews)
+        ends = [each.end for one in news for each in read_ends(one)]
+        assert ends == [RunEnd.BROKEN if what == "run" else RunEnd.WHOLE]
+        scores = [each.end for one in news for each in read_scores(one)]
+        assert scores == ([] if what == "run" else [ScoreEnd.LOST])
+        assert (host.runs, host.hosted[link].judged) == (0, {})
+
+    curio.run(main)
--- a/src/pondtiller/gateway/tests/test_replicas.py
+++ b/src/pondtiller/gateway/tests/test_replicas.py
@@ -6,9 +6,14 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.gateway import replicas
-from pondtiller.gateway.replicas import LONELY_SECONDS, ReplicaDirectory, ReplicaLink
+from pondtiller.gateway.replicas import (
+    LONELY_SECONDS,
+    STALE_VIEW_SECONDS,
+    ReplicaDirectory,
+    ReplicaLink,
+)
 from pondtiller.links.link import LinkLostError
-from pondtiller.wire.steplog import Group, GroupMember
+from pondtiller.wire.steplog import Group, GroupMember, ReplicaView
 
 
 async def nothing(*_: object) -> None:
@@ -47,6 +52,23 @@
     assert needed(made) == [0, 1, 2]
 
 
+def test_a_replica_that_is_not_heard_any_more_names_no_leader() -> None:
+    made = directory(2)
+    silent, heard = made.places.values()
+    for place in (silent, heard):
+        place.link = object()  # type: ignore[assignment]
+    silent.view = ReplicaView(leader="g0", leader_host="10.0.0.9", leader_port=9, epoch=5)
+    heard.view = ReplicaView(epoch=5)
+    leader = made.leader()
+    assert leader is not None and leader.name == "g0"
+    assert made.disagree()
+    silent.heard_at -= STALE_VIEW_SECONDS + 0.1
+    assert made.leader() is None
+    heard.view = silent.view
+    assert made.leader() == leader
+    assert not made.disagree()
+
+
 class LateReplica:
     """A replica that is there only after a while; links to it may end at once."""
 
--- a/src/pondtiller/rollouts/run_holding.py
+++ b/src/pondtiller/rollouts/run_holding.py
@@ -21,8 +21,14 @@
 LONGEST_SECONDS = 4.0
 """Elections took 1.5 s to 3.7 s, the longest on machines of 0.12 of a core. While the replicas name
 no leader nobody else works on the sample, so this bounds an engine's work in vain only."""
-TAKEN_SECONDS = 1.0
-"""From the answer that a run is taken until it is begun anew: a connection and a message."""
+TAKEN_SECONDS = 0.3
+"""From the answer that a run is taken until it is begun anew. Both messages leave together; if the
+second is lost, the leader begins the sample elsewhere as soon as it hears of that."""
+SAME_LEADER_SECONDS = 0.3
+"""Longest wait for the answer of a leader whose link ended. If it lives it began the samples
+elsewhere then, so the wait must be under 0.4 s. Between regions an answer takes 80 ms at least."""
+NEXT_LEADER_SECONDS = 0.5
+"""The same of another leader: it begins none for 0.2 s of its term, and is named when promised."""
 
 
 class HoldStep(StrEnum):
@@ -64,7 +70,7 @@
     silence = now - lost.heard_at
     if silence >= LONGEST_SECONDS:
         return HoldChoice(HoldStep.END, "no leader took them")
-    if not hears_quorum and silence >= LEADER_SILENT_SECONDS:
+    if not hears_quorum:
         return HoldChoice(HoldStep.END, "the replicas are not heard")
     if leader_epoch is None:
         return HoldChoice(HoldStep.KEEP, "no leader is known")
--- a/src/pondtiller/rollouts/run_news.py
+++ b/src/pondtiller/rollouts/run_news.py
@@ -58,15 +58,26 @@
 
     def take(self, now: float) -> RunNews:
         """Return what came since the last call, the events in parts of one run and version."""
-        parts: dict[tuple[int, int], list[RunEvent]] = {}
-        for event in self.events:
-            parts.setdefault((event.run, event.version), []).append(event)
-        events = [_part(each, now) for each in parts.values()]
+        events = [_part(each, now) for each in _parts(self.events)]
         news = RunNews(_encode(events), _encode(self.ended), _encode(self.scored))
         self.events, self.ended, self.scored = [], [], []
         return news
 
 
+def _parts(events: list[RunEvent]) -> list[list[RunEvent]]:
+    """Return events in parts of one run and version, each in order of its numbers without a gap."""
+    parts: list[list[RunEvent]] = []
+    last: dict[int, list[RunEvent]] = {}
+    for event in events:
+        part = last.get(event.run)
+        is_next = part is not None and event.number == part[-1].number + 1
+        if part is None or not is_next or part[-1].version != event.version:
+            part = last[event.run] = []
+            parts.append(part)
+        part.append(event)
+    return parts
+
+
 def _part(events: list[RunEvent], now: float) -> list[Any]:
     first, last = events[0], events[-1]
     ages = [_milliseconds(first, now), _milliseconds(last, now)]
@@ -97,13 +108,16 @@
         Where the message is not sound.
     """
     found: list[RunEvent] = []
+    last_at: dict[int, float] = {}
     for run, number, version, first_age, last_age, data in _rows(news.events):
         step = (first_age - last_age) / 1000.0 / max(1, len(data) - 1)
-        began = now - first_age / 1000.0
+        # Times are rounded: the parts of a run must not overlap, or sorting would mix them.
+        began = max(now - first_age / 1000.0, last_at.get(run, 0.0))
         found += [
             RunEvent(run, number + place, each, version, began + step * place)
             for place, each in enumerate(data)
         ]
+        last_at[run] = found[-1].at
     # Sorting keeps the order of events of one run that came together.
     return sorted(found, key=lambda event: event.at)
 
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -52,6 +52,16 @@
     GIVEN_UP = "given_up"
 
 
+class RunName(NamedTuple):
+    """A run among those of all leaders: the leader's epoch, and the number that it gave."""
+
+    epoch: int
+    run: int
+
+
+NO_RUN = RunName(0, 0)
+
+
 class StartRun(NamedTuple):
     """Send a sample to an engine, after `last_event` where it is continued.
 
@@ -59,8 +69,12 @@
     ----------
     tenant
         Whose sample it is; empty where the step has no tenant.
+    text_by
+        The run that made the last event.
     runner
-        Daemon where a run of it goes on that this one takes over; empty where it is begun.
+        Daemon where a run of it goes on that is taken over; empty where one is begun.
+    held
+        Name of the run that is taken over.
     """
 
     run: int
@@ -71,17 +85,9 @@
     last_event: int
     expected_version: int | None
     tenant: str = ""
+    text_by: RunName = NO_RUN
     runner: str = ""
-
-
-class RunName(NamedTuple):
-    """A run among those of all leaders: the leader's epoch, and the number that it gave."""
-
-    epoch: int
-    run: int
-
-
-NO_RUN = RunName(0, 0)
+    held: RunName = NO_RUN
 
 
 class OfferedRun(NamedTuple):
@@ -95,12 +101,15 @@
         The run began after this event.
     name
         Of the leader that began it, or took it over last.
+    text_by
+        The run that made the event after which it began.
     """
 
     sample: str
     engine: str
     after_event: int
     name: RunName
+    text_by: RunName = NO_RUN
 
 
 class CancelRun(NamedTuple):
@@ -204,6 +213,8 @@
         The same of the scorer.
     left
         When a run of it broke off at an engine, or left it, by the engine's identifier.
+    is_taken_over
+        Whether its run was begun under an earlier leader.
     """
 
     step: StepRecord
@@ -225,6 +236,7 @@
     score_failures: int = 0
     is_routed: bool = True
     left: dict[str, float] = field(default_factory=dict)
+    is_taken_over: bool = False
 
     def __post_init__(self) -> None:
         step = self.step.step
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -13,6 +13,7 @@
 from pondtiller.rollouts.placement import Placement
 from pondtiller.rollouts.progress import unpack_events
 from pondtiller.rollouts.sample_work import (
+    NO_RUN,
     CancelReason,
     CancelRun,
     Instruction,
@@ -201,7 +202,8 @@
         if engine is not None:
             _note_end(engine, end, now)
         if end is RunEnd.WHOLE:
-            self.run_times.note(now - work.run_started)
+            if not work.is_taken_over:
+                self.run_times.note(now - work.run_started)
             work.text.is_whole = True
             self._score(work)
             return work
@@ -291,13 +293,13 @@
         is_wanted = work.is_routed and not work.has_left(engine.identifier, now)
         # Events of another run must not stand before those of this one.
         text = work.text
-        knows_text = text.last_event == offered.after_event or (
-            text.last_event > offered.after_event and text.made_by == offered.name
-        )
+        is_begun_after = text.last_event == offered.after_event
+        continues = text.made_by == (offered.text_by if is_begun_after else offered.name)
+        knows_text = text.last_event >= offered.after_event and continues
         in_home = self._engines.places.may_hold(engine.entry.zone, work.route.homes)
         if not (is_wanted and knows_text and in_home):
             return False
-        self._start(work, engine, now, runner)
+        self._start(work, engine, now, runner, offered.name)
         if text.last_event > offered.after_event:
             text.made_by = RunName(self.epoch, work.run)
         return True
@@ -307,7 +309,14 @@
         if engine is not None:
             self._start(work, engine, now)
 
-    def _start(self, work: SampleWork, engine: Engine, now: float, runner: str = "") -> None:
+    def _start(
+        self,
+        work: SampleWork,
+        engine: Engine,
+        now: float,
+        runner: str = "",
+        held: RunName = NO_RUN,
+    ) -> None:
         self._last_run += 1
         work.run = self._last_run
         work.engine = engine.identifier
@@ -315,6 +324,7 @@
         work.run_started = work.last_heard = now
         work.checked_at = 0.0
         work.run_events = 0
+        work.is_taken_over = held != NO_RUN
         engine.running += 1
         self.runs[work.run] = work
         self.placement.began(work)
@@ -328,7 +338,9 @@
                 work.text.last_event,
                 work.stays_with,
                 work.step.step.tenant,
+                work.text.made_by,
                 runner,
+                held,
             )
         )
 
--- a/src/pondtiller/rollouts/tests/test_run_holding.py
+++ b/src/pondtiller/rollouts/tests/test_run_holding.py
@@ -4,8 +4,10 @@
 
 from pondtiller.gateway.held_runs import LOOK_SECONDS
 from pondtiller.gateway.leader_age import ANSWER_SECONDS
+from pondtiller.gateway.replicas import STALE_VIEW_SECONDS
 from pondtiller.gateway.run_host import NEWS_SECONDS
 from pondtiller.gateway.run_links import RUNNER_SILENT_SECONDS
+from pondtiller.gateway.term import HELD_WAIT_SECONDS
 from pondtiller.rollouts.run_holding import (
     HEARD_SECONDS,
     LEADER_SILENT_SECONDS,
@@ -15,7 +17,7 @@
     after_asking,
     next_step,
 )
-from pondtiller.steplog.leader import HEARTBEAT_SECONDS, LEASE_MARGIN_SECONDS
+from pondtiller.steplog.leader import HEARTBEAT_SECONDS
 from pondtiller.steplog.replica import LEASE_SECONDS
 
 LOST = LostLeader(epoch=5, heard_at=0.0)
@@ -37,7 +39,7 @@
         # This daemon is cut off: it would not hear of a successor.
         (None, False, LEADER_SILENT_SECONDS, HoldStep.END),
         (6, False, LEADER_SILENT_SECONDS, HoldStep.END),
-        (None, False, LEADER_SILENT_SECONDS - 0.1, HoldStep.KEEP),
+        (None, False, 0.0, HoldStep.END),
     ],
 )
 def test_what_becomes_of_a_lost_leaders_runs(
@@ -48,7 +50,7 @@
 
 def test_a_daemon_that_is_cut_off_ends_its_runs_before_a_successor_can_begin_them() -> None:
     """A successor needs a whole lease from the leader's last message to the replicas."""
-    assert LEADER_SILENT_SECONDS <= LEASE_SECONDS - LEASE_MARGIN_SECONDS
+    assert STALE_VIEW_SECONDS + LOOK_SECONDS < LEASE_SECONDS + HELD_WAIT_SECONDS
 
 
 @pytest.mark.parametrize(
--- a/src/pondtiller/rollouts/tests/test_run_news.py
+++ b/src/pondtiller/rollouts/tests/test_run_news.py
@@ -67,3 +67,16 @@
         read_ends(RunNews(ended=sent))
     with pytest.raises((ValueError, TypeError)):
         read_scores(RunNews(scored=sent))
+
+
+def test_versions_that_change_back_and_at_one_moment_keep_their_order() -> None:
+    gatherer = NewsGatherer()
+    versions = (1, 2, 1, 1, 2)
+    gatherer.events = [
+        RunEvent(1, number, f"e{number}", version, 100.0137)
+        for number, version in enumerate(versions, 1)
+    ]
+    told = read_events(gatherer.take(100.7907), 100.7907)
+    assert [(each.number, each.data, each.version) for each in told] == [
+        (number, f"e{number}", version) for number, version in enumerate(versions, 1)
+    ]
--- a/src/pondtiller/rollouts/tests/test_taking_over.py
+++ b/src/pondtiller/rollouts/tests/test_taking_over.py
@@ -3,11 +3,12 @@
 import pytest
 
 from pondtiller.rollouts.progress import pack_events
-from pondtiller.rollouts.sample_work import OfferedRun, RunName, Stage, StartRun
+from pondtiller.rollouts.sample_work import NO_RUN, OfferedRun, RunName, Stage, StartRun
 from pondtiller.rollouts.tests.test_samples import Bench, starts
 from pondtiller.wire.steplog import SampleProgress
 
 EARLIER = RunName(4, 17)
+BEFORE = RunName(4, 16)
 SAMPLE = "s-0-0"
 
 
@@ -31,8 +32,9 @@
     return made
 
 
-def offer(made: Bench, after_event: int, engine: str = "e1", name: RunName = EARLIER) -> bool:
-    return made.scheduler.take_over(OfferedRun(SAMPLE, engine, after_event, name), "d", 1.0)
+def offer(made: Bench, after_event: int, text_by: RunName = NO_RUN) -> bool:
+    offered = OfferedRun(SAMPLE, "e1", after_event, EARLIER, text_by)
+    return made.scheduler.take_over(offered, "d", 1.0)
 
 
 def test_a_run_is_taken_over_at_its_engine_and_runner() -> None:
@@ -49,25 +51,26 @@
 
 
 @pytest.mark.parametrize(
-    ("last_event", "made_by", "after_event", "is_taken"),
+    ("last_event", "made_by", "after_event", "text_by", "is_taken"),
     [
-        (0, EARLIER, 0, True),
-        (5, EARLIER, 5, True),
-        (5, EARLIER, 2, True),
+        (0, NO_RUN, 0, NO_RUN, True),
+        (5, EARLIER, 0, NO_RUN, True),
+        (5, EARLIER, 2, BEFORE, True),
         # It began after the text that is known: what lies between is lost.
-        (5, EARLIER, 6, False),
+        (5, BEFORE, 6, BEFORE, False),
         # Another run made the end of the text: this one would not continue it.
-        (5, RunName(4, 18), 2, False),
-        (5, RunName(3, 17), 2, False),
-        # Both continue the same text.
-        (5, RunName(4, 16), 5, True),
+        (5, RunName(4, 18), 2, BEFORE, False),
+        (5, RunName(3, 17), 2, BEFORE, False),
+        # It continues the text that is known, or another one of the same length.
+        (5, BEFORE, 5, BEFORE, True),
+        (5, BEFORE, 5, RunName(4, 15), False),
     ],
 )
 def test_events_of_two_runs_are_never_joined(
-    last_event: int, made_by: RunName, after_event: int, is_taken: bool
+    last_event: int, made_by: RunName, after_event: int, text_by: RunName, is_taken: bool
 ) -> None:
     made = bench(last_event, made_by)
-    assert offer(made, after_event) is is_taken
+    assert offer(made, after_event, text_by) is is_taken
     assert len(starts(made.scheduler.take())) == is_taken
 
 
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -121,11 +121,18 @@
     sample: str = betterproto.string_field(13)
     """Name under which the sample's unfinished text is kept."""
 
-    adopts: bool = betterproto.bool_field(14)
+    held_epoch: int = betterproto.uint64_field(14)
     """
-    The runner holds a run of the sample on this engine, which it offered: that one goes on.
+    A run of the sample that the runner offered goes on: the name under which it did; 0 where one
+     is begun.
     """
 
+    held_run: int = betterproto.uint64_field(15)
+    text_epoch: int = betterproto.uint64_field(16)
+    """The run that made the text's last event; 0 where there is none."""
+
+    text_run: int = betterproto.uint64_field(17)
+
 
 @dataclass(eq=False, repr=False)
 class OfferRuns(betterproto.Message):
@@ -151,6 +158,12 @@
     """
 
     runs: List[int] = betterproto.uint64_field(10)
+    text_epochs: List[int] = betterproto.uint64_field(11)
+    """
+    The runs that made the events after which they began; 0 where they began a text.
+    """
+
+    text_runs: List[int] = betterproto.uint64_field(12)
 
 
 @dataclass(eq=False, repr=False)
