--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -15,6 +15,7 @@
 from pondtiller.gateway.front import Front
 from pondtiller.gateway.held_runs import HeldRuns
 from pondtiller.gateway.key_freshness import KeyFreshness
+from pondtiller.gateway.leader_age import leader_age
 from pondtiller.gateway.leader_watches import LeaderWatches
 from pondtiller.gateway.leadership import Leadership
 from pondtiller.gateway.metrics import GatewayMetrics
@@ -44,9 +45,6 @@
 from pondtiller.usage.meter import UseMeter
 from pondtiller.wire.steplog import Subscribe
 
-HEARD_SECONDS = 1.2
-"""A replica tells its view each second; one that was not heard for longer may be cut off."""
-
 
 class GatewayParts:
     """A gateway's parts.
@@ -211,7 +209,8 @@
         return HeldRuns(
             lambda: replicas.subscription,
             leader_epoch,
-            lambda: replicas.hears_quorum(HEARD_SECONDS),
+            replicas.hears_quorum,
+            lambda epoch: leader_age(replicas, epoch),
             self.steps.offer_runs,
         )
 
