--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -14,7 +14,7 @@
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import EventReader
-from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd
+from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
 from pondtiller.routes.send_gate import Held, SendGate
 from pondtiller.routes.table import RouteTable
 from pondtiller.wire.steplog import Sample, Scorer
@@ -49,6 +49,12 @@
         Whose sample it is; empty where the step has no tenant.
     is_cold
         Whether the leader takes the engine for cold.
+    sample
+        Name under which the sample's unfinished text is kept.
+    held
+        Name of a run that the runner offered and that goes on; `NO_RUN` where one is begun.
+    text_by
+        The run that made the text's last event.
     """
 
     run: int
@@ -61,6 +67,9 @@
     content: bytes
     tenant: str = ""
     is_cold: bool = False
+    sample: str = ""
+    held: RunName = NO_RUN
+    text_by: RunName = NO_RUN
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,7 +201,7 @@
         if route is None:
             return ScoreOutcome(ScoreEnd.LOST, "", "no route")
         service = route.choose_service(scorer.id)
-        if not self._forwarder.has_room(service):
+        if not self._forwarder.has_room(service, route.homes):
             return ScoreOutcome(ScoreEnd.LOST, "", "no room")
         usual = self._forwarder.usual_seconds(service)
         seconds = max(SHORTEST_SCORER_SECONDS, SCORER_TIMES * usual)
--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -16,6 +16,7 @@
 from pondtiller.gateway.sample_runner import EventSink, RunOrder, RunOutcome
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.links.link import Link
+from pondtiller.rollouts import run_holding
 from pondtiller.rollouts.run_news import read_ends, read_events
 from pondtiller.rollouts.runner_choice import Daemon
 from pondtiller.rollouts.sample_work import RunEnd
@@ -27,7 +28,7 @@
 
 async def connected(system: System, runners: int) -> GatewayProcess:
     leader = await system.until_led()
-    await system.until(lambda: all(each._is_ready() for each in system.gateways))
+    await system.until(lambda: all(each.is_ready() for each in system.gateways))
     term = leader.duties.term
     assert term is not None
     await system.until(lambda: len(term.runners.links) >= runners)
@@ -94,9 +95,13 @@
 def test_samples_go_on_where_they_were_when_replicas_do_not_hear_the_leader(
     is_on: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Its runs go on until its lease ends; without the texts a successor begins them anew."""
+    """Its runs go on until its lease ends; without the texts a successor begins them anew.
+
+    No run is held for the successor here: this is the way of those whose runner is lost too.
+    """
     if not is_on:
         monkeypatch.setattr(terms, "MOST_BEARERS", 0)
+    monkeypatch.setattr(run_holding, "LONGEST_SECONDS", 0.0)
 
     async def unheard(*_given: object) -> None:
         """Lose a message on its way."""
@@ -123,8 +128,10 @@
 
 @pytest.mark.parametrize("takes", [True, False])
 def test_a_leader_waits_for_its_texts_to_leave_but_not_for_long(
-    takes: bool, tmp_path: Path
+    takes: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    waits = Waits()
+
     async def test(system: System) -> None:
         leader = await connected(system, 2)
         term = leader.duties.term
@@ -138,14 +145,36 @@
             push, link._push = link._push, lambda: None
             if takes:
                 await curio.spawn(_take_later, link, push, daemon=True)
-        began = terms.clock.monotonic()
+        monkeypatch.setattr(terms, "clock", waits)
+        monkeypatch.setattr(terms, "curio", waits)
         await term.hand_over_texts()
-        assert terms.clock.monotonic() - began < terms.HAND_OVER_SECONDS + 0.2
+        monkeypatch.undo()
+        assert waits.seconds < terms.HAND_OVER_SECONDS * 1.2
         assert all(each.has_unsent is not takes for each in bearers)
 
     run_system(tmp_path, test, gateways=3)
 
 
+class Waits:
+    """A clock that goes on by what the leader waits alone, however busy this machine is.
+
+    All else of `curio` and `clock` is theirs.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(curio if hasattr(curio, name) else run_host.clock, name)
+
+    def monotonic(self) -> float:
+        return self.seconds
+
+    async def sleep(self, seconds: float) -> None:
+        self.seconds += seconds
+        await curio.sleep(0)
+
+
 async def _take_later(link: Link, push: Callable[[], None]) -> None:
     """Have a link take what waits once something does, and what comes then, as it did before.
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -13,11 +13,14 @@
 from pondtiller.rollouts.placement import Placement
 from pondtiller.rollouts.progress import unpack_events
 from pondtiller.rollouts.sample_work import (
+    NO_RUN,
     CancelReason,
     CancelRun,
     Instruction,
     ListResult,
+    OfferedRun,
     RunEnd,
+    RunName,
     SampleWork,
     ScoreEnd,
     ScoreText,
@@ -70,6 +73,13 @@
         Of this leader, to which all events of the runs go.
     cold
         Which engines are cold; None where none ever is.
+
+    Attributes
+    ----------
+    epoch
+        Of the leader, which names its runs with it.
+    begins_none
+        Whether no run is begun, since those of an earlier leader may be taken over.
     """
 
     def __init__(
@@ -87,6 +97,8 @@
         self._last_run = 0
         self.run_times = RunTimes()
         self.turns: dict[GroupKey, int] = {}
+        self.epoch = 0
+        self.begins_none = False
         self._next_shed = float("-inf")
         self._next_look = float("-inf")
         self._out: list[Instruction] = []
@@ -145,7 +157,8 @@
         if known is not None and known.last_event >= progress.last_event:
             return
         events = unpack_events(progress.parts)
-        text = Text(events, list(progress.versions), progress.last_event)
+        made_by = RunName(progress.epoch, progress.run)
+        text = Text(events, list(progress.versions), progress.last_event, made_by=made_by)
         self._kept[progress.id] = text
 
     # Runs
@@ -163,7 +176,7 @@
         engine = self._engines.engines.get(work.engine)
         if engine is not None and work.run_events:
             engine.note_event_gap(now - work.last_heard, now)
-        work.text.add(number, data, version)
+        work.text.add(number, data, version, RunName(self.epoch, run))
         work.run_events += 1
         work.last_heard = now
         return True
@@ -189,7 +202,8 @@
         if engine is not None:
             _note_end(engine, end, now)
         if end is RunEnd.WHOLE:
-            self.run_times.note(now - work.run_started)
+            if not work.is_taken_over:
+                self.run_times.note(now - work.run_started)
             work.text.is_whole = True
             self._score(work)
             return work
@@ -235,6 +249,8 @@
         # What moved left room, and what failed is paused.
         self.placement.begin_tick()
         self._give_turns(now, wall_now)
+        if self.begins_none:
+            return
         waiting = [work for work in self.work.values() if work.stage is Stage.WAITING]
         for work in sorted(waiting, key=self._turn):
             if work.is_routed:
@@ -261,10 +277,46 @@
             turns += group_turns(step_loads(works), rate, wall_now)
         self.turns = {key: turn for turn, key in enumerate(turns)}
 
+    def take_over(self, offered: OfferedRun, runner: str, now: float) -> bool:
+        """Go on with a run that an earlier leader began and that its runner still has.
+
+        Returns
+        -------
+        bool
+            False where the sample is wanted no more, runs elsewhere by now, or the text that is
+            known is not the one that the run continues.
+        """
+        work = next((each for each in self.work.values() if each.kept_as == offered.sample), None)
+        engine = self._engines.engines.get(offered.engine)
+        if work is None or engine is None or work.stage is not Stage.WAITING:
+            return False
+        is_wanted = work.is_routed and not work.has_left(engine.identifier, now)
+        # Events of another run must not stand before those of this one.
+        text = work.text
+        is_begun_after = text.last_event == offered.after_event
+        continues = text.made_by == (offered.text_by if is_begun_after else offered.name)
+        knows_text = text.last_event >= offered.after_event and continues
+        in_home = self._engines.places.may_hold(engine.entry.zone, work.route.homes)
+        if not (is_wanted and knows_text and in_home):
+            return False
+        self._start(work, engine, now, runner, offered.name)
+        if text.last_event > offered.after_event:
+            text.made_by = RunName(self.epoch, work.run)
+        return True
+
     def _try_start(self, work: SampleWork, now: float) -> None:
         engine = self.placement.choose(work, now)
-        if engine is None:
-            return
+        if engine is not None:
+            self._start(work, engine, now)
+
+    def _start(
+        self,
+        work: SampleWork,
+        engine: Engine,
+        now: float,
+        runner: str = "",
+        held: RunName = NO_RUN,
+    ) -> None:
         self._last_run += 1
         work.run = self._last_run
         work.engine = engine.identifier
@@ -272,6 +324,7 @@
         work.run_started = work.last_heard = now
         work.checked_at = 0.0
         work.run_events = 0
+        work.is_taken_over = held != NO_RUN
         engine.running += 1
         self.runs[work.run] = work
         self.placement.began(work)
@@ -285,6 +338,9 @@
                 work.text.last_event,
                 work.stays_with,
                 work.step.step.tenant,
+                work.text.made_by,
+                runner,
+                held,
             )
         )
 
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -118,6 +118,85 @@
     Whether the leader takes the engine for cold: the runner may know less.
     """
 
+    sample: str = betterproto.string_field(13)
+    """Name under which the sample's unfinished text is kept."""
+
+    held_epoch: int = betterproto.uint64_field(14)
+    """
+    A run of the sample that the runner offered goes on: the name under which it did; 0 where one
+     is begun.
+    """
+
+    held_run: int = betterproto.uint64_field(15)
+    text_epoch: int = betterproto.uint64_field(16)
+    """The run that made the text's last event; 0 where there is none."""
+
+    text_run: int = betterproto.uint64_field(17)
+
+
+@dataclass(eq=False, repr=False)
+class OfferRuns(betterproto.Message):
+    """
+    A runner whose leader is lost, to the leader: runs that go on here, by column.
+    """
+
+    daemon: str = betterproto.string_field(1)
+    zone: str = betterproto.string_field(2)
+    host: str = betterproto.string_field(3)
+    port: int = betterproto.uint32_field(4)
+    cores: float = betterproto.double_field(5)
+    samples: List[str] = betterproto.string_field(6)
+    """Names under which the samples' texts are kept."""
+
+    engines: List[str] = betterproto.string_field(7)
+    after_events: List[int] = betterproto.uint64_field(8)
+    """The runs began after these events."""
+
+    epochs: List[int] = betterproto.uint64_field(9)
+    """
+    The leader that began or took them over last, and the numbers that it gave them.
+    """
+
+    runs: List[int] = betterproto.uint64_field(10)
+    text_epochs: List[int] = betterproto.uint64_field(11)
+    """
+    The runs that made the events after which they began; 0 where they began a text.
+    """
+
+    text_runs: List[int] = betterproto.uint64_field(12)
+
+
+@dataclass(eq=False, repr=False)
+class ReadLease(betterproto.Message):
+    """
+    A daemon whose leader is silent asks a replica whether it hears the leader.
+    """
+
+    pass
+
+
+@dataclass(eq=False, repr=False)
+class LeaseAge(betterproto.Message):
+    """
+    How long ago a replica heard the leader of an epoch; epoch 0 where no lease is held.
+    """
+
+    epoch: int = betterproto.uint64_field(1)
+    milliseconds: int = betterproto.uint32_field(2)
+
+
+@dataclass(eq=False, repr=False)
+class RunsTaken(betterproto.Message):
+    """
+    Which of the runs go on under this leader, in the order in which they were offered; it begins
+     those under numbers of its own. The others are to end.
+    """
+
+    status: int = betterproto.uint32_field(1)
+    """A number of `rollouts.steps.StepStatus`."""
+
+    taken: List[bool] = betterproto.bool_field(2)
+
 
 @dataclass(eq=False, repr=False)
 class DropRun(betterproto.Message):
@@ -417,6 +496,13 @@
     The events follow this one, of which the replica has been told; 0 where they are all.
     """
 
+    epoch: int = betterproto.uint64_field(20)
+    """
+    Which run made the last event: its leader's epoch, and the number that this leader gave it.
+    """
+
+    run: int = betterproto.uint64_field(21)
+
 
 @dataclass(eq=False, repr=False)
 class SaveProgress(betterproto.Message):
