--- a/src/pondtiller/daemon/logs.py
+++ b/src/pondtiller/daemon/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import re
 import sys
 import time
 from typing import TYPE_CHECKING
@@ -13,6 +14,8 @@
 
 
 LOGGER = logbook.Logger("pondtiller")
+QUOTED = re.compile(r'[ "=\n\r\t]')
+"""What a value holds that cannot stand without quotes."""
 FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} {record.message}"
 
 
@@ -33,7 +36,7 @@
 
 
 def _quote(value: str) -> str:
-    if value and not any(character in value for character in ' "=\n\r\t'):
+    if value and not QUOTED.search(value):
         return value
     escaped = value.replace("\\", "\\\\").replace('"', '\\"')
     return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r") + '"'
