The soak strikes the leader and cuts regions; it sees two engines at work on one sample

Cause: the soak knew neither who leads nor which program opened a connection, so it could not cut one program from others, and its samples (0.24 s) were too short for a change of leader to meet them.

A proxy stands before each program's links (new setting announced_links, as other services have an advertised address) and asks the kernel whose process opened a connection. New faults: the leader killed, stopped, frozen, cut from the replicas; the regions cut from each other. New promise: no engine works on a sample for 0.4 s after another one has begun it, counted from when its gateway runs and reaches it.

--- a/src/pondtiller/cli/soak.py
+++ b/src/pondtiller/cli/soak.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from pondtiller.cli.common import EXIT_OK, EXIT_VIOLATION, bad_option, read_number
+from pondtiller.soak.faults import KINDS
 from pondtiller.soak.run import SoakReport, play
 
 
@@ -20,6 +21,7 @@
     options = [
         option("seed", None, "Seed of the faults.", flag=False, default="1"),
         option("minutes", None, "Minutes of faults; a calm of up to 25 s follows.", flag=False),
+        option("faults", None, "Kinds of faults, by commas; all where it is left out.", flag=False),
         option("folder", None, "Folder for logs and the schedule.", flag=False),
         option("json", None, "Print the report as a JSON object."),
     ]
@@ -33,7 +35,11 @@
         if isinstance(seed, Err):
             return bad_option(self, "seed", seed.err_value)
         folder = Path(self.option("folder") or tempfile.mkdtemp(prefix="pondtiller-soak-"))
-        report = play(int(seed.ok_value), minutes.ok_value * 60.0, folder)
+        only = tuple(filter(None, (self.option("faults") or "").split(",")))
+        unknown = sorted(set(only) - set(KINDS))
+        if unknown:
+            return bad_option(self, "faults", f"{','.join(unknown)}: not of {', '.join(KINDS)}")
+        report = play(int(seed.ok_value), minutes.ok_value * 60.0, folder, only)
         self._print(report, folder)
         return EXIT_VIOLATION if report.breaches else EXIT_OK
 
@@ -46,6 +52,6 @@
         verdict = "broken" if report.breaches else "held"
         self.line(
             f"seed={report.seed} faults={len(report.schedule)} steps={report.steps} "
-            f"results={report.results} answers={report.answers} "
+            f"results={report.results} answers={report.answers} overlaps={report.overlaps} "
             f"own_ends={','.join(report.own_ends) or 'none'} promises={verdict} logs={folder}"
         )
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -76,6 +76,12 @@
         self.callers = self._bind(settings.callers)
         self.readiness = self._bind(settings.readiness)
         self.links = self._bind(settings.links)
+        self._announced = settings.announced_links
+
+    @property
+    def reached_at(self) -> Address:
+        """Where the other daemons reach this one."""
+        return to_address(self._announced) if self._announced else self.address(self.links)
 
     def address(self, listener: Any) -> Address:
         """Return where a listener is bound."""
@@ -118,7 +124,7 @@
         rules = PlaceRules(settings.tolerance, self.places)
         self.leadership = Leadership(
             settings.name,
-            self.sockets.address(self.sockets.links),
+            self.sockets.reached_at,
             settings.processor.speed,
             settings.wanted_replicas,
             StoredFirstGroup(self.store, settings.wanted_replicas, rules),
@@ -227,7 +233,7 @@
 
     def _subscription(self) -> Subscribe:
         """Return what replicas are told of this daemon, for a leader to find it."""
-        place = self.sockets.address(self.sockets.links)
+        place = self.sockets.reached_at
         return Subscribe(
             daemon=self.settings.name,
             zone=self.settings.zone,
--- a/src/pondtiller/gateway/settings.py
+++ b/src/pondtiller/gateway/settings.py
@@ -184,6 +184,8 @@
     callers, readiness, links
         Addresses to listen on: for callers and trainers, for readiness and metrics, for the
         other daemons. The kernel chooses where a port is 0.
+    announced_links
+        Address at which others reach `links`; empty where it is the one listened on.
     store
         Address of the platform's object store.
     metrics
@@ -201,6 +203,7 @@
     callers: AddressText
     readiness: AddressText
     links: AddressText
+    announced_links: OptionalAddress = ""
     store: AddressText
     metrics: OptionalAddress = ""
     losses: int = Field(default=1, ge=0, le=5)
@@ -235,6 +238,8 @@
     ----------
     links
         Address to listen on for the daemons.
+    announced_links
+        Address at which they reach it; empty where it is the one listened on.
     data_folder
         Folder on the small disk.
     metrics
@@ -248,6 +253,7 @@
     name: str
     zone: str
     links: AddressText
+    announced_links: OptionalAddress = ""
     store: AddressText
     metrics: OptionalAddress = ""
     data_folder: Path
--- a/src/pondtiller/httpio/server.py
+++ b/src/pondtiller/httpio/server.py
@@ -43,6 +43,11 @@
         self.started = False
         self._connection = connection
 
+    @property
+    def peer_port(self) -> int:
+        """Port from which the other side connected; OSError where it is gone."""
+        return self._connection.peer_port
+
     async def respond(self, response: HttpResponse) -> None:
         """Send a whole response."""
         self.started = True
@@ -103,6 +108,11 @@
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
         self._is_closing = is_closing
 
+    @property
+    def peer_port(self) -> int:
+        """Port from which the other side connected; OSError where it is gone."""
+        return int(self._socket.getpeername()[1])
+
     async def serve(self, handler: Handler) -> None:
         """Answer requests until the connection ends."""
         while True:
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.daemon.supervise import keep_running
@@ -71,13 +72,14 @@
         if is_new:
             disk = uuid.uuid4().hex
             self.file.append([DiskRecord(disk=disk)])
-        host, port = self._listener.getsockname()
+        announced = self.settings.announced_links
+        place = to_address(announced) if announced else Address(*self._listener.getsockname())
         member = GroupMember(
             name=self.settings.name,
             disk=disk,
             zone=self.settings.zone,
-            host=host,
-            port=port,
+            host=place.host,
+            port=place.port,
         )
         replica = Replica(member, self.settings.first_start, clock.monotonic())
         for record in records:
--- a/src/pondtiller/soak/faults.py
+++ b/src/pondtiller/soak/faults.py
@@ -9,6 +9,7 @@
 from pondtiller.daemon import clock
 from pondtiller.platform import names
 from pondtiller.platform.standins import StandInStore
+from pondtiller.soak.leader_log import LeaderLog
 from pondtiller.soak.programs import Program
 from pondtiller.soak.proxy import Proxy
 from pondtiller.soak.stand_ins import SoakEngine
@@ -20,6 +21,8 @@
 """Longer than an evacuation needs to be in force, so that the last seconds are checked."""
 RESET_SHARE = 0.3
 """Of the faults after which one proxy's connections are reset."""
+STORE_ZONE = "z0"
+REGIONS = {"z0": "south", "z1": "south", "z2": "north"}
 
 
 class Fault(NamedTuple):
@@ -39,6 +42,8 @@
         Each fault: seconds from the start, its kind and whom it struck.
     evacuated
         When each evacuation ends, by zone.
+    links
+        Before each program's links, by its name.
     """
 
     def __init__(
@@ -49,6 +54,8 @@
         models: list[SoakEngine],
         store: StandInStore,
         store_proxy: Proxy,
+        links: dict[str, Proxy],
+        leader: LeaderLog,
     ) -> None:
         self.random = source
         self.programs = programs
@@ -56,6 +63,8 @@
         self.models = models
         self.store = store
         self.store_proxy = store_proxy
+        self.links = links
+        self._leader = leader
         self.schedule: list[tuple[float, str, str]] = []
         self.evacuated: dict[str, float] = {}
         self._began = clock.monotonic()
@@ -63,28 +72,23 @@
     @property
     def proxies(self) -> list[Proxy]:
         """All proxies."""
-        return [self.store_proxy, *(each.proxy for each in (*self.apps, *self.models))]
-
-    async def strike(self, seconds: float) -> None:
-        """Bring faults about, one after the other; evacuations last through further ones."""
-        faults: list[Callable[[], Fault]] = [
-            self._kill,
-            self._kill_all,
-            self._terminate,
-            self._freeze,
-            self._store_down,
-            self._store_lossy,
-            self._slow_link,
-            self._silent_link,
-            self._silent_zone,
-            self._evacuate,
-            self._turn_cold,
-        ]
+        engines = [each.proxy for each in (*self.apps, *self.models)]
+        return [self.store_proxy, *engines, *self.links.values()]
+
+    async def strike(self, seconds: float, only: tuple[str, ...] = ()) -> None:
+        """Bring faults about, one after the other; evacuations last through further ones.
+
+        Parameters
+        ----------
+        only
+            Kinds to draw from; all where it is empty.
+        """
+        kinds = only or tuple(KINDS)
         end = clock.monotonic() + seconds
         while clock.monotonic() < end:
             await curio.sleep(self.random.uniform(*FAULT_PAUSE_SECONDS))
             self._take_back(clock.monotonic())
-            fault = self.random.choice(faults)()
+            fault = KINDS[self.random.choice(kinds)](self)
             self._note(fault.kind, fault.whom)
             await curio.sleep(self.random.uniform(*FAULT_SECONDS))
             fault.undo()
@@ -106,8 +110,50 @@
     def _note(self, kind: str, whom: str) -> None:
         self.schedule.append((round(clock.monotonic() - self._began, 2), kind, whom))
 
+    def _find_leader(self) -> Program:
+        """Return the program that leads; any gateway where none does."""
+        name = self._leader.leader()
+        found = [each for each in self.programs if each.spec.name == name and each.is_running()]
+        gateways = [each for each in self.programs if each.spec.role == "gateway"]
+        return found[0] if found else self.random.choice(gateways)
+
+    def _cut_leader(self) -> Fault:
+        """Have the leader and the replicas not hear each other; all else hears it."""
+        leader = self._find_leader().spec.name
+        replicas = [each.spec.name for each in self.programs if each.spec.role == "replica"]
+        return self._cut("cut_leader", leader, [(self.links[each], {leader}) for each in replicas])
+
+    def _cut_region(self) -> Fault:
+        """Have no program reach anything in the other region: engines, links, the store."""
+        placed = [(self.store_proxy, STORE_ZONE)]
+        placed += [(each.proxy, each.zone) for each in (*self.apps, *self.models)]
+        placed += [(self.links[each.spec.name], each.spec.zone) for each in self.programs]
+        return self._cut(
+            "cut_region", "north", [(proxy, self._outside(zone)) for proxy, zone in placed]
+        )
+
+    def _outside(self, zone: str) -> set[str]:
+        """Return the programs that stand in another region than a zone."""
+        region = REGIONS[zone]
+        return {each.spec.name for each in self.programs if REGIONS[each.spec.zone] != region}
+
+    def _cut(self, kind: str, whom: str, cuts: list[tuple[Proxy, set[str]]]) -> Fault:
+        for proxy, openers in cuts:
+            proxy.silent_for |= openers
+
+        def undo() -> None:
+            for proxy, _ in cuts:
+                proxy.heal()
+
+        return Fault(kind, whom, undo)
+
     def _kill(self) -> Fault:
-        program = self.random.choice(self.programs)
+        return self._kill_one(self.random.choice(self.programs))
+
+    def _kill_leader(self) -> Fault:
+        return self._kill_one(self._find_leader())
+
+    def _kill_one(self, program: Program) -> Fault:
         program.kill()
         return Fault("kill", program.spec.name, program.revive)
 
@@ -122,7 +168,12 @@
         return Fault("kill", "all", undo)
 
     def _terminate(self) -> Fault:
-        program = self.random.choice(self.programs)
+        return self._terminate_one(self.random.choice(self.programs))
+
+    def _terminate_leader(self) -> Fault:
+        return self._terminate_one(self._find_leader())
+
+    def _terminate_one(self, program: Program) -> Fault:
         program.terminate()
         return Fault("terminate", program.spec.name, lambda: self._revive_later(program))
 
@@ -132,7 +183,12 @@
         program.revive()
 
     def _freeze(self) -> Fault:
-        program = self.random.choice(self.programs)
+        return self._freeze_one(self.random.choice(self.programs))
+
+    def _freeze_leader(self) -> Fault:
+        return self._freeze_one(self._find_leader())
+
+    def _freeze_one(self, program: Program) -> Fault:
         program.pause()
         return Fault("freeze", program.spec.name, program.resume)
 
@@ -146,7 +202,9 @@
         return Fault("store_lossy", "store", lambda: setattr(self.store, "loses_answers", False))
 
     def _slow_link(self) -> Fault:
-        proxy = self.random.choice(self.proxies)
+        # Not between programs: what one is told to end would be late by more than may be.
+        engines = [each.proxy for each in (*self.apps, *self.models)]
+        proxy = self.random.choice([self.store_proxy, *engines])
         proxy.delay_seconds = self.random.uniform(0.02, 0.5)
         return Fault("slow_link", proxy.address, proxy.heal)
 
@@ -205,3 +263,24 @@
 
     def _engines_of(self, zone: str) -> list[SoakEngine]:
         return [each for each in (*self.apps, *self.models) if each.zone == zone]
+
+
+KINDS: dict[str, Callable[[Faults], Fault]] = {
+    "kill": Faults._kill,
+    "kill_all": Faults._kill_all,
+    "terminate": Faults._terminate,
+    "freeze": Faults._freeze,
+    "kill_leader": Faults._kill_leader,
+    "terminate_leader": Faults._terminate_leader,
+    "freeze_leader": Faults._freeze_leader,
+    "cut_leader": Faults._cut_leader,
+    "cut_region": Faults._cut_region,
+    "store_down": Faults._store_down,
+    "store_lossy": Faults._store_lossy,
+    "slow_link": Faults._slow_link,
+    "silent_link": Faults._silent_link,
+    "silent_zone": Faults._silent_zone,
+    "evacuate": Faults._evacuate,
+    "cold": Faults._turn_cold,
+}
+"""What may be drawn."""
--- a/src/pondtiller/soak/programs.py
+++ b/src/pondtiller/soak/programs.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from pondtiller.daemon import clock
+
 RUNNER = Path(__file__).resolve().parents[3] / "deploy" / "run.py"
 
 
@@ -19,11 +21,14 @@
         `gateway` or `replica`.
     settings
         Text of its settings file.
+    zone
+        Where it stands.
     """
 
     name: str
     role: str
     settings: str
+    zone: str
 
 
 class Program:
@@ -33,11 +38,14 @@
     ----------
     ends
         Times that it ended without having been told to.
+    acts_since
+        When it went on after it was held up last, on the steady clock; infinite while it is.
     """
 
     def __init__(self, spec: ProgramSpec, folder: Path) -> None:
         self.spec = spec
         self.ends = 0
+        self.acts_since = float("-inf")
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
         self._is_meant_to_run = False
@@ -61,6 +69,12 @@
             )
         self._is_meant_to_run = True
         self._is_stopped = False
+        self.acts_since = float("-inf")
+
+    @property
+    def process_id(self) -> int | None:
+        """Id of its process; None where it never started."""
+        return self._process.pid if self._process is not None else None
 
     def is_running(self) -> bool:
         """Return whether its process is there."""
@@ -79,12 +93,14 @@
     def pause(self) -> None:
         """Hold it up, as a machine does that freezes."""
         self._is_stopped = True
+        self.acts_since = float("inf")
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Let it go on."""
         if self._is_stopped:
             self._is_stopped = False
+            self.acts_since = clock.monotonic()
             self._signal(signal.SIGCONT)
 
     def revive(self) -> None:
--- a/src/pondtiller/soak/proxy.py
+++ b/src/pondtiller/soak/proxy.py
@@ -10,6 +10,7 @@
 from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.httpio.server import bind_tcp
+from pondtiller.soak.owners import Owners
 
 READ_BYTES = 65_536
 POLL_SECONDS = 0.05
@@ -25,17 +26,24 @@
     delay_seconds
         How long each piece waits.
     is_silent
-        Whether nothing is passed on; what waits goes on afterwards.
+        Whether nothing is passed on, not even an end; what waits goes on afterwards.
+    silent_for
+        Programs for whose connections the same holds.
     healed_at
         When what had waited went on, on the steady clock.
+    openers
+        Programs whose connections are open, by the port from which the target is reached.
     """
 
-    def __init__(self, target: Address) -> None:
+    def __init__(self, target: Address, owners: Owners | None = None) -> None:
         self.target = target
         self.delay_seconds = 0.0
         self.is_silent = False
+        self.silent_for: set[str] = set()
         self.healed_at = float("-inf")
+        self.openers: dict[int, str] = {}
         self.listener = bind_tcp("127.0.0.1", 0)
+        self._owners = owners
         self._open: set[Any] = set()
 
     @property
@@ -47,12 +55,16 @@
     def heal(self) -> None:
         """Pass everything on at once again."""
         self.delay_seconds, self.is_silent = 0.0, False
+        self.silent_for.clear()
         self.healed_at = clock.monotonic()
 
-    def holds_up(self) -> bool:
+    def is_held(self, opener: str) -> bool:
+        """Return whether what a program sends or is sent does not pass at once."""
+        return self.is_silent or self.delay_seconds > 0 or opener in self.silent_for
+
+    def holds_up(self, opener: str = "") -> bool:
         """Return whether what comes through may have left long ago, or together with others."""
-        is_held = self.is_silent or self.delay_seconds > 0
-        return is_held or clock.monotonic() < self.healed_at + HEALED_SECONDS
+        return self.is_held(opener) or clock.monotonic() < self.healed_at + HEALED_SECONDS
 
     async def reset(self) -> None:
         """End all connections that are open."""
@@ -63,10 +75,11 @@
         """Serve until cancelled."""
         async with Spawner() as group:
             while True:
-                stream, _ = await self.listener.accept()
-                await group.spawn(self._serve, group, stream)
+                stream, peer = await self.listener.accept()
+                await group.spawn(self._serve, group, stream, peer[1])
 
-    async def _serve(self, group: Spawner, stream: Any) -> None:
+    async def _serve(self, group: Spawner, stream: Any, port: int) -> None:
+        opener = self._owners.opener(port, self.listener.getsockname()[1]) if self._owners else ""
         try:
             other = await curio.open_connection(self.target.host, self.target.port)
         except OSError:
@@ -74,29 +87,36 @@
             return
         ends = {stream, other}
         self._open |= ends
-        back = await group.spawn(self._pass, other, stream)
+        own_port = other.getsockname()[1]
+        self.openers[own_port] = opener
+        back = await group.spawn(self._pass, other, stream, opener)
         try:
-            await self._pass(stream, other)
+            await self._pass(stream, other, opener)
             await back.wait()
         finally:
+            del self.openers[own_port]
             self._open -= ends
             for each in ends:
                 await each.close()
 
-    async def _pass(self, source: Any, sink: Any) -> None:
+    async def _pass(self, source: Any, sink: Any, opener: str) -> None:
         """Pass bytes one way until an end closes; the other way then ends too."""
         try:
             while data := await source.recv(READ_BYTES):
                 if self.delay_seconds:
                     await curio.sleep(self.delay_seconds)
-                while self.is_silent:
-                    await curio.sleep(POLL_SECONDS)
+                await self._wait_for_passage(opener)
                 await sink.sendall(data)
         except OSError:
             pass
+        await self._wait_for_passage(opener)
         await _shut_down(source)
         await _shut_down(sink)
 
+    async def _wait_for_passage(self, opener: str) -> None:
+        while self.is_silent or opener in self.silent_for:
+            await curio.sleep(POLL_SECONDS)
+
 
 async def _shut_down(stream: Any) -> None:
     """End a connection; a task that waits for it is woken, unlike by closing it."""
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -21,11 +21,14 @@
     COLD_SLACK,
     WITHIN_SECONDS,
 )
-from pondtiller.soak.faults import ZONES, Faults
+from pondtiller.soak.faults import REGIONS, ZONES, Faults
+from pondtiller.soak.leader_log import LeaderLog
+from pondtiller.soak.owners import Owners
 from pondtiller.soak.programs import Program, ProgramSpec
 from pondtiller.soak.promises import Breach, Promises
 from pondtiller.soak.proxy import Proxy
-from pondtiller.soak.stand_ins import SoakEngine, to_address
+from pondtiller.soak.sample_runs import SampleRuns
+from pondtiller.soak.stand_ins import Platform, SoakEngine, to_address
 
 GATEWAYS = 3
 REPLICAS = 3
@@ -35,11 +38,10 @@
 CALL_SECONDS = 0.1
 CALM_SECONDS = 25.0
 CALL_LIMIT_SECONDS = 6.0
+REGION_LINES = "\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items())
 PLACES_SETTINGS = f"""
 [regions]
-z0 = "south"
-z1 = "south"
-z2 = "north"
+{REGION_LINES}
 [evacuation]
 within = {WITHIN_SECONDS}
 """
@@ -54,6 +56,8 @@
         Each fault: seconds from the start, its kind and whom it struck.
     own_ends
         Programs that ended without having been told to.
+    overlaps
+        Times that an engine began a sample while another one was at work on it.
     """
 
     seed: int
@@ -63,6 +67,7 @@
     steps: int
     results: int
     answers: int
+    overlaps: int
 
 
 class Soak:
@@ -74,22 +79,29 @@
         self.promises = Promises()
         self.store = StandInStore()
         self.store.page = 100
-        self.store_proxy = Proxy(to_address(self.store.address))
-        self.apps = [
-            SoakEngine(f"a{n}", "app", self.promises, self.store, EVENTS, f"z{n}")
-            for n in range(ZONES)
-        ]
-        self.models = [
-            SoakEngine(f"m{n}", "llm", self.promises, self.store, EVENTS, f"z{n}")
-            for n in range(ZONES)
-        ]
+        self.owners = Owners(self._process_ids)
+        self.store_proxy = Proxy(to_address(self.store.address), self.owners)
+        self.sample_runs = SampleRuns(self.promises)
+        platform = Platform(
+            self.promises, self.sample_runs, self.store, self.owners, self._acts_since
+        )
+        self.apps = [SoakEngine(f"a{n}", "app", platform, EVENTS, f"z{n}") for n in range(ZONES)]
+        self.models = [SoakEngine(f"m{n}", "llm", platform, EVENTS, f"z{n}") for n in range(ZONES)]
         for engine in self.models:
             engine.models = ["m"]
+        self.links: dict[str, Proxy] = {}
         self.ports = [_free_port() for _ in range(GATEWAYS)]
         self.replicas = [Program(self._replica(n, folder), folder) for n in range(REPLICAS)]
         self.gateways = [Program(self._gateway(n), folder) for n in range(GATEWAYS)]
         self.faults = Faults(
-            self.random, self.programs, self.apps, self.models, self.store, self.store_proxy
+            self.random,
+            self.programs,
+            self.apps,
+            self.models,
+            self.store,
+            self.store_proxy,
+            self.links,
+            LeaderLog({each.spec.name: each.log for each in self.gateways}),
         )
         self.group = Spawner()
         self.client = HttpClient()
@@ -102,12 +114,12 @@
         settings = f"""
 name = "r{number}"
 zone = "z{number}"
-links = "127.0.0.1:{_free_port()}"
+{self._link_lines(f"r{number}")}
 store = "{self.store_proxy.address}"
 data_folder = "{folder / f"disk{number}"}"
 first_start = true
 {PLACES_SETTINGS}"""
-        return ProgramSpec(f"r{number}", "replica", settings)
+        return ProgramSpec(f"r{number}", "replica", settings, f"z{number}")
 
     def _gateway(self, number: int) -> ProgramSpec:
         settings = f"""
@@ -115,30 +127,43 @@
 zone = "z{number}"
 callers = "127.0.0.1:{self.ports[number]}"
 readiness = "127.0.0.1:{_free_port()}"
-links = "127.0.0.1:{_free_port()}"
+{self._link_lines(f"g{number}")}
 store = "{self.store_proxy.address}"
 {PLACES_SETTINGS}
 [cold]
 excess = {COLD_EXCESS}
 slack = {COLD_SLACK}
 """
-        return ProgramSpec(f"g{number}", "gateway", settings)
+        return ProgramSpec(f"g{number}", "gateway", settings, f"z{number}")
+
+    def _link_lines(self, name: str) -> str:
+        """Return settings of a program's links, with a proxy before them."""
+        listens = f"127.0.0.1:{_free_port()}"
+        proxy = self.links[name] = Proxy(to_address(listens), self.owners)
+        return f'links = "{listens}"\nannounced_links = "{proxy.address}"'
 
     @property
     def programs(self) -> list[Program]:
         """All programs."""
         return [*self.replicas, *self.gateways]
 
+    def _process_ids(self) -> dict[str, int]:
+        return {each.spec.name: each.process_id for each in self.programs if each.process_id}
+
+    def _acts_since(self, name: str) -> float:
+        found = [each.acts_since for each in self.programs if each.spec.name == name]
+        return found[0] if found else float("-inf")
+
     # The run
 
-    async def run(self, seconds: float) -> SoakReport:
+    async def run(self, seconds: float, only: tuple[str, ...] = ()) -> SoakReport:
         """Play faults for some seconds, then a calm in which everything must be finished."""
         for engine in (*self.apps, *self.models):
             await self.group.spawn(engine.serve)
-            await self.group.spawn(engine.proxy.run)
             engine.publish()
         await self.group.spawn(self.store.serve)
-        await self.group.spawn(self.store_proxy.run)
+        for proxy in self.faults.proxies:
+            await self.group.spawn(proxy.run)
         self.store.put("config", "main", self._configuration())
         try:
             for program in self.programs:
@@ -146,7 +171,7 @@
             await curio.sleep(3.0)
             for task in (self._train, self._call):
                 await self.group.spawn(task)
-            await self.faults.strike(seconds)
+            await self.faults.strike(seconds, only)
             await self._finish()
         finally:
             await self.group.cancel_all()
@@ -163,6 +188,7 @@
             steps=len(promises.accepted),
             results=sum(map(len, promises.results.values())),
             answers=promises.answers,
+            overlaps=self.sample_runs.overlaps,
         )
 
     def _configuration(self) -> dict[str, Any]:
@@ -308,13 +334,13 @@
         return int(probe.getsockname()[1])
 
 
-def play(seed: int, seconds: float, folder: Path) -> SoakReport:
-    """Play one seed; logs and the schedule are left in the folder."""
+def play(seed: int, seconds: float, folder: Path, only: tuple[str, ...] = ()) -> SoakReport:
+    """Play one seed, with all kinds of faults or some; logs and schedule stay in the folder."""
     folder.mkdir(parents=True, exist_ok=True)
 
     soak = Soak(seed, folder)
     try:
-        report: SoakReport = curio.run(soak.run, seconds)
+        report: SoakReport = curio.run(soak.run, seconds, only)
     finally:
         for program in soak.programs:
             program.close()
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -1,6 +1,8 @@
 """The platform beside the programs: engines that tell what they ran, over the tests' stand-ins."""
 
-from typing import Any
+from collections.abc import Callable
+from functools import partial
+from typing import Any, NamedTuple
 
 import curio
 
@@ -11,10 +13,40 @@
 from pondtiller.platform import names
 from pondtiller.platform.standins import StandInEngine, StandInStore
 from pondtiller.soak.engine_rules import EngineRules
+from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
 from pondtiller.soak.proxy import Proxy
+from pondtiller.soak.sample_runs import SampleRun, SampleRuns
 
 ONCE_PATH = "/list/"
+WHOLE_SECONDS = 0.02
+SHORT_EVENT_SECONDS = 0.05
+LONG_EVENT_SECONDS = 0.3
+"""With 12 events a long sample is at work through a change of leader."""
+LONG_EVERY = 4
+"""Of so many samples of a step, one is long."""
+
+
+def event_seconds(sample: str) -> float:
+    """Return the time between two events of a sample, whose name ends with its number."""
+    is_long = int(sample.rpartition("-")[2]) % LONG_EVERY == 0
+    return LONG_EVENT_SECONDS if is_long else SHORT_EVENT_SECONDS
+
+
+class Platform(NamedTuple):
+    """What all engines of a soak share.
+
+    Attributes
+    ----------
+    can_act_since
+        Returns since when the program of a name has not been held up, on the steady clock.
+    """
+
+    promises: Promises
+    sample_runs: SampleRuns
+    store: StandInStore
+    owners: Owners
+    can_act_since: Callable[[str], float]
 
 
 class SoakEngine(StandInEngine):
@@ -34,18 +66,18 @@
         self,
         identifier: str,
         service: str,
-        promises: Promises,
-        store: StandInStore,
+        platform: Platform,
         events: int,
         zone: str = "z0",
     ) -> None:
         super().__init__(identifier, service, events)
         self.zone = zone
-        self.rules = EngineRules(identifier, promises)
-        self.store = store
-        self.event_seconds = 0.02
-        self.proxy = Proxy(to_address(self.address))
-        self.promises = promises
+        self.rules = EngineRules(identifier, platform.promises)
+        self.store = platform.store
+        self.proxy = Proxy(to_address(self.address), platform.owners)
+        self.promises = platform.promises
+        self.sample_runs = platform.sample_runs
+        self._can_act_since = platform.can_act_since
         self.refused: set[str] = set()
 
     def entry(self, state: str = "ready") -> dict[str, object]:
@@ -59,10 +91,23 @@
         self.rules.turn_cold(clock.monotonic())
         self.publish()
 
-    def _check_rules(self, identifier: str) -> None:
-        if not self.proxy.holds_up():
+    def _check_rules(self, identifier: str, opener: str) -> None:
+        if not self.proxy.holds_up(opener):
             self.rules.began(identifier, clock.monotonic())
 
+    def _opener(self, exchange: Exchange) -> str:
+        """Return which program sent a request; empty where that is not known."""
+        try:
+            return self.proxy.openers.get(exchange.peer_port, "")
+        except OSError:
+            return ""
+
+    def _acts_since(self, opener: str) -> float:
+        """Return since when a program has run and reached this engine."""
+        if self.proxy.is_held(opener):
+            return float("inf")
+        return max(self.proxy.healed_at, self._can_act_since(opener))
+
     def publish(self) -> None:
         """Write its list entry into the store."""
         self.store.put("servers", self.identifier, self.entry())
@@ -76,15 +121,30 @@
         """Answer like a sound engine, and count the run."""
         identifier = exchange.request.headers[names.REQUEST_ID]
         is_once = exchange.request.path.startswith(ONCE_PATH)
-        self._check_rules(identifier)
+        self._check_rules(identifier, self._opener(exchange))
         self.promises.began(identifier, is_once, identifier in self.refused)
-        await curio.sleep(self.event_seconds)
+        await curio.sleep(WHOLE_SECONDS)
         await super().whole(exchange)
 
     async def stream(self, exchange: Exchange, stop_after: int = 1_000_000) -> None:
         """Stream a sample's events, each with the version that made it."""
         identifier = exchange.request.headers[names.REQUEST_ID]
-        self._check_rules(identifier)
+        opener = self._opener(exchange)
+        self._check_rules(identifier, opener)
+        run = SampleRun(identifier, self.identifier, opener, partial(self._acts_since, opener))
+        self.sample_runs.began(run, clock.monotonic())
+        watch = await curio.spawn(self._end_when_left, exchange, run)
+        try:
+            await self._send_events(exchange, identifier)
+        finally:
+            self.sample_runs.ended(run, clock.monotonic())
+            await watch.cancel()
+
+    async def _end_when_left(self, exchange: Exchange, run: SampleRun) -> None:
+        await exchange.wait_closed()
+        self.sample_runs.ended(run, clock.monotonic())
+
+    async def _send_events(self, exchange: Exchange, identifier: str) -> None:
         first = int(exchange.request.headers.get(names.LAST_EVENT, "0")) + 1
         version = self.version
         headers = (
@@ -95,7 +155,7 @@
         )
         await exchange.start_response(200, headers)
         for number in range(first, self.events + 1):
-            await curio.sleep(self.event_seconds)
+            await curio.sleep(event_seconds(identifier))
             changed = f"{names.VERSIONS}: {self.version}\n" if self.version != version else ""
             version = self.version
             piece = f"{changed}id: {number}\ndata: {identifier}/{number}@{version}\n\n"
--- /dev/null
+++ b/src/pondtiller/soak/tests/test_stand_ins.py
@@ -0,0 +1,56 @@
+"""A soak's engines tell of two at work on one sample, also where the caller left one of them."""
+
+from typing import Any
+
+import curio
+
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.httpio.client import HttpClient
+from pondtiller.platform.standins import StandInStore
+from pondtiller.soak.owners import Owners
+from pondtiller.soak.promises import Promises
+from pondtiller.soak.sample_runs import SampleRuns
+from pondtiller.soak.stand_ins import Platform, SoakEngine, to_address
+
+LONG_SAMPLE = "s-0"
+
+
+async def begin(engine: SoakEngine) -> Any:
+    """Have an engine begin a long sample; return the connection."""
+    connection = await HttpClient().open_plain(to_address(engine.proxy.address))
+    headers = (("Host", "e"), ("Request-Id", LONG_SAMPLE), ("Model", "m"))
+    await connection.send_plain("POST", "/rollout/0", b"prompt", headers)
+    await connection.read_head()
+    return connection
+
+
+def overlapping(seconds: float) -> list[str]:
+    """Return what is broken when one engine goes on for so long beside another one."""
+    seen = Promises()
+
+    async def test() -> None:
+        runs, store = SampleRuns(seen), StandInStore()
+        platform = Platform(seen, runs, store, Owners(dict), lambda _: float("-inf"))
+        engines = [SoakEngine(name, "llm", platform, 12) for name in ("m0", "m1")]
+        async with Spawner() as group:
+            for engine in engines:
+                await group.spawn(engine.serve)
+                await group.spawn(engine.proxy.run)
+            first = await begin(engines[0])
+            second = await begin(engines[1])
+            await curio.sleep(seconds)
+            await first.close()
+            await curio.sleep(0.2)
+            await second.close()
+            assert runs.overlaps == 1
+
+    curio.run(test)
+    return [each.promise for each in seen.breaches]
+
+
+def test_engines_that_both_work_on_a_sample_are_seen() -> None:
+    assert overlapping(0.6) == ["no two engines work on a sample"]
+
+
+def test_an_engine_that_its_caller_leaves_at_once_does_not_count_until_its_next_event() -> None:
+    assert overlapping(0.05) == []
