--- a/src/pondtiller/cli/explain.py
+++ b/src/pondtiller/cli/explain.py
@@ -16,6 +16,7 @@
 TIME = re.compile(r"(?:^|\s)t=(\d+\.\d+)\s")
 IDENTIFIERS = ("request", "sample", "step")
 GZIP_SUFFIX = ".gz"
+LOG_NAME = re.compile(r"\.log(\.gz)?$")
 
 DECIDING_EVENTS = (
     "sample_listed",
@@ -108,6 +109,13 @@
                 yield line
 
 
+def find_logs(path: Path) -> list[Path]:
+    """Return a file itself, and of a folder, as `pondtiller soak` leaves one, all logs in it."""
+    if not path.is_dir():
+        return [path]
+    return sorted(each for each in path.iterdir() if LOG_NAME.search(each.name))
+
+
 class ExplainCommand(Command):
     """Tell from logs what became of a request, a sample or a step."""
 
@@ -115,7 +123,9 @@
     description = "Tell from logs what became of a request, a sample or a step, and why."
     arguments = [
         argument("id", "Identifier of a request, a sample or a step."),
-        argument("files", "Logs of any machines, also packed by gzip.", multiple=True),
+        argument(
+            "files", "Logs of any machines, also packed by gzip; folders of logs.", multiple=True
+        ),
     ]
 
     def handle(self) -> int:
@@ -124,7 +134,8 @@
         lines: list[LogLine] = []
         for name in self.argument("files"):
             try:
-                lines += read_lines(Path(name))
+                for path in find_logs(Path(name)):
+                    lines += read_lines(path)
             except (OSError, EOFError) as error:
                 print_problems(self, [Problem(name, "file", str(error))])
                 return EXIT_BAD_INPUT
--- a/src/pondtiller/cli/soak.py
+++ b/src/pondtiller/cli/soak.py
@@ -53,5 +53,6 @@
         self.line(
             f"seed={report.seed} faults={len(report.schedule)} steps={report.steps} "
             f"results={report.results} answers={report.answers} overlaps={report.overlaps} "
+            f"rated={report.rated} homed={report.homed} "
             f"own_ends={','.join(report.own_ends) or 'none'} promises={verdict} logs={folder}"
         )
--- a/src/pondtiller/cli/tests/test_explain.py
+++ b/src/pondtiller/cli/tests/test_explain.py
@@ -50,3 +50,16 @@
 def test_quoted_values_are_read() -> None:
     line = parse_line(r't=1.0 event=x reason="say \"no\"" left=0.1', "f")
     assert line is not None and line.fields["reason"] == 'say "no"'
+
+
+def test_a_folder_stands_for_the_logs_in_it(tmp_path: Path) -> None:
+    files = logs(tmp_path)
+    (tmp_path / "report.json").write_text('{"sample": "t=1.0 event=sample_listed sample=s1 "}')
+    (tmp_path / "disk0").mkdir()
+    whole, by_folder = run("s1", *files), run("s1", tmp_path)
+    assert by_folder.status_code == 0
+    assert by_folder.io.fetch_output() == whole.io.fetch_output()
+
+
+def test_a_folder_without_logs_tells_that_the_identifier_is_unknown(tmp_path: Path) -> None:
+    assert run("s1", tmp_path).status_code == 1
--- /dev/null
+++ b/src/pondtiller/soak/callers.py
@@ -0,0 +1,95 @@
+"""A soak's callers: of anybody, of a tenant above its rate, and with bodies that have a home."""
+
+import random
+
+import curio
+
+from pondtiller.daemon import clock
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.soak.caller_rules import RateRule, home_mark
+from pondtiller.soak.calls import Calls
+from pondtiller.soak.promises import Promises
+from pondtiller.soak.stand_ins import SoakEngine
+
+CALL_SECONDS = 0.1
+HOME_CALL_EVERY = 4
+NORTH, SOUTH = "north", "south"
+KEYS = {"rated": ["key-of-rated"], "homely": ["key-of-homely"]}
+
+
+class Callers:
+    """Calls that must not be repeated, and some that may be.
+
+    Attributes
+    ----------
+    is_calm
+        Whether to call no more.
+    """
+
+    def __init__(
+        self,
+        source: random.Random,
+        calls: Calls,
+        promises: Promises,
+        rate: RateRule,
+        apps: list[SoakEngine],
+        group: Spawner,
+    ) -> None:
+        self.is_calm = False
+        self._random = source
+        self._calls = calls
+        self._promises = promises
+        self._rate = rate
+        self._apps = apps
+        self._group = group
+
+    async def run(self) -> None:
+        """Call until the calm begins."""
+        number = 0
+        while not self.is_calm:
+            number += 1
+            await self._group.spawn(self._call_once, f"q{number}")
+            await self._group.spawn(self._call_with_rate, f"t{number}")
+            if number % HOME_CALL_EVERY == 0:
+                await self._group.spawn(self._call_at_home, f"h{number}")
+            await curio.sleep(CALL_SECONDS)
+
+    async def _call_once(self, identifier: str) -> None:
+        path = self._random.choice(("/list/7", "/quote/7"))
+        body = f"body of {identifier}".encode()
+        await self._call_live(identifier, path, body, "app.example")
+
+    async def _call_with_rate(self, identifier: str) -> None:
+        """Call as a tenant that sends more than its rate."""
+        self._rate.sent(identifier, clock.monotonic())
+        body = f"body of {identifier}".encode()
+        await self._call_live(
+            identifier, "/list/7", body, "tenants.example", credential=KEYS["rated"][0]
+        )
+
+    async def _call_at_home(self, identifier: str) -> None:
+        """Call with a body that must stay in a region, for its row's sake or its tenant's."""
+        region = self._random.choice((NORTH, SOUTH))
+        body = home_mark(region) + identifier.encode()
+        if region == NORTH:
+            await self._call_live(identifier, "/list/7", body, "north.example")
+        else:
+            await self._call_live(
+                identifier, "/list/7", body, "tenants.example", credential=KEYS["homely"][0]
+            )
+
+    async def _call_live(
+        self, identifier: str, path: str, body: bytes, host: str, **headers: str
+    ) -> None:
+        gateway = self._random.randrange(len(self._calls.ports))
+        answer = await self._calls.request(
+            gateway, "POST", path, body, host, request_id=identifier, **headers
+        )
+        if answer is None:
+            return
+        status, received = answer
+        if status in (408, 421, 429, 503):
+            for engine in self._apps:
+                engine.refused.add(identifier)
+        if path.startswith("/list/") or status == 200:
+            self._promises.answered(identifier, status, received, body)
--- a/src/pondtiller/soak/proxy.py
+++ b/src/pondtiller/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -31,6 +32,9 @@
         Programs for whose connections the same holds.
     healed_at
         When what had waited went on, on the steady clock.
+    watch
+        Is called with all bytes that come, and the name of the program that receives them; empty
+        where it is the target.
     openers
         Programs whose connections are open, by the port from which the target is reached.
     """
@@ -41,6 +45,7 @@
         self.is_silent = False
         self.silent_for: set[str] = set()
         self.healed_at = float("-inf")
+        self.watch: Callable[[bytes, str], None] | None = None
         self.openers: dict[int, str] = {}
         self.listener = bind_tcp("127.0.0.1", 0)
         self._owners = owners
@@ -89,9 +94,9 @@
         self._open |= ends
         own_port = other.getsockname()[1]
         self.openers[own_port] = opener
-        back = await group.spawn(self._pass, other, stream, opener)
+        back = await group.spawn(self._pass, other, stream, opener, opener)
         try:
-            await self._pass(stream, other, opener)
+            await self._pass(stream, other, opener, "")
             await back.wait()
         finally:
             del self.openers[own_port]
@@ -99,10 +104,12 @@
             for each in ends:
                 await each.close()
 
-    async def _pass(self, source: Any, sink: Any, opener: str) -> None:
+    async def _pass(self, source: Any, sink: Any, opener: str, receiver: str) -> None:
         """Pass bytes one way until an end closes; the other way then ends too."""
         try:
             while data := await source.recv(READ_BYTES):
+                if self.watch is not None:
+                    self.watch(data, receiver)
                 if self.delay_seconds:
                     await curio.sleep(self.delay_seconds)
                 await self._wait_for_passage(opener)
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -3,17 +3,19 @@
 import json
 import random
 import socket
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import curio
 
-from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
 from pondtiller.platform import names
-from pondtiller.platform.standins import StandInStore, configuration, step_body
+from pondtiller.platform.standins import StandInStore, configuration, step_body, with_tenants
+from pondtiller.soak.caller_rules import RATE, RATE_EXCESS, HomeRule, RateRule
+from pondtiller.soak.callers import KEYS, NORTH, SOUTH, Callers
+from pondtiller.soak.calls import Calls
 from pondtiller.soak.engine_rules import (
     COLD_EXCESS,
     COLD_RATE,
@@ -21,7 +23,7 @@
     COLD_SLACK,
     WITHIN_SECONDS,
 )
-from pondtiller.soak.faults import REGIONS, ZONES, Faults
+from pondtiller.soak.faults import REGIONS, STORE_ZONE, ZONES, Faults
 from pondtiller.soak.leader_log import LeaderLog
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.programs import Program, ProgramSpec
@@ -35,9 +37,7 @@
 EVENTS = 12
 SAMPLES = 8
 STEP_SECONDS = 2.0
-CALL_SECONDS = 0.1
 CALM_SECONDS = 25.0
-CALL_LIMIT_SECONDS = 6.0
 REGION_LINES = "\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items())
 PLACES_SETTINGS = f"""
 [regions]
@@ -58,6 +58,10 @@
         Programs that ended without having been told to.
     overlaps
         Times that an engine began a sample while another one was at work on it.
+    rated
+        Requests of a tenant with a rate that engines began.
+    homed
+        Times that a body with a home was on its way to an engine.
     """
 
     seed: int
@@ -68,6 +72,8 @@
     results: int
     answers: int
     overlaps: int
+    rated: int
+    homed: int
 
 
 class Soak:
@@ -82,8 +88,10 @@
         self.owners = Owners(self._process_ids)
         self.store_proxy = Proxy(to_address(self.store.address), self.owners)
         self.sample_runs = SampleRuns(self.promises)
+        self.rate = RateRule(self.promises)
+        self.homes = HomeRule(REGIONS, self.promises)
         platform = Platform(
-            self.promises, self.sample_runs, self.store, self.owners, self._acts_since
+            self.promises, self.sample_runs, self.rate, self.store, self.owners, self._acts_since
         )
         self.apps = [SoakEngine(f"a{n}", "app", platform, EVENTS, f"z{n}") for n in range(ZONES)]
         self.models = [SoakEngine(f"m{n}", "llm", platform, EVENTS, f"z{n}") for n in range(ZONES)]
@@ -103,8 +111,12 @@
             self.links,
             LeaderLog({each.spec.name: each.log for each in self.gateways}),
         )
+        self._watch_homes()
         self.group = Spawner()
-        self.client = HttpClient()
+        self.calls = Calls(self.ports)
+        self.callers = Callers(
+            self.random, self.calls, self.promises, self.rate, self.apps, self.group
+        )
         self.version = 1
         self.is_calm = False
 
@@ -129,6 +141,7 @@
 readiness = "127.0.0.1:{_free_port()}"
 {self._link_lines(f"g{number}")}
 store = "{self.store_proxy.address}"
+rate_excess = {RATE_EXCESS}
 {PLACES_SETTINGS}
 [cold]
 excess = {COLD_EXCESS}
@@ -147,6 +160,28 @@
         """All programs."""
         return [*self.replicas, *self.gateways]
 
+    def _watch_homes(self) -> None:
+        """Have all that passes to engines, to programs and to the store looked at.
+
+        What an engine answers goes to the gateway that a caller chose, so it is not.
+        """
+        for engine in (*self.apps, *self.models):
+            engine.proxy.watch = partial(self._passed, engine.identifier, engine.zone, False)
+        self.store_proxy.watch = partial(self._passed, "store", STORE_ZONE, True)
+        for program in self.programs:
+            name, zone = program.spec.name, program.spec.zone
+            self.links[name].watch = partial(self._passed, name, zone, True)
+
+    def _passed(
+        self, target: str, zone: str, is_answer_watched: bool, data: bytes, receiver: str
+    ) -> None:
+        if not receiver:
+            self.homes.passed(data, zone, target)
+            return
+        zones = [each.spec.zone for each in self.programs if each.spec.name == receiver]
+        if is_answer_watched and zones:
+            self.homes.passed(data, zones[0], receiver)
+
     def _process_ids(self) -> dict[str, int]:
         return {each.spec.name: each.process_id for each in self.programs if each.process_id}
 
@@ -169,7 +204,7 @@
             for program in self.programs:
                 program.start()
             await curio.sleep(3.0)
-            for task in (self._train, self._call):
+            for task in (self._train, self.callers.run):
                 await self.group.spawn(task)
             await self.faults.strike(seconds, only)
             await self._finish()
@@ -189,16 +224,30 @@
             results=sum(map(len, promises.results.values())),
             answers=promises.answers,
             overlaps=self.sample_runs.overlaps,
+            rated=self.rate.begun,
+            homed=self.homes.seen,
         )
 
     def _configuration(self) -> dict[str, Any]:
-        made = configuration(3, *self.apps, *self.models)
+        made = with_tenants(
+            configuration(3, *self.apps, *self.models), KEYS, ("quotes", "listings", "rollouts")
+        )
+        listings = next(each for each in made["routes"] if each["name"] == "listings")
+        made["routes"] += [
+            {**listings, "name": "tenants", "host": "tenants.example", "public": False},
+            {**listings, "name": NORTH, "host": "north.example", "allowed_regions": [NORTH]},
+        ]
+        for tenant in made["tenants"]:
+            if tenant["name"] == "rated":
+                tenant["rate_per_s"] = RATE
+            else:
+                tenant["allowed_regions"] = [SOUTH]
         for service in made["services"]:
             service["cold_per_s"], service["cold_start_s"] = COLD_RATE, COLD_SECONDS
         return made
 
     async def _finish(self) -> None:
-        self.is_calm = True
+        self.is_calm = self.callers.is_calm = True
         self.faults.heal()
         give_up = clock.monotonic() + CALM_SECONDS
         while clock.monotonic() < give_up and self._missing():
@@ -234,7 +283,7 @@
         body = json.dumps(step_body(step, SAMPLES, oldest)).encode()
         for _ in range(8):
             gateway = self.random.randrange(GATEWAYS)
-            answer = await self._request(
+            answer = await self.calls.request(
                 gateway, "POST", "/rollout/x", body, "train.example", request_id=step
             )
             if answer is not None and answer[0] == 202:
@@ -255,7 +304,9 @@
 
     async def _read(self, step: str, position: int, gateway: int) -> int:
         target = f"{names.STEPS_PATH}{step}?{names.FROM_POSITION}={position}"
-        answer = await self._request(gateway, "GET", target, b"", "train.example", wait_ms="300")
+        answer = await self.calls.request(
+            gateway, "GET", target, b"", "train.example", wait_ms="300"
+        )
         if answer is None or answer[0] == 503:
             return position
         if answer[0] != 200:
@@ -265,67 +316,6 @@
         self.promises.page_read(step, position, page["results"], EVENTS)
         return int(page["next_token"])
 
-    # Callers
-
-    async def _call(self) -> None:
-        number = 0
-        while not self.is_calm:
-            number += 1
-            await self.group.spawn(self._call_once, f"q{number}")
-            await curio.sleep(CALL_SECONDS)
-
-    async def _call_once(self, identifier: str) -> None:
-        gateway = self.random.randrange(GATEWAYS)
-        path = self.random.choice(("/list/7", "/quote/7"))
-        body = f"body of {identifier}".encode()
-        answer = await self._request(
-            gateway, "POST", path, body, "app.example", request_id=identifier
-        )
-        if answer is None:
-            return
-        status, received = answer
-        if status in (408, 421, 429, 503):
-            for engine in self.apps:
-                engine.refused.add(identifier)
-        if path.startswith("/list/") or status == 200:
-            self.promises.answered(identifier, status, received, body)
-
-    async def _request(
-        self, gateway: int, method: str, target: str, body: bytes, host: str, **headers: str
-    ) -> tuple[int, bytes] | None:
-        """Call a gateway on a new connection; None where no whole answer came."""
-        named = tuple((name.replace("_", "-"), value) for name, value in headers.items())
-        try:
-            answer: tuple[int, bytes] = await curio.timeout_after(
-                CALL_LIMIT_SECONDS,
-                self._request_once,
-                Address("127.0.0.1", self.ports[gateway]),
-                method,
-                target,
-                body,
-                (("Host", host), *named),
-            )
-        except (OSError, NotSentError, BrokenError, curio.TaskTimeout):
-            return None
-        return answer
-
-    async def _request_once(
-        self,
-        address: Address,
-        method: str,
-        target: str,
-        body: bytes,
-        headers: tuple[tuple[str, str], ...],
-    ) -> tuple[int, bytes]:
-        connection = await self.client.open_plain(address)
-        try:
-            await connection.send_plain(method, target, body, headers)
-            head = await connection.read_head()
-            pieces = [piece async for piece in connection.read_body()]
-        finally:
-            await connection.close()
-        return head.status_code, b"".join(pieces)
-
 
 def _free_port() -> int:
     """Return a port that is free now."""
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -12,6 +12,7 @@
 from pondtiller.httpio.server import Exchange
 from pondtiller.platform import names
 from pondtiller.platform.standins import StandInEngine, StandInStore
+from pondtiller.soak.caller_rules import RateRule
 from pondtiller.soak.engine_rules import EngineRules
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
@@ -44,6 +45,7 @@
 
     promises: Promises
     sample_runs: SampleRuns
+    rate: RateRule
     store: StandInStore
     owners: Owners
     can_act_since: Callable[[str], float]
@@ -77,6 +79,7 @@
         self.proxy = Proxy(to_address(self.address), platform.owners)
         self.promises = platform.promises
         self.sample_runs = platform.sample_runs
+        self.rate = platform.rate
         self._can_act_since = platform.can_act_since
         self.refused: set[str] = set()
 
@@ -122,6 +125,7 @@
         identifier = exchange.request.headers[names.REQUEST_ID]
         is_once = exchange.request.path.startswith(ONCE_PATH)
         self._check_rules(identifier, self._opener(exchange))
+        self.rate.began(identifier, clock.monotonic())
         self.promises.began(identifier, is_once, identifier in self.refused)
         await curio.sleep(WHOLE_SECONDS)
         await super().whole(exchange)
