--- a/src/pondtiller/soak/tests/test_faults.py
+++ b/src/pondtiller/soak/tests/test_faults.py
@@ -49,8 +49,8 @@
     faults = make_faults(tmp_path)
     fault = KINDS["cut_region"](faults)
     north, south = {"g2", "r2"}, {"g0", "g1", "r0", "r1"}
-    expected = {name: north for name in (*south, "store", "a0", "a1", "m0", "m1")}
-    expected |= {name: south for name in (*north, "a2", "m2")}
+    expected = dict.fromkeys((*south, "store", "a0", "a1", "m0", "m1"), north)
+    expected |= dict.fromkeys((*north, "a2", "m2"), south)
     assert silenced(faults) == expected
     cut_off = {each.spec.name for each in faults.programs if each.in_touch_since == float("inf")}
     assert cut_off == north
