--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -135,8 +135,9 @@
         identifier = exchange.request.headers[names.REQUEST_ID]
         opener = self._opener(exchange)
         self._check_rules(identifier, opener)
-        run = SampleRun(identifier, self.identifier, opener, partial(self._acts_since, opener))
-        self.sample_runs.began(run, clock.monotonic())
+        acts_since = partial(self._acts_since, opener)
+        run = SampleRun(identifier, self.identifier, opener, acts_since, clock.monotonic())
+        self.sample_runs.began(run)
         watch = await curio.spawn(self._end_when_left, exchange, run)
         try:
             await self._send_events(exchange, identifier)
