--- a/src/pondtiller/soak/callers.py
+++ b/src/pondtiller/soak/callers.py
@@ -8,11 +8,11 @@
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.soak.caller_rules import RateRule, home_mark
 from pondtiller.soak.calls import Calls
-from pondtiller.soak.promises import Promises
+from pondtiller.soak.promises import NOT_RUN, Promises
 from pondtiller.soak.stand_ins import SoakEngine
 
 CALL_SECONDS = 0.1
-HOME_CALL_EVERY = 4
+RARE_CALL_EVERY = 4
 NORTH, SOUTH = "north", "south"
 KEYS = {"rated": ["key-of-rated"], "homely": ["key-of-homely"]}
 
@@ -50,8 +50,9 @@
             number += 1
             await self._group.spawn(self._call_once, f"q{number}")
             await self._group.spawn(self._call_with_rate, f"t{number}")
-            if number % HOME_CALL_EVERY == 0:
+            if number % RARE_CALL_EVERY == 0:
                 await self._group.spawn(self._call_at_home, f"h{number}")
+                await self._group.spawn(self._call_without_key, f"k{number}")
             await curio.sleep(CALL_SECONDS)
 
     async def _call_once(self, identifier: str) -> None:
@@ -78,6 +79,18 @@
                 identifier, "/list/7", body, "tenants.example", credential=KEYS["homely"][0]
             )
 
+    async def _call_without_key(self, identifier: str) -> None:
+        """Call where a key is needed, with one of nobody; no engine may begin it."""
+        self._refuse(identifier)
+        await self._call_live(
+            identifier, "/list/7", identifier.encode(), "tenants.example", credential="nobody's"
+        )
+
+    def _refuse(self, identifier: str) -> None:
+        """Take that a request must not be begun any more."""
+        for engine in self._apps:
+            engine.refused.add(identifier)
+
     async def _call_live(
         self, identifier: str, path: str, body: bytes, host: str, **headers: str
     ) -> None:
@@ -88,8 +101,7 @@
         if answer is None:
             return
         status, received = answer
-        if status in (408, 421, 429, 503):
-            for engine in self._apps:
-                engine.refused.add(identifier)
+        if status in NOT_RUN:
+            self._refuse(identifier)
         if path.startswith("/list/") or status == 200:
             self._promises.answered(identifier, status, received, body)
--- a/src/pondtiller/soak/promises.py
+++ b/src/pondtiller/soak/promises.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, TypedDict
 
+NOT_RUN = (401, 408, 421, 429, 503)
+"""Answers that say that a request did not run, and will not."""
+
 
 class ListedResult(TypedDict, total=False):
     """One result as a trainer reads it."""
@@ -90,7 +93,7 @@
         self.answers += 1
         if status == 200 and body != b"answer " + sent:
             self.breach("each caller gets its own whole answer", f"{identifier}: {body!r}")
-        if status in (408, 421, 429, 503) and self.runs[identifier]:
+        if status in NOT_RUN and self.runs[identifier]:
             self.breach("not run is true", f"{identifier}: {status} after a run")
 
     def began(self, identifier: str, is_once: bool, refused: bool) -> None:
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -57,7 +57,7 @@
     Attributes
     ----------
     refused
-        Requests whose callers were told that they did not run.
+        Requests that must not run: their callers were told so, or show no key.
     zone
         Where it stands.
     rules
