--- a/src/pondtiller/soak/faults.py
+++ b/src/pondtiller/soak/faults.py
@@ -115,8 +115,10 @@
         """Return the program that leads; any gateway where none does."""
         name = self._leader.leader()
         found = [each for each in self.programs if each.spec.name == name and each.is_running()]
-        gateways = [each for each in self.programs if each.spec.role == "gateway"]
-        return found[0] if found else self.random.choice(gateways)
+        return found[0] if found else self.random.choice(self._gateways())
+
+    def _gateways(self) -> list[Program]:
+        return [each for each in self.programs if each.spec.role == "gateway"]
 
     def _cut_leader(self) -> Fault:
         """Have the leader and the replicas not hear each other; all else hears it."""
@@ -124,6 +126,13 @@
         replicas = [each.spec.name for each in self.programs if each.spec.role == "replica"]
         return self._cut("cut_leader", leader, [(self.links[each], {leader}) for each in replicas])
 
+    def _cut_runner(self) -> Fault:
+        """Have the leader not reach another gateway, which hears all else and is heard by it."""
+        leader = self._find_leader()
+        others = [each for each in self._gateways() if each is not leader]
+        runner = self.random.choice(others).spec.name
+        return self._cut("cut_runner", runner, [(self.links[runner], {leader.spec.name})])
+
     def _cut_region(self) -> Fault:
         """Have no program reach anything in the other region: engines, links, the store."""
         placed = [(self.store_proxy, STORE_ZONE)]
@@ -284,6 +293,7 @@
     "terminate_leader": Faults._terminate_leader,
     "freeze_leader": Faults._freeze_leader,
     "cut_leader": Faults._cut_leader,
+    "cut_runner": Faults._cut_runner,
     "cut_region": Faults._cut_region,
     "store_down": Faults._store_down,
     "store_lossy": Faults._store_lossy,
--- a/src/pondtiller/soak/tests/test_faults.py
+++ b/src/pondtiller/soak/tests/test_faults.py
@@ -70,3 +70,14 @@
     assert silenced(faults) == {"r0": {"g1"}, "r1": {"g1"}, "r2": {"g1"}}
     fault.undo()
     assert silenced(faults) == {}
+
+
+def test_a_runner_that_is_cut_off_is_not_reached_by_the_leader_alone(tmp_path: Path) -> None:
+    faults = make_faults(tmp_path)
+    (tmp_path / "g1.log").write_text("t=1.000 event=leader_won epoch=1\n")
+    faults.programs[1].is_running = lambda: True  # type: ignore[method-assign]
+    fault = KINDS["cut_runner"](faults)
+    assert fault.whom in ("g0", "g2")
+    assert silenced(faults) == {fault.whom: {"g1"}}
+    fault.undo()
+    assert silenced(faults) == {}
