--- a/src/pondtiller/cli/tests/test_processes.py
+++ b/src/pondtiller/cli/tests/test_processes.py
@@ -10,7 +10,7 @@
 import pytest
 
 from pondtiller.emulator.text import expected_answer
-from pondtiller.soak.ports import free_ports
+from pondtiller.soak.ports import ReservedPorts
 
 COMMAND = [sys.executable, "-c", "from pondtiller.cli.application import main; main()"]
 START_SECONDS = 60.0
@@ -59,7 +59,8 @@
 @pytest.fixture(scope="module")
 def daemons(platform, tmp_path_factory):
     folder = tmp_path_factory.mktemp("settings")
-    ports = free_ports(6)
+    reserved = ReservedPorts()
+    ports = [reserved.port() for _ in range(6)]
     places = [
         {"number": n, "zone": ZONES[n], "peer": ports[2 * n], "http": ports[2 * n + 1]}
         for n in range(3)
@@ -167,6 +168,7 @@
 
 
 def test_object_service_that_does_not_answer_is_said(tmp_path):
-    (port,) = free_ports(1)
-    said = run("table", "show", "--platform", f"127.0.0.1:{port}", code=3)
+    reserved = ReservedPorts()
+    said = run("table", "show", "--platform", f"127.0.0.1:{reserved.port()}", code=3)
+    reserved.close()
     assert "object service" in said
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -83,7 +83,7 @@
         rules = PlaceRules(settings.tolerance, self.places)
         self.leadership = Leadership(
             settings.name,
-            self.sockets.address(self.sockets.links),
+            self.sockets.reached_at,
             settings.processor.speed,
             settings.wanted_replicas,
             StoredFirstGroup(self.store, settings.wanted_replicas, rules),
@@ -190,7 +190,7 @@
 
     def _subscription(self) -> Subscribe:
         """Return what replicas are told of this daemon, for a leader to find it."""
-        place = self.sockets.address(self.sockets.links)
+        place = self.sockets.reached_at
         return Subscribe(
             daemon=self.settings.name,
             zone=self.settings.zone,
--- a/src/pondtiller/gateway/sockets.py
+++ b/src/pondtiller/gateway/sockets.py
@@ -14,6 +14,12 @@
         self.callers = self._bind(settings.callers)
         self.readiness = self._bind(settings.readiness)
         self.links = self._bind(settings.links)
+        self._announced = settings.announced_links
+
+    @property
+    def reached_at(self) -> Address:
+        """Where the other daemons reach this one."""
+        return to_address(self._announced) if self._announced else self.address(self.links)
 
     def address(self, listener: Any) -> Address:
         """Return where a listener is bound."""
--- a/src/pondtiller/soak/ports.py
+++ b/src/pondtiller/soak/ports.py
@@ -1,31 +1,29 @@
-"""Ports for programs that are told theirs before they start, and find them again when restarted."""
+"""Ports kept for programs, also while these are down.
+
+A port that is only looked up can be another process's by the time a program starts, or starts
+again. A socket that is bound and does not listen keeps it, and lets a program listen there: both
+allow the address to be reused.
+"""
 
-import random
 import socket
-from contextlib import ExitStack
 
-PORTS = range(20_000, 32_768)
-"""Below those that Linux gives to connections by default (`ip_local_port_range`, from 32,768 on):
-no connection of another program takes one of these while nobody listens on it."""
 
+class ReservedPorts:
+    """Ports on loopback that nobody else is given."""
+
+    def __init__(self) -> None:
+        self._held: list[socket.socket] = []
 
-def free_ports(count: int) -> list[int]:
-    """Return different ports on which nothing listens now.
+    def port(self) -> int:
+        """Return a port that is free now, and keep it."""
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        self._held.append(held)
+        return int(held.getsockname()[1])
 
-    Raises
-    ------
-    OSError
-        Where there are not as many.
-    """
-    found: list[int] = []
-    with ExitStack() as held:
-        for port in random.Random().sample(PORTS, len(PORTS)):
-            probe = held.enter_context(socket.socket())
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            found.append(port)
-            if len(found) == count:
-                return found
-    raise OSError(f"only {len(found)} of {count} ports are free")
+    def close(self) -> None:
+        """Keep none any more."""
+        for held in self._held:
+            held.close()
+        self._held.clear()
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -2,17 +2,19 @@
 
 import json
 import random
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import curio
 
-from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
 from pondtiller.platform import names
-from pondtiller.platform.standins import StandInStore, configuration, step_body
+from pondtiller.platform.standins import StandInStore, configuration, step_body, with_tenants
+from pondtiller.soak.caller_rules import RATE, RATE_EXCESS, HomeRule, RateRule
+from pondtiller.soak.callers import KEYS, NORTH, SOUTH, Callers
+from pondtiller.soak.calls import Calls
 from pondtiller.soak.engine_rules import (
     COLD_EXCESS,
     COLD_RATE,
@@ -20,27 +22,27 @@
     COLD_SLACK,
     WITHIN_SECONDS,
 )
-from pondtiller.soak.faults import ZONES, Faults
-from pondtiller.soak.ports import free_ports
+from pondtiller.soak.faults import REGIONS, STORE_ZONE, ZONES, Faults
+from pondtiller.soak.leader_log import LeaderLog
+from pondtiller.soak.owners import Owners
+from pondtiller.soak.ports import ReservedPorts
 from pondtiller.soak.programs import Program, ProgramSpec
 from pondtiller.soak.promises import Breach, Promises
 from pondtiller.soak.proxy import Proxy
-from pondtiller.soak.stand_ins import SoakEngine, to_address
+from pondtiller.soak.sample_runs import SampleRuns
+from pondtiller.soak.stand_ins import Platform, SoakEngine, to_address
 
 GATEWAYS = 3
 REPLICAS = 3
-PORTS_A_GATEWAY = 3
 EVENTS = 12
 SAMPLES = 8
+NEVER = float("-inf")
 STEP_SECONDS = 2.0
-CALL_SECONDS = 0.1
 CALM_SECONDS = 25.0
-CALL_LIMIT_SECONDS = 6.0
+REGION_LINES = "\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items())
 PLACES_SETTINGS = f"""
 [regions]
-z0 = "south"
-z1 = "south"
-z2 = "north"
+{REGION_LINES}
 [evacuation]
 within = {WITHIN_SECONDS}
 """
@@ -55,6 +57,14 @@
         Each fault: seconds from the start, its kind and whom it struck.
     own_ends
         Programs that ended without having been told to.
+    overlaps
+        Times that an engine began a sample while another one was at work on it.
+    longest_overlap
+        Seconds that the first of the two went on, also where its gateway could not act.
+    rated
+        Requests of a tenant with a rate that engines began.
+    homed
+        Times that a body with a home was on its way to an engine.
     """
 
     seed: int
@@ -64,6 +74,10 @@
     steps: int
     results: int
     answers: int
+    overlaps: int
+    longest_overlap: float
+    rated: int
+    homed: int
 
 
 class Soak:
@@ -75,84 +89,131 @@
         self.promises = Promises()
         self.store = StandInStore()
         self.store.page = 100
-        self.store_proxy = Proxy(to_address(self.store.address))
-        self.apps = [
-            SoakEngine(f"a{n}", "app", self.promises, self.store, EVENTS, f"z{n}")
-            for n in range(ZONES)
-        ]
-        self.models = [
-            SoakEngine(f"m{n}", "llm", self.promises, self.store, EVENTS, f"z{n}")
-            for n in range(ZONES)
-        ]
+        self.owners = Owners(self._process_ids)
+        self.store_proxy = Proxy(to_address(self.store.address), self.owners)
+        self.sample_runs = SampleRuns(self.promises)
+        self.rate = RateRule(self.promises)
+        self.homes = HomeRule(REGIONS, self.promises)
+        platform = Platform(
+            self.promises, self.sample_runs, self.rate, self.store, self.owners, self._acts_since
+        )
+        self.apps = [SoakEngine(f"a{n}", "app", platform, EVENTS, f"z{n}") for n in range(ZONES)]
+        self.models = [SoakEngine(f"m{n}", "llm", platform, EVENTS, f"z{n}") for n in range(ZONES)]
         for engine in self.models:
             engine.models = ["m"]
-        ports = iter(free_ports(PORTS_A_GATEWAY * GATEWAYS + REPLICAS))
-        self.ports = [next(ports) for _ in range(GATEWAYS)]
-        self.replicas = [
-            Program(self._replica(n, next(ports), folder), folder) for n in range(REPLICAS)
-        ]
-        self.gateways = [
-            Program(self._gateway(n, next(ports), next(ports)), folder) for n in range(GATEWAYS)
-        ]
+        self.links: dict[str, Proxy] = {}
+        self.reserved = ReservedPorts()
+        self.ports = [self.reserved.port() for _ in range(GATEWAYS)]
+        self.replicas = [Program(self._replica(n, folder), folder) for n in range(REPLICAS)]
+        self.gateways = [Program(self._gateway(n), folder) for n in range(GATEWAYS)]
         self.faults = Faults(
-            self.random, self.programs, self.apps, self.models, self.store, self.store_proxy
+            # Of their own, so that what callers draw does not change which faults strike.
+            random.Random(f"faults of {seed}"),
+            self.programs,
+            self.apps,
+            self.models,
+            self.store,
+            self.store_proxy,
+            self.links,
+            LeaderLog({each.spec.name: each.log for each in self.gateways}),
         )
+        self._watch_homes()
         self.group = Spawner()
-        self.client = HttpClient()
+        self.calls = Calls(self.ports)
+        self.callers = Callers(
+            self.random, self.calls, self.promises, self.rate, self.apps, self.group
+        )
         self.version = 1
         self.is_calm = False
+        self.is_submitting = False
 
     # Programs
 
-    def _replica(self, number: int, links: int, folder: Path) -> ProgramSpec:
+    def _replica(self, number: int, folder: Path) -> ProgramSpec:
         settings = f"""
 name = "r{number}"
 zone = "z{number}"
-links = "127.0.0.1:{links}"
+{self._link_lines(f"r{number}")}
 store = "{self.store_proxy.address}"
 data_folder = "{folder / f"disk{number}"}"
 first_start = true
 {PLACES_SETTINGS}"""
-        return ProgramSpec(f"r{number}", "replica", settings)
+        return ProgramSpec(f"r{number}", "replica", settings, f"z{number}")
 
-    def _gateway(self, number: int, readiness: int, links: int) -> ProgramSpec:
+    def _gateway(self, number: int) -> ProgramSpec:
         settings = f"""
 name = "g{number}"
 zone = "z{number}"
 callers = "127.0.0.1:{self.ports[number]}"
-readiness = "127.0.0.1:{readiness}"
-links = "127.0.0.1:{links}"
+readiness = "127.0.0.1:{self.reserved.port()}"
+{self._link_lines(f"g{number}")}
 store = "{self.store_proxy.address}"
+rate_excess = {RATE_EXCESS}
 {PLACES_SETTINGS}
 [cold]
 excess = {COLD_EXCESS}
 slack = {COLD_SLACK}
 """
-        return ProgramSpec(f"g{number}", "gateway", settings)
+        return ProgramSpec(f"g{number}", "gateway", settings, f"z{number}")
+
+    def _link_lines(self, name: str) -> str:
+        """Return settings of a program's links, with a proxy before them."""
+        listens = f"127.0.0.1:{self.reserved.port()}"
+        proxy = self.links[name] = Proxy(to_address(listens), self.owners)
+        return f'links = "{listens}"\nannounced_links = "{proxy.address}"'
 
     @property
     def programs(self) -> list[Program]:
         """All programs."""
         return [*self.replicas, *self.gateways]
 
+    def _watch_homes(self) -> None:
+        """Have all that passes to engines, to programs and to the store looked at.
+
+        What an engine answers goes to the gateway that a caller chose, so it is not.
+        """
+        for engine in (*self.apps, *self.models):
+            engine.proxy.watch = partial(self._passed, engine.identifier, engine.zone, False)
+        self.store_proxy.watch = partial(self._passed, "store", STORE_ZONE, True)
+        for program in self.programs:
+            name, zone = program.spec.name, program.spec.zone
+            self.links[name].watch = partial(self._passed, name, zone, True)
+
+    def _passed(
+        self, target: str, zone: str, is_answer_watched: bool, data: bytes, receiver: str
+    ) -> None:
+        if not receiver:
+            self.homes.passed(data, zone, target)
+            return
+        zones = [each.spec.zone for each in self.programs if each.spec.name == receiver]
+        if is_answer_watched and zones:
+            self.homes.passed(data, zones[0], receiver)
+
+    def _process_ids(self) -> dict[str, int]:
+        return {each.spec.name: each.process_id for each in self.programs if each.process_id}
+
+    def _acts_since(self, name: str) -> float:
+        found = [each for each in self.programs if each.spec.name == name]
+        return max((max(each.acts_since, each.in_touch_since) for each in found), default=NEVER)
+
     # The run
 
-    async def run(self, seconds: float) -> SoakReport:
+    async def run(self, seconds: float, only: tuple[str, ...] = ()) -> SoakReport:
         """Play faults for some seconds, then a calm in which everything must be finished."""
         for engine in (*self.apps, *self.models):
             await self.group.spawn(engine.serve)
-            await self.group.spawn(engine.proxy.run)
             engine.publish()
         await self.group.spawn(self.store.serve)
-        await self.group.spawn(self.store_proxy.run)
+        for proxy in self.faults.proxies:
+            await self.group.spawn(proxy.run)
         self.store.put("config", "main", self._configuration())
         try:
             for program in self.programs:
                 program.start()
             await curio.sleep(3.0)
-            for task in (self._train, self._call):
+            for task in (self._train, self.callers.run):
                 await self.group.spawn(task)
-            await self.faults.strike(seconds)
+            await self.faults.strike(seconds, only)
             await self._finish()
         finally:
             await self.group.cancel_all()
@@ -169,19 +230,35 @@
             steps=len(promises.accepted),
             results=sum(map(len, promises.results.values())),
             answers=promises.answers,
+            overlaps=self.sample_runs.overlaps,
+            longest_overlap=round(self.sample_runs.longest, 3),
+            rated=self.rate.begun,
+            homed=self.homes.seen,
         )
 
     def _configuration(self) -> dict[str, Any]:
-        made = configuration(3, *self.apps, *self.models)
+        made = with_tenants(
+            configuration(3, *self.apps, *self.models), KEYS, ("quotes", "listings", "rollouts")
+        )
+        listings = next(each for each in made["routes"] if each["name"] == "listings")
+        made["routes"] += [
+            {**listings, "name": "tenants", "host": "tenants.example", "public": False},
+            {**listings, "name": NORTH, "host": "north.example", "allowed_regions": [NORTH]},
+        ]
+        for tenant in made["tenants"]:
+            if tenant["name"] == "rated":
+                tenant["rate_per_s"] = RATE
+            else:
+                tenant["allowed_regions"] = [SOUTH]
         for service in made["services"]:
             service["cold_per_s"], service["cold_start_s"] = COLD_RATE, COLD_SECONDS
         return made
 
     async def _finish(self) -> None:
-        self.is_calm = True
+        self.is_calm = self.callers.is_calm = True
         self.faults.heal()
         give_up = clock.monotonic() + CALM_SECONDS
-        while clock.monotonic() < give_up and self._missing():
+        while clock.monotonic() < give_up and (self.is_submitting or self._missing()):
             await curio.sleep(0.5)
         for gateway in range(GATEWAYS):
             for step in list(self.promises.accepted):
@@ -202,7 +279,11 @@
             number += 1
             step = f"s{number}"
             oldest = max(1, self.version - 1)
-            if await self._submit(step, oldest):
+            # A step that is accepted in the calm must be finished in it, too.
+            self.is_submitting = True
+            is_accepted = await self._submit(step, oldest)
+            self.is_submitting = False
+            if is_accepted:
                 await self.group.spawn(self._follow, step)
             await curio.sleep(STEP_SECONDS)
             if number % 2 == 0:
@@ -214,7 +295,7 @@
         body = json.dumps(step_body(step, SAMPLES, oldest)).encode()
         for _ in range(8):
             gateway = self.random.randrange(GATEWAYS)
-            answer = await self._request(
+            answer = await self.calls.request(
                 gateway, "POST", "/rollout/x", body, "train.example", request_id=step
             )
             if answer is not None and answer[0] == 202:
@@ -235,7 +316,9 @@
 
     async def _read(self, step: str, position: int, gateway: int) -> int:
         target = f"{names.STEPS_PATH}{step}?{names.FROM_POSITION}={position}"
-        answer = await self._request(gateway, "GET", target, b"", "train.example", wait_ms="300")
+        answer = await self.calls.request(
+            gateway, "GET", target, b"", "train.example", wait_ms="300"
+        )
         if answer is None or answer[0] == 503:
             return position
         if answer[0] != 200:
@@ -245,78 +328,18 @@
         self.promises.page_read(step, position, page["results"], EVENTS)
         return int(page["next_token"])
 
-    # Callers
-
-    async def _call(self) -> None:
-        number = 0
-        while not self.is_calm:
-            number += 1
-            await self.group.spawn(self._call_once, f"q{number}")
-            await curio.sleep(CALL_SECONDS)
-
-    async def _call_once(self, identifier: str) -> None:
-        gateway = self.random.randrange(GATEWAYS)
-        path = self.random.choice(("/list/7", "/quote/7"))
-        body = f"body of {identifier}".encode()
-        answer = await self._request(
-            gateway, "POST", path, body, "app.example", request_id=identifier
-        )
-        if answer is None:
-            return
-        status, received = answer
-        if status in (408, 421, 429, 503):
-            for engine in self.apps:
-                engine.refused.add(identifier)
-        if path.startswith("/list/") or status == 200:
-            self.promises.answered(identifier, status, received, body)
-
-    async def _request(
-        self, gateway: int, method: str, target: str, body: bytes, host: str, **headers: str
-    ) -> tuple[int, bytes] | None:
-        """Call a gateway on a new connection; None where no whole answer came."""
-        named = tuple((name.replace("_", "-"), value) for name, value in headers.items())
-        try:
-            answer: tuple[int, bytes] = await curio.timeout_after(
-                CALL_LIMIT_SECONDS,
-                self._request_once,
-                Address("127.0.0.1", self.ports[gateway]),
-                method,
-                target,
-                body,
-                (("Host", host), *named),
-            )
-        except (OSError, NotSentError, BrokenError, curio.TaskTimeout):
-            return None
-        return answer
-
-    async def _request_once(
-        self,
-        address: Address,
-        method: str,
-        target: str,
-        body: bytes,
-        headers: tuple[tuple[str, str], ...],
-    ) -> tuple[int, bytes]:
-        connection = await self.client.open_plain(address)
-        try:
-            await connection.send_plain(method, target, body, headers)
-            head = await connection.read_head()
-            pieces = [piece async for piece in connection.read_body()]
-        finally:
-            await connection.close()
-        return head.status_code, b"".join(pieces)
-
 
-def play(seed: int, seconds: float, folder: Path) -> SoakReport:
-    """Play one seed; logs and the schedule are left in the folder."""
+def play(seed: int, seconds: float, folder: Path, only: tuple[str, ...] = ()) -> SoakReport:
+    """Play one seed, with all kinds of faults or some; logs and schedule stay in the folder."""
     folder.mkdir(parents=True, exist_ok=True)
 
     soak = Soak(seed, folder)
     try:
-        report: SoakReport = curio.run(soak.run, seconds)
+        report: SoakReport = curio.run(soak.run, seconds, only)
     finally:
         for program in soak.programs:
             program.close()
+        soak.reserved.close()
     text = json.dumps(report._asdict(), indent=1)
     (folder / "report.json").write_text(text)
     return report
--- a/src/pondtiller/soak/tests/test_ports.py
+++ b/src/pondtiller/soak/tests/test_ports.py
@@ -1,27 +1,21 @@
-"""Ports of programs that start later must still be free then."""
+"""A reserved port is nobody else's, and a program can listen on it again and again."""
 
+import errno
 import socket
-from pathlib import Path
 
 import pytest
 
-from pondtiller.soak import ports
+from pondtiller.soak.ports import ReservedPorts
 
-GIVEN = Path("/proc/sys/net/ipv4/ip_local_port_range")
-"""Ports that the kernel gives to connections, and to listeners that ask for any."""
 
-
-def test_ports_are_different_and_none_of_those_that_connections_get() -> None:
-    """A daemon could not bind its port again: a connection of another test had got it."""
-    lowest, highest = map(int, GIVEN.read_text().split())
-    found = ports.free_ports(50)
-    assert len(set(found)) == 50
-    assert not [each for each in found if lowest <= each <= highest]
-
-
-def test_a_port_on_which_somebody_listens_is_not_given(monkeypatch: pytest.MonkeyPatch) -> None:
-    (port,) = ports.free_ports(1)
-    monkeypatch.setattr(ports, "PORTS", [port])
-    with socket.create_server(("127.0.0.1", port)), pytest.raises(OSError, match="0 of 1"):
-        ports.free_ports(1)
-    assert ports.free_ports(1) == [port]
+def test_a_program_listens_on_a_reserved_port_again_and_nobody_else_is_given_it() -> None:
+    reserved = ReservedPorts()
+    port = reserved.port()
+    for _ in range(2):
+        server = socket.create_server(("127.0.0.1", port))
+        with server, socket.create_connection(("127.0.0.1", port)):
+            pass
+    with socket.socket() as other, pytest.raises(OSError) as refused:
+        other.bind(("127.0.0.1", port))
+    assert refused.value.errno == errno.EADDRINUSE
+    reserved.close()
