Live requests wait in order of need; engines' limits are learned from their answers

Now what no engine may get waits (by priority, then deadline) for at most 0.4 of its time; what would be late at the observed pace is refused at once; an engine that was full or late gets fewer requests at once; one that cannot be reached is no attempt; the time to come back follows from the pace.

--- a/src/pondtiller/gateway/cold_sends.py
+++ b/src/pondtiller/gateway/cold_sends.py
@@ -63,6 +63,10 @@
         ]
         return ready or engines
 
+    def is_cold(self, engine: Engine, now: float) -> bool:
+        """Return whether an engine is slow since it started, as far as is known."""
+        return self._cold.is_cold(engine, now)
+
     def terms(self, identifier: str) -> RateTerms | None:
         """Return what a leader may grant of an engine's rate; None where it knows no such rate."""
         return self._cold.terms(identifier)
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -22,7 +22,8 @@
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import Headers
 from pondtiller.routes.answer_times import AnswerTimes
-from pondtiller.routes.engines import Engine, EngineDirectory
+from pondtiller.routes.engines import REFUSAL_PAUSE_SECONDS, Engine, EngineDirectory
+from pondtiller.routes.live_queue import LiveQueue, Pace, Ticket, may_get, pace_of
 from pondtiller.routes.places import Distance
 from pondtiller.routes.send_gate import Held, SendGate
 from pondtiller.routes.silent_zones import SilentZones
@@ -40,6 +41,8 @@
 """An engine in another region, against a full one. Load: live requests; 40 ms there and back is as
 long as most of them take, and bytes between regions cost more. Near engines come first until more
 than half of their places are taken by this daemon's own requests."""
+LOOK_AGAIN_SECONDS = REFUSAL_PAUSE_SECONDS
+"""How often the first of those that wait tries the engines again, besides each answer."""
 SILENT_ANSWER_SECONDS = 0.5
 """An engine that was left, or broke off, without a word for as long as a connection may take, on
 one that was kept: its zone may be cut off."""
@@ -93,6 +96,8 @@
     ----------
     is_held
         Whether it did not leave, since the engine may get nothing now: the engine did not fail.
+    seconds
+        How long it took.
     """
 
     engine: Engine
@@ -100,6 +105,7 @@
     detail: str = ""
     may_have_run: bool = False
     is_held: bool = False
+    seconds: float = 0.0
 
 
 @dataclass
@@ -112,26 +118,67 @@
         Those that it was sent to, or is to be sent to.
     held_back
         Those that it did not leave for, since they may get nothing now; they are no attempts.
+    refused
+        Those that refused it as not run, by their last answer.
+    again
+        Those among them that refused it as not run some time ago: it may be sent there again.
+    unreached
+        Those to which it did not leave, since no connection came up; they are no attempts.
     running
         Attempts that have not ended.
     last_began
         When the last attempt began.
+    ticket
+        Its place among those that wait, once it had to.
     sent
         Attempts that left, less those that an engine refused as not run.
     """
 
     engines: set[str] = field(default_factory=set)
     held_back: set[str] = field(default_factory=set)
+    refused: set[str] = field(default_factory=set)
+    again: set[str] = field(default_factory=set)
+    unreached: set[str] = field(default_factory=set)
     running: int = 0
     sent: int = 0
     last_began: float = 0.0
+    ticket: Ticket | None = None
     last_failure: WholeAnswer | None = None
     details: list[str] = field(default_factory=list)
 
     @property
     def passed_over(self) -> set[str]:
         """Engines that are not to be chosen again."""
-        return self.engines | self.held_back
+        return (self.engines - self.again) | self.held_back | self.unreached
+
+    def begin(self, engine: str, now: float) -> None:
+        """Take that an attempt at an engine begins."""
+        if self.engines:
+            self.details.append("next")
+        self.engines.add(engine)
+        self.refused.discard(engine)
+        self.again.discard(engine)
+        self.running += 1
+        self.last_began = now
+
+    def look_again(self, may_repeat: bool) -> None:
+        """Let engines be chosen again that had no room, or could not be reached.
+
+        What must not run twice goes to no engine a second time, also after a refusal.
+        """
+        if may_repeat:
+            self.again |= self.refused
+        self.held_back.clear()
+        self.unreached.clear()
+
+    def may_reach(self, engine: str, attempts: int) -> bool:
+        """Return whether a request that goes to so many engines at most may go to this one."""
+        return engine in self.again or len(self.engines) < attempts
+
+    def unreachable(self, engine: Engine) -> None:
+        """Take that no connection came up: nothing left, so it is no attempt."""
+        self.engines.discard(engine.identifier)
+        self.unreached.add(engine.identifier)
 
     def hold_back(self, engine: Engine, reason: Held) -> None:
         """Take that a request did not leave for an engine that was chosen."""
@@ -145,6 +192,20 @@
         return Ran.UNKNOWN if self.sent else Ran.NO
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingLine:
+    """Requests that wait for the engines of a service, in the same homes.
+
+    Attributes
+    ----------
+    turn
+        A `curio.Event`, set when the order or an engine's room has changed.
+    """
+
+    queue: LiveQueue
+    turn: Any
+
+
 class Forwarder:
     """Sends requests to engines on behalf of callers and of the leader's scorers.
 
@@ -175,6 +236,8 @@
         self._pool = pool
         self._metrics = metrics
         self._times: dict[str, AnswerTimes] = {}
+        self._probed_at: dict[str, float] = {}
+        self._lines: dict[tuple[str, frozenset[str]], WaitingLine] = {}
         self._random = random.Random(f"{zone}/{clock.new_incarnation()}")
 
     def choose(
@@ -233,11 +296,11 @@
         while True:
             now = clock.monotonic()
             if now >= request.deadline:
-                return self._late(tries)
+                return self._late(route, tries)
             if not tries.running:
-                begun = await self._start(request, route, service, tries, ended, attempts)
-                if not begun:
-                    return self._exhausted(tries)
+                failure = await self._start_in_turn(request, route, service, tries, ended, attempts)
+                if failure is not None:
+                    return failure
             patience = request.deadline - now
             usual = self.usual_seconds(service)
             if self._may_hedge(route, tries):
@@ -263,7 +326,7 @@
         Where engines are slow because they are full, second tries only fill them more. A
         request that is overdue gets its second try all the same: its engine may be gone.
         """
-        engine = self.choose(service, tries.passed_over, route.homes)
+        engine = self._choose_with_room(route, service, tries)
         return engine is not None and engine.running < engine.entry.slots * HEDGE_FILL
 
     def usual_seconds(self, service: str) -> float:
@@ -287,31 +350,141 @@
         ended: Any,
         attempts: Spawner,
     ) -> bool:
-        """Begin an attempt at another engine; False where there is none left."""
-        if len(tries.engines) >= route.attempts:
-            return False
-        engine = self.choose(service, tries.passed_over, route.homes)
+        """Begin an attempt at another engine; False where none may get the request now."""
+        engine = self._choose_with_room(route, service, tries)
         if engine is None:
             return False
-        if tries.engines:
-            tries.details.append("next")
-        tries.engines.add(engine.identifier)
-        tries.running += 1
-        tries.last_began = clock.monotonic()
+        now = clock.monotonic()
+        if engine.failures and now < engine.not_before:
+            self._probed_at[service] = now
+        tries.begin(engine.identifier, now)
         await attempts.spawn(self._try, engine, request, tries, ended)
         return True
 
+    def _choose_with_room(self, route: RouteRow, service: str, tries: Tries) -> Engine | None:
+        """Return the best engine that may get a request now.
+
+        Where others are only full, one that failed just now does not get it, since waiting for
+        room costs less than waiting for a connection that does not come up; nor does a cold one.
+        """
+        now = clock.monotonic()
+        excluded = tries.passed_over
+        some_full = False
+        while True:
+            engine = self.choose(service, excluded, route.homes)
+            if engine is None or (some_full and self._is_last_resort(engine, now)):
+                return None
+            if not self._may_probe(engine, now):
+                return None
+            if tries.may_reach(engine.identifier, route.attempts):
+                if may_get(engine, now):
+                    return engine
+                some_full = True
+            excluded = excluded | {engine.identifier}
+
+    def _may_probe(self, engine: Engine, now: float) -> bool:
+        """Return whether an engine that failed just now may be tried before its pause ends.
+
+        Load: all engines of a service are gone and many requests wait. One try now and then finds
+        out for all of them when an engine is back.
+        """
+        if engine.failures == 0 or now >= engine.not_before:
+            return True
+        return now >= self._probed_at.get(engine.entry.service, 0.0) + LOOK_AGAIN_SECONDS
+
+    def _is_last_resort(self, engine: Engine, now: float) -> bool:
+        is_cold = self._cold is not None and self._cold.is_cold(engine, now)
+        return is_cold or now < engine.not_before
+
+    async def _start_in_turn(
+        self,
+        request: ForwardedRequest,
+        route: RouteRow,
+        service: str,
+        tries: Tries,
+        ended: Any,
+        attempts: Spawner,
+    ) -> WholeAnswer | Failure | None:
+        """Begin an attempt, after those that are more urgent; return a failure where none began."""
+        line = self._line(service, route.homes)
+        if not line.queue and await self._start(request, route, service, tries, ended, attempts):
+            return None
+        if not self._may_wait(route, service, tries):
+            return self._exhausted(request, route, service, tries, line.queue)
+        ticket = self._enter(request, route, service, tries, line)
+        if ticket is None:
+            # It would be late behind the others, but it is not refused while a place is free.
+            if line.queue and await self._start(request, route, service, tries, ended, attempts):
+                return None
+            return self._exhausted(request, route, service, tries, line.queue)
+        try:
+            while clock.monotonic() < ticket.leave_by:
+                await self._wait_turn(line, ticket)
+                tries.look_again(route.may_repeat)
+                if line.queue.first is ticket and await self._start(
+                    request, route, service, tries, ended, attempts
+                ):
+                    return None
+        finally:
+            line.queue.leave(ticket)
+            await line.turn.set()
+        return self._exhausted(request, route, service, tries, line.queue)
+
+    def _enter(
+        self,
+        request: ForwardedRequest,
+        route: RouteRow,
+        service: str,
+        tries: Tries,
+        line: WaitingLine,
+    ) -> Ticket | None:
+        if tries.ticket is not None:
+            line.queue.enter_again(tries.ticket)
+            return tries.ticket
+        now, pace = clock.monotonic(), self._pace(route, service)
+        tries.ticket = line.queue.enter(route.priority, request.deadline, now, pace)
+        if tries.ticket is not None:
+            tries.details.append("waits")
+        return tries.ticket
+
+    def _line(self, service: str, homes: frozenset[str]) -> WaitingLine:
+        key = (service, homes)
+        if key not in self._lines:
+            self._lines[key] = WaitingLine(LiveQueue(self._random), curio.Event())
+        return self._lines[key]
+
+    async def _wait_turn(self, line: WaitingLine, ticket: Ticket) -> None:
+        """Wait until the order may have changed; the first looks for itself now and then."""
+        line.turn.clear()
+        patience = max(0.0, ticket.leave_by - clock.monotonic())
+        if line.queue.first is ticket:
+            patience = min(patience, LOOK_AGAIN_SECONDS)
+        await curio.ignore_after(patience, line.turn.wait)
+
+    def _may_wait(self, route: RouteRow, service: str, tries: Tries) -> bool:
+        """Return whether an engine that is known may get the request later."""
+        if not self._engines.usable(service, clock.monotonic(), route.homes):
+            return False
+        may_go_again = route.may_repeat and bool(tries.refused | tries.again)
+        return len(tries.engines) < route.attempts or may_go_again
+
+    def _pace(self, route: RouteRow, service: str) -> Pace:
+        return pace_of(self._engines.usable(service, clock.monotonic(), route.homes))
+
     async def _try(
         self, engine: Engine, request: ForwardedRequest, tries: Tries, ended: Any
     ) -> None:
+        began = clock.monotonic()
         try:
             answer = await self._attempt(engine, request, tries)
-            await ended.put(Attempt(engine, answer))
+            seconds = clock.monotonic() - began
+            await ended.put(Attempt(engine, answer, seconds=seconds))
         except HeldBackError as error:
             tries.hold_back(engine, error.reason)
             await ended.put(Attempt(engine, None, is_held=True))
         except NotSentError as error:
             self.note_unreachable(engine, error)
+            tries.unreachable(engine)
             await ended.put(Attempt(engine, None, f"{engine.identifier}:unreachable"))
         except BrokenError as error:
             broken = f"{engine.identifier}:broken({error})"
@@ -330,7 +503,8 @@
             is_over = attempt.may_have_run and not route.may_repeat
             return Failure(ErrorKind.OUTCOME_UNKNOWN) if is_over else None
         if engine_format.is_not_run(answer.status, answer.headers):
-            engine.note_refusal(clock.monotonic())
+            self._note_full(engine, answer, route)
+            tries.refused.add(engine.identifier)
             tries.details.append(f"{engine.identifier}:refused({answer.status})")
             return None
         is_success = 200 <= answer.status < 300
@@ -338,20 +512,48 @@
             tries.details.append(f"{engine.identifier}:unsigned")
             return None if route.may_repeat else Failure(ErrorKind.OUTCOME_UNKNOWN)
         engine.note_success()
+        engine.limit.note_answer(
+            engine.running + 1,
+            engine.entry.slots,
+            attempt.seconds,
+            route.objective_seconds,
+            clock.monotonic(),
+        )
         if answer.status >= 500 and route.may_repeat:
             tries.last_failure = answer
             tries.details.append(f"{engine.identifier}:failed({answer.status})")
             return None
         return answer
 
-    def _exhausted(self, tries: Tries) -> WholeAnswer | Failure:
+    def _note_full(self, engine: Engine, answer: WholeAnswer, route: RouteRow) -> None:
+        """Take a refusal; one that says that the engine is another start tells nothing of room."""
+        now = clock.monotonic()
+        engine.note_refusal(now)
+        if answer.status != engine_format.MISDIRECTED:
+            engine.limit.note_late(engine.running + 1, route.objective_seconds, now)
+
+    def _exhausted(
+        self,
+        request: ForwardedRequest,
+        route: RouteRow,
+        service: str,
+        tries: Tries,
+        queue: LiveQueue,
+    ) -> WholeAnswer | Failure:
         if tries.last_failure is not None:
             return tries.last_failure
-        if tries.ran is Ran.NO:
-            return Failure(ErrorKind.NO_ENGINE)
-        return Failure(ErrorKind.ENGINE_FAILED)
+        if tries.ran is not Ran.NO:
+            return Failure(ErrorKind.ENGINE_FAILED)
+        left = request.deadline - clock.monotonic()
+        pause = queue.return_seconds(left, self._pace(route, service))
+        return Failure(ErrorKind.NO_ENGINE, retry_after_seconds=pause)
 
-    def _late(self, tries: Tries) -> WholeAnswer | Failure:
+    def _late(self, route: RouteRow, tries: Tries) -> WholeAnswer | Failure:
+        now = clock.monotonic()
+        for name in tries.engines:
+            engine = self._engines.engines.get(name)
+            if engine is not None and tries.running:
+                engine.limit.note_late(engine.running, route.objective_seconds, now)
         if tries.ran is Ran.NO:
             return Failure(ErrorKind.EXPIRED_IN_QUEUE)
         return Failure(ErrorKind.DEADLINE_EXCEEDED)
@@ -391,6 +593,13 @@
             engine.end_work()
             if connection is not None:
                 await connection.close()
+            await self._call_next(engine.entry.service)
+
+    async def _call_next(self, service: str) -> None:
+        """Let those that wait for a service look again: an engine may have room."""
+        for (waits_for, _), line in list(self._lines.items()):
+            if waits_for == service and line.queue:
+                await line.turn.set()
 
     def note_unreachable(self, engine: Engine, error: NotSentError) -> None:
         """Take that an engine could not be connected to: others of its zone may be cut off too."""
--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -31,6 +31,8 @@
 OWN_HEADERS = frozenset({names.DEADLINE, names.EXPECT_ENGINE, names.EXPECT_VERSION})
 CALLER_HEADERS = frozenset({names.CALLER_KEY, names.TENANT})
 """What says who calls: engines get neither a key nor a tenant that a caller claims to be."""
+MISDIRECTED = 421
+"""Status of an engine that a request was not meant for: another start of it may be at its place."""
 
 
 def engine_entry(name: str, spec: Any, revision: int = 0) -> EngineEntry | None:
@@ -202,7 +204,7 @@
 
 def is_not_run(status: int, headers: Headers) -> bool:
     """Return whether an engine's answer proves that it did not run the request."""
-    return status == 421 or header(headers, names.NOT_RUN) is not None
+    return status == MISDIRECTED or header(headers, names.NOT_RUN) is not None
 
 
 def names_request(headers: Headers, request: str) -> bool:
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 from pondtiller.core.entities import Address
+from pondtiller.routes.concurrency_limit import ConcurrencyLimit
 from pondtiller.routes.places import Places
 
 SUSPECT_SECONDS = 1.0
@@ -77,6 +78,8 @@
         Failures one after the other.
     not_before
         No new work before this time, after a failure or refusal.
+    full_until
+        No new work before this time, after a refusal.
     gone_at
         When its entry went without it having said that it leaves; None while it stands.
     event_seconds
@@ -87,12 +90,15 @@
         Until when it is slow, by its entry.
     failed_at
         When it last failed here, while no entry has been written since; None otherwise.
+    limit
+        How many live requests of this daemon it may have at once.
     """
 
     entry: EngineEntry
     running: int = 0
     failures: int = 0
     not_before: float = 0.0
+    full_until: float = 0.0
     gone_at: float | None = None
     event_seconds: float = 0.0
     paced_at: float = 0.0
@@ -100,6 +106,7 @@
     answered_at: float = 0.0
     cold_until: float = float("-inf")
     failed_at: float | None = None
+    limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
 
     @property
     def identifier(self) -> str:
@@ -124,7 +131,8 @@
 
     def note_refusal(self, now: float) -> None:
         """Pause an engine that was full."""
-        self.not_before = max(self.not_before, now + REFUSAL_PAUSE_SECONDS)
+        self.full_until = now + REFUSAL_PAUSE_SECONDS
+        self.not_before = max(self.not_before, self.full_until)
 
     def note_evacuated(self, now: float) -> None:
         """Pause an engine that another daemon knows to be in an evacuated zone; it did not fail."""
