--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -21,7 +21,7 @@
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import Headers
-from pondtiller.routes.answer_times import AnswerTimes
+from pondtiller.routes.answer_times import AnswerTimes, SmoothedTime
 from pondtiller.routes.engines import REFUSAL_PAUSE_SECONDS, Engine, EngineDirectory
 from pondtiller.routes.live_queue import LiveQueue, Pace, Ticket, may_get, pace_of
 from pondtiller.routes.places import Distance
@@ -236,6 +236,7 @@
         self._pool = pool
         self._metrics = metrics
         self._times: dict[str, AnswerTimes] = {}
+        self._row_times: dict[str, SmoothedTime] = {}
         self._probed_at: dict[str, float] = {}
         self._lines: dict[tuple[str, frozenset[str]], WaitingLine] = {}
         self._random = random.Random(f"{zone}/{clock.new_incarnation()}")
@@ -469,7 +470,10 @@
         return len(tries.engines) < route.attempts or may_go_again
 
     def _pace(self, route: RouteRow, service: str) -> Pace:
-        return pace_of(self._engines.usable(service, clock.monotonic(), route.homes))
+        now = clock.monotonic()
+        own = self._row_times.get(route.name)
+        usable = self._engines.usable(service, now, route.homes)
+        return pace_of(usable, own.seconds(now) if own is not None else 0.0)
 
     async def _try(
         self, engine: Engine, request: ForwardedRequest, tries: Tries, ended: Any
@@ -512,19 +516,20 @@
             tries.details.append(f"{engine.identifier}:unsigned")
             return None if route.may_repeat else Failure(ErrorKind.OUTCOME_UNKNOWN)
         engine.note_success()
-        engine.limit.note_answer(
-            engine.running + 1,
-            engine.entry.slots,
-            attempt.seconds,
-            route.objective_seconds,
-            clock.monotonic(),
-        )
+        self._note_in_time(engine, attempt.seconds, route)
         if answer.status >= 500 and route.may_repeat:
             tries.last_failure = answer
             tries.details.append(f"{engine.identifier}:failed({answer.status})")
             return None
         return answer
 
+    def _note_in_time(self, engine: Engine, seconds: float, route: RouteRow) -> None:
+        """Take how long an answer took, for its engine's limit and for its row's pace."""
+        now = clock.monotonic()
+        self._row_times.setdefault(route.name, SmoothedTime()).note(seconds, now)
+        running = engine.running + 1
+        engine.limit.note_answer(running, engine.entry.slots, seconds, route.objective_seconds, now)
+
     def _note_full(self, engine: Engine, answer: WholeAnswer, route: RouteRow) -> None:
         """Take a refusal; one that says that the engine is another start tells nothing of room."""
         now = clock.monotonic()
--- a/src/pondtiller/routes/answer_times.py
+++ b/src/pondtiller/routes/answer_times.py
@@ -17,6 +17,29 @@
 """Less is noise of the daemon itself."""
 
 
+SMOOTHED_WEIGHT = 0.2
+SMOOTHED_KEPT_SECONDS = 3.0
+"""As for an engine's pace: an older time tells nothing of now."""
+
+
+class SmoothedTime:
+    """Time of the last answers of one kind, in seconds; 0 while none is known."""
+
+    def __init__(self) -> None:
+        self._seconds = 0.0
+        self._noted_at = 0.0
+
+    def note(self, seconds: float, now: float) -> None:
+        """Take how long an answer took."""
+        known = self.seconds(now)
+        self._seconds = known + SMOOTHED_WEIGHT * (seconds - known) if known else seconds
+        self._noted_at = now
+
+    def seconds(self, now: float) -> float:
+        """Return the smoothed time; 0 where the last answer is too long ago."""
+        return self._seconds if now <= self._noted_at + SMOOTHED_KEPT_SECONDS else 0.0
+
+
 class AnswerTimes:
     """Times of the last answers of one service, in seconds."""
 
--- a/src/pondtiller/routes/live_queue.py
+++ b/src/pondtiller/routes/live_queue.py
@@ -59,26 +59,40 @@
     Attributes
     ----------
     answer_seconds
-        Time of one answer; 0 while unknown.
+        Time of one answer, of all kinds; 0 while unknown.
     places
         Own requests that may be at engines together.
+    own_seconds
+        Time of one answer of this kind; 0 while unknown.
     """
 
     answer_seconds: float
     places: int
+    own_seconds: float
+
+    def seconds_to_place(self, ahead: int) -> float:
+        """Return how long until so many requests have left, and one more may."""
+        return self.answer_seconds * ahead / max(1, self.places)
 
     def seconds_to_answer(self, ahead: int) -> float:
-        """Return how long an answer takes for a request behind others; 0 while unknown."""
-        return self.answer_seconds * (1.0 + (ahead + 1.0) / max(1, self.places))
+        """Return the least time to an answer behind so many others; 0 while unknown.
+
+        The first of those that wait may leave at any moment, since requests that are at engines
+        began some time ago.
+        """
+        return self.seconds_to_place(ahead) + self.own_seconds
+
+
+UNKNOWN_PACE = Pace(0.0, 0, 0.0)
 
 
-def pace_of(engines: Iterable[Engine]) -> Pace:
+def pace_of(engines: Iterable[Engine], own_seconds: float) -> Pace:
     """Return the pace of engines that answer; places without a learned limit are their slots."""
     answering = [each for each in engines if each.answer_seconds and not each.failures]
     if not answering:
-        return Pace(0.0, 0)
+        return UNKNOWN_PACE
     seconds = sum(each.answer_seconds for each in answering) / len(answering)
-    return Pace(seconds, sum(_places(each) for each in answering))
+    return Pace(seconds, sum(_places(each) for each in answering), own_seconds)
 
 
 def _places(engine: Engine) -> int:
@@ -135,7 +149,7 @@
             Until its deadline.
         """
         useful = left * LATEST_RETURN_SHARE
-        drained = pace.answer_seconds * len(self._waiting) / max(1, pace.places)
+        drained = pace.seconds_to_place(len(self._waiting) + 1)
         seconds = min(useful, drained) if pace.answer_seconds else useful
         spread = 1.0 - self._random.random() * RETURN_SPREAD
         return max(SHORTEST_RETURN_SECONDS, seconds * spread)
--- a/src/pondtiller/routes/tests/test_answer_times.py
+++ b/src/pondtiller/routes/tests/test_answer_times.py
@@ -1,11 +1,14 @@
 """When an answer is late, by what was seen."""
 
+import pytest
+
 from pondtiller.routes.answer_times import (
     FEWEST_ANSWERS,
     FIRST_SECONDS,
     KEPT_ANSWERS,
     SHORTEST_SECONDS,
     AnswerTimes,
+    SmoothedTime,
 )
 
 
@@ -33,3 +36,14 @@
     for _ in range(KEPT_ANSWERS):
         times.note(0.001)
     assert times.usual_seconds == SHORTEST_SECONDS
+
+
+def test_a_smoothed_time_is_forgotten_when_nothing_comes() -> None:
+    time = SmoothedTime()
+    assert time.seconds(0.0) == 0.0
+    time.note(0.4, 1.0)
+    time.note(0.8, 2.0)
+    assert time.seconds(2.5) == pytest.approx(0.48)
+    assert time.seconds(5.5) == 0.0
+    time.note(0.1, 6.0)
+    assert time.seconds(6.0) == pytest.approx(0.1)
