--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -18,14 +18,16 @@
     SilentEngineError,
 )
 from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.tries import Attempt, Tries, WholeAnswer
+from pondtiller.gateway.waiting import LOOK_AGAIN_SECONDS, WaitingLine, WaitingLines
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import Headers
 from pondtiller.routes.answer_times import AnswerTimes, SmoothedTime
-from pondtiller.routes.engines import REFUSAL_PAUSE_SECONDS, Engine, EngineDirectory
+from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.live_queue import LiveQueue, Pace, Ticket, may_get, pace_of
 from pondtiller.routes.places import Distance
-from pondtiller.routes.send_gate import Held, SendGate
+from pondtiller.routes.send_gate import SendGate
 from pondtiller.routes.silent_zones import SilentZones
 from pondtiller.routes.table import RequestKind, RouteRow
 from pondtiller.usage.meter import Beginning
@@ -41,8 +43,6 @@
 """An engine in another region, against a full one. Load: live requests; 40 ms there and back is as
 long as most of them take, and bytes between regions cost more. Near engines come first until more
 than half of their places are taken by this daemon's own requests."""
-LOOK_AGAIN_SECONDS = REFUSAL_PAUSE_SECONDS
-"""How often the first of those that wait tries the engines again, besides each answer."""
 SILENT_ANSWER_SECONDS = 0.5
 """An engine that was left, or broke off, without a word for as long as a connection may take, on
 one that was kept: its zone may be cut off."""
@@ -78,134 +78,6 @@
     beginning: Beginning = field(default_factory=Beginning)
 
 
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """An engine's answer, read to its end."""
-
-    engine: str
-    status: int
-    headers: Headers
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """How one attempt ended: an answer, or what went wrong.
-
-    Attributes
-    ----------
-    is_held
-        Whether it did not leave, since the engine may get nothing now: the engine did not fail.
-    seconds
-        How long it took.
-    """
-
-    engine: Engine
-    answer: WholeAnswer | None
-    detail: str = ""
-    may_have_run: bool = False
-    is_held: bool = False
-    seconds: float = 0.0
-
-
-@dataclass
-class Tries:
-    """What was tried for one request.
-
-    Attributes
-    ----------
-    engines
-        Those that it was sent to, or is to be sent to.
-    held_back
-        Those that it did not leave for, since they may get nothing now; they are no attempts.
-    refused
-        Those that refused it as not run, by their last answer.
-    again
-        Those among them that refused it as not run some time ago: it may be sent there again.
-    unreached
-        Those to which it did not leave, since no connection came up; they are no attempts.
-    running
-        Attempts that have not ended.
-    last_began
-        When the last attempt began.
-    ticket
-        Its place among those that wait, once it had to.
-    sent
-        Attempts that left, less those that an engine refused as not run.
-    """
-
-    engines: set[str] = field(default_factory=set)
-    held_back: set[str] = field(default_factory=set)
-    refused: set[str] = field(default_factory=set)
-    again: set[str] = field(default_factory=set)
-    unreached: set[str] = field(default_factory=set)
-    running: int = 0
-    sent: int = 0
-    last_began: float = 0.0
-    ticket: Ticket | None = None
-    last_failure: WholeAnswer | None = None
-    details: list[str] = field(default_factory=list)
-
-    @property
-    def passed_over(self) -> set[str]:
-        """Engines that are not to be chosen again."""
-        return (self.engines - self.again) | self.held_back | self.unreached
-
-    def begin(self, engine: str, now: float) -> None:
-        """Take that an attempt at an engine begins."""
-        if self.engines:
-            self.details.append("next")
-        self.engines.add(engine)
-        self.refused.discard(engine)
-        self.again.discard(engine)
-        self.running += 1
-        self.last_began = now
-
-    def look_again(self, may_repeat: bool) -> None:
-        """Let engines be chosen again that had no room, or could not be reached.
-
-        What must not run twice goes to no engine a second time, also after a refusal.
-        """
-        if may_repeat:
-            self.again |= self.refused
-        self.held_back.clear()
-        self.unreached.clear()
-
-    def may_reach(self, engine: str, attempts: int) -> bool:
-        """Return whether a request that goes to so many engines at most may go to this one."""
-        return engine in self.again or len(self.engines) < attempts
-
-    def unreachable(self, engine: Engine) -> None:
-        """Take that no connection came up: nothing left, so it is no attempt."""
-        self.engines.discard(engine.identifier)
-        self.unreached.add(engine.identifier)
-
-    def hold_back(self, engine: Engine, reason: Held) -> None:
-        """Take that a request did not leave for an engine that was chosen."""
-        self.engines.discard(engine.identifier)
-        self.held_back.add(engine.identifier)
-        self.details.append(f"{engine.identifier}:held({reason.value})")
-
-    @property
-    def ran(self) -> Ran:
-        """Whether an engine may have begun to work on it: sent, and not refused as not run."""
-        return Ran.UNKNOWN if self.sent else Ran.NO
-
-
-@dataclass(frozen=True, slots=True)
-class WaitingLine:
-    """Requests that wait for the engines of a service, in the same homes.
-
-    Attributes
-    ----------
-    turn
-        A `curio.Event`, set when the order or an engine's room has changed.
-    """
-
-    queue: LiveQueue
-    turn: Any
-
-
 class Forwarder:
     """Sends requests to engines on behalf of callers and of the leader's scorers.
 
@@ -238,8 +110,8 @@
         self._times: dict[str, AnswerTimes] = {}
         self._row_times: dict[str, SmoothedTime] = {}
         self._probed_at: dict[str, float] = {}
-        self._lines: dict[tuple[str, frozenset[str]], WaitingLine] = {}
         self._random = random.Random(f"{zone}/{clock.new_incarnation()}")
+        self._lines = WaitingLines(self._random)
 
     def choose(
         self, service: str, tried: set[str], homes: frozenset[str] = frozenset()
@@ -407,7 +279,7 @@
         attempts: Spawner,
     ) -> WholeAnswer | Failure | None:
         """Begin an attempt, after those that are more urgent; return a failure where none began."""
-        line = self._line(service, route.homes)
+        line = self._lines.of(service, route.homes)
         if not line.queue and await self._start(request, route, service, tries, ended, attempts):
             return None
         if not self._may_wait(route, service, tries):
@@ -420,7 +292,7 @@
             return self._exhausted(request, route, service, tries, line.queue)
         try:
             while clock.monotonic() < ticket.leave_by:
-                await self._wait_turn(line, ticket)
+                await line.wait_turn(ticket)
                 tries.look_again(route.may_repeat)
                 if line.queue.first is ticket and await self._start(
                     request, route, service, tries, ended, attempts
@@ -448,20 +320,6 @@
             tries.details.append("waits")
         return tries.ticket
 
-    def _line(self, service: str, homes: frozenset[str]) -> WaitingLine:
-        key = (service, homes)
-        if key not in self._lines:
-            self._lines[key] = WaitingLine(LiveQueue(self._random), curio.Event())
-        return self._lines[key]
-
-    async def _wait_turn(self, line: WaitingLine, ticket: Ticket) -> None:
-        """Wait until the order may have changed; the first looks for itself now and then."""
-        line.turn.clear()
-        patience = max(0.0, ticket.leave_by - clock.monotonic())
-        if line.queue.first is ticket:
-            patience = min(patience, LOOK_AGAIN_SECONDS)
-        await curio.ignore_after(patience, line.turn.wait)
-
     def _may_wait(self, route: RouteRow, service: str, tries: Tries) -> bool:
         """Return whether an engine that is known may get the request later."""
         if not self._engines.usable(service, clock.monotonic(), route.homes):
@@ -598,13 +456,7 @@
             engine.end_work()
             if connection is not None:
                 await connection.close()
-            await self._call_next(engine.entry.service)
-
-    async def _call_next(self, service: str) -> None:
-        """Let those that wait for a service look again: an engine may have room."""
-        for (waits_for, _), line in list(self._lines.items()):
-            if waits_for == service and line.queue:
-                await line.turn.set()
+            await self._lines.call(engine.entry.service)
 
     def note_unreachable(self, engine: Engine, error: NotSentError) -> None:
         """Take that an engine could not be connected to: others of its zone may be cut off too."""
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -9,11 +9,12 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.race import run_until
 from pondtiller.errors import ErrorKind, Failure, Ran
-from pondtiller.gateway.forward import ForwardedRequest, Forwarder, WholeAnswer, is_streamed
+from pondtiller.gateway.forward import ForwardedRequest, Forwarder, is_streamed
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.streams import StreamForwarder
 from pondtiller.gateway.tenant_rates import TenantRates
+from pondtiller.gateway.tries import WholeAnswer
 from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.httpio.messages import HttpRequest, HttpResponse
 from pondtiller.httpio.server import ConnectionLostError, Exchange
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -10,7 +10,8 @@
     EnginePool,
     HeldBackError,
 )
-from pondtiller.gateway.forward import ForwardedRequest, Forwarder, Tries
+from pondtiller.gateway.forward import ForwardedRequest, Forwarder
+from pondtiller.gateway.tries import Tries
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import ConnectionLostError, Exchange, failure_response
