--- a/src/pondtiller/gateway/tests/test_live_load.py
+++ b/src/pondtiller/gateway/tests/test_live_load.py
@@ -163,7 +163,7 @@
 
 
 def test_slow_engines_are_not_filled_with_what_they_cannot_answer_in_time() -> None:
-    """40 callers a second, 10 answers a second: behind a full queue an answer takes 1 s, not 0.8."""
+    """40 callers and 10 answers a second: behind a full queue an answer takes 1 s, not 0.8."""
     engine = FakeEngine(0.2)
     gateway = Gateway(engine)
     callers = curio.run(burst, gateway, 100, 0.025)
