A leader draws the agreed time from all machines five times a second, not at each tell of use

Cause: UseDuty.take asks the agreed clock at each tell, and that took the median over all machines: with the tells, quadratic in machines. How often daemons tell is not changed.

--- a/src/pondtiller/coordination/agreed_clock.py
+++ b/src/pondtiller/coordination/agreed_clock.py
@@ -5,6 +5,7 @@
 the machines is right while fewer than half of them are wrong.
 """
 
+import math
 from statistics import median
 from typing import NamedTuple
 
@@ -15,6 +16,10 @@
 a second. Of the first few, most may be among those that jumped."""
 FRESH_SECONDS = 30.0
 """A machine that was not heard for so long may have jumped, or be gone."""
+MEDIAN_SECONDS = 0.2
+"""So long a median is used again. Load: a leader is asked for the time with each tell of each
+daemon, twice a second each, and would look at all machines each time. Steady clocks differ by some
+ten microseconds in that time, and links delay what machines tell by milliseconds."""
 JUMP_SECONDS = 0.25
 """A told time that differs by more is a jump; links delay a message by far less."""
 JUMPS_TO_FOLLOW = 3
@@ -35,6 +40,7 @@
         self.machines: dict[str, MachineClock] = {}
         self._first_at: float | None = None
         self._learned: float | None = None
+        self._median_until = -math.inf
         self._jumps = 0
 
     def heard(self, machine: str, wall: float, now: float) -> None:
@@ -63,15 +69,21 @@
         """Begin to hear machines anew; what was agreed before stands until these have settled."""
         self.machines.clear()
         self._first_at = None
+        self._median_until = -math.inf
 
     def now(self, now: float) -> float | None:
         """Return the agreed time of day, in seconds since 1970; None where it is not known."""
-        offsets = self._offsets(now)
         is_settled = self._first_at is not None and now >= self._first_at + SETTLE_SECONDS
+        if is_settled and now >= self._median_until:
+            self._take_median(now)
+        return now + self._learned if self._learned is not None else None
+
+    def _take_median(self, now: float) -> None:
+        offsets = self._offsets(now)
         is_enough = len(offsets) >= FEWEST_MACHINES or self._learned is None
-        if offsets and is_settled and is_enough:
+        if offsets and is_enough:
             self._learned = median(offsets)
-        return now + self._learned if self._learned is not None else None
+            self._median_until = now + MEDIAN_SECONDS
 
     def spread_seconds(self, now: float) -> float:
         """Return how far half of the machines lie from the agreed time at most."""
--- a/src/pondtiller/coordination/tests/test_agreed_clock.py
+++ b/src/pondtiller/coordination/tests/test_agreed_clock.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from pondtiller.coordination import agreed_clock
 from pondtiller.coordination.agreed_clock import (
     FRESH_SECONDS,
     JUMPS_TO_FOLLOW,
+    MEDIAN_SECONDS,
     SETTLE_SECONDS,
     AgreedClock,
 )
@@ -84,3 +86,46 @@
     for machine in "def":
         clock.heard(machine, TRUE + later, later)
     assert clock.now(later) == TRUE + later
+
+
+def test_the_machines_are_looked_at_five_times_a_second_however_many_tell(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    taken: list[int] = []
+
+    def median(offsets: list[float]) -> float:
+        taken.append(len(offsets))
+        return sorted(offsets)[len(offsets) // 2]
+
+    monkeypatch.setattr(agreed_clock, "median", median)
+    clock = AgreedClock()
+    for machine in range(300):
+        clock.heard(str(machine), TRUE, 0.0)
+    for tell in range(600):
+        now = SETTLE_SECONDS + tell / 600
+        clock.heard(str(tell % 300), TRUE + now, now)
+        agreed = clock.now(now)
+        assert agreed == pytest.approx(TRUE + now, abs=1e-6)
+    assert len(taken) == 5
+
+
+def test_what_machines_tell_counts_once_the_last_median_is_out_of_date() -> None:
+    clock = AgreedClock()
+    for machine in "abc":
+        clock.heard(machine, TRUE, 0.0)
+    assert clock.now(SETTLE_SECONDS) == TRUE + SETTLE_SECONDS
+    for machine in "abc":
+        clock.heard(machine, TRUE + 1.0 + SETTLE_SECONDS, SETTLE_SECONDS)
+    later = SETTLE_SECONDS + MEDIAN_SECONDS
+    assert clock.now(later) == pytest.approx(TRUE + 1.0 + later)
+
+
+def test_a_new_term_takes_a_median_of_its_own_at_once() -> None:
+    clock = AgreedClock()
+    for machine in "abc":
+        clock.heard(machine, TRUE, 0.0)
+    assert clock.now(SETTLE_SECONDS) == TRUE + SETTLE_SECONDS
+    clock.forget_machines()
+    for machine in "abc":
+        clock.heard(machine, TRUE + 0.1, 0.0)
+    assert clock.now(SETTLE_SECONDS) == pytest.approx(TRUE + 0.1 + SETTLE_SECONDS)
--- a/tools/bench_parts.py
+++ b/tools/bench_parts.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from pondtiller import wire
+from pondtiller.coordination.agreed_clock import AgreedClock
 from pondtiller.coordination.member import Member
 from pondtiller.coordination.membership import Membership, MembershipSettings
 from pondtiller.coordination.registers.acceptor import Acceptor
@@ -24,7 +25,10 @@
 from pondtiller.hashing import rank
 from pondtiller.systems.status import build_report
 from pondtiller.table.sheet import Row, RowKind, Sheet, parse
+from pondtiller.usage.ledger import UseLedger
+from pondtiller.usage.meter import UseRow, pack_rows, unpack_rows
 from pondtiller.wire.envelope import Letter, PeerMessage, decode, encode
+from pondtiller.wire.steplog import UseTaken, UseTold
 
 ROUNDS = 5
 NAMES = ("a", "b", "c", "d", "e")
@@ -120,6 +124,26 @@
     return action
 
 
+def use_told(daemons: int) -> float:
+    """Return what a leader spends on one tell of use of a tenant among so many daemons."""
+    agreed, ledger = AgreedClock(), UseLedger()
+    for number in range(daemons):
+        agreed.heard(f"d{number}", 1000.0, 0.0)
+    body = bytes(UseTold(daemon="d1", incarnation=1, rows=pack_rows([UseRow(7, "t", 3)])))
+    now = 10.0
+
+    def take() -> None:
+        nonlocal now
+        now += 0.5 / daemons
+        message = UseTold().parse(body)
+        agreed.heard(message.daemon, 1000.0 + now, now)
+        rows = unpack_rows(message.rows)
+        ledger.told(message.daemon, message.incarnation, message.complete_until, rows, now)
+        bytes(UseTaken(epoch=3, agreed_seconds=agreed.now(now) or 0.0))
+
+    return best(take, 300)
+
+
 def main() -> None:
     """Print all figures."""
     registers = Registers()
@@ -140,6 +164,8 @@
         ).model_dump_json()
         spent = best(lambda body=body: parse(body.encode()), 5)
         print(f"adopting a table of {rows} rows, {len(body)} bytes: {spent:.0f} us")
+    for daemons in (30, 300, 3000):
+        print(f"a tell of use to a leader of {daemons}: {use_told(daemons):.0f} us")
     world = World(WorldSettings(Member(name="d", zone="a"), ()), random.Random(1))
     for number in range(40):
         world.row_counts(f"service/row-{number}").answered = number
