Offers of earlier runs have a module of their own; runs that end otherwise are forgotten

`gateway/run_offers.py` takes what it did for runs that runners offer: when offers are awaited, which are taken over, who runs and scores such a run. Behaviour as it was, but for one thing: the runner of a run that was taken over and did not end whole was kept until the term's end.

--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -87,7 +87,7 @@
             case AskShares():
                 return term.rates.take(message, now)
             case OfferRuns():
-                return await term.take_offered(message)
+                return await term.offers.take(message)
         return _unavailable(message)
 
     async def engines_changed(self) -> None:
--- /dev/null
+++ b/src/pondtiller/gateway/run_offers.py
@@ -0,0 +1,125 @@
+"""Runs of an earlier leader that their runners offer to this one, taken over in its term."""
+
+from collections.abc import Awaitable, Callable
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock, logs
+from pondtiller.gateway.leadership import Leadership
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.run_links import Runner, RunnerDirectory, RunnerLink
+from pondtiller.links.link import CONNECT_SECONDS
+from pondtiller.rollouts.runner_choice import Daemon
+from pondtiller.rollouts.sample_work import OfferedRun, RunName, StartRun
+from pondtiller.rollouts.samples import SampleScheduler
+from pondtiller.rollouts.steps import StepStatus
+from pondtiller.wire.steplog import OfferRuns, RunsTaken
+
+HELD_WAIT_SECONDS = 0.2
+"""From a term's start until a sample of an earlier leader is begun anew: a replica's view is on its
+way for 20 ms at most, a runner looks each 0.05 s, connects and offers its runs in 60 ms. In two
+regions the last of nine offers came 0.16 s after the election."""
+FRESH_START_SECONDS = 2.0
+"""A start of all machines has a leader 0.7 s to 1.1 s after the gateways' own (note 23)."""
+
+
+class RunOffers:
+    """What runners offer to one term of a leader.
+
+    Parameters
+    ----------
+    carry_out
+        Carries out what the scheduler has decided.
+    began
+        When the term began, in seconds of the steady clock.
+
+    Attributes
+    ----------
+    has_texts
+        Whether the texts that earlier leaders left were read.
+    """
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        runners: RunnerDirectory,
+        scheduler: SampleScheduler,
+        metrics: GatewayMetrics,
+        carry_out: Callable[[], Awaitable[None]],
+        began: float,
+    ) -> None:
+        self.has_texts = False
+        self._leadership = leadership
+        self._runners = runners
+        self._scheduler = scheduler
+        self._metrics = metrics
+        self._carry_out = carry_out
+        self._began = began
+        self._connecting = 0
+        self._runner_of: dict[int, RunnerLink] = {}
+
+    def are_awaited(self, now: float) -> bool:
+        """Return whether runs of an earlier leader may still be taken over in place of new ones.
+
+        A daemon that leads right after its own start does not wait: all machines have lost power
+        then, as a rule, and nobody has runs.
+        """
+        if self._began < self._leadership.started_at + FRESH_START_SECONDS:
+            return False
+        lasted = now - self._began
+        return lasted < HELD_WAIT_SECONDS or (self._connecting > 0 and lasted < CONNECT_SECONDS)
+
+    async def take(self, message: OfferRuns) -> RunsTaken:
+        """Go on with the runs of a runner; the answer tells which.
+
+        No sample is begun anew while the runner is connected to, for a while at most.
+        """
+        self._connecting += 1
+        try:
+            place = Address(message.host, message.port)
+            daemon = Daemon(message.daemon, message.zone, place, message.cores)
+            link = await self._runners.connect_to(daemon)
+        finally:
+            self._connecting -= 1
+        now = clock.monotonic()
+        if not self.has_texts or not self._leadership.log.holds_lease(now):
+            # The runner asks again; it must not wait for an answer to know that this leader lives.
+            return RunsTaken(status=StepStatus.UNAVAILABLE)
+        taken = [
+            link is not None and self._scheduler.take_over(each, daemon.name, now)
+            for each in _read(message)
+        ]
+        self._metrics.runs_taken_over += sum(taken)
+        logs.decision(
+            "runs_offered",
+            runner=daemon.name,
+            runs=len(taken),
+            taken=sum(taken),
+            epoch=self._scheduler.epoch,
+            connected=link is not None,
+        )
+        await self._carry_out()
+        return RunsTaken(status=StepStatus.OK, taken=taken)
+
+    def runner_of(self, start: StartRun) -> tuple[str, Runner | None]:
+        """Return who runs a sample; a run that is taken over goes on where it is, or nowhere."""
+        if not start.runner:
+            return self._runners.runner_for(start.engine)
+        runner = self._runners.links.get(start.runner)
+        if runner is not None:
+            self._runner_of[start.run] = runner
+        return start.runner, runner
+
+    def take_runner(self, run: int) -> RunnerLink | None:
+        """Return where a run that was taken over went on, once; None of other runs."""
+        return self._runner_of.pop(run, None)
+
+
+def _read(message: OfferRuns) -> list[OfferedRun]:
+    columns = (
+        message.samples,
+        message.engines,
+        message.after_events,
+        map(RunName, message.epochs, message.runs),
+        map(RunName, message.text_epochs, message.text_runs),
+    )
+    return [OfferedRun(*each) for each in zip(*columns, strict=True)]
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -18,22 +18,20 @@
 from pondtiller.gateway.order_rights import OrderRights
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.rate_duty import FindTerms, RateDuty, no_terms
-from pondtiller.gateway.run_links import RUNNER_LOST, Runner, RunnerDirectory, RunnerLink
+from pondtiller.gateway.run_links import RUNNER_LOST, RunnerDirectory
+from pondtiller.gateway.run_offers import RunOffers
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
 from pondtiller.gateway.scaling_duty import ScalingDuty, ScalingParts, ScalingSettings
 from pondtiller.gateway.tick_pacing import LONGEST_GAP_SECONDS, TickPacing
 from pondtiller.gateway.usage_duty import UsageDuty, UsageParts, UsageSettings
 from pondtiller.links.frames import encode_message
-from pondtiller.links.link import CONNECT_SECONDS, LinkLostError
+from pondtiller.links.link import LinkLostError
 from pondtiller.platform.operator_api import OperatorClient
 from pondtiller.rollouts.progress import ProgressSaver
-from pondtiller.rollouts.runner_choice import Daemon
 from pondtiller.rollouts.sample_work import (
     CancelRun,
     ListResult,
-    OfferedRun,
     RunEnd,
-    RunName,
     ScoreEnd,
     ScoreText,
     StartRun,
@@ -50,11 +48,9 @@
 from pondtiller.steplog.instructions import Won
 from pondtiller.usage.reports import USE_PREFIX
 from pondtiller.wire.steplog import (
-    OfferRuns,
     ProgressList,
     ReadProgress,
     ResultsPage,
-    RunsTaken,
     SaveProgress,
     Step,
     UseTaken,
@@ -76,12 +72,6 @@
 """How long a leader whose lease has ended waits for its texts to leave, before it ends its runs.
 A successor begins none before it was elected and has read log and texts: 0.3 s at least."""
 EXPIRE_SECONDS = 30.0
-HELD_WAIT_SECONDS = 0.2
-"""From a term's start until a sample of an earlier leader is begun anew: a replica's view is on its
-way for 20 ms at most, a runner looks each 0.05 s, connects and offers its runs in 60 ms. In two
-regions the last of nine offers came 0.16 s after the election."""
-FRESH_START_SECONDS = 2.0
-"""A start of all machines has a leader 0.7 s to 1.1 s after the gateways' own (note 23)."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,14 +141,19 @@
             self.scheduler.runs_checked,
             parts.leadership.zone,
         )
+        self.offers = RunOffers(
+            parts.leadership,
+            self.runners,
+            self.scheduler,
+            parts.metrics,
+            self._carry_out,
+            clock.monotonic(),
+        )
         self._runs: dict[int, Any] = {}
-        self._taken_over: dict[int, RunnerLink] = {}
         self._waiters: dict[str, set[Any]] = {}
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
         self._has_texts = False
-        self._began = clock.monotonic()
-        self._offers = 0
         self._scheduled: set[str] = set()
         self._is_over = False
         self._takes_turns = False
@@ -264,7 +259,7 @@
         began = clock.monotonic()
         await self._read_progress()
         read_at = clock.monotonic()
-        self._has_texts = True
+        self._has_texts = self.offers.has_texts = True
         self._table = self._parts.front.table
         for record in self.book.steps.values():
             self._schedule(record)
@@ -279,45 +274,6 @@
         await self.wake.set()
         await self._leadership.read_rest()
 
-    async def take_offered(self, message: OfferRuns) -> RunsTaken:
-        """Go on with runs of an earlier leader that their runner still has.
-
-        No sample is begun anew while an offer is looked at, for a while at most.
-        """
-        self._offers += 1
-        try:
-            place = Address(message.host, message.port)
-            daemon = Daemon(message.daemon, message.zone, place, message.cores)
-            link = await self.runners.connect_to(daemon)
-        finally:
-            self._offers -= 1
-        if not self._has_texts or self._is_over:
-            # The runner asks again; it must not wait for an answer to know that this leader lives.
-            return RunsTaken(status=StepStatus.UNAVAILABLE)
-        return await self._take_over(_offered(message), daemon, link)
-
-    async def _take_over(
-        self, offered: list[OfferedRun], daemon: Daemon, link: RunnerLink | None
-    ) -> RunsTaken:
-        now = clock.monotonic()
-        if not self._leadership.log.holds_lease(now):
-            return RunsTaken(status=StepStatus.UNAVAILABLE)
-        taken = [
-            link is not None and self.scheduler.take_over(each, daemon.name, now)
-            for each in offered
-        ]
-        self._metrics.runs_taken_over += sum(taken)
-        logs.decision(
-            "runs_offered",
-            runner=daemon.name,
-            runs=len(offered),
-            taken=sum(taken),
-            epoch=self.epoch,
-            connected=link is not None,
-        )
-        await self._carry_out()
-        return RunsTaken(status=StepStatus.OK, taken=taken)
-
     async def _tick(self, now: float) -> None:
         if not self._leadership.log.holds_lease(now):
             return
@@ -328,24 +284,13 @@
             for record in self.book.steps.values():
                 self._schedule(record)
         self.steward.tick(now)
-        self.scheduler.begins_none = self._awaits_offers(now)
+        self.scheduler.begins_none = self.offers.are_awaited(now)
         self.scheduler.tick(now, clock.wall())
         self._note_turns()
         await self._carry_out()
         if self.scheduler.has_more:
             await self.wake.set()
 
-    def _awaits_offers(self, now: float) -> bool:
-        """Return whether runs of an earlier leader may still be taken over in place of new ones.
-
-        A daemon that leads right after its own start does not wait: all machines have lost power
-        then, as a rule, and nobody has runs.
-        """
-        if self._began < self._leadership.started_at + FRESH_START_SECONDS:
-            return False
-        lasted = now - self._began
-        return lasted < HELD_WAIT_SECONDS or (self._offers > 0 and lasted < CONNECT_SECONDS)
-
     def _note_turns(self) -> None:
         """Tell when not all groups can be whole in time any more, and when they can again."""
         groups = len(self.scheduler.turns)
@@ -516,7 +461,7 @@
         engine = self._parts.engines.engines.get(start.engine)
         if work is None:
             return
-        name, runner = self._runner_of(start)
+        name, runner = self.offers.runner_of(start)
         logs.decision(
             "sample_started",
             sample=start.sample.id,
@@ -539,6 +484,8 @@
             order = _run_order(start, engine.entry.address, is_cold)
             outcome = await runner.run(order, self.scheduler.run_event)
         self._runs.pop(start.run, None)
+        if outcome.end is not RunEnd.WHOLE:
+            self.offers.take_runner(start.run)
         is_measured = outcome.end is RunEnd.WHOLE and not start.last_event and not start.runner
         if self.scaling is not None and is_measured:
             self.scaling.note_run(work, clock.monotonic() - began)
@@ -559,19 +506,10 @@
         )
         await self.wake.set()
 
-    def _runner_of(self, start: StartRun) -> tuple[str, Runner | None]:
-        """Return who runs a sample; a run that is taken over goes on where it is, or nowhere."""
-        if not start.runner:
-            return self.runners.runner_for(start.engine)
-        runner = self.runners.links.get(start.runner)
-        if runner is not None:
-            self._taken_over[start.run] = runner
-        return start.runner, runner
-
     async def _score(self, instruction: ScoreText) -> None:
         sample = instruction.sample
         name, runner = self.runners.runner_for(instruction.engine)
-        own = self._taken_over.pop(instruction.run, None)
+        own = self.offers.take_runner(instruction.run)
         if own is not None:
             name, runner = own.daemon.name, own
         outcome = await runner.score(instruction.run, sample.content)
@@ -678,17 +616,6 @@
         await self._carry_out()
 
 
-def _offered(message: OfferRuns) -> list[OfferedRun]:
-    columns = (
-        message.samples,
-        message.engines,
-        message.after_events,
-        map(RunName, message.epochs, message.runs),
-        map(RunName, message.text_epochs, message.text_runs),
-    )
-    return [OfferedRun(*each) for each in zip(*columns, strict=True)]
-
-
 def _run_order(start: StartRun, address: Address, is_cold: bool) -> RunOrder:
     return RunOrder(
         start.run,
--- a/src/pondtiller/gateway/tests/test_held_runs.py
+++ b/src/pondtiller/gateway/tests/test_held_runs.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pondtiller.daemon import clock
-from pondtiller.gateway import held_runs, replicas, term
+from pondtiller.gateway import held_runs, replicas, run_offers
 from pondtiller.gateway.held_runs import HeldRuns
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.run_host import RunHost
@@ -107,8 +107,8 @@
     if not is_on:
         monkeypatch.setattr(run_holding, "LONGEST_SECONDS", 0.0)
     # All parts share this process: an offer may take longer than between machines.
-    monkeypatch.setattr(term, "HELD_WAIT_SECONDS", 1.0)
-    monkeypatch.setattr(term, "FRESH_START_SECONDS", 0.0)
+    monkeypatch.setattr(run_offers, "HELD_WAIT_SECONDS", 1.0)
+    monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.0)
 
     async def test(system: System) -> None:
         leader, working = await running(system)
@@ -131,15 +131,17 @@
         leader = await system.until_led()
         first = leader.duties.term
         await system.until(lambda: first._has_texts)
-        assert not first._awaits_offers(first._began)
-        monkeypatch.setattr(term, "FRESH_START_SECONDS", 0.1)
+        assert not first.offers.are_awaited(first.offers._began)
+        monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.1)
         await system.tasks[leader].cancel()
         others = [each for each in system.gateways if each is not leader]
         await system.until(lambda: any(each.duties.term for each in others), 6.0)
         second = next(each.duties.term for each in others if each.duties.term)
         await system.until(lambda: second._has_texts)
-        assert second._awaits_offers(second._began)
-        assert not second._awaits_offers(second._began + term.HELD_WAIT_SECONDS + 0.01)
+        assert second.offers.are_awaited(second.offers._began)
+        assert not second.offers.are_awaited(
+            second.offers._began + run_offers.HELD_WAIT_SECONDS + 0.01
+        )
 
     run_system(tmp_path, test, gateways=2)
 
@@ -180,7 +182,7 @@
 def test_a_successor_that_runners_do_not_reach_has_no_sample_run_twice(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(term, "FRESH_START_SECONDS", 0.0)
+    monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.0)
 
     async def hangs(*_given: object) -> None:
         await curio.sleep(LONG_SECONDS)
@@ -200,8 +202,8 @@
 def test_a_link_that_is_lost_after_the_answer_has_no_sample_run_twice(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(term, "FRESH_START_SECONDS", 0.0)
-    monkeypatch.setattr(term, "HELD_WAIT_SECONDS", 0.4)
+    monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.0)
+    monkeypatch.setattr(run_offers, "HELD_WAIT_SECONDS", 0.4)
     run = RunnerLink.run
 
     async def is_reset(link: RunnerLink, order: RunOrder, take: EventSink) -> RunOutcome:
@@ -225,8 +227,8 @@
 def test_a_leader_that_stops_hands_its_runs_on_and_each_text_is_scored_once(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(term, "HELD_WAIT_SECONDS", 1.0)
-    monkeypatch.setattr(term, "FRESH_START_SECONDS", 0.0)
+    monkeypatch.setattr(run_offers, "HELD_WAIT_SECONDS", 1.0)
+    monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.0)
 
     async def test(system: System) -> None:
         leader, working = await running(system)
@@ -345,7 +347,7 @@
         await curio.sleep(0.1)
         await world.host.lost(first)
         held = world.held.runs["s"].run
-        await held.ended(term.RunOutcome(RunEnd.WHOLE, "200"))
+        await held.ended(RunOutcome(RunEnd.WHOLE, "200"))
         await held.scored(ScoreOutcome(ScoreEnd.SCORED, "good", "200"))
         again = BeginRun(epoch=6, run=7, engine="e", sample="s", held_epoch=5, held_run=1)
         await world.host.take(second, again)
--- a/src/pondtiller/rollouts/tests/test_run_holding.py
+++ b/src/pondtiller/rollouts/tests/test_run_holding.py
@@ -7,7 +7,7 @@
 from pondtiller.gateway.replicas import STALE_VIEW_SECONDS
 from pondtiller.gateway.run_host import NEWS_SECONDS
 from pondtiller.gateway.run_links import RUNNER_SILENT_SECONDS
-from pondtiller.gateway.term import HELD_WAIT_SECONDS
+from pondtiller.gateway.run_offers import HELD_WAIT_SECONDS
 from pondtiller.rollouts.run_holding import (
     HEARD_SECONDS,
     LEADER_SILENT_SECONDS,
