Runs that were offered while texts are read are waited for

Its log: the term after 25.8 s read texts for 0.23 s, so its wait of 0.2 s for offers was over when it could take runs; runners had been told to come again and did 0.09 s later, when all their samples had been begun anew (0 of 26 runs taken; 22 of 63 in the next term, 0.9 s later).

Ruled out: texts that did not fit (runs that had not been begun anew were taken).

Now a leader remembers whom it told to come again, and begins no sample until they did, 0.25 s after the texts at most; runners come again after 0.05 s (0.1 s). The test fails without it (8 requests at engines, 4 expected).

--- a/src/pondtiller/gateway/held_runs.py
+++ b/src/pondtiller/gateway/held_runs.py
@@ -22,8 +22,8 @@
 
 LOOK_SECONDS = 0.05
 """How soon a new leader is noticed. It waits 0.2 s for offers (`HELD_WAIT_SECONDS`)."""
-OFFER_PAUSE_SECONDS = 0.1
-"""Between two offers that were refused at once: nobody listens there, or does not lead yet."""
+OFFER_PAUSE_SECONDS = 0.05
+"""Between two offers that were refused at once: nobody listens there, or it reads texts first."""
 
 AskLeader = Callable[[OfferRuns, float], Awaitable[RunsTaken | None]]
 
--- a/src/pondtiller/gateway/run_offers.py
+++ b/src/pondtiller/gateway/run_offers.py
@@ -21,6 +21,10 @@
 FRESH_START_SECONDS = 2.0
 """A start of all machines has a leader 0.7 s to 1.1 s after the gateways' own (note 23)."""
 
+COME_AGAIN_SECONDS = 0.25
+"""From the reading of the texts until runners that offered before it must have offered again: they
+pause 0.05 s, look each 0.05 s, and an answer takes 40 ms between regions."""
+
 
 class RunOffers:
     """What runners offer to one term of a leader.
@@ -55,6 +59,8 @@
         self._carry_out = carry_out
         self._began = began
         self._connecting = 0
+        self._texts_read = began
+        self._to_come_again: set[str] = set()
         self._runner_of: dict[int, RunnerLink] = {}
 
     def are_awaited(self, now: float) -> bool:
@@ -66,7 +72,14 @@
         if self._began < self._leadership.started_at + FRESH_START_SECONDS:
             return False
         lasted = now - self._began
-        return lasted < HELD_WAIT_SECONDS or (self._connecting > 0 and lasted < CONNECT_SECONDS)
+        if lasted < HELD_WAIT_SECONDS or (self._connecting > 0 and lasted < CONNECT_SECONDS):
+            return True
+        return bool(self._to_come_again) and now < self._texts_read + COME_AGAIN_SECONDS
+
+    def texts_read(self, now: float) -> None:
+        """Take that the texts that earlier leaders left were read: runs can be taken over."""
+        self.has_texts = True
+        self._texts_read = now
 
     async def take(self, message: OfferRuns) -> RunsTaken:
         """Go on with the runs of a runner; the answer tells which.
@@ -81,8 +94,12 @@
         finally:
             self._connecting -= 1
         now = clock.monotonic()
-        if not self.has_texts or not self._leadership.log.holds_lease(now):
+        if not self.has_texts:
             # The runner asks again; it must not wait for an answer to know that this leader lives.
+            self._to_come_again.add(daemon.name)
+            return RunsTaken(status=StepStatus.UNAVAILABLE)
+        self._to_come_again.discard(daemon.name)
+        if not self._leadership.log.holds_lease(now):
             return RunsTaken(status=StepStatus.UNAVAILABLE)
         taken = [
             link is not None and self._scheduler.take_over(each, daemon.name, now)
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -259,7 +259,8 @@
         began = clock.monotonic()
         await self._read_progress()
         read_at = clock.monotonic()
-        self._has_texts = self.offers.has_texts = True
+        self._has_texts = True
+        self.offers.texts_read(read_at)
         self._table = self._parts.front.table
         for record in self.book.steps.values():
             self._schedule(record)
--- a/src/pondtiller/gateway/tests/test_held_runs.py
+++ b/src/pondtiller/gateway/tests/test_held_runs.py
@@ -14,6 +14,7 @@
 from pondtiller.gateway.run_host import RunHost
 from pondtiller.gateway.run_links import RUNNER_LOST, RunnerLink
 from pondtiller.gateway.sample_runner import EventSink, RunOrder, RunOutcome, ScoreOutcome
+from pondtiller.gateway.term import Term
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.gateway.tests.test_runs_elsewhere import Engine, FakeLink, connected, texts
 from pondtiller.platform.standins import StandInEngine
@@ -124,6 +125,32 @@
     run_system(tmp_path, test, gateways=3)
 
 
+def test_runs_that_were_offered_before_the_texts_were_read_are_waited_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The wait for offers ends before the texts are read; the runners were told to come again."""
+    monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.0)
+    monkeypatch.setattr(run_offers, "HELD_WAIT_SECONDS", 0.0)
+    monkeypatch.setattr(run_offers, "COME_AGAIN_SECONDS", 1.0)
+    usual = Term._read_progress
+
+    async def slowly(read: Term) -> None:
+        await usual(read)
+        await curio.sleep(0.5)
+
+    monkeypatch.setattr(Term, "_read_progress", slowly)
+
+    async def test(system: System) -> None:
+        leader, working = await running(system)
+        others = [each for each in system.gateways if each is not leader]
+        await end_process(system, leader)
+        await read_elsewhere(system, others)
+        assert sum(len(each.seen) for each in system.llm) == 4
+        assert working.doubled_seconds() < TWICE_SECONDS
+
+    run_system(tmp_path, test, gateways=3)
+
+
 def test_a_leader_that_has_just_started_waits_for_no_runs(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
