--- a/src/pondtiller/cli/explain.py
+++ b/src/pondtiller/cli/explain.py
@@ -14,7 +14,7 @@
 
 FIELD = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
 TIME = re.compile(r"(?:^|\s)t=(\d+\.\d+)\s")
-IDENTIFIERS = ("request", "sample", "step")
+IDENTIFIERS = ("request", "sample", "step", "content")
 GZIP_SUFFIX = ".gz"
 LOG_NAME = re.compile(r"\.log(\.gz)?$")
 
@@ -122,7 +122,7 @@
     name = "explain"
     description = "Tell from logs what became of a request, a sample or a step, and why."
     arguments = [
-        argument("id", "Identifier of a request, a sample or a step."),
+        argument("id", "Identifier of a request, a sample or a step, or digits of a content."),
         argument(
             "files", "Logs of any machines, also packed by gzip; folders of logs.", multiple=True
         ),
--- a/src/pondtiller/gateway/engine_pool.py
+++ b/src/pondtiller/gateway/engine_pool.py
@@ -139,6 +139,13 @@
             if connection.is_clean():
                 return connection
             await connection.close()
+        return await self._open(engine, address)
+
+    async def open_kept(self, engine: str, address: Address) -> None:
+        """Open a connection and keep it; raises `NotSentError` where none comes up."""
+        await self.give_back_unused(await self._open(engine, address))
+
+    async def _open(self, engine: str, address: Address) -> EngineConnection:
         try:
             stream = await curio.timeout_after(
                 CONNECT_SECONDS, curio.open_connection, address.host, address.port
--- a/src/pondtiller/gateway/figure_sources.py
+++ b/src/pondtiller/gateway/figure_sources.py
@@ -72,6 +72,7 @@
             "held_cold": metrics.held_cold,
             "rate_admitted": metrics.rate_admitted,
             "rate_refused": metrics.rate_refused,
+            "ends_seen": metrics.ends_seen,
             "scale_orders": metrics.scale_orders,
             "scale_orders_failed": metrics.scale_orders_failed,
         }
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -10,6 +10,7 @@
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.errors import ErrorKind, Failure, Ran
 from pondtiller.gateway.cold_sends import ColdSends
+from pondtiller.gateway.engine_ends import EngineEnds
 from pondtiller.gateway.engine_pool import (
     AnswerHead,
     EngineConnection,
@@ -20,6 +21,7 @@
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.tries import Attempt, Tries, WholeAnswer
 from pondtiller.gateway.waiting import LOOK_AGAIN_SECONDS, WaitingLine, WaitingLines
+from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import Headers
@@ -67,6 +69,9 @@
         When the answer is due, on the steady clock.
     beginning
         Whose request it is, and when an engine began it.
+    content
+        Digest of what makes it the same request when it comes again: caller, host, method, path
+        and body.
     """
 
     identifier: str
@@ -76,6 +81,7 @@
     body: bytes
     deadline: float
     beginning: Beginning = field(default_factory=Beginning)
+    content: str = ""
 
 
 class Forwarder:
@@ -89,6 +95,11 @@
         Asked right before a request leaves.
     cold
         Which engines are cold, and this daemon's shares of them; None where none ever is.
+
+    Attributes
+    ----------
+    ends
+        Asked whether an engine has ended at which a request broke off.
     """
 
     def __init__(
@@ -104,6 +115,7 @@
         self._silent_zones = SilentZones(zone)
         self._cold = cold
         self._engines = engines
+        self.ends = EngineEnds(engines, pool, metrics)
         self._gate = gate
         self._pool = pool
         self._metrics = metrics
@@ -349,7 +361,11 @@
             tries.unreachable(engine)
             await ended.put(Attempt(engine, None, f"{engine.identifier}:unreachable"))
         except BrokenError as error:
-            broken = f"{engine.identifier}:broken({error})"
+            has_ended = await self.ends.confirm(
+                engine.identifier, engine.entry.address, request.identifier, request.content
+            )
+            how = "ended" if has_ended else "broken"
+            broken = f"{engine.identifier}:{how}({error})"
             await ended.put(Attempt(engine, None, broken, may_have_run=True))
 
     def _judge(
@@ -508,6 +524,7 @@
         logs.decision(
             "request_failed" if is_failure else "request_answered",
             request=request.identifier,
+            content=request.content[:DIGEST_SHOWN],
             route=route.name,
             service=service,
             engines_revision=self._engines.revision,
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -15,7 +15,7 @@
 from pondtiller.gateway.streams import StreamForwarder
 from pondtiller.gateway.tenant_rates import TenantRates
 from pondtiller.gateway.tries import WholeAnswer
-from pondtiller.hashing import DIGEST_SHOWN
+from pondtiller.hashing import DIGEST_SHOWN, content_digest
 from pondtiller.httpio.messages import HttpRequest, HttpResponse
 from pondtiller.httpio.server import ConnectionLostError, Exchange
 from pondtiller.platform import engine_format, names, step_format
@@ -320,11 +320,18 @@
         target=request.target,
         headers=engine_format.tenant_headers(request.raw_headers, beginning.tenant),
         body=request.body,
+        content=_content(request, beginning.tenant),
         deadline=clock.monotonic() + (limit if seconds is None else min(limit, seconds)),
         beginning=beginning,
     )
 
 
+def _content(request: HttpRequest, tenant: str) -> str:
+    host = request.headers.get("host", "")
+    texts = (tenant, host, request.method, request.target)
+    return content_digest(*(each.encode("utf-8", "surrogatepass") for each in texts), request.body)
+
+
 def _failure(failure: Failure) -> HttpResponse:
     answer = failure.answer
     headers: tuple[tuple[str, str], ...] = ()
--- a/src/pondtiller/gateway/metrics.py
+++ b/src/pondtiller/gateway/metrics.py
@@ -33,6 +33,8 @@
         Requests that left for cold engines, and that did not, since no share was held.
     rate_admitted, rate_refused
         Requests of tenants that have a rate.
+    ends_seen
+        Requests that broke off at an engine that had ended.
     runs_taken_over
         Runs of an earlier leader that this one went on with.
     """
@@ -53,6 +55,7 @@
     held_cold: int = 0
     rate_admitted: int = 0
     rate_refused: int = 0
+    ends_seen: int = 0
     scale_orders: int = 0
     scale_orders_failed: int = 0
 
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -11,6 +11,7 @@
 from pondtiller.gateway.cold_sends import ColdSends
 from pondtiller.gateway.engine_pool import EngineConnection, EnginePool, HeldBackError
 from pondtiller.gateway.forward import ForwardedRequest, Forwarder
+from pondtiller.hashing import content_digest
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import EventReader
@@ -144,6 +145,7 @@
         except NotSentError as error:
             return RunOutcome(RunEnd.BROKEN, f"unreachable({error})")
         except BrokenError as error:
+            await self._forwarder.ends.confirm(order.engine, order.address, order.sample, "")
             return RunOutcome(RunEnd.BROKEN, str(error))
         finally:
             if connection is not None:
@@ -211,6 +213,7 @@
             target=scorer.path,
             headers=engine_format.scorer_headers(scorer.id, scorer.host, scorer.body),
             body=scorer.body,
+            content=content_digest(scorer.host.encode(), scorer.path.encode(), scorer.body),
             deadline=clock.monotonic() + seconds,
         )
         answer = await self._forwarder.whole(
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -12,6 +12,7 @@
 )
 from pondtiller.gateway.forward import ForwardedRequest, Forwarder
 from pondtiller.gateway.tries import Tries
+from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import ConnectionLostError, Exchange, failure_response
@@ -48,6 +49,7 @@
         logs.decision(
             "stream_ended",
             request=request.identifier,
+            content=request.content[:DIGEST_SHOWN],
             route=route.name,
             last_event=state.last_event,
             tried=";".join(state.tries.details),
@@ -104,7 +106,11 @@
             return RETRY
         except BrokenError as error:
             engine.note_failure(clock.monotonic())
-            tries.details.append(f"{engine.identifier}:broken({error})")
+            has_ended = await self._forwarder.ends.confirm(
+                engine.identifier, engine.entry.address, request.identifier, request.content
+            )
+            how = "ended" if has_ended else "broken"
+            tries.details.append(f"{engine.identifier}:{how}({error})")
             return RETRY if route.may_resume else Failure(ErrorKind.OUTCOME_UNKNOWN)
         finally:
             engine.end_work()
--- a/src/pondtiller/hashing.py
+++ b/src/pondtiller/hashing.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing: every member computes the same owner from the same view."""
 
+import hashlib
 from collections.abc import Iterable
 
 import xxhash
@@ -28,6 +29,18 @@
     return xxhash.xxh3_128_hexdigest(_encode(text))
 
 
+def content_digest(*parts: bytes) -> str:
+    """Return a 128-bit digest of texts in their order, in hexadecimal.
+
+    A cryptographic one: whoever sends a text must not be able to make another's digest.
+    """
+    hasher = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        hasher.update(len(part).to_bytes(8, "big"))
+        hasher.update(part)
+    return hasher.hexdigest()
+
+
 def _encode(text: str) -> bytes:
     # JSON may carry lone surrogates, which strict UTF-8 refuses.
     return text.encode("utf-8", "surrogatepass")
