--- /dev/null
+++ b/src/pondtiller/gateway/tests/ending_engine.py
@@ -0,0 +1,95 @@
+"""An engine that ends under some requests and starts again a moment later."""
+
+from typing import NamedTuple
+
+import curio
+
+from pondtiller.core.entities import Address
+from pondtiller.daemon import clock
+from pondtiller.daemon.spawner import Spawner
+from pondtiller.gateway.tests.system import System
+from pondtiller.httpio.server import ConnectionLostError, Exchange, bind_tcp, serve_http
+from pondtiller.platform.standins import StandInEngine, StandInStore
+
+ENDING = b"ends what runs it"
+WORK_SECONDS = 0.02
+DOWN_SECONDS = 0.3
+
+
+class EndingRun(NamedTuple):
+    """A run of a request under which the engine ends."""
+
+    engine: str
+    at: float
+
+
+class EndingEngine(StandInEngine):
+    """Ends when it runs a request whose body is `ENDING`; is back at its address as another start.
+
+    Attributes
+    ----------
+    runs
+        Of requests under which it ended, on the steady clock.
+    """
+
+    def __init__(self, identifier: str, service: str, store: StandInStore) -> None:
+        super().__init__(identifier, service)
+        self.runs: list[EndingRun] = []
+        self._store = store
+        self._first_name = identifier
+        self._starts = 1
+        self._over = curio.Event()
+
+    async def serve(self) -> None:
+        """Answer, end and start again until cancelled."""
+        while True:
+            async with Spawner() as group:
+                task = await group.spawn(serve_http, self.listener, self._handle)
+                await self._over.wait()
+                await task.cancel()
+            await self._start_again()
+
+    async def _start_again(self) -> None:
+        address = Address(*self.listener.getsockname())
+        await self.listener.close()
+        await curio.sleep(DOWN_SECONDS)
+        self.listener = bind_tcp(address.host, address.port)
+        self._over.clear()
+        self._store.remove("servers", self.identifier)
+        self._starts += 1
+        self.identifier = f"{self._first_name}-{self._starts}"
+        self._store.put("servers", self.identifier, self.entry())
+
+    async def whole(self, exchange: Exchange) -> None:
+        """Answer, or end."""
+        await self._end_under(exchange)
+        await super().whole(exchange)
+
+    async def stream(self, exchange: Exchange, stop_after: int = 1_000_000) -> None:
+        """Stream, or end before the first event."""
+        await self._end_under(exchange)
+        await super().stream(exchange, stop_after)
+
+    async def _end_under(self, exchange: Exchange) -> None:
+        if exchange.request.body != ENDING:
+            return
+        self.runs.append(EndingRun(self.identifier, clock.monotonic()))
+        await curio.sleep(WORK_SECONDS)
+        await self._over.set()
+        raise ConnectionLostError("the engine ends")
+
+
+async def replace_engines(system: System, service: str, count: int) -> list[EndingEngine]:
+    """Put engines that end in place of a service's."""
+    for engine in (*system.app, *system.llm):
+        if engine.service == service:
+            system.store.remove("servers", engine.identifier)
+    engines = [EndingEngine(f"x{number}", service, system.store) for number in range(count)]
+    for engine in engines:
+        if service == "llm":
+            engine.models = ["m"]
+        await system.group.spawn(engine.serve)
+        system.store.put("servers", engine.identifier, engine.entry())
+    names = {engine.identifier for engine in engines}
+    await system.until(lambda: all(names <= set(each.engines.engines) for each in system.gateways))
+    return engines
