A content under which three engines ended is held back from all engines by all gateways

Its class: state about a cause was kept by request and by process, while the cause comes again under other names at other processes.

Mended: ends are counted by content (caller, host, method, path, body; a sample by its identifier). An end is what the engine's port says after a request broke off there, of an engine that was not leaving. Three ends with no answer between: 503 as not run, with the time left; samples wait. What is known stands in the store, one object a content written under its revision; each gateway follows it, replicas mirror it. An answer anywhere forgets the ends; a content answered within the last minute is not suspected, since a content that many send is at work at every end.

Ruled out: counting by request (each comes once), by gateway (nine gateways allow 27 ends), by the leader's memory (lost with it).

--- a/src/pondtiller/errors.py
+++ b/src/pondtiller/errors.py
@@ -33,6 +33,7 @@
     EXPIRED_IN_QUEUE = "expired_in_queue"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ENGINE_FAILED = "engine_failed"
+    ENDS_ENGINES = "ends_engines"
     OUTCOME_UNKNOWN = "outcome_unknown"
     UNKNOWN_STEP = "unknown_step"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -96,6 +97,9 @@
     ErrorKind.ENGINE_FAILED: ErrorAnswer(
         502, Ran.UNKNOWN, True, 1, "Engines failed while the request ran"
     ),
+    ErrorKind.ENDS_ENGINES: ErrorAnswer(
+        503, Ran.NO, False, 3600, "Engines ended under requests like this one, so it was not run"
+    ),
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(
         502, Ran.UNKNOWN, False, None, "The request may have run and will not be run again"
     ),
--- a/src/pondtiller/gateway/engine_ends.py
+++ b/src/pondtiller/gateway/engine_ends.py
@@ -10,6 +10,7 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.gateway.engine_pool import EnginePool
 from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.suspects import SuspectContents
 from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.httpio.client import NotSentError
 from pondtiller.routes.engines import EngineDirectory
@@ -29,12 +30,21 @@
     ----------
     pool
         Keeps the connection of an engine that still listens, for a request to come.
+    suspects
+        Told of contents under which an engine ended.
     """
 
-    def __init__(self, engines: EngineDirectory, pool: EnginePool, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self,
+        engines: EngineDirectory,
+        pool: EnginePool,
+        metrics: GatewayMetrics,
+        suspects: SuspectContents,
+    ) -> None:
         self._engines = engines
         self._pool = pool
         self._metrics = metrics
+        self._suspects = suspects
         self._ended_at: dict[str, float] = {}
 
     async def confirm(self, engine: str, address: Address, request: str, content: str) -> bool:
@@ -42,7 +52,9 @@
 
         One that was leaving, or whose entry had gone, ends as planned, and is not counted.
         """
-        is_planned = not self._is_ready(engine)
+        known = self._engines.engines.get(engine)
+        start = known.entry.start if known is not None else engine
+        is_planned = known is None or known.gone_at is not None or known.is_leaving
         has_ended = await self._refuses(engine, address)
         if has_ended and not is_planned:
             self._metrics.ends_seen += 1
@@ -53,8 +65,10 @@
             engine=engine,
             has_ended=has_ended,
             is_planned=is_planned,
-            running=self._running(engine),
+            running=known.running if known is not None else 0,
         )
+        if has_ended and not is_planned:
+            await self._suspects.note_end(content, start)
         return has_ended and not is_planned
 
     async def _refuses(self, engine: str, address: Address) -> bool:
@@ -74,11 +88,3 @@
     def _forget(self, now: float) -> None:
         for engine in [each for each, at in self._ended_at.items() if now > at + KNOWN_SECONDS]:
             del self._ended_at[engine]
-
-    def _is_ready(self, engine: str) -> bool:
-        known = self._engines.engines.get(engine)
-        return known is not None and known.gone_at is None and not known.is_leaving
-
-    def _running(self, engine: str) -> int:
-        known = self._engines.engines.get(engine)
-        return known.running if known is not None else 0
--- a/src/pondtiller/gateway/figure_sources.py
+++ b/src/pondtiller/gateway/figure_sources.py
@@ -73,6 +73,7 @@
             "rate_admitted": metrics.rate_admitted,
             "rate_refused": metrics.rate_refused,
             "ends_seen": metrics.ends_seen,
+            "held_contents": metrics.held_contents,
             "scale_orders": metrics.scale_orders,
             "scale_orders_failed": metrics.scale_orders_failed,
         }
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -19,6 +19,7 @@
     SilentEngineError,
 )
 from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.suspects import SuspectContents
 from pondtiller.gateway.tries import Attempt, Tries, WholeAnswer
 from pondtiller.gateway.waiting import LOOK_AGAIN_SECONDS, WaitingLine, WaitingLines
 from pondtiller.hashing import DIGEST_SHOWN
@@ -29,7 +30,7 @@
 from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.live_queue import LiveQueue, Pace, Ticket, may_get, pace_of
 from pondtiller.routes.places import Distance
-from pondtiller.routes.send_gate import SendGate
+from pondtiller.routes.send_gate import Held, SendGate
 from pondtiller.routes.silent_zones import SilentZones
 from pondtiller.routes.table import RequestKind, RouteRow
 from pondtiller.usage.meter import Beginning
@@ -98,6 +99,8 @@
 
     Attributes
     ----------
+    suspects
+        Contents under which engines ended.
     ends
         Asked whether an engine has ended at which a request broke off.
     """
@@ -110,12 +113,14 @@
         metrics: GatewayMetrics,
         gate: SendGate,
         cold: ColdSends | None = None,
+        suspects: SuspectContents | None = None,
     ) -> None:
         self._zone = zone
         self._silent_zones = SilentZones(zone)
         self._cold = cold
         self._engines = engines
-        self.ends = EngineEnds(engines, pool, metrics)
+        self.suspects = suspects or SuspectContents(metrics)
+        self.ends = EngineEnds(engines, pool, metrics, self.suspects)
         self._gate = gate
         self._pool = pool
         self._metrics = metrics
@@ -183,12 +188,14 @@
             if now >= request.deadline:
                 return self._late(route, tries)
             if not tries.running:
+                if self.suspects.is_held(request.content):
+                    return self._held_content(request, tries)
                 failure = await self._start_in_turn(request, route, service, tries, ended, attempts)
                 if failure is not None:
                     return failure
             patience = request.deadline - now
             usual = self.usual_seconds(service)
-            if self._may_hedge(route, tries):
+            if self._may_hedge(request, route, tries):
                 patience = min(patience, usual)
             try:
                 attempt = await curio.timeout_after(patience, ended.get)
@@ -223,9 +230,16 @@
         engine = self.choose(service, set(), homes)
         return engine is not None and engine.running < engine.entry.slots * QUEUE_FILL
 
-    def _may_hedge(self, route: RouteRow, tries: Tries) -> bool:
+    def _may_hedge(self, request: ForwardedRequest, route: RouteRow, tries: Tries) -> bool:
+        """Return whether a second engine may get it too: not where an engine ended under it."""
+        if self.suspects.is_suspect(request.content):
+            return False
         return route.may_repeat and len(tries.engines) < route.attempts
 
+    def _held_content(self, request: ForwardedRequest, tries: Tries) -> Failure:
+        refusal = self.suspects.refuse(request.content)
+        return refusal if tries.ran is Ran.NO else Failure(ErrorKind.ENGINE_FAILED)
+
     async def _start(
         self,
         request: ForwardedRequest,
@@ -236,6 +250,8 @@
         attempts: Spawner,
     ) -> bool:
         """Begin an attempt at another engine; False where none may get the request now."""
+        if self.suspects.is_held(request.content):
+            return False
         engine = self._choose_with_room(route, service, tries)
         if engine is None:
             return False
@@ -305,6 +321,8 @@
         try:
             while clock.monotonic() < ticket.leave_by:
                 await line.wait_turn(ticket)
+                if self.suspects.is_held(request.content):
+                    return self._held_content(request, tries)
                 tries.look_again(route.may_repeat)
                 if line.queue.first is ticket and await self._start(
                     request, route, service, tries, ended, attempts
@@ -451,6 +469,12 @@
             connection = await self._pool.take_to_send(
                 engine.identifier, engine.entry.address, self._gate
             )
+            # Other runs of the same content may have ended their engines while this one waited for
+            # a connection: each send after the last end that is allowed costs an engine.
+            if self.suspects.is_held(request.content):
+                await self._pool.give_back_unused(connection)
+                connection = None
+                raise HeldBackError(Held.ENDS_ENGINES)
             tries.sent += 1
             request.beginning.sent(clock.monotonic())
             is_silent = True
@@ -461,6 +485,8 @@
             if engine_format.is_not_run(head.status, head.headers):
                 tries.sent -= 1
                 request.beginning.refused()
+            else:
+                await self.suspects.note_answer(request.content)
             is_answered = 200 <= head.status < 300
             await self._pool.give_back(connection)
             connection = None
--- a/src/pondtiller/gateway/metrics.py
+++ b/src/pondtiller/gateway/metrics.py
@@ -35,6 +35,8 @@
         Requests of tenants that have a rate.
     ends_seen
         Requests that broke off at an engine that had ended.
+    held_contents
+        Requests that were refused since engines ended under their content.
     runs_taken_over
         Runs of an earlier leader that this one went on with.
     """
@@ -56,6 +58,7 @@
     rate_admitted: int = 0
     rate_refused: int = 0
     ends_seen: int = 0
+    held_contents: int = 0
     scale_orders: int = 0
     scale_orders_failed: int = 0
 
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -29,6 +29,8 @@
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.store_watch import StoreHealth
 from pondtiller.gateway.streams import StreamForwarder
+from pondtiller.gateway.suspect_sharing import SuspectSharing
+from pondtiller.gateway.suspects import SuspectContents
 from pondtiller.gateway.tenant_rates import TenantRates
 from pondtiller.gateway.term import DutyParts
 from pondtiller.gateway.usage_teller import UsageTeller
@@ -76,8 +78,15 @@
         self.cold = ColdSends(cold, self.shares, self.metrics)
         self.gate.rules.append(self.cold.rule)
         self.gate.unknown_rule = self.cold.unknown_rule
+        self.suspects = SuspectContents(self.metrics)
         forwarder = self.forwarder = Forwarder(
-            settings.zone, self.engines, self.pool, self.metrics, self.gate, self.cold
+            settings.zone,
+            self.engines,
+            self.pool,
+            self.metrics,
+            self.gate,
+            self.cold,
+            self.suspects,
         )
         self.sockets = GatewaySockets(settings)
         rules = PlaceRules(settings.tolerance, self.places)
@@ -148,6 +157,7 @@
             cold=cold,
             find_terms=self._rate_terms,
             scaling=scaling_settings(settings),
+            is_held=self.suspects.is_held,
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
@@ -161,6 +171,15 @@
             lambda: self.mirrored_store.follows_mirrors,
             keys.wait_seconds,
         )
+        self.suspect_sharing = SuspectSharing(
+            self.suspects,
+            self.store,
+            self.mirrored_store,
+            health,
+            self._view_changed,
+            lambda: self.leadership.log.is_leading,
+            self.watches.longest_retry,
+        )
         self.evacuations: EvacuationWatch | None = None
         if settings.evacuation.within:
             self.evacuations = EvacuationWatch(
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -65,6 +65,8 @@
             )
             await group.spawn(keep_running, "configuration", self.watches.configuration.run)
             await group.spawn(keep_running, "engines", self.watches.engines.run)
+            await group.spawn(keep_running, "suspects", self.suspect_sharing.watch.run)
+            await group.spawn(keep_running, "suspects told", self.suspect_sharing.run)
             if self.evacuations is not None:
                 await group.spawn(keep_running, "evacuations", self.evacuations.watch.run)
             await group.spawn(keep_running, "leadership", self.leadership.run)
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -16,6 +16,7 @@
 from pondtiller.platform import engine_format
 from pondtiller.platform.engine_format import EventReader
 from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
+from pondtiller.routes.quarantine import sample_content
 from pondtiller.routes.send_gate import Held, SendGate
 from pondtiller.routes.table import RouteTable
 from pondtiller.wire.steplog import Sample, Scorer
@@ -26,6 +27,9 @@
 SHORTEST_SCORER_SECONDS = 0.6
 SCORER_ENGINES = 2
 
+ANSWERED_ENDS = (RunEnd.WHOLE, RunEnd.FAILED, RunEnd.IMPOSSIBLE)
+"""Ends of a run that an engine told, and so outlived."""
+
 EventSink = Callable[[int, int, str, int, float], bool]
 
 
@@ -132,10 +136,16 @@
         if self._gate.engines.has_left(order.engine, clock.monotonic()):
             return RunOutcome(RunEnd.REFUSED, Held.LEAVING.value)
         connection: EngineConnection | None = None
+        content = sample_content(order.sample)
+        suspects = self._forwarder.suspects
         await self._prepare(order)
         try:
             connection = await self._pool.take_to_send(order.engine, order.address, self._gate)
+            if suspects.is_held(content):
+                raise HeldBackError(Held.ENDS_ENGINES)
             outcome = await self._stream(order, connection, take)
+            if outcome.end in ANSWERED_ENDS:
+                await suspects.note_answer(content)
             if outcome.end is not RunEnd.STALE:
                 await self._pool.give_back(connection)
                 connection = None
@@ -145,7 +155,7 @@
         except NotSentError as error:
             return RunOutcome(RunEnd.BROKEN, f"unreachable({error})")
         except BrokenError as error:
-            await self._forwarder.ends.confirm(order.engine, order.address, order.sample, "")
+            await self._forwarder.ends.confirm(order.engine, order.address, order.sample, content)
             return RunOutcome(RunEnd.BROKEN, str(error))
         finally:
             if connection is not None:
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -3,7 +3,7 @@
 import curio
 
 from pondtiller.daemon import clock, logs
-from pondtiller.errors import ErrorKind, Failure
+from pondtiller.errors import ErrorKind, Failure, Ran
 from pondtiller.gateway.engine_pool import (
     AnswerHead,
     EngineConnection,
@@ -80,6 +80,10 @@
         state: StreamState,
     ) -> Failure | None:
         tries = state.tries
+        if self._forwarder.suspects.is_held(request.content):
+            if tries.ran is not Ran.NO:
+                return Failure(ErrorKind.ENGINE_FAILED)
+            return self._forwarder.suspects.refuse(request.content)
         engine = self._forwarder.choose(service, tries.passed_over, route.homes)
         if engine is None or len(tries.engines) >= route.attempts:
             return Failure(
@@ -95,6 +99,8 @@
             connection = await self._pool.take_to_send(
                 engine.identifier, engine.entry.address, self._gate
             )
+            if self._forwarder.suspects.is_held(request.content):
+                return RETRY
             return await self._pass_on(exchange, request, route, engine, connection, state)
         except HeldBackError as error:
             tries.hold_back(engine, error.reason)
@@ -135,17 +141,19 @@
         head = await connection.read_answer(request.identifier)
         self._forwarder.note_heard(engine)
         if not 200 <= head.status < 300:
-            return await self._refused(exchange, connection, head, route, state)
+            return await self._refused(exchange, request, connection, head, route, state)
         if not state.is_begun:
             state.is_begun = True
             await exchange.start_response(head.status, engine_format.returned_headers(head.headers))
         await self._pass_events(exchange, request, connection, state)
+        await self._forwarder.suspects.note_answer(request.content)
         await exchange.end_stream()
         return None
 
     async def _refused(
         self,
         exchange: Exchange,
+        request: ForwardedRequest,
         connection: EngineConnection,
         head: AnswerHead,
         route: RouteRow,
@@ -156,6 +164,7 @@
         if engine_format.is_not_run(head.status, head.headers):
             state.tries.sent -= 1
             return RETRY
+        await self._forwarder.suspects.note_answer(request.content)
         if route.may_resume or state.is_begun:
             return RETRY if route.may_resume else Failure(ErrorKind.ENGINE_FAILED)
         headers = engine_format.returned_headers(head.headers)
--- /dev/null
+++ b/src/pondtiller/gateway/suspects.py
@@ -0,0 +1,80 @@
+"""What this gateway knows of contents that end engines, and what is still to be told to others."""
+
+import curio
+
+from pondtiller.daemon import clock, logs
+from pondtiller.errors import ErrorKind, Failure
+from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.hashing import DIGEST_SHOWN
+from pondtiller.routes.quarantine import Quarantine, Suspect
+
+TELL_SECONDS = 0.3
+"""How long a first end is kept to itself. Most requests that broke off with an engine are answered
+by the next one within this time, and then there is nothing to write."""
+SOON_ENDS = 2
+"""Ends from which on each further one is told at once: the next may be the last that is allowed."""
+
+
+class SuspectContents:
+    """Asked before a request leaves, and told how its runs end.
+
+    Attributes
+    ----------
+    untold
+        Contents whose news others must hear, with the steady time by which to tell.
+    has_news
+        Set when something is to be told.
+    """
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        self.quarantine = Quarantine()
+        self.untold: dict[str, float] = {}
+        self.has_news = curio.Event()
+        self._metrics = metrics
+
+    def is_held(self, content: str) -> bool:
+        """Return whether no engine may get a content."""
+        return bool(self.quarantine.suspects) and self.quarantine.is_held(content, clock.wall())
+
+    def is_suspect(self, content: str) -> bool:
+        """Return whether an engine is known to have ended under a content."""
+        return content in self.quarantine.suspects
+
+    def refuse(self, content: str) -> Failure:
+        """Return the answer to a request that was not sent, since its content is held back."""
+        self._metrics.held_contents += 1
+        left = self.quarantine.seconds_left(content, clock.wall())
+        return Failure(ErrorKind.ENDS_ENGINES, retry_after_seconds=left)
+
+    async def note_end(self, content: str, engine: str) -> None:
+        """Take that an engine ended under a content."""
+        if not content:
+            return
+        now = clock.monotonic()
+        suspect = self.quarantine.note_end(content, engine, now, clock.wall())
+        if suspect is None:
+            return
+        is_soon = len(suspect.ends) >= SOON_ENDS
+        by = now if is_soon else now + TELL_SECONDS
+        self.untold[content] = min(by, self.untold.get(content, by))
+        self._log(suspect, engine)
+        await self.has_news.set()
+
+    async def note_answer(self, content: str) -> None:
+        """Take that an engine answered a content."""
+        if not content or not self.quarantine.note_answer(content, clock.monotonic()):
+            return
+        # Where nobody was told of the ends yet, there is nothing to take back.
+        if self.untold.pop(content, None) is None:
+            self.untold[content] = clock.monotonic()
+            await self.has_news.set()
+        logs.decision("content_cleared", content=content[:DIGEST_SHOWN])
+
+    def _log(self, suspect: Suspect, engine: str) -> None:
+        logs.decision(
+            "content_suspected",
+            content=suspect.content[:DIGEST_SHOWN],
+            engine=engine,
+            ends=len(suspect.ends),
+            is_held=suspect.is_held,
+        )
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -1,5 +1,6 @@
 """One term of a leader: keeps steps, runs their samples, brings engines to new versions."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -111,6 +112,7 @@
     cold: ColdEngines | None = None
     find_terms: FindTerms = no_terms
     scaling: ScalingSettings | None = None
+    is_held: Callable[[str], bool] | None = None
 
 
 class Term:
@@ -124,7 +126,11 @@
         self.book = StepBook()
         self.steward = VersionSteward(parts.engines)
         self.scheduler = SampleScheduler(
-            parts.engines, self.steward.is_loading, parts.leadership.zone, parts.cold
+            parts.engines,
+            self.steward.is_loading,
+            parts.leadership.zone,
+            parts.cold,
+            parts.is_held,
         )
         self.scheduler.epoch = won.epoch
         self.progress = ProgressSaver()
--- a/src/pondtiller/gateway/tests/test_ending_requests.py
+++ b/src/pondtiller/gateway/tests/test_ending_requests.py
@@ -1,25 +1,37 @@
 """A request that ends each engine which runs it.
 
-Seen: a service of three engines served nobody for seconds, again and again; fourteen engines ended in
-85 s. Order of events: a caller's request ended two engines within 0.07 s (its own two tries), its
-caller got 502 and came again with the same content, under a new identifier, at another gateway, which
-ended the third; the engines started again, and so on. Cause: each request had its own tries, and no
-gateway knew what a content had done before, here or elsewhere.
-
-Evidence: at each of the eight ends that gateways' logs hold, a request of that content's row broke off
-and the engine's port refused afterwards; the other row seen most was at five of them, and its requests
-were answered at their next try. Two engines ended at 8 requests a second, none at 163 a second, so the
-load did not end them; none ended without such a request, so they did not end by themselves.
+Seen: a service of three engines served nobody for seconds, again and again; fourteen engines ended
+in 85 s. Order of events: a caller's request ended two engines within 0.07 s (its own two tries),
+its caller got 502 and came again with the same content, under a new identifier, at another
+gateway, which ended the third; the engines started again, and so on. Cause: each request had its
+own tries, and no gateway knew what a content had done before, here or elsewhere.
+
+Evidence: at each of the eight ends that gateways' logs hold, a request of that content's row broke
+off and the engine's port refused afterwards; the other row seen most was at five of them, and its
+requests were answered at their next try. Two engines ended at 8 requests a second, none at 163 a
+second, so the load did not end them; none ended without such a request, so they did not end by
+themselves.
 """
 
+import base64
+import json
 from pathlib import Path
 
 import curio
 import pytest
 
 from pondtiller.daemon import clock
-from pondtiller.gateway.tests.ending_engine import ENDING, EndingRun, replace_engines
+from pondtiller.gateway.tests.ending_engine import (
+    DOWN_SECONDS,
+    ENDING,
+    EndingEngine,
+    EndingRun,
+    replace_engines,
+)
 from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.httpio.server import ConnectionLostError, Exchange
+from pondtiller.platform import names
+from pondtiller.platform.standins import configuration, step_body
 
 ENDS = 3
 """Ends under a content after which it is sent to no engine."""
@@ -67,3 +79,190 @@
         assert clock.monotonic() < began + 1.0
 
     run_system(tmp_path, test, gateways=3)
+
+
+async def until_ready(system: System) -> None:
+    await system.until_led()
+    await system.until(lambda: all(each.is_ready() for each in system.gateways))
+
+
+async def until_held(system: System, engines: list[EndingEngine], path: str = "/quote/7") -> int:
+    """Send the content until it is refused as not run; return the runs."""
+    for number in range(CALLS):
+        answer = await system.call("POST", path, ENDING, request_id=f"h{number}")
+        if answer.status == 503 and b"Engines ended" in answer.body:
+            return sum(len(engine.runs) for engine in engines)
+        await curio.sleep(PAUSE_SECONDS)
+    raise AssertionError("it was never held back")
+
+
+def held_at(system: System, gateway: int) -> bool:
+    suspects = system.gateways[gateway].suspects
+    return any(suspects.is_held(each) for each in suspects.quarantine.suspects)
+
+
+def test_a_gateway_that_starts_later_holds_a_content_back_at_once(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "app", 3)
+        runs = await until_held(system, engines)
+        await system.until(lambda: bool(system.store.kinds.get(names.SUSPECTS)))
+        late = system.make_gateway(1)
+        system.gateways.append(late)
+        await system.group.spawn(late.run)
+        await system.until(late.is_ready)
+        await system.until(lambda: held_at(system, 1))
+        answer = await system.call("POST", "/quote/7", ENDING, 1, request_id="late")
+        assert answer.status == 503
+        assert sum(len(engine.runs) for engine in engines) == runs
+
+    run_system(tmp_path, test)
+
+
+def test_what_happened_while_the_store_was_down_is_told_afterwards(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "app", 3)
+        # Engines that start again cannot be heard of while the store is down.
+        system.store.is_down = True
+        for number in range(3):
+            await system.call("POST", "/quote/7", ENDING, request_id=f"d{number}")
+        ends = sum(len(engine.runs) for engine in engines)
+        assert ends == ENDS
+        assert held_at(system, 0)
+        assert not held_at(system, 1)
+        system.store.is_down = False
+        await system.until(lambda: held_at(system, 1))
+
+    run_system(tmp_path, test, gateways=2)
+
+
+def test_the_operator_lets_a_content_through_again(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "app", 3)
+        runs = await until_held(system, engines)
+        await system.until(lambda: held_at(system, 1))
+        (content,) = system.store.kinds[names.SUSPECTS]
+        system.store.remove(names.SUSPECTS, content)
+        await system.until(lambda: not held_at(system, 0) and not held_at(system, 1))
+        await system.call("POST", "/quote/7", ENDING, 1, request_id="again")
+        assert sum(len(engine.runs) for engine in engines) > runs
+
+    run_system(tmp_path, test, gateways=2)
+
+
+def test_objects_that_are_not_to_be_read_hold_nothing_back(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        bad: list[object] = [None, 7, [], {}, {"ends": "x", "until": 1}, {"ends": [], "until": "x"}]
+        for number, spec in enumerate(bad):
+            system.store.put(names.SUSPECTS, f"bad{number}", spec)
+        engines = await replace_engines(system, "app", 3)
+        await until_held(system, engines)
+        assert len(system.gateways[0].suspects.quarantine.suspects) == 1
+        # Another version of the program may have written them.
+        assert set(system.store.kinds[names.SUSPECTS]) > {f"bad{each}" for each in range(len(bad))}
+
+    run_system(tmp_path, test)
+
+
+def test_what_broke_off_beside_it_is_answered_and_not_suspected(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "app", 3)
+        answered = 0
+
+        async def call_others() -> None:
+            nonlocal answered
+            number = 0
+            while True:
+                number += 1
+                body = f"other {number}".encode()
+                answer = await system.call("POST", "/quote/8", body, request_id=f"o{number}")
+                answered += answer.status == 200
+                await curio.sleep(0.01)
+
+        for _ in range(4):
+            await system.group.spawn(call_others)
+        await until_held(system, engines)
+        await curio.sleep(DOWN_SECONDS + 0.5)
+        before = answered
+        await curio.sleep(0.5)
+        assert answered > before
+        held = [
+            each
+            for each in system.gateways[0].suspects.quarantine.suspects.values()
+            if each.is_held
+        ]
+        assert len(held) == 1
+
+    run_system(tmp_path, test)
+
+
+def test_a_connection_that_breaks_alone_is_no_end(tmp_path: Path) -> None:
+    async def cut(_exchange: Exchange) -> None:
+        raise ConnectionLostError("cut")
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        for number in range(5):
+            for engine in system.app:
+                engine.next_behaviours.append(cut)
+            await system.call("POST", "/quote/7", b"cut", request_id=f"c{number}")
+            for engine in system.app:
+                engine.next_behaviours.clear()
+        assert system.gateways[0].suspects.quarantine.suspects == {}
+
+    run_system(tmp_path, test)
+
+
+def test_a_sample_that_ends_engines_is_soon_run_by_none_and_the_others_are_made(
+    tmp_path: Path,
+) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "llm", 3)
+        body = step_body("s1", 4, 1)
+        body["requests"][3]["body"] = base64.b64encode(ENDING).decode()
+        answer = await system.call(
+            "POST", "/rollout/x", json.dumps(body).encode(), 0, "train.example", request_id="s1"
+        )
+        assert answer.status == 202
+        listed = await system.read_all("s1", 3)
+        assert {each["id"] for each in listed} == {"s1-0", "s1-1", "s1-2"}
+        await curio.sleep(TOLD_SECONDS)
+        runs = [run for engine in engines for run in engine.runs]
+        assert len(runs) >= ENDS
+        await curio.sleep(2.0)
+        # The next leader learns of it too.
+        leader = next(each for each in system.gateways if each.duties.term is not None)
+        await leader.leadership.resign()
+        await curio.sleep(3.0)
+        runs = [run for engine in engines for run in engine.runs]
+        assert runs_after_the_last_end(runs) == []
+
+    run_system(tmp_path, test, gateways=2)
+
+
+def test_a_stream_that_ends_engines_is_soon_sent_to_none(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "app", 3)
+        given = configuration(4, *system.app, *system.llm)
+        row = {**given["routes"][0], "name": "talks", "path_prefix": "/talk/", "kind": "stream"}
+        given["routes"].append({**row, "resumable": True})
+        system.store.put("config", "main", given)
+        await system.until(
+            lambda: all(
+                each.front.table is not None and each.front.table.version == 4
+                for each in system.gateways
+            )
+        )
+        runs = await until_held(system, engines, "/talk/1")
+        await system.until(lambda: held_at(system, 1))
+        answer = await system.call("POST", "/talk/1", ENDING, 1, request_id="late")
+        assert answer.status == 503
+        assert sum(len(engine.runs) for engine in engines) == runs
+
+    run_system(tmp_path, test, gateways=2)
--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -49,12 +49,19 @@
             cold_seconds=_seconds(spec.get("cold_left_ms")) or 0.0,
             is_spot=spec.get("use_spot") is True,
             leaves_seconds=_seconds(spec.get("leaves_ms")),
+            started_ms=_started_ms(spec.get("born")),
             revision=revision,
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
 
 
+def _started_ms(given: Any) -> int:
+    """Return when an engine started, in ms since 1970; 0 where no whole number is given."""
+    is_whole = isinstance(given, int) and not isinstance(given, bool)
+    return given if is_whole and given > 0 else 0
+
+
 def _seconds(given: Any) -> float | None:
     """Return a duration that is given in ms; None where there is none, or no sensible number."""
     try:
--- a/src/pondtiller/platform/names.py
+++ b/src/pondtiller/platform/names.py
@@ -37,6 +37,7 @@
 EVACUATIONS = "evacuations"
 REPLICAS = "pondtiller-replicas"
 GROUPS = "pondtiller-groups"
+SUSPECTS = "pondtiller-suspects"
 """Kinds of the system's own objects."""
 
 SETTINGS_VARIABLE = "PONDTILLER_SETTINGS"
--- a/src/pondtiller/platform/objects.py
+++ b/src/pondtiller/platform/objects.py
@@ -1,9 +1,11 @@
 """The system's own objects, and the small ones of others, as typed values and back."""
 
+import math
 from dataclasses import dataclass
 from typing import Any
 
 from pondtiller.platform.object_client import StoreObject
+from pondtiller.routes.quarantine import Suspect
 from pondtiller.wire.steplog import Group, GroupMember
 
 GROUP_NAME = "first"
@@ -74,3 +76,19 @@
         return Group(generation=int(found.spec["generation"]), members=members)
     except (KeyError, TypeError, ValueError):
         return None
+
+
+def suspect_spec(suspect: Suspect) -> dict[str, Any]:
+    """Return a content under which engines ended as an object."""
+    return {"ends": sorted(suspect.ends), "until": suspect.until}
+
+
+def read_suspect(found: StoreObject) -> Suspect | None:
+    """Read the object of a content; None where it is not to be read."""
+    try:
+        ends, until = found.spec["ends"], float(found.spec["until"])
+    except (KeyError, TypeError, ValueError):
+        return None
+    if not isinstance(ends, list) or not math.isfinite(until):
+        return None
+    return Suspect(found.name, frozenset(str(each) for each in ends), until)
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -36,7 +36,9 @@
         self.texts = KeptTexts()
         self.replica = self._restore()
         self.store = ObjectClient(to_address(settings.store), HttpClient())
-        further = {names.EVACUATIONS: MIRROR_TIMES} if settings.evacuation.within else {}
+        further = {names.SUSPECTS: MIRROR_TIMES}
+        if settings.evacuation.within:
+            further[names.EVACUATIONS] = MIRROR_TIMES
         self.server = ReplicaServer(self.replica, self.file, self.texts, self.store, further)
         self._stopped = curio.Event()
         self.metrics_server = (
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from pondtiller.rollouts.steps import SampleHead, StepRecord
+from pondtiller.routes.quarantine import sample_content
 from pondtiller.routes.table import RouteRow
 from pondtiller.routes.tenants import owned_name
 from pondtiller.wire.steplog import SampleResult
@@ -243,6 +244,7 @@
         self.step_id: str = step.id
         self.sample_id: str = self.sample.id
         self.kept_as: str = owned_name(step.tenant, self.sample.id)
+        self.content: str = sample_content(self.kept_as)
         self.group: str = self.sample.group
         self.model: str = step.model
         self.oldest_version: int = step.oldest_version
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -78,6 +78,9 @@
         Of this leader, to which all events of the runs go.
     cold
         Which engines are cold; None where none ever is.
+    is_held
+        Returns whether no engine may get a sample, since engines ended under it. It waits until its
+        step ends or it is given up as too late; else one sample would take engine after engine.
 
     Attributes
     ----------
@@ -95,11 +98,13 @@
         is_loading: Callable[[str, str], bool],
         zone: str = "",
         cold: ColdEngines | None = None,
+        is_held: Callable[[str], bool] | None = None,
     ) -> None:
         self.placement = Placement(engines, is_loading, zone, cold)
         self.work: dict[tuple[str, str], SampleWork] = {}
         self.runs: dict[int, SampleWork] = {}
         self._engines = engines
+        self._is_held = is_held or (lambda _content: False)
         self._kept: dict[str, Text] = {}
         self._last_run = 0
         self.run_times = RunTimes()
@@ -261,7 +266,9 @@
         if self.begins_none:
             return
         waiting = [
-            work for work in self.work.values() if work.stage is Stage.WAITING and work.is_routed
+            work
+            for work in self.work.values()
+            if work.stage is Stage.WAITING and work.is_routed and not self._is_held(work.content)
         ]
         self._start_in_order(sorted(waiting, key=self._turn), now)
 
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -51,6 +51,8 @@
         Whether it may be taken away, with all others of its kind in its zone.
     leaves_seconds
         How long it still runs, counted from when the entry was written; None while it is not said.
+    started_ms
+        When it started, in milliseconds since 1970 by its own clock; 0 where it is not said.
     """
 
     engine: str
@@ -64,6 +66,12 @@
     revision: int = field(default=0, compare=False)
     is_spot: bool = False
     leaves_seconds: float | None = None
+    started_ms: int = 0
+
+    @property
+    def start(self) -> str:
+        """Name of this start: an engine may start again under its identifier."""
+        return f"{self.engine}@{self.started_ms}"
 
 
 @dataclass
--- /dev/null
+++ b/src/pondtiller/routes/quarantine.py
@@ -0,0 +1,140 @@
+"""Contents under which engines ended, and which of them no engine gets any more. No I/O.
+
+A request may end each engine that runs it, and come again under other identifiers at other daemons.
+So ends are counted by what the request holds, not by request or by daemon. A content under which
+`MOST_ENDS` engines ended with no answer of it between is held back from all engines; each answer of
+an engine proves that the content does not end all that run it, and its ends are forgotten.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from pondtiller.hashing import content_digest
+
+MOST_ENDS = 3
+"""Ends under one content after which it is sent to no engine. What else runs at an engine breaks
+off with it and goes to the next one, maybe beside the same content again: two ends are soon shared
+by requests that did no harm."""
+QUARANTINE_SECONDS = 3600.0
+"""How long ends count, from the last one. A request that is the fault of an engine's software comes
+again until that is mended; after an hour it may end as many engines once more."""
+ANSWERED_SECONDS = 60.0
+"""How long after an answer of a content an end under it tells nothing. Load: a content that many
+callers send, as a status call without a body, is at work at every moment, so also when three
+engines end within 0.1 s under another one."""
+MOST_ANSWERED = 2000
+"""Contents that are remembered as answered: 0.2 MB."""
+MOST_SUSPECTS = 1000
+"""Contents whose ends are kept; the oldest are forgotten first."""
+
+
+class Suspect(NamedTuple):
+    """A content under which engines ended.
+
+    Attributes
+    ----------
+    content
+        Its digest.
+    ends
+        Names of the starts of engines that ended.
+    until
+        Time of day until which the ends count, in seconds since 1970.
+    """
+
+    content: str
+    ends: frozenset[str]
+    until: float
+
+    @property
+    def is_held(self) -> bool:
+        """Whether no engine may get it."""
+        return len(self.ends) >= MOST_ENDS
+
+
+def sample_content(kept_as: str) -> str:
+    """Return the digest that stands for a sample, by the name under which its text is kept.
+
+    A sample comes again under its own identifier, unlike a caller's request.
+    """
+    return content_digest(b"sample", kept_as.encode("utf-8", "surrogatepass"))
+
+
+class Quarantine:
+    """The contents that one daemon knows of, by its own requests and by others' word."""
+
+    def __init__(self) -> None:
+        self.suspects: dict[str, Suspect] = {}
+        self._answered: OrderedDict[str, float] = OrderedDict()
+
+    def is_held(self, content: str, wall_now: float) -> bool:
+        """Return whether no engine may get a content."""
+        suspect = self.suspects.get(content)
+        return suspect is not None and suspect.is_held and wall_now < suspect.until
+
+    def ends(self, content: str) -> int:
+        """Return how many engines ended under a content, as far as it is known."""
+        suspect = self.suspects.get(content)
+        return len(suspect.ends) if suspect is not None else 0
+
+    def seconds_left(self, content: str, wall_now: float) -> float:
+        """Return for how long a content is still held back."""
+        suspect = self.suspects.get(content)
+        return max(0.0, suspect.until - wall_now) if suspect is not None else 0.0
+
+    def note_end(self, content: str, engine: str, now: float, wall_now: float) -> Suspect | None:
+        """Take that an engine ended under a content; None where that tells nothing new.
+
+        Parameters
+        ----------
+        engine
+            Name of the start of the engine.
+        now, wall_now
+            Steady time, and time of day.
+        """
+        if now < self._answered.get(content, float("-inf")) + ANSWERED_SECONDS:
+            return None
+        before = self.suspects.get(content)
+        known = before.ends if before is not None and wall_now < before.until else frozenset()
+        if engine in known:
+            return None
+        suspect = Suspect(content, known | {engine}, wall_now + QUARANTINE_SECONDS)
+        self._keep(suspect)
+        return suspect
+
+    def note_answer(self, content: str, now: float) -> bool:
+        """Take that an engine answered a content; return whether ends under it were known."""
+        self._answered[content] = now
+        self._answered.move_to_end(content)
+        if len(self._answered) > MOST_ANSWERED:
+            self._answered.popitem(last=False)
+        return self.suspects.pop(content, None) is not None
+
+    def take(self, told: Suspect) -> bool:
+        """Take what all daemons together know of a content; return whether that is new here.
+
+        Told without ends: the content was answered somewhere.
+        """
+        before = self.suspects.get(told.content)
+        if not told.ends:
+            return self.suspects.pop(told.content, None) is not None
+        if before is None:
+            self._keep(told)
+            return True
+        merged = Suspect(told.content, before.ends | told.ends, max(before.until, told.until))
+        self._keep(merged)
+        return merged != before
+
+    def forget(self, content: str) -> None:
+        """Take that a content is to be suspected no longer."""
+        self.suspects.pop(content, None)
+
+    def keep_house(self, wall_now: float) -> None:
+        """Forget ends that are too old to count."""
+        for content in [each for each, known in self.suspects.items() if wall_now >= known.until]:
+            del self.suspects[content]
+
+    def _keep(self, suspect: Suspect) -> None:
+        self.suspects.pop(suspect.content, None)
+        self.suspects[suspect.content] = suspect
+        if len(self.suspects) > MOST_SUSPECTS:
+            del self.suspects[next(iter(self.suspects))]
--- a/src/pondtiller/routes/send_gate.py
+++ b/src/pondtiller/routes/send_gate.py
@@ -18,6 +18,7 @@
     LEAVING = "leaving"
     EVACUATED = "evacuated"
     COLD = "cold"
+    ENDS_ENGINES = "ends_engines"
 
 
 Rule = Callable[[Engine, float], Held | None]
--- /dev/null
+++ b/src/pondtiller/routes/tests/test_quarantine.py
@@ -0,0 +1,106 @@
+"""Contents under which engines ended: what counts, what is held back, what is forgotten."""
+
+import pytest
+
+from pondtiller.routes.quarantine import (
+    ANSWERED_SECONDS,
+    MOST_ANSWERED,
+    MOST_ENDS,
+    MOST_SUSPECTS,
+    QUARANTINE_SECONDS,
+    Quarantine,
+    Suspect,
+)
+
+WALL = 1_700_000_000.0
+
+
+def end_engines(quarantine: Quarantine, count: int, content: str = "c", now: float = 0.0) -> None:
+    for number in range(count):
+        quarantine.note_end(content, f"e{number}@1", now, WALL + now)
+
+
+def test_a_content_is_held_back_after_the_last_end_that_is_allowed() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS - 1)
+    assert not quarantine.is_held("c", WALL)
+    end_engines(quarantine, MOST_ENDS)
+    assert quarantine.is_held("c", WALL)
+    assert quarantine.seconds_left("c", WALL) == QUARANTINE_SECONDS
+    assert not quarantine.is_held("another", WALL)
+
+
+def test_one_start_of_an_engine_ends_once() -> None:
+    quarantine = Quarantine()
+    for _ in range(MOST_ENDS):
+        quarantine.note_end("c", "e@1", 0.0, WALL)
+    assert quarantine.ends("c") == 1
+
+
+def test_an_engine_that_started_again_under_its_name_ends_again() -> None:
+    quarantine = Quarantine()
+    for start in range(MOST_ENDS):
+        quarantine.note_end("c", f"e@{start}", 0.0, WALL)
+    assert quarantine.is_held("c", WALL)
+
+
+def test_an_answer_forgets_the_ends() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS)
+    assert quarantine.note_answer("c", 1.0)
+    assert not quarantine.is_held("c", WALL)
+    assert not quarantine.note_answer("c", 2.0)
+
+
+def test_a_content_that_is_answered_all_the_time_is_not_suspected() -> None:
+    # Three engines end at once under another content; this one was at work at each of them.
+    quarantine = Quarantine()
+    quarantine.note_answer("hot", 10.0)
+    end_engines(quarantine, MOST_ENDS, "hot", now=10.1)
+    assert quarantine.suspects == {}
+
+
+def test_a_content_that_was_answered_long_ago_is_suspected() -> None:
+    # A new version of the engines may end under what an older one bore.
+    quarantine = Quarantine()
+    quarantine.note_answer("c", 0.0)
+    end_engines(quarantine, MOST_ENDS, now=ANSWERED_SECONDS)
+    assert quarantine.is_held("c", WALL)
+
+
+def test_ends_told_by_others_count_together_with_own_ones() -> None:
+    quarantine = Quarantine()
+    quarantine.note_end("c", "e0@1", 0.0, WALL)
+    assert quarantine.take(Suspect("c", frozenset({"e1@1", "e2@1"}), WALL + 60.0))
+    assert quarantine.is_held("c", WALL)
+    assert not quarantine.take(Suspect("c", frozenset({"e1@1"}), WALL + 60.0))
+
+
+def test_told_without_ends_a_content_is_let_through() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS)
+    assert quarantine.take(Suspect("c", frozenset(), WALL + 60.0))
+    assert not quarantine.is_held("c", WALL)
+
+
+def test_ends_count_for_a_time() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS)
+    late = WALL + QUARANTINE_SECONDS
+    assert not quarantine.is_held("c", late)
+    quarantine.note_end("c", "e9@1", 0.0, late)
+    assert quarantine.ends("c") == 1
+    quarantine.keep_house(late + QUARANTINE_SECONDS)
+    assert quarantine.suspects == {}
+
+
+@pytest.mark.parametrize("count", [MOST_SUSPECTS + 10])
+def test_what_is_kept_is_bounded(count: int) -> None:
+    quarantine = Quarantine()
+    for number in range(count):
+        quarantine.note_end(f"c{number}", "e@1", 0.0, WALL)
+    assert len(quarantine.suspects) == MOST_SUSPECTS
+    assert "c0" not in quarantine.suspects
+    for number in range(MOST_ANSWERED + 10):
+        quarantine.note_answer(f"a{number}", 0.0)
+    assert len(quarantine._answered) == MOST_ANSWERED
