--- a/src/pondtiller/gateway/suspects.py
+++ b/src/pondtiller/gateway/suspects.py
@@ -12,7 +12,7 @@
 """How long a first end is kept to itself. Most requests that broke off with an engine are answered
 by the next one within this time, and then there is nothing to write."""
 SOON_ENDS = 2
-"""Ends from which on each further one is told at once: the next may be the last that is allowed."""
+"""Ends from which on each is told at once: no engine may get the content any more, or one may."""
 
 
 class SuspectContents:
--- a/src/pondtiller/gateway/tests/test_ending_requests.py
+++ b/src/pondtiller/gateway/tests/test_ending_requests.py
@@ -32,8 +32,9 @@
 from pondtiller.httpio.server import ConnectionLostError, Exchange
 from pondtiller.platform import names
 from pondtiller.platform.standins import configuration, step_body
+from pondtiller.routes.quarantine import MOST_SAMPLE_ENDS
 
-ENDS = 3
+ENDS = 2
 """Ends under a content after which it is sent to no engine."""
 TOLD_SECONDS = 1.0
 """From the last of these ends until every gateway knows."""
@@ -41,9 +42,9 @@
 PAUSE_SECONDS = 0.05
 
 
-def runs_after_the_last_end(runs: list[EndingRun]) -> list[EndingRun]:
+def runs_after_the_last_end(runs: list[EndingRun], ends: int = ENDS) -> list[EndingRun]:
     runs = sorted(runs, key=lambda run: run.at)
-    return [run for run in runs[ENDS:] if run.at > runs[ENDS - 1].at + TOLD_SECONDS]
+    return [run for run in runs[ends:] if run.at > runs[ends - 1].at + TOLD_SECONDS]
 
 
 async def call_again_and_again(system: System, path: str) -> list[int]:
@@ -146,8 +147,13 @@
         (content,) = system.store.kinds[names.SUSPECTS]
         system.store.remove(names.SUSPECTS, content)
         await system.until(lambda: not held_at(system, 0) and not held_at(system, 1))
-        await system.call("POST", "/quote/7", ENDING, 1, request_id="again")
-        assert sum(len(engine.runs) for engine in engines) > runs
+        # Its engines may be about to start again.
+        for number in range(CALLS):
+            await system.call("POST", "/quote/7", ENDING, 1, request_id=f"again{number}")
+            if sum(len(engine.runs) for engine in engines) > runs:
+                return
+            await curio.sleep(PAUSE_SECONDS)
+        raise AssertionError("it was not let through")
 
     run_system(tmp_path, test, gateways=2)
 
@@ -233,14 +239,14 @@
         assert {each["id"] for each in listed} == {"s1-0", "s1-1", "s1-2"}
         await curio.sleep(TOLD_SECONDS)
         runs = [run for engine in engines for run in engine.runs]
-        assert len(runs) >= ENDS
+        assert len(runs) >= MOST_SAMPLE_ENDS
         await curio.sleep(2.0)
         # The next leader learns of it too.
         leader = next(each for each in system.gateways if each.duties.term is not None)
         await leader.leadership.resign()
         await curio.sleep(3.0)
         runs = [run for engine in engines for run in engine.runs]
-        assert runs_after_the_last_end(runs) == []
+        assert runs_after_the_last_end(runs, MOST_SAMPLE_ENDS) == []
 
     run_system(tmp_path, test, gateways=2)
 
--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -12,10 +12,12 @@
     LONGEST_WAIT_SECONDS,
 )
 from pondtiller.gateway.process import GatewayProcess
+from pondtiller.gateway.store_watch import Watch
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.platform.object_client import StoreCallError
 from pondtiller.platform.standins import configuration
 from pondtiller.replica import mirror as mirrors
+from pondtiller.replica import process as replica_process
 
 USUAL_FRESH_SECONDS = mirrors.FRESH_SECONDS
 
@@ -26,12 +28,18 @@
     # A whole system shares this process: on a busy machine it is not served for longer than the
     # usual limit, and mirrors that come and go are not what these tests are about.
     monkeypatch.setattr(mirrors, "FRESH_SECONDS", 10.0)
+    monkeypatch.setattr(replica_process, "MIRROR_TIMES", mirrors.FollowTimes(0.8, 10.0))
 
 
 def followers(system: System) -> list[GatewayProcess]:
     return [each for each in system.gateways if not each.leadership.log.is_leading]
 
 
+def watches_of(gateway: GatewayProcess) -> tuple[Watch, ...]:
+    watches = gateway.watches
+    return watches.engines, watches.configuration, gateway.suspect_sharing.watch
+
+
 async def mirrored(system: System) -> None:
     """Wait until all gateways but the leader read through replicas."""
     await system.until_led()
@@ -39,7 +47,7 @@
         # The first answer of a replica that nobody followed yet keeps a gateway away for long,
         # and a call to the store itself lasts as long as its wait.
         each.mirrored_store._not_before = 0.0
-        for watch in (each.watches.engines, each.watches.configuration):
+        for watch in watches_of(each):
             watch._wait_seconds = 1.0
     await system.until(lambda: any(each.server.mirror.is_fresh() for each in system.replicas))
 
@@ -47,7 +55,7 @@
         for each in system.gateways:
             each.mirrored_store._not_before = 0.0
         readers = [each.mirrored_store.reader for each in followers(system)]
-        return all(len(each) == 2 and "store" not in each.values() for each in readers)
+        return all(len(each) == 3 and "store" not in each.values() for each in readers)
 
     await system.until(is_mirrored, 15.0)
 
@@ -169,7 +177,7 @@
     async def test(system: System) -> None:
         await system.until_led()
         for each in system.gateways:
-            for watch in (each.watches.engines, each.watches.configuration):
+            for watch in watches_of(each):
                 watch._wait_seconds = 0.5
         monkeypatch.setattr(mirrors, "FEWEST_FOLLOWERS", 1000)
         follower = followers(system)[0]
@@ -200,7 +208,7 @@
             return await watch(kind, at, wait_seconds)
 
         follower.store.watch = noted  # type: ignore[method-assign]
-        for each in (follower.watches.engines, follower.watches.configuration):
+        for each in watches_of(follower):
             each._wait_seconds = 6.0
         await follower.leadership.replicas.close()
         # The first call after a failure is a short one.
--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -2,8 +2,8 @@
 
 A request may end each engine that runs it, and come again under other identifiers at other daemons.
 So ends are counted by what the request holds, not by request or by daemon. A content under which
-`MOST_ENDS` engines ended with no answer of it between is held back from all engines; each answer of
-an engine proves that the content does not end all that run it, and its ends are forgotten.
+a few engines ended with no answer of it between is held back from all engines; each answer of an
+engine proves that the content does not end all that run it, and its ends are forgotten.
 """
 
 from collections import OrderedDict
@@ -11,10 +11,15 @@
 
 from pondtiller.hashing import content_digest
 
-MOST_ENDS = 3
-"""Ends under one content after which it is sent to no engine. What else runs at an engine breaks
-off with it and goes to the next one, maybe beside the same content again: two ends are soon shared
-by requests that did no harm."""
+SAMPLE_PREFIX = "sample-"
+MOST_ENDS = 2
+"""Ends under a caller's content after which it is sent to no engine. Three engines, a content that
+ends them and others' requests beside it, 5 runs of 12 s on loopback, share of the others answered:
+1.000 with 2 ends, 0.984 with 3, 0.981 with 4, 0.850 where nothing is held back; no other content
+was held back with any (`tools/bench_ending_requests.py`)."""
+MOST_SAMPLE_ENDS = 3
+"""The same of a sample. It runs for seconds, so two engines may end under it for reasons of their
+own, and it is not asked for again before its step ends."""
 QUARANTINE_SECONDS = 3600.0
 """How long ends count, from the last one. A request that is the fault of an engine's software comes
 again until that is mended; after an hour it may end as many engines once more."""
@@ -48,15 +53,19 @@
     @property
     def is_held(self) -> bool:
         """Whether no engine may get it."""
-        return len(self.ends) >= MOST_ENDS
+        is_sample = self.content.startswith(SAMPLE_PREFIX)
+        return len(self.ends) >= (MOST_SAMPLE_ENDS if is_sample else MOST_ENDS)
 
 
 def sample_content(kept_as: str) -> str:
-    """Return the digest that stands for a sample, by the name under which its text is kept.
+    """Return the name that stands for a sample's content: it comes again as the same sample.
 
-    A sample comes again under its own identifier, unlike a caller's request.
+    Parameters
+    ----------
+    kept_as
+        Name under which the sample's unfinished text is kept.
     """
-    return content_digest(b"sample", kept_as.encode("utf-8", "surrogatepass"))
+    return SAMPLE_PREFIX + content_digest(kept_as.encode("utf-8", "surrogatepass"))
 
 
 class Quarantine:
--- a/src/pondtiller/routes/tests/test_quarantine.py
+++ b/src/pondtiller/routes/tests/test_quarantine.py
@@ -6,10 +6,12 @@
     ANSWERED_SECONDS,
     MOST_ANSWERED,
     MOST_ENDS,
+    MOST_SAMPLE_ENDS,
     MOST_SUSPECTS,
     QUARANTINE_SECONDS,
     Quarantine,
     Suspect,
+    sample_content,
 )
 
 WALL = 1_700_000_000.0
@@ -30,6 +32,14 @@
     assert not quarantine.is_held("another", WALL)
 
 
+def test_a_sample_bears_one_end_more() -> None:
+    quarantine, sample = Quarantine(), sample_content("s-1")
+    end_engines(quarantine, MOST_ENDS, sample)
+    assert not quarantine.is_held(sample, WALL)
+    end_engines(quarantine, MOST_SAMPLE_ENDS, sample)
+    assert quarantine.is_held(sample, WALL)
+
+
 def test_one_start_of_an_engine_ends_once() -> None:
     quarantine = Quarantine()
     for _ in range(MOST_ENDS):
