A moved sample begins elsewhere once its runner has left the engine, or is lost

Cause of the known red test: a living leader moved a slow sample at once, though its order to end the old run may be lost; two engines worked on it for up to 0.8 s. Now the runner answers once the engine has been left, and until then (or until the link has ended: 1.1 s of silence, also of the answer alone) the sample begins nowhere, in no later step, and no other run of it is taken over. Cost: one way there and back a move (0.5 ms to 3 ms in a region); in a cut up to 1.1 s.

Replaced as strict: the tests of moves, which took the start elsewhere in the same tick, now see none before the run is over and one after it; a dropped run is told as over, where nothing was told before.

--- a/src/pondtiller/gateway/hosted_run.py
+++ b/src/pondtiller/gateway/hosted_run.py
@@ -91,12 +91,12 @@
         if self.score is not None:
             await self.scored(self.score)
 
-    async def drop(self) -> None:
-        """Stop, since nobody wants it any more."""
+    async def drop(self, waits: bool = False) -> None:
+        """Stop, since nobody wants it any more; `waits` until its engine has been left."""
         self.is_dropped = True
         self.listener = None
         if self.task is not None:
-            await self.task.cancel(blocking=False)
+            await self.task.cancel(blocking=waits)
 
 
 def scored_run(run: int, score: ScoreOutcome) -> ScoredRun:
--- a/src/pondtiller/gateway/run_host.py
+++ b/src/pondtiller/gateway/run_host.py
@@ -73,6 +73,9 @@
             self.runs[order.run] = await self._host.start(order, self, self.epoch)
         else:
             await self._go_on(order, held)
+        await self._tell_on()
+
+    async def _tell_on(self) -> None:
         if self._teller is None:
             self._teller = await self._group.spawn(self._tell)
 
@@ -84,11 +87,16 @@
         await held.go_on(order, self.epoch, self)
 
     async def drop(self, run: int) -> None:
-        """End a run whose outcome nobody waits for."""
+        """End a run that is wanted no more, and say so once its engine has been left.
+
+        The leader begins the sample elsewhere only then.
+        """
         dropped = self.runs.pop(run, None) or self.judged.pop(run, None)
         self._news.drop(run)
         if dropped is not None:
-            await dropped.drop()
+            await dropped.drop(waits=True)
+        await self.take_end(EndedRun(run, RunEnd.STALE, "dropped"))
+        await self._tell_on()
 
     async def tell_now(self) -> None:
         """Send what was gathered, before the link is ended here."""
--- a/src/pondtiller/gateway/run_links.py
+++ b/src/pondtiller/gateway/run_links.py
@@ -71,11 +71,21 @@
 
 @dataclass
 class RemoteRun:
-    """A run that goes on at a runner."""
+    """A run that goes on at a runner.
+
+    Attributes
+    ----------
+    dropped_at
+        When the runner was told to end it, on the steady clock; None while it is wanted.
+    dropped_for
+        Why, for the logs.
+    """
 
     take: EventSink
     done: Any = field(default_factory=curio.Event)
     outcome: RunOutcome = RUNNER_LOST
+    dropped_at: float | None = None
+    dropped_for: str = ""
 
 
 class RunnerLink:
@@ -111,7 +121,10 @@
                 await score.done.set()
 
     async def run(self, order: RunOrder, take: EventSink) -> RunOutcome:
-        """Run a sample on an engine; a cancelled run is dropped there too."""
+        """Run a sample on an engine.
+
+        Returns once the runner says that the run is over, also one that was dropped, or is lost.
+        """
         if self.link.is_lost:
             return RUNNER_LOST
         run = RemoteRun(take)
@@ -129,6 +142,22 @@
             if not has_ended:
                 await self.link.send(DropRun(run=order.run))
 
+    async def drop(self, run: int) -> bool:
+        """Have a run ended that is wanted no more; False where the runner has none of this name.
+
+        `run` returns once it is over: until then an engine may be at work on the sample.
+        """
+        dropped = self.runs.get(run)
+        if dropped is None or self.link.is_lost:
+            return False
+        await self._drop(run, dropped, "dropped")
+        return True
+
+    async def _drop(self, run: int, dropped: RemoteRun, reason: str) -> None:
+        if dropped.dropped_at is None:
+            dropped.dropped_at, dropped.dropped_for = clock.monotonic(), reason
+            await self.link.send(DropRun(run=run))
+
     async def score(self, run: int, content: bytes) -> ScoreOutcome:
         """Have a sample judged: the runner that made it whole does so unasked."""
         waiting = self.scores.get(run)
@@ -165,9 +194,10 @@
             return
         for event in events:
             run = self.runs.get(event.run)
-            if run is not None and not run.take(*event):
-                await self._end(EndedRun(event.run, RunEnd.STALE, f"event={event.number}"))
-                await self.link.send(DropRun(run=event.run))
+            if run is None or run.dropped_at is not None:
+                continue
+            if not run.take(*event):
+                await self._drop(event.run, run, f"event={event.number}")
         for each in ended:
             await self._end(each)
         for judged in scored:
@@ -178,9 +208,12 @@
         run = self.runs.pop(ended.run, None)
         if run is None:
             return
-        if ended.end is RunEnd.WHOLE:
-            self.scores[ended.run] = RemoteScore()
-        run.outcome = RunOutcome(ended.end, ended.detail)
+        if run.dropped_at is not None:
+            run.outcome = RunOutcome(RunEnd.STALE, run.dropped_for)
+        else:
+            if ended.end is RunEnd.WHOLE:
+                self.scores[ended.run] = RemoteScore()
+            run.outcome = RunOutcome(ended.end, ended.detail)
         await run.done.set()
 
     async def _take_score(self, scored: ScoredRun) -> None:
@@ -194,11 +227,16 @@
         while not self.link.is_lost:
             if self.runs or any(not each.done.is_set() for each in self.scores.values()):
                 await self.link.send(KeepRuns(epoch=self._epoch))
-                if clock.monotonic() > self._heard_at + RUNNER_SILENT_SECONDS:
+                if clock.monotonic() > self._silent_since() + RUNNER_SILENT_SECONDS:
                     logs.decision("runner_silent", runner=self.daemon.name, runs=len(self.runs))
                     await self.link.drop()
             await curio.sleep(KEEP_SECONDS)
 
+    def _silent_since(self) -> float:
+        """Return when the runner was last heard, or was told to end what it has not ended yet."""
+        dropped = [each.dropped_at for each in self.runs.values() if each.dropped_at is not None]
+        return min([self._heard_at, *dropped])
+
 
 def _begin(order: RunOrder, epoch: int) -> BeginRun:
     return BeginRun(
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -19,7 +19,7 @@
 from pondtiller.gateway.order_rights import OrderRights
 from pondtiller.gateway.orders import EngineOrders
 from pondtiller.gateway.rate_duty import FindTerms, RateDuty, no_terms
-from pondtiller.gateway.run_links import RUNNER_LOST, RunnerDirectory
+from pondtiller.gateway.run_links import RUNNER_LOST, RunnerDirectory, RunnerLink
 from pondtiller.gateway.run_offers import RunOffers
 from pondtiller.gateway.sample_runner import RunOrder, RunOutcome, SampleRunner
 from pondtiller.gateway.scaling_duty import ScalingDuty, ScalingParts, ScalingSettings
@@ -156,6 +156,7 @@
             clock.monotonic(),
         )
         self._runs: dict[int, Any] = {}
+        self._runner_of: dict[int, RunnerLink] = {}
         self._waiters: dict[str, set[Any]] = {}
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
@@ -434,9 +435,9 @@
         await self._flush()
 
     async def _cancel_run(self, instruction: CancelRun) -> None:
-        task = self._runs.pop(instruction.run, None)
-        if task is not None:
-            await task.cancel(blocking=False)
+        runner = self._runner_of.get(instruction.run)
+        if runner is None or not await runner.drop(instruction.run):
+            await self._end_own_run(instruction.run)
         logs.decision(
             "sample_run_cancelled",
             sample=instruction.sample,
@@ -446,6 +447,14 @@
             epoch=self.epoch,
         )
 
+    async def _end_own_run(self, run: int) -> None:
+        """End a run that this daemon has, or that no runner has begun."""
+        task = self._runs.pop(run, None)
+        if task is not None:
+            await task.cancel()
+        self._runner_of.pop(run, None)
+        self.scheduler.run_is_over(run)
+
     def _list(self, instruction: ListResult) -> None:
         result = instruction.result
         is_listed = self.book.list_result(instruction.step, result)
@@ -489,8 +498,11 @@
             cold = self._parts.cold
             is_cold = cold is not None and cold.is_cold(engine, clock.monotonic())
             order = _run_order(start, engine.entry.address, is_cold)
+            if isinstance(runner, RunnerLink):
+                self._runner_of[start.run] = runner
             outcome = await runner.run(order, self.scheduler.run_event)
         self._runs.pop(start.run, None)
+        self._runner_of.pop(start.run, None)
         if outcome.end is not RunEnd.WHOLE:
             self.offers.take_runner(start.run)
         is_measured = outcome.end is RunEnd.WHOLE and not start.last_event and not start.runner
--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -17,7 +17,7 @@
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.links.link import Link
 from pondtiller.rollouts import run_holding
-from pondtiller.rollouts.run_news import read_ends, read_events
+from pondtiller.rollouts.run_news import EndedRun, read_ends, read_events
 from pondtiller.rollouts.runner_choice import Daemon
 from pondtiller.rollouts.sample_work import RunEnd
 from pondtiller.wire.steplog import BeginRun, DropRun, KeepRuns, RunNews
@@ -266,10 +266,13 @@
         await host.take(link, DropRun(run=1))
         await curio.sleep(0.05)
         assert (host.runs, engine.working) == (1, 1)
+        # The leader begins the sample elsewhere once it is told that the engine has been left.
+        told = [each for news in link.of(RunNews) for each in read_ends(news)]
+        assert told == [EndedRun(1, RunEnd.STALE, "dropped")]
         await host.lost(link)
         await curio.sleep(0.05)
         assert (host.runs, engine.working) == (0, 0)
-        assert not any(read_ends(news) for news in link.of(RunNews))
+        assert sum(len(read_ends(news)) for news in link.of(RunNews)) == 1
 
     curio.run(main)
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -106,6 +106,7 @@
         self._engines = engines
         self._is_held = is_held or (lambda _content: False)
         self._kept: dict[str, Text] = {}
+        self._ending: dict[int, str] = {}
         self._last_run = 0
         self.run_times = RunTimes()
         self.turns: dict[GroupKey, int] = {}
@@ -206,8 +207,13 @@
         for work in self.runs.values():
             work.last_heard = now
 
+    def run_is_over(self, run: int) -> None:
+        """Take that no engine works on a cancelled run any more: its sample may begin elsewhere."""
+        self._ending.pop(run, None)
+
     def run_ended(self, run: int, end: RunEnd, now: float) -> SampleWork | None:
         """Take the end of a run; None where it was cancelled before."""
+        self.run_is_over(run)
         work = self.runs.pop(run, None)
         if work is None:
             return None
@@ -270,6 +276,10 @@
             for work in self.work.values()
             if work.stage is Stage.WAITING and work.is_routed and not self._is_held(work.content)
         ]
+        if self._ending:
+            # An engine may be at work on it until its runner says that it is not.
+            ending = set(self._ending.values())
+            waiting = [work for work in waiting if work.kept_as not in ending]
         self._start_in_order(sorted(waiting, key=self._turn), now)
 
     def _start_in_order(self, waiting: list[SampleWork], now: float) -> None:
@@ -324,6 +334,7 @@
         if work is None or engine is None or work.stage is not Stage.WAITING:
             return False
         is_wanted = work.is_routed and not work.has_left(engine.identifier, now)
+        is_wanted = is_wanted and work.kept_as not in self._ending.values()
         # Events of another run must not stand before those of this one.
         text = work.text
         is_begun_after = text.last_event == offered.after_event
@@ -433,6 +444,7 @@
     def _stop_run(self, work: SampleWork, reason: CancelReason) -> None:
         if self.runs.pop(work.run, None) is None:
             return
+        self._ending[work.run] = work.kept_as
         self._free_place(work)
         self._out.append(CancelRun(work.run, work.sample_id, work.engine, reason))
 
--- a/src/pondtiller/rollouts/tests/scheduling.py
+++ b/src/pondtiller/rollouts/tests/scheduling.py
@@ -40,9 +40,11 @@
         desired: int = 0,
         step: str = "s",
         accepted_at: float = 0.0,
+        names: str = "",
     ) -> StepRecord:
+        """Open a step whose samples are named after it, or as those of another one."""
         samples = [
-            Sample(id=f"{step}-{group}-{number}", group=f"g{group}")
+            Sample(id=f"{names or step}-{group}-{number}", group=f"g{group}")
             for group in range(groups)
             for number in range(size)
         ]
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -8,7 +8,9 @@
     CancelReason,
     CancelRun,
     ListResult,
+    OfferedRun,
     RunEnd,
+    RunName,
     SampleWork,
     ScoreEnd,
     ScoreText,
@@ -152,10 +154,48 @@
     bench.scheduler.run_event(run.run, 1, "a", 1, 0.5)
     instructions = bench.tick(0.6)
     assert CancelRun(run.run, "s-0-0", run.engine, CancelReason.SLOW) in instructions
-    (moved,) = starts(instructions)
+    # The engine that it leaves may be at work on it until its runner says that it is not.
+    assert starts(instructions) == starts(bench.tick(0.7)) == []
+    bench.scheduler.run_is_over(run.run)
+    (moved,) = starts(bench.tick(0.7))
     assert (moved.last_event, moved.engine != run.engine) == (1, True)
 
 
+def test_a_moved_sample_begins_elsewhere_once_its_runner_is_lost() -> None:
+    bench = Bench(engines=3)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    bench.tick(2.0)
+    assert starts(bench.tick(2.5)) == []
+    assert bench.scheduler.run_ended(run.run, RunEnd.STALE, 2.6) is None
+    (moved,) = starts(bench.tick(2.6))
+    assert moved.engine != run.engine
+
+
+def test_a_sample_that_comes_again_waits_for_the_end_of_its_run_in_an_earlier_step() -> None:
+    bench = Bench(engines=2)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    bench.scheduler.close("s")
+    bench.open(step="t", size=1, names="s")
+    assert starts(bench.tick(0.1)) == []
+    bench.scheduler.run_is_over(run.run)
+    assert [each.sample.id for each in starts(bench.tick(0.2))] == ["s-0-0"]
+
+
+def test_a_run_of_an_earlier_leader_is_not_taken_over_beside_one_that_ends() -> None:
+    bench = Bench(engines=2)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    bench.scheduler.run_event(run.run, 1, "a", 1, 0.1)
+    bench.tick(2.0)
+    other = next(name for name in bench.directory.engines if name != run.engine)
+    offered = OfferedRun("s-0-0", other, 1, RunName(1, 7), RunName(0, run.run))
+    assert not bench.scheduler.take_over(offered, "g", 2.1)
+    bench.scheduler.run_is_over(run.run)
+    assert bench.scheduler.take_over(offered, "g", 2.2)
+
+
 def slow_engine_bench(runs: int) -> tuple[Bench, list[StartRun]]:
     """Return a bench whose first engine is full of slow runs, beside one with few places."""
     bench = Bench(engines=0)
@@ -176,7 +216,9 @@
     instructions = bench.tick(0.6)
     cancelled = [each for each in instructions if isinstance(each, CancelRun)]
     assert len(cancelled) == 2
-    assert [run.engine for run in starts(instructions)] == ["e1", "e1"]
+    for each in cancelled:
+        bench.scheduler.run_is_over(each.run)
+    assert [run.engine for run in starts(bench.tick(0.61))] == ["e1", "e1"]
 
 
 def test_runs_are_looked_at_now_and_then_and_not_at_each_event() -> None:
