Leases, shares, deadlines and ages count the time a machine is suspended

New on the platform: the steady clock stands still while a machine is suspended. All promises read one function, which read that clock: a leader that slept through its lease went on with the rest of it. It now reads the clock that counts the sleep, so a suspension looks like a freeze.

--- a/src/pondtiller/daemon/clock.py
+++ b/src/pondtiller/daemon/clock.py
@@ -5,8 +5,12 @@
 
 
 def monotonic() -> float:
-    """Return seconds that never go back; the base of every deadline."""
-    return time.monotonic()
+    """Return seconds that never go back; the base of every deadline, lease and age.
+
+    They go on while the machine is suspended. On `CLOCK_MONOTONIC` a leader that slept through its
+    lease would wake with the rest of it and order engines beside its successor.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def wall_seconds() -> int:
--- a/src/pondtiller/gateway/duties.py
+++ b/src/pondtiller/gateway/duties.py
@@ -69,9 +69,16 @@
 
     async def answer(self, message: Message) -> Message:
         """Answer a step call; unavailable where this daemon does not lead."""
-        term, now = self.term, clock.monotonic()
-        if term is None or not self._parts.leadership.log.holds_lease(now):
+        log = self._parts.leadership.log
+        if self.term is None or not log.holds_lease(clock.monotonic()):
             return _unavailable(message)
+        answer = await self._answer(self.term, message, clock.monotonic())
+        if isinstance(message, ReadResults | ReadSample) and not log.holds_lease(clock.monotonic()):
+            # It waited for results, and the lease is over: another leader may have listed more.
+            return _unavailable(message)
+        return answer
+
+    async def _answer(self, term: Term, message: Message, now: float) -> Message:
         match message:
             case OpenStep():
                 return StepAnswer(status=await term.open(message.step))
--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -475,6 +475,10 @@
                 await self._pool.give_back_unused(connection)
                 connection = None
                 raise HeldBackError(Held.ENDS_ENGINES)
+            if clock.monotonic() >= request.deadline:
+                await self._pool.give_back_unused(connection)
+                connection = None
+                raise HeldBackError(Held.LATE)
             tries.sent += 1
             request.beginning.sent(clock.monotonic())
             is_silent = True
--- a/src/pondtiller/gateway/order_rights.py
+++ b/src/pondtiller/gateway/order_rights.py
@@ -46,6 +46,7 @@
         self._last_orders = won.last_orders
         self._claim_key = ""
         self._notes: dict[str, Any] = {}
+        self._good_until: dict[str, float] = {}
 
     def claim(self) -> None:
         """Begin to order engines: those that another daemon ordered lately wait for that order.
@@ -113,5 +114,19 @@
             await curio.ignore_after(NOTE_SECONDS, committed.wait)
         finally:
             del self._notes[key]
+        self._good_until[subject] = began + NOTE_SECONDS if committed.is_set() else began
+        return self.may_act(subject)
+
+    def may_act(self, subject: str) -> bool:
+        """Return whether the note on a subject still covers what is sent now.
+
+        Asked again right before a call leaves: this machine may have been suspended since.
+        """
         now = clock.monotonic()
-        return committed.is_set() and now < began + NOTE_SECONDS and log.holds_lease(now)
+        is_noted = now < self._good_until.get(subject, float("-inf"))
+        return is_noted and self._leadership.log.holds_lease(now)
+
+    def may_order(self, identifier: str) -> bool:
+        """Return whether the note on an engine still covers an order that leaves now."""
+        engine = self._engines.engines.get(identifier)
+        return engine is not None and self.may_act(engine.place)
--- a/src/pondtiller/gateway/orders.py
+++ b/src/pondtiller/gateway/orders.py
@@ -1,5 +1,7 @@
 """Orders to engines, and their own reports."""
 
+from collections.abc import Callable
+
 from pondtiller.daemon import logs
 from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
 from pondtiller.platform import engine_format, names
@@ -25,8 +27,16 @@
         self._engines = engines
         self._client = client
 
-    async def order(self, order: OrderVersion, fence: int) -> bool | None:
-        """Give an order; None where it is not known whether the engine took it."""
+    async def order(
+        self, order: OrderVersion, fence: int, may_send: Callable[[], bool]
+    ) -> bool | None:
+        """Give an order; None where it is not known whether the engine took it.
+
+        Parameters
+        ----------
+        may_send
+            Asked right before it leaves.
+        """
         engine = self._engines.engines.get(order.engine)
         if engine is None:
             return False
@@ -39,6 +49,7 @@
                 body,
                 ORDER_SECONDS,
                 engine_format.order_headers(order.engine),
+                may_send,
             )
         except NotSentError:
             self._log(order, fence, "unreachable")
--- a/src/pondtiller/gateway/scaling_duty.py
+++ b/src/pondtiller/gateway/scaling_duty.py
@@ -5,6 +5,7 @@
 number, and a successor sees in the engines' entries what became of it.
 """
 
+from functools import partial
 from typing import NamedTuple
 
 import curio
@@ -142,7 +143,10 @@
             return
         if not await self._parts.orders.note_subject(subject):
             return
-        outcome = await self._parts.operator.order_engines(order, self._epoch, CALL_SECONDS)
+        may_send = partial(self._parts.orders.may_act, subject)
+        outcome = await self._parts.operator.order_engines(
+            order, self._epoch, CALL_SECONDS, may_send
+        )
         logs.decision(
             "engines_ordered",
             service=order.service,
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -99,7 +99,8 @@
             connection = await self._pool.take_to_send(
                 engine.identifier, engine.entry.address, self._gate
             )
-            if self._forwarder.suspects.is_held(request.content):
+            is_late = clock.monotonic() >= request.deadline
+            if is_late or self._forwarder.suspects.is_held(request.content):
                 return RETRY
             return await self._pass_on(exchange, request, route, engine, connection, state)
         except HeldBackError as error:
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import curio
@@ -570,7 +571,9 @@
                 )
         elif await self.orders.note(order.engine):
             self._metrics.orders += 1
-            is_taken = await self._parts.orders.order(order, self.epoch)
+            is_taken = await self._parts.orders.order(
+                order, self.epoch, partial(self.orders.may_order, order.engine)
+            )
             if is_taken is not None:
                 self.steward.answered(order.engine, is_taken, clock.monotonic())
         await self.wake.set()
--- a/src/pondtiller/gateway/usage_duty.py
+++ b/src/pondtiller/gateway/usage_duty.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from functools import partial
 from typing import NamedTuple
 
 import curio
@@ -201,7 +202,9 @@
     async def _send(self, report: Report) -> None:
         if not await self._orders.note_subject(SUBJECT):
             return
-        outcome = await self._operator.report_use(report.content, self._epoch, CALL_SECONDS)
+        outcome = await self._operator.report_use(
+            report.content, self._epoch, CALL_SECONDS, partial(self._orders.may_act, SUBJECT)
+        )
         logs.decision(
             "use_reported",
             window=report.window,
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 client with kept connections, whole and streamed answers."""
 
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -22,6 +23,10 @@
     """The connection failed after the request may have been received."""
 
 
+def _always() -> bool:
+    return True
+
+
 class ClientConnection:
     """One connection to a server."""
 
@@ -141,9 +146,16 @@
         body: bytes = b"",
         seconds: float = 10.0,
         headers: tuple[tuple[str, str], ...] = (),
+        may_send: Callable[[], bool] = _always,
     ) -> HttpResponse:
         """Send a request and return the whole answer.
 
+        Parameters
+        ----------
+        may_send
+            Asked once the connection is open, right before the request leaves: opening it may have
+            taken longer than a right to send lasts, also where timers stood still meanwhile.
+
         Raises
         ------
         NotSentError
@@ -153,7 +165,7 @@
         """
         try:
             response: HttpResponse = await curio.timeout_after(
-                seconds, self._request, address, method, target, body, headers
+                seconds, self._request, address, method, target, body, headers, may_send
             )
         except curio.TaskTimeout as error:
             raise BrokenError("no answer in time") from error
@@ -166,8 +178,9 @@
         target: str,
         body: bytes,
         headers: tuple[tuple[str, str], ...],
+        may_send: Callable[[], bool],
     ) -> HttpResponse:
-        connection = await self.open(address, method, target, body, headers)
+        connection = await self.open(address, method, target, body, headers, may_send)
         try:
             head = await connection.read_head()
             pieces = [piece async for piece in connection.read_body()]
@@ -185,9 +198,16 @@
         target: str,
         body: bytes,
         headers: tuple[tuple[str, str], ...] = (),
+        may_send: Callable[[], bool] = _always,
     ) -> ClientConnection:
-        """Send a request and return its connection, from which the answer is to be read."""
+        """Send a request and return its connection, from which the answer is to be read.
+
+        Raises `NotSentError` where it may not be sent any more.
+        """
         connection = self._take_kept(address) or await self._connect(address)
+        if not may_send():
+            await connection.close()
+            raise NotSentError("it may not be sent any more")
         try:
             await connection.send(method, target, body, headers)
         except BaseException:
--- a/src/pondtiller/platform/operator_api.py
+++ b/src/pondtiller/platform/operator_api.py
@@ -1,7 +1,7 @@
 """Calls to the operator's own interface that one daemon at a time makes."""
 
 import json
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
 from pondtiller.core.entities import Address
@@ -69,19 +69,25 @@
         self._holder = holder
         self._client = client
 
-    async def report_use(self, content: bytes, fence: int, seconds: float) -> CallOutcome:
+    async def report_use(
+        self, content: bytes, fence: int, seconds: float, may_send: Callable[[], bool]
+    ) -> CallOutcome:
         """Report a window; only an answer that the platform took it counts as done."""
-        return await self._call(names.USAGE_PATH, content, fence, seconds)
+        return await self._call(names.USAGE_PATH, content, fence, seconds, may_send)
 
-    async def order_engines(self, order: ScaleOrder, fence: int, seconds: float) -> CallOutcome:
+    async def order_engines(
+        self, order: ScaleOrder, fence: int, seconds: float, may_send: Callable[[], bool]
+    ) -> CallOutcome:
         """Order a number of engines; without an answer it may have been taken."""
-        return await self._call(names.SCALE_PATH, scale_body(order), fence, seconds)
+        return await self._call(names.SCALE_PATH, scale_body(order), fence, seconds, may_send)
 
-    async def _call(self, path: str, content: bytes, fence: int, seconds: float) -> CallOutcome:
+    async def _call(
+        self, path: str, content: bytes, fence: int, seconds: float, may_send: Callable[[], bool]
+    ) -> CallOutcome:
         headers = ((names.DUTY_HOLDER, self._holder), (names.FENCE, str(fence)))
         try:
             answer = await self._client.request(
-                self._address, "POST", path, content, seconds, headers
+                self._address, "POST", path, content, seconds, headers, may_send
             )
         except NotSentError as error:
             return CallOutcome(False, f"unreachable({error})")
--- a/src/pondtiller/routes/send_gate.py
+++ b/src/pondtiller/routes/send_gate.py
@@ -19,6 +19,7 @@
     EVACUATED = "evacuated"
     COLD = "cold"
     ENDS_ENGINES = "ends_engines"
+    LATE = "late"
 
 
 Rule = Callable[[Engine, float], Held | None]
