Soak: contents that end engines, engines that start again, odd entries, kept connections, overlap

New faults: an engine ends with all that it runs and starts again under its name; entries of another writer and one engine's own that are not whole (a trap listens at their address).

Cause: the stand-in closes its connection some milliseconds before its port, so that the port, asked at once, still answered, and the end was not counted. A real program may do so too: the port is looked at again after 0.1 s, and the connection opened for the question is kept for requests where it lasts.

--- a/src/pondtiller/cli/soak.py
+++ b/src/pondtiller/cli/soak.py
@@ -22,6 +22,7 @@
         option("seed", None, "Seed of the faults.", flag=False, default="1"),
         option("minutes", None, "Minutes of faults; a calm of up to 25 s follows.", flag=False),
         option("faults", None, "Kinds of faults, by commas; all where it is left out.", flag=False),
+        option("together", None, "Have faults come while earlier ones last."),
         option("folder", None, "Folder for logs and the schedule.", flag=False),
         option("json", None, "Print the report as a JSON object."),
     ]
@@ -39,7 +40,9 @@
         unknown = sorted(set(only) - set(KINDS))
         if unknown:
             return bad_option(self, "faults", f"{','.join(unknown)}: not of {', '.join(KINDS)}")
-        report = play(int(seed.ok_value), minutes.ok_value * 60.0, folder, only)
+        report = play(
+            int(seed.ok_value), minutes.ok_value * 60.0, folder, only, bool(self.option("together"))
+        )
         self._print(report, folder)
         return EXIT_VIOLATION if report.breaches else EXIT_OK
 
@@ -54,6 +57,6 @@
             f"seed={report.seed} faults={len(report.schedule)} steps={report.steps} "
             f"results={report.results} answers={report.answers} overlaps={report.overlaps} "
             f"longest_overlap={report.longest_overlap} "
-            f"rated={report.rated} homed={report.homed} "
+            f"rated={report.rated} homed={report.homed} ended={report.ended} "
             f"own_ends={','.join(report.own_ends) or 'none'} promises={verdict} logs={folder}"
         )
--- a/src/pondtiller/gateway/engine_ends.py
+++ b/src/pondtiller/gateway/engine_ends.py
@@ -4,11 +4,13 @@
 there. The engine's port tells them apart: it refuses once nothing listens there.
 """
 
+from typing import NamedTuple
+
 import curio
 
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock, logs
-from pondtiller.gateway.engine_pool import EnginePool
+from pondtiller.gateway.engine_pool import EngineConnection, EnginePool
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.suspects import SuspectContents
 from pondtiller.hashing import DIGEST_SHOWN
@@ -23,6 +25,27 @@
 that ended takes longer to start again."""
 
 
+LOOK_AGAIN_SECONDS = 0.1
+"""From an answer of the port until it is looked at again: a program may close its connections some
+time before it ends. The request's next try does not wait for it."""
+
+
+class BrokenOff(NamedTuple):
+    """A request that broke off at an engine.
+
+    Attributes
+    ----------
+    is_planned
+        Whether the engine was to leave, so that its end is nobody's fault.
+    """
+
+    engine: str
+    address: Address
+    request: str
+    content: str
+    is_planned: bool
+
+
 class EngineEnds:
     """Asks the ports of engines at which requests broke off.
 
@@ -50,39 +73,65 @@
     async def confirm(self, engine: str, address: Address, request: str, content: str) -> bool:
         """Return whether an engine has ended, after a request broke off there.
 
-        One that was leaving, or whose entry had gone, ends as planned, and is not counted.
+        One that was leaving, or whose entry had gone, ends as planned, and is not counted. One that
+        closes a connection some time before its port counts once that refuses too.
         """
         known = self._engines.engines.get(engine)
         is_planned = known is None or known.gone_at is not None or known.is_leaving
-        has_ended = await self._refuses(engine, address)
-        if has_ended and not is_planned:
-            self._metrics.ends_seen += 1
+        broken = BrokenOff(engine, address, request, content, is_planned)
+        connection = await self._ask(engine, address)
+        if connection is not None:
+            await curio.spawn(self._look_again, broken, connection, daemon=True)
+        return await self._note(broken, self._has_ended(engine))
+
+    async def _look_again(self, broken: BrokenOff, connection: EngineConnection) -> None:
+        """Keep a connection that lasts; ask the port again where it does not."""
+        await curio.sleep(LOOK_AGAIN_SECONDS)
+        if connection.is_clean():
+            await self._pool.give_back_unused(connection)
+            return
+        await connection.close()
+        again = await self._ask(broken.engine, broken.address)
+        if again is not None:
+            await self._pool.give_back_unused(again)
+        elif self._has_ended(broken.engine):
+            await self._note(broken, True)
+
+    async def _note(self, broken: BrokenOff, has_ended: bool) -> bool:
+        known = self._engines.engines.get(broken.engine)
         logs.decision(
             "request_broke_off",
-            request=request,
-            content=content[:DIGEST_SHOWN],
-            engine=engine,
+            request=broken.request,
+            content=broken.content[:DIGEST_SHOWN],
+            engine=broken.engine,
             has_ended=has_ended,
-            is_planned=is_planned,
+            is_planned=broken.is_planned,
             running=known.running if known is not None else 0,
         )
-        if has_ended and not is_planned:
-            await self._suspects.note_end(content, engine)
-        return has_ended and not is_planned
-
-    async def _refuses(self, engine: str, address: Address) -> bool:
-        now = clock.monotonic()
-        self._forget(now)
-        if engine in self._ended_at:
-            return True
+        if not has_ended or broken.is_planned:
+            return False
+        self._metrics.ends_seen += 1
+        await self._suspects.note_end(broken.content, broken.engine)
+        return True
+
+    async def _ask(self, engine: str, address: Address) -> EngineConnection | None:
+        """Return a connection to an engine; None where its port refuses or is silent."""
+        self._forget(clock.monotonic())
+        if self._has_ended(engine):
+            return None
         try:
-            await curio.timeout_after(ASK_SECONDS, self._pool.open_kept, engine, address)
+            connection: EngineConnection = await curio.timeout_after(
+                ASK_SECONDS, self._pool.open, engine, address
+            )
         except curio.TaskTimeout:
-            return False
+            return None
         except NotSentError:
             self._ended_at[engine] = clock.monotonic()
-            return True
-        return False
+            return None
+        return connection
+
+    def _has_ended(self, engine: str) -> bool:
+        return engine in self._ended_at
 
     def _forget(self, now: float) -> None:
         for engine in [each for each, at in self._ended_at.items() if now > at + KNOWN_SECONDS]:
--- a/src/pondtiller/gateway/engine_pool.py
+++ b/src/pondtiller/gateway/engine_pool.py
@@ -139,13 +139,10 @@
             if connection.is_clean():
                 return connection
             await connection.close()
-        return await self._open(engine, address)
+        return await self.open(engine, address)
 
-    async def open_kept(self, engine: str, address: Address) -> None:
-        """Open a connection and keep it; raises `NotSentError` where none comes up."""
-        await self.give_back_unused(await self._open(engine, address))
-
-    async def _open(self, engine: str, address: Address) -> EngineConnection:
+    async def open(self, engine: str, address: Address) -> EngineConnection:
+        """Return a new connection; raises `NotSentError`, `SilentEngineError`."""
         try:
             stream = await curio.timeout_after(
                 CONNECT_SECONDS, curio.open_connection, address.host, address.port
--- a/src/pondtiller/gateway/tests/ending_engine.py
+++ b/src/pondtiller/gateway/tests/ending_engine.py
@@ -34,6 +34,8 @@
 
     Attributes
     ----------
+    lingers_seconds
+        How much later than the connection of the request its port closes.
     runs
         Of requests under which it ended, on the steady clock.
     """
@@ -44,6 +46,7 @@
         super().__init__(identifier, service)
         self.born = FIRST_START_MS
         self.down_seconds = DOWN_SECONDS
+        self.lingers_seconds = 0.0
         self._keeps_name = keeps_name
         self.runs: list[EndingRun] = []
         self._store = store
@@ -99,9 +102,16 @@
             return
         self.runs.append(EndingRun(self.identifier, clock.monotonic()))
         await curio.sleep(WORK_SECONDS)
-        await self._over.set()
+        if self.lingers_seconds:
+            await curio.spawn(self._end_later, daemon=True)
+        else:
+            await self._over.set()
         raise ConnectionLostError("the engine ends")
 
+    async def _end_later(self) -> None:
+        await curio.sleep(self.lingers_seconds)
+        await self._over.set()
+
 
 async def replace_engines(
     system: System, service: str, count: int, keeps_name: bool = False
--- a/src/pondtiller/gateway/tests/test_ending_requests.py
+++ b/src/pondtiller/gateway/tests/test_ending_requests.py
@@ -223,6 +223,19 @@
     run_system(tmp_path, test)
 
 
+def test_an_engine_that_closes_its_connections_before_its_port_counts_as_ended(
+    tmp_path: Path,
+) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "app", 3)
+        for engine in engines:
+            engine.lingers_seconds = 0.04
+        await until_held(system, engines)
+
+    run_system(tmp_path, test)
+
+
 def test_a_sample_that_ends_engines_is_soon_run_by_none_and_the_others_are_made(
     tmp_path: Path,
 ) -> None:
--- a/src/pondtiller/soak/callers.py
+++ b/src/pondtiller/soak/callers.py
@@ -9,10 +9,13 @@
 from pondtiller.soak.caller_rules import RateRule, home_mark
 from pondtiller.soak.calls import Calls
 from pondtiller.soak.promises import NOT_RUN, Promises
-from pondtiller.soak.stand_ins import SoakEngine
+from pondtiller.soak.stand_ins import ENDING, SoakEngine
 
 CALL_SECONDS = 0.1
 RARE_CALL_EVERY = 4
+ENDING_CALL_EVERY = 8
+ENDING_CALLS = 12
+"""How often a content that ends engines comes before another one does: for 10 s."""
 NORTH, SOUTH = "north", "south"
 KEYS = {"rated": ["key-of-rated"], "homely": ["key-of-homely"]}
 
@@ -53,8 +56,19 @@
             if number % RARE_CALL_EVERY == 0:
                 await self._group.spawn(self._call_at_home, f"h{number}")
                 await self._group.spawn(self._call_without_key, f"k{number}")
+            if number % ENDING_CALL_EVERY == 0:
+                await self._group.spawn(self._call_ending, number // ENDING_CALL_EVERY)
             await curio.sleep(CALL_SECONDS)
 
+    async def _call_ending(self, number: int) -> None:
+        """Send a content that ends engines; it comes again at other gateways, as others do."""
+        content = ENDING + f" {number // ENDING_CALLS}".encode()
+        # Drawn without the callers' stream, which keeps what earlier seeds meet.
+        gateway = number * 7 % len(self._calls.ports)
+        await self._calls.request(
+            gateway, "POST", "/quote/7", content, "app.example", request_id=f"e{number}"
+        )
+
     async def _call_once(self, identifier: str) -> None:
         path = self._random.choice(("/list/7", "/quote/7"))
         body = f"body of {identifier}".encode()
--- a/src/pondtiller/soak/faults.py
+++ b/src/pondtiller/soak/faults.py
@@ -7,16 +7,20 @@
 import curio
 
 from pondtiller.daemon import clock
+from pondtiller.daemon.spawner import Spawner
 from pondtiller.platform import names
 from pondtiller.platform.standins import StandInStore
 from pondtiller.soak.leader_log import LeaderLog
 from pondtiller.soak.programs import Program
 from pondtiller.soak.proxy import Proxy
 from pondtiller.soak.stand_ins import SoakEngine
+from pondtiller.soak.trap import Trap
 
 ZONES = 3
 FAULT_PAUSE_SECONDS = (0.5, 4.0)
 FAULT_SECONDS = (0.2, 4.0)
+OVERLAP_PAUSE_SECONDS = (0.2, 1.6)
+"""Two or three faults at once, of 2 s in the mean."""
 EVACUATED_SECONDS = (7.0, 14.0)
 """Longer than an evacuation needs to be in force, so that the last seconds are checked."""
 RESET_SHARE = 0.3
@@ -57,6 +61,7 @@
         store_proxy: Proxy,
         links: dict[str, Proxy],
         leader: LeaderLog,
+        trap: Trap,
     ) -> None:
         self.random = source
         self.programs = programs
@@ -66,6 +71,7 @@
         self.store_proxy = store_proxy
         self.links = links
         self._leader = leader
+        self._trap = trap
         self.schedule: list[tuple[float, str, str]] = []
         self.evacuated: dict[str, float] = {}
         self._began = clock.monotonic()
@@ -98,6 +104,23 @@
                 await proxy.reset()
                 self._note("reset", proxy.address)
 
+    async def strike_together(self, seconds: float, only: tuple[str, ...] = ()) -> None:
+        """Bring faults about while earlier ones last; each is undone after its own time."""
+        kinds = only or tuple(KINDS)
+        end = clock.monotonic() + seconds
+        async with Spawner() as group:
+            while clock.monotonic() < end:
+                await curio.sleep(self.random.uniform(*OVERLAP_PAUSE_SECONDS))
+                self._take_back(clock.monotonic())
+                fault = KINDS[self.random.choice(kinds)](self)
+                self._note(fault.kind, fault.whom)
+                await group.spawn(self._undo_later, fault, self.random.uniform(*FAULT_SECONDS))
+            await curio.sleep(FAULT_SECONDS[1])
+
+    async def _undo_later(self, fault: Fault, seconds: float) -> None:
+        await curio.sleep(seconds)
+        fault.undo()
+
     def heal(self) -> None:
         """Undo everything."""
         for program in self.programs:
@@ -105,6 +128,9 @@
             program.revive()
         for proxy in self.proxies:
             proxy.heal()
+        for engine in (*self.apps, *self.models):
+            engine.start_again()
+        self._trap.withdraw()
         self._take_back(float("inf"))
         self.store.is_down = self.store.loses_answers = False
 
@@ -277,6 +303,24 @@
             engine.turn_cold()
         return Fault("cold", ",".join(each.identifier for each in engines), lambda: None)
 
+    def _end_engine(self) -> Fault:
+        """Have an engine end with all that it runs, and start again under its name."""
+        engine = self.random.choice((*self.apps, *self.models))
+        engine.end()
+        return Fault("end_engine", engine.identifier, engine.start_again)
+
+    def _odd_entries(self) -> Fault:
+        """Have another writer leave entries, and one engine's own, that are not whole."""
+        engine = self.random.choice((*self.apps, *self.models))
+        self._trap.publish()
+        self.store.put(names.ENGINES, engine.identifier, {**engine.entry(), "slots": None})
+
+        def undo() -> None:
+            self._trap.withdraw()
+            engine.publish()
+
+        return Fault("odd_entries", engine.identifier, undo)
+
     def _draw_zone(self) -> str:
         return f"z{self.random.randrange(ZONES)}"
 
@@ -302,5 +346,7 @@
     "silent_zone": Faults._silent_zone,
     "evacuate": Faults._evacuate,
     "cold": Faults._turn_cold,
+    "end_engine": Faults._end_engine,
+    "odd_entries": Faults._odd_entries,
 }
 """What may be drawn."""
--- a/src/pondtiller/soak/programs.py
+++ b/src/pondtiller/soak/programs.py
@@ -38,6 +38,10 @@
     ----------
     ends
         Times that it ended without having been told to.
+    kills
+        Times that it was ended at once.
+    started_at
+        When it was started last, on the steady clock.
     acts_since
         When it went on after it was held up last, on the steady clock; infinite while it is.
     in_touch_since
@@ -46,8 +50,9 @@
 
     def __init__(self, spec: ProgramSpec, folder: Path) -> None:
         self.spec = spec
-        self.ends = 0
+        self.ends = self.kills = 0
         self.acts_since = self.in_touch_since = float("-inf")
+        self.started_at = float("-inf")
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
         self._is_meant_to_run = False
@@ -72,6 +77,7 @@
         self._is_meant_to_run = True
         self._is_stopped = False
         self.acts_since = float("-inf")
+        self.started_at = clock.monotonic()
 
     @property
     def process_id(self) -> int | None:
@@ -84,6 +90,7 @@
 
     def kill(self) -> None:
         """End it at once."""
+        self.kills += 1
         self._is_meant_to_run = False
         self._signal(signal.SIGKILL)
 
--- a/src/pondtiller/soak/proxy.py
+++ b/src/pondtiller/soak/proxy.py
@@ -15,6 +15,7 @@
 
 READ_BYTES = 65_536
 POLL_SECONDS = 0.05
+END_LOOK_SECONDS = 0.01
 HEALED_SECONDS = 1.0
 """For how long after a heal what had waited may still come."""
 
@@ -32,6 +33,8 @@
         Programs for whose connections the same holds.
     healed_at
         When what had waited went on, on the steady clock.
+    is_ended
+        Whether nothing listens here, as where a process has ended; connections break off.
     watch
         Is called with all bytes that come, and the name of the program that receives them; empty
         where it is the target.
@@ -43,19 +46,20 @@
         self.target = target
         self.delay_seconds = 0.0
         self.is_silent = False
+        self.is_ended = False
         self.silent_for: set[str] = set()
         self.healed_at = float("-inf")
         self.watch: Callable[[bytes, str], None] | None = None
         self.openers: dict[int, str] = {}
         self.listener = bind_tcp("127.0.0.1", 0)
+        self._place = Address(*self.listener.getsockname())
         self._owners = owners
         self._open: set[Any] = set()
 
     @property
     def address(self) -> str:
         """Where callers connect, as HOST:PORT."""
-        host, port = self.listener.getsockname()
-        return f"{host}:{port}"
+        return f"{self._place.host}:{self._place.port}"
 
     def heal(self) -> None:
         """Pass everything on at once again."""
@@ -78,13 +82,27 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        async with Spawner() as group:
-            while True:
-                stream, peer = await self.listener.accept()
-                await group.spawn(self._serve, group, stream, peer[1])
+        while True:
+            async with Spawner() as group:
+                accepting = await group.spawn(self._accept, group)
+                await self._wait_until(lambda: self.is_ended)
+                await accepting.cancel()
+                await self.listener.close()
+                await self.reset()
+            await self._wait_until(lambda: not self.is_ended)
+            self.listener = bind_tcp(self._place.host, self._place.port)
+
+    async def _accept(self, group: Spawner) -> None:
+        while True:
+            stream, peer = await self.listener.accept()
+            await group.spawn(self._serve, group, stream, peer[1])
+
+    async def _wait_until(self, is_true: Callable[[], bool]) -> None:
+        while not is_true():
+            await curio.sleep(END_LOOK_SECONDS)
 
     async def _serve(self, group: Spawner, stream: Any, port: int) -> None:
-        opener = self._owners.opener(port, self.listener.getsockname()[1]) if self._owners else ""
+        opener = self._owners.opener(port, self._place.port) if self._owners else ""
         try:
             other = await curio.open_connection(self.target.host, self.target.port)
         except OSError:
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -15,6 +15,7 @@
 from pondtiller.soak.caller_rules import RATE, RATE_EXCESS, HomeRule, RateRule
 from pondtiller.soak.callers import KEYS, NORTH, SOUTH, Callers
 from pondtiller.soak.calls import Calls
+from pondtiller.soak.ending_rules import EndingRule, StoreReach
 from pondtiller.soak.engine_rules import (
     COLD_EXCESS,
     COLD_RATE,
@@ -23,6 +24,7 @@
     WITHIN_SECONDS,
 )
 from pondtiller.soak.faults import REGIONS, STORE_ZONE, ZONES, Faults
+from pondtiller.soak.kept_callers import KeptCallers
 from pondtiller.soak.leader_log import LeaderLog
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.ports import ReservedPorts
@@ -31,6 +33,7 @@
 from pondtiller.soak.proxy import Proxy
 from pondtiller.soak.sample_runs import SampleRuns
 from pondtiller.soak.stand_ins import Platform, SoakEngine, to_address
+from pondtiller.soak.trap import Trap
 
 GATEWAYS = 3
 REPLICAS = 3
@@ -38,6 +41,7 @@
 SAMPLES = 8
 NEVER = float("-inf")
 STEP_SECONDS = 2.0
+REACH_LOOK_SECONDS = 0.05
 CALM_SECONDS = 25.0
 REGION_LINES = "\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items())
 PLACES_SETTINGS = f"""
@@ -65,6 +69,8 @@
         Requests of a tenant with a rate that engines began.
     homed
         Times that a body with a home was on its way to an engine.
+    ended
+        Runs of contents that end engines.
     """
 
     seed: int
@@ -78,6 +84,7 @@
     longest_overlap: float
     rated: int
     homed: int
+    ended: int
 
 
 class Soak:
@@ -94,8 +101,18 @@
         self.sample_runs = SampleRuns(self.promises)
         self.rate = RateRule(self.promises)
         self.homes = HomeRule(REGIONS, self.promises)
+        self.ending = EndingRule(self.promises)
+        self.reach = StoreReach(self._reaches_store)
+        self.trap = Trap(self.promises, self.store)
         platform = Platform(
-            self.promises, self.sample_runs, self.rate, self.store, self.owners, self._acts_since
+            self.promises,
+            self.sample_runs,
+            self.rate,
+            self.store,
+            self.owners,
+            self._acts_since,
+            self.ending,
+            self._could_know_since,
         )
         self.apps = [SoakEngine(f"a{n}", "app", platform, EVENTS, f"z{n}") for n in range(ZONES)]
         self.models = [SoakEngine(f"m{n}", "llm", platform, EVENTS, f"z{n}") for n in range(ZONES)]
@@ -116,6 +133,7 @@
             self.store_proxy,
             self.links,
             LeaderLog({each.spec.name: each.log for each in self.gateways}),
+            self.trap,
         )
         self._watch_homes()
         self.group = Spawner()
@@ -123,6 +141,7 @@
         self.callers = Callers(
             self.random, self.calls, self.promises, self.rate, self.apps, self.group
         )
+        self.kept_callers = KeptCallers(self.gateways, self.ports, self.promises, self._has_begun)
         self.version = 1
         self.is_calm = False
         self.is_submitting = False
@@ -196,14 +215,39 @@
         found = [each for each in self.programs if each.spec.name == name]
         return max((max(each.acts_since, each.in_touch_since) for each in found), default=NEVER)
 
+    def _reaches_store(self, name: str) -> bool:
+        is_sound = not (self.store.is_down or self.store.loses_answers)
+        return is_sound and not self.store_proxy.is_held(name)
+
+    def _could_know_since(self, name: str) -> float:
+        started = max(each.started_at for each in self.programs if each.spec.name == name)
+        return max(self._acts_since(name), self.reach.since(name), started)
+
+    def _has_begun(self, identifier: str) -> bool:
+        return any(identifier in each.begun for each in self.apps)
+
+    async def _watch_store(self) -> None:
+        while True:
+            self.reach.look([each.spec.name for each in self.programs], clock.monotonic())
+            await curio.sleep(REACH_LOOK_SECONDS)
+
     # The run
 
-    async def run(self, seconds: float, only: tuple[str, ...] = ()) -> SoakReport:
-        """Play faults for some seconds, then a calm in which everything must be finished."""
+    async def run(
+        self, seconds: float, only: tuple[str, ...] = (), together: bool = False
+    ) -> SoakReport:
+        """Play faults for some seconds, then a calm in which everything must be finished.
+
+        Parameters
+        ----------
+        together
+            Whether faults come while earlier ones last.
+        """
         for engine in (*self.apps, *self.models):
             await self.group.spawn(engine.serve)
             engine.publish()
-        await self.group.spawn(self.store.serve)
+        for task in (self.store.serve, self.trap.serve, self._watch_store):
+            await self.group.spawn(task)
         for proxy in self.faults.proxies:
             await self.group.spawn(proxy.run)
         self.store.put("config", "main", self._configuration())
@@ -213,7 +257,9 @@
             await curio.sleep(3.0)
             for task in (self._train, self.callers.run):
                 await self.group.spawn(task)
-            await self.faults.strike(seconds, only)
+            await self.kept_callers.run(self.group)
+            strike = self.faults.strike_together if together else self.faults.strike
+            await strike(seconds, only)
             await self._finish()
         finally:
             await self.group.cancel_all()
@@ -234,6 +280,7 @@
             longest_overlap=round(self.sample_runs.longest, 3),
             rated=self.rate.begun,
             homed=self.homes.seen,
+            ended=sum(map(len, self.ending.runs.values())),
         )
 
     def _configuration(self) -> dict[str, Any]:
@@ -255,7 +302,7 @@
         return made
 
     async def _finish(self) -> None:
-        self.is_calm = self.callers.is_calm = True
+        self.is_calm = self.callers.is_calm = self.kept_callers.is_calm = True
         self.faults.heal()
         give_up = clock.monotonic() + CALM_SECONDS
         while clock.monotonic() < give_up and (self.is_submitting or self._missing()):
@@ -329,13 +376,19 @@
         return int(page["next_token"])
 
 
-def play(seed: int, seconds: float, folder: Path, only: tuple[str, ...] = ()) -> SoakReport:
+def play(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    only: tuple[str, ...] = (),
+    together: bool = False,
+) -> SoakReport:
     """Play one seed, with all kinds of faults or some; logs and schedule stay in the folder."""
     folder.mkdir(parents=True, exist_ok=True)
 
     soak = Soak(seed, folder)
     try:
-        report: SoakReport = curio.run(soak.run, seconds, only)
+        report: SoakReport = curio.run(soak.run, seconds, only, together)
     finally:
         for program in soak.programs:
             program.close()
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -9,16 +9,21 @@
 from pondtiller.core.entities import Address
 from pondtiller.daemon import clock
 from pondtiller.httpio.messages import HttpResponse
-from pondtiller.httpio.server import Exchange
+from pondtiller.httpio.server import ConnectionLostError, Exchange
 from pondtiller.platform import names
 from pondtiller.platform.standins import StandInEngine, StandInStore
 from pondtiller.soak.caller_rules import RateRule
+from pondtiller.soak.ending_rules import EndingRule, EndingRun
 from pondtiller.soak.engine_rules import EngineRules
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
 from pondtiller.soak.proxy import Proxy
 from pondtiller.soak.sample_runs import SampleRun, SampleRuns
 
+ENDING = b"ends what runs it"
+"""What the body of a request begins with under which an engine ends."""
+ENDED_SECONDS = 1.0
+FIRST_START_MS = 1_700_000_000_000
 ONCE_PATH = "/list/"
 WHOLE_SECONDS = 0.02
 SHORT_EVENT_SECONDS = 0.05
@@ -41,6 +46,10 @@
     ----------
     can_act_since
         Returns since when the program of a name has run and been in touch, on the steady clock.
+    ending
+        Takes runs of contents that end engines.
+    could_know_since
+        Returns since when the program of a name has run and reached the store.
     """
 
     promises: Promises
@@ -49,6 +58,8 @@
     store: StandInStore
     owners: Owners
     can_act_since: Callable[[str], float]
+    ending: EndingRule
+    could_know_since: Callable[[str], float]
 
 
 class SoakEngine(StandInEngine):
@@ -82,11 +93,42 @@
         self.rate = platform.rate
         self._can_act_since = platform.can_act_since
         self.refused: set[str] = set()
+        self.begun: set[str] = set()
+        self.born = FIRST_START_MS
+        self.ending = platform.ending
+        self._could_know_since = platform.could_know_since
+
+    def end(self) -> None:
+        """End, whatever it runs."""
+        self.proxy.is_ended = True
+
+    def start_again(self) -> None:
+        """Start again under its name: it counts its orders anew, and has the version that it
+        had.
+        """
+        if self.proxy.is_ended:
+            self.proxy.is_ended = False
+            self.born += 1000
+            self.orders.clear()
+            self.publish()
+
+    async def _end_under(self, exchange: Exchange) -> None:
+        opener = self._opener(exchange)
+        run = EndingRun(self.identifier, opener, self._could_know_since(opener), clock.monotonic())
+        self.ending.ran(exchange.request.body, run)
+        await curio.sleep(WHOLE_SECONDS)
+        self.end()
+        await curio.spawn(self._come_back, daemon=True)
+        raise ConnectionLostError("the engine ends")
+
+    async def _come_back(self) -> None:
+        await curio.sleep(ENDED_SECONDS)
+        self.start_again()
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return its list entry, with the proxy's address."""
         cold = max(0.0, self.rules.cold_until - clock.monotonic())
-        own = {"address": self.proxy.address, "zone": self.zone}
+        own = {"address": self.proxy.address, "zone": self.zone, "born": self.born}
         return {**super().entry(state), **own, "cold_left_ms": int(cold * 1000)}
 
     def turn_cold(self) -> None:
@@ -122,7 +164,10 @@
 
     async def whole(self, exchange: Exchange) -> None:
         """Answer like a sound engine, and count the run."""
+        if exchange.request.body.startswith(ENDING):
+            await self._end_under(exchange)
         identifier = exchange.request.headers[names.REQUEST_ID]
+        self.begun.add(identifier)
         is_once = exchange.request.path.startswith(ONCE_PATH)
         self._check_rules(identifier, self._opener(exchange))
         self.rate.began(identifier, clock.monotonic())
--- a/src/pondtiller/soak/tests/test_callers.py
+++ b/src/pondtiller/soak/tests/test_callers.py
@@ -11,6 +11,7 @@
 from pondtiller.soak.caller_rules import MOST_IN_A_WINDOW, RateRule
 from pondtiller.soak.callers import Callers
 from pondtiller.soak.calls import Calls
+from pondtiller.soak.ending_rules import EndingRule
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
 from pondtiller.soak.sample_runs import SampleRuns
@@ -25,7 +26,16 @@
 
     async def test() -> None:
         rate = RateRule(seen)
-        platform = Platform(seen, SampleRuns(seen), rate, StandInStore(), Owners(dict), lambda _: 0)
+        platform = Platform(
+            seen,
+            SampleRuns(seen),
+            rate,
+            StandInStore(),
+            Owners(dict),
+            lambda _: 0,
+            EndingRule(seen),
+            lambda _: 0,
+        )
         engine = SoakEngine("a0", "app", platform, 2)
         calls = Calls([to_address(engine.address).port])
         async with Spawner() as group:
--- a/src/pondtiller/soak/tests/test_faults.py
+++ b/src/pondtiller/soak/tests/test_faults.py
@@ -5,6 +5,7 @@
 
 from pondtiller.platform.standins import StandInStore
 from pondtiller.soak.caller_rules import RateRule
+from pondtiller.soak.ending_rules import EndingRule
 from pondtiller.soak.faults import KINDS, Faults
 from pondtiller.soak.leader_log import LeaderLog
 from pondtiller.soak.owners import Owners
@@ -13,6 +14,7 @@
 from pondtiller.soak.proxy import Proxy
 from pondtiller.soak.sample_runs import SampleRuns
 from pondtiller.soak.stand_ins import Platform, SoakEngine, to_address
+from pondtiller.soak.trap import Trap
 
 ZONES = ("z0", "z1", "z2")
 TARGET = to_address("127.0.0.1:9")
@@ -22,7 +24,16 @@
 def make_faults(folder: Path) -> Faults:
     """Return faults of programs that do not run, in three zones of two regions."""
     seen, store = Promises(), StandInStore()
-    platform = Platform(seen, SampleRuns(seen), RateRule(seen), store, Owners(dict), lambda _: 0.0)
+    platform = Platform(
+        seen,
+        SampleRuns(seen),
+        RateRule(seen),
+        store,
+        Owners(dict),
+        lambda _: 0.0,
+        EndingRule(seen),
+        lambda _: 0.0,
+    )
     apps, models = (
         [SoakEngine(f"{kind}{n}", kind, platform, 2, zone) for n, zone in enumerate(ZONES)]
         for kind in "am"
@@ -35,7 +46,10 @@
     programs = [Program(each, folder) for each in specs]
     links = {each.name: Proxy(TARGET) for each in specs}
     leader = LeaderLog({"g1": folder / "g1.log"})
-    return Faults(random.Random(1), programs, apps, models, store, Proxy(TARGET), links, leader)
+    trap = Trap(seen, store)
+    return Faults(
+        random.Random(1), programs, apps, models, store, Proxy(TARGET), links, leader, trap
+    )
 
 
 def silenced(faults: Faults) -> dict[str, set[str]]:
--- a/src/pondtiller/soak/tests/test_run.py
+++ b/src/pondtiller/soak/tests/test_run.py
@@ -16,6 +16,15 @@
     assert report.homed > 0
 
 
+@pytest.mark.parametrize("seed", [2, 3])
+def test_promises_hold_under_faults_that_come_together(tmp_path: Path, seed: int) -> None:
+    report = play(seed, 12.0, tmp_path, together=True)
+    assert report.breaches == []
+    assert report.own_ends == []
+    assert report.results >= 8
+    assert report.ended > 0
+
+
 def test_no_two_engines_work_on_a_sample_while_its_runner_is_cut_off(tmp_path: Path) -> None:
     # A leader moves a slow sample though the runner of the old run cannot be told: that one ends it
     # when the leader was silent for 1.0 s. Seen first with seeds 201 and 401.
--- a/src/pondtiller/soak/tests/test_stand_ins.py
+++ b/src/pondtiller/soak/tests/test_stand_ins.py
@@ -8,6 +8,7 @@
 from pondtiller.httpio.client import HttpClient
 from pondtiller.platform.standins import StandInStore
 from pondtiller.soak.caller_rules import RateRule
+from pondtiller.soak.ending_rules import EndingRule
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
 from pondtiller.soak.sample_runs import SampleRuns
@@ -32,7 +33,14 @@
     async def test() -> None:
         runs, store = SampleRuns(seen), StandInStore()
         platform = Platform(
-            seen, runs, RateRule(seen), store, Owners(dict), lambda _: float("-inf")
+            seen,
+            runs,
+            RateRule(seen),
+            store,
+            Owners(dict),
+            lambda _: float("-inf"),
+            EndingRule(seen),
+            lambda _: float("-inf"),
         )
         engines = [SoakEngine(name, "llm", platform, 12) for name in ("m0", "m1")]
         async with Spawner() as group:
