--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -337,5 +337,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     if answer.ran is Ran.NO and answer.retry_after_seconds is not None:
         pause = failure.retry_after_seconds or RETRY_AFTER_SECONDS
-        headers = (("Retry-After", f"{pause:.3g}"),)
+        # Three digits, and never an exponent.
+        text = f"{pause:.3g}" if pause < 100 else f"{pause:.0f}"
+        headers = (("Retry-After", text),)
     return HttpResponse(answer.status, failure.describe().encode(), "text/plain", headers)
--- a/src/pondtiller/gateway/tests/test_ending_requests.py
+++ b/src/pondtiller/gateway/tests/test_ending_requests.py
@@ -72,8 +72,10 @@
         assert len(runs) >= ENDS
         assert runs_after_the_last_end(runs) == []
         assert 200 not in statuses
-        # It is told at once that it did not run.
-        assert statuses[-1] == 503
+        # It is told at once that it did not run, and when it may come back.
+        refused = await system.call("POST", path, ENDING, request_id="last")
+        assert refused.status == statuses[-1] == 503
+        assert 3000 < int(dict(refused.headers)["retry-after"]) <= 3600
         began = clock.monotonic()
         answer = await system.call("POST", path, b"another", request_id="other")
         assert answer.status == 200
