A request's attempts are one value; an engine of the soak ends as a process does

Traced: connections accepted in the moment of an engine's end outlived it, and the one that the request waited on broke some milliseconds before the port.

--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -1,13 +1,10 @@
 """Sends callers' requests to engines: choice, attempts, and the truth about what ran."""
 
 import random
-from dataclasses import dataclass, field
-from typing import Any
 
 import curio
 
 from pondtiller.daemon import clock, logs
-from pondtiller.daemon.spawner import Spawner
 from pondtiller.errors import ErrorKind, Failure, Ran
 from pondtiller.gateway.cold_sends import ColdSends
 from pondtiller.gateway.engine_ends import EngineEnds
@@ -19,13 +16,13 @@
     SilentEngineError,
 )
 from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.race import ForwardedRequest, Race
 from pondtiller.gateway.suspects import SuspectContents
 from pondtiller.gateway.tries import Attempt, Tries, WholeAnswer
 from pondtiller.gateway.waiting import LOOK_AGAIN_SECONDS, WaitingLine, WaitingLines
 from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
-from pondtiller.platform.engine_format import Headers
 from pondtiller.routes.answer_times import AnswerTimes, SmoothedTime
 from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.live_queue import LiveQueue, Pace, Ticket, may_get, pace_of
@@ -33,7 +30,6 @@
 from pondtiller.routes.send_gate import Held, SendGate
 from pondtiller.routes.silent_zones import SilentZones
 from pondtiller.routes.table import RequestKind, RouteRow
-from pondtiller.usage.meter import Beginning
 
 OVERDUE_TIMES = 2.0
 """A request that waits for twice the usual time is taken to be at an engine that is gone."""
@@ -60,31 +56,6 @@
 MOST_SLOWNESS_COST = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardedRequest:
-    """A request as it is sent on.
-
-    Attributes
-    ----------
-    deadline
-        When the answer is due, on the steady clock.
-    beginning
-        Whose request it is, and when an engine began it.
-    content
-        Digest of what makes it the same request when it comes again: caller, host, method, path
-        and body.
-    """
-
-    identifier: str
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-    deadline: float
-    beginning: Beginning = field(default_factory=Beginning)
-    content: str = ""
-
-
 class Forwarder:
     """Sends requests to engines on behalf of callers and of the leader's scorers.
 
@@ -163,26 +134,16 @@
         What may be repeated goes to a second engine too when the first is silent for longer than
         nearly all answers take; the first good answer counts, and the other engine is left.
         """
-        tries = Tries()
-        service = route.choose_service(request.identifier)
-        ended = curio.Queue()
-        attempts = Spawner()
+        race = Race(request, route, route.choose_service(request.identifier))
         try:
-            answer = await self._race(request, route, service, tries, ended, attempts)
+            answer = await self._race(race)
         finally:
-            await attempts.cancel_all()
-        self._log(request, route, service, tries, answer)
+            await race.attempts.cancel_all()
+        self._log(race, answer)
         return answer
 
-    async def _race(
-        self,
-        request: ForwardedRequest,
-        route: RouteRow,
-        service: str,
-        tries: Tries,
-        ended: Any,
-        attempts: Spawner,
-    ) -> WholeAnswer | Failure:
+    async def _race(self, race: Race) -> WholeAnswer | Failure:
+        request, route, tries = race.request, race.route, race.tries
         while True:
             now = clock.monotonic()
             if now >= request.deadline:
@@ -190,35 +151,33 @@
             if not tries.running:
                 if self.suspects.is_held(request.content):
                     return self._held_content(request, tries)
-                failure = await self._start_in_turn(request, route, service, tries, ended, attempts)
+                failure = await self._start_in_turn(race)
                 if failure is not None:
                     return failure
             patience = request.deadline - now
-            usual = self.usual_seconds(service)
-            if self._may_hedge(request, route, tries):
+            usual = self.usual_seconds(race.service)
+            if self._may_hedge(race):
                 patience = min(patience, usual)
             try:
-                attempt = await curio.timeout_after(patience, ended.get)
+                attempt = await curio.timeout_after(patience, race.ended.get)
             except curio.TaskTimeout:
                 now = clock.monotonic()
                 is_overdue = now >= tries.last_began + OVERDUE_TIMES * usual
-                if now < request.deadline and (
-                    is_overdue or self._has_spare(route, service, tries)
-                ):
-                    await self._start(request, route, service, tries, ended, attempts)
+                if now < request.deadline and (is_overdue or self._has_spare(race)):
+                    await self._start(race)
                 continue
             tries.running -= 1
             answer = self._judge(attempt, route, tries)
             if answer is not None:
                 return answer
 
-    def _has_spare(self, route: RouteRow, service: str, tries: Tries) -> bool:
+    def _has_spare(self, race: Race) -> bool:
         """Return whether another engine is free enough for an early second try.
 
         Where engines are slow because they are full, second tries only fill them more. A
         request that is overdue gets its second try all the same: its engine may be gone.
         """
-        engine = self._choose_with_room(route, service, tries)
+        engine = self._choose_with_room(race)
         return engine is not None and engine.running < engine.entry.slots * HEDGE_FILL
 
     def usual_seconds(self, service: str) -> float:
@@ -230,49 +189,42 @@
         engine = self.choose(service, set(), homes)
         return engine is not None and engine.running < engine.entry.slots * QUEUE_FILL
 
-    def _may_hedge(self, request: ForwardedRequest, route: RouteRow, tries: Tries) -> bool:
+    def _may_hedge(self, race: Race) -> bool:
         """Return whether a second engine may get it too: not where an engine ended under it."""
-        if self.suspects.is_suspect(request.content):
+        if self.suspects.is_suspect(race.request.content):
             return False
-        return route.may_repeat and len(tries.engines) < route.attempts
+        return race.route.may_repeat and len(race.tries.engines) < race.route.attempts
 
     def _held_content(self, request: ForwardedRequest, tries: Tries) -> Failure:
         refusal = self.suspects.refuse(request.content)
         return refusal if tries.ran is Ran.NO else Failure(ErrorKind.ENGINE_FAILED)
 
-    async def _start(
-        self,
-        request: ForwardedRequest,
-        route: RouteRow,
-        service: str,
-        tries: Tries,
-        ended: Any,
-        attempts: Spawner,
-    ) -> bool:
+    async def _start(self, race: Race) -> bool:
         """Begin an attempt at another engine; False where none may get the request now."""
-        if self.suspects.is_held(request.content):
+        if self.suspects.is_held(race.request.content):
             return False
-        engine = self._choose_with_room(route, service, tries)
+        engine = self._choose_with_room(race)
         if engine is None:
             return False
         now = clock.monotonic()
         if engine.failures and now < engine.not_before:
-            self._probed_at[service] = now
-        tries.begin(engine.identifier, now)
-        await attempts.spawn(self._try, engine, request, tries, ended)
+            self._probed_at[race.service] = now
+        race.tries.begin(engine.identifier, now)
+        await race.attempts.spawn(self._try, engine, race)
         return True
 
-    def _choose_with_room(self, route: RouteRow, service: str, tries: Tries) -> Engine | None:
+    def _choose_with_room(self, race: Race) -> Engine | None:
         """Return the best engine that may get a request now.
 
         Where others are only full, one that failed just now does not get it, since waiting for
         room costs less than waiting for a connection that does not come up; nor does a cold one.
         """
         now = clock.monotonic()
+        route, tries = race.route, race.tries
         excluded = tries.passed_over
         some_full = False
         while True:
-            engine = self.choose(service, excluded, route.homes)
+            engine = self.choose(race.service, excluded, route.homes)
             if engine is None or (some_full and self._is_last_resort(engine, now)):
                 return None
             if not self._may_probe(engine, now):
@@ -297,62 +249,47 @@
         is_cold = self._cold is not None and self._cold.is_cold(engine, now)
         return is_cold or now < engine.not_before
 
-    async def _start_in_turn(
-        self,
-        request: ForwardedRequest,
-        route: RouteRow,
-        service: str,
-        tries: Tries,
-        ended: Any,
-        attempts: Spawner,
-    ) -> WholeAnswer | Failure | None:
+    async def _start_in_turn(self, race: Race) -> WholeAnswer | Failure | None:
         """Begin an attempt, after those that are more urgent; return a failure where none began."""
-        line = self._lines.of(service, route.homes)
-        if not line.queue and await self._start(request, route, service, tries, ended, attempts):
+        line = self._lines.of(race.service, race.route.homes)
+        if not line.queue and await self._start(race):
             return None
-        if not self._may_wait(route, service, tries):
-            return self._exhausted(request, route, service, tries, line.queue)
-        ticket = self._enter(request, route, service, tries, line)
+        if not self._may_wait(race):
+            return self._exhausted(race, line.queue)
+        ticket = self._enter(race, line)
         if ticket is None:
             # It would be late behind the others, but it is not refused while a place is free.
-            if line.queue and await self._start(request, route, service, tries, ended, attempts):
+            if line.queue and await self._start(race):
                 return None
-            return self._exhausted(request, route, service, tries, line.queue)
+            return self._exhausted(race, line.queue)
         try:
             while clock.monotonic() < ticket.leave_by:
                 await line.wait_turn(ticket)
-                if self.suspects.is_held(request.content):
-                    return self._held_content(request, tries)
-                tries.look_again(route.may_repeat)
-                if line.queue.first is ticket and await self._start(
-                    request, route, service, tries, ended, attempts
-                ):
+                if self.suspects.is_held(race.request.content):
+                    return self._held_content(race.request, race.tries)
+                race.tries.look_again(race.route.may_repeat)
+                if line.queue.first is ticket and await self._start(race):
                     return None
         finally:
             line.queue.leave(ticket)
             await line.turn.set()
-        return self._exhausted(request, route, service, tries, line.queue)
+        return self._exhausted(race, line.queue)
 
-    def _enter(
-        self,
-        request: ForwardedRequest,
-        route: RouteRow,
-        service: str,
-        tries: Tries,
-        line: WaitingLine,
-    ) -> Ticket | None:
+    def _enter(self, race: Race, line: WaitingLine) -> Ticket | None:
+        request, route, tries = race.request, race.route, race.tries
         if tries.ticket is not None:
             line.queue.enter_again(tries.ticket)
             return tries.ticket
-        now, pace = clock.monotonic(), self._pace(route, service)
+        now, pace = clock.monotonic(), self._pace(route, race.service)
         tries.ticket = line.queue.enter(route.priority, request.deadline, now, pace)
         if tries.ticket is not None:
             tries.details.append("waits")
         return tries.ticket
 
-    def _may_wait(self, route: RouteRow, service: str, tries: Tries) -> bool:
+    def _may_wait(self, race: Race) -> bool:
         """Return whether an engine that is known may get the request later."""
-        if not self._engines.usable(service, clock.monotonic(), route.homes):
+        route, tries = race.route, race.tries
+        if not self._engines.usable(race.service, clock.monotonic(), route.homes):
             return False
         may_go_again = route.may_repeat and bool(tries.refused | tries.again)
         return len(tries.engines) < route.attempts or may_go_again
@@ -363,9 +300,8 @@
         usable = self._engines.usable(service, now, route.homes)
         return pace_of(usable, own.seconds(now) if own is not None else 0.0)
 
-    async def _try(
-        self, engine: Engine, request: ForwardedRequest, tries: Tries, ended: Any
-    ) -> None:
+    async def _try(self, engine: Engine, race: Race) -> None:
+        request, tries, ended = race.request, race.tries, race.ended
         began = clock.monotonic()
         try:
             answer = await self._attempt(engine, request, tries)
@@ -429,20 +365,14 @@
         if answer.status != engine_format.MISDIRECTED:
             engine.limit.note_late(engine.running + 1, route.objective_seconds, now)
 
-    def _exhausted(
-        self,
-        request: ForwardedRequest,
-        route: RouteRow,
-        service: str,
-        tries: Tries,
-        queue: LiveQueue,
-    ) -> WholeAnswer | Failure:
+    def _exhausted(self, race: Race, queue: LiveQueue) -> WholeAnswer | Failure:
+        tries = race.tries
         if tries.last_failure is not None:
             return tries.last_failure
         if tries.ran is not Ran.NO:
             return Failure(ErrorKind.ENGINE_FAILED)
-        left = request.deadline - clock.monotonic()
-        pause = queue.return_seconds(left, self._pace(route, service))
+        left = race.request.deadline - clock.monotonic()
+        pause = queue.return_seconds(left, self._pace(race.route, race.service))
         return Failure(ErrorKind.NO_ENGINE, retry_after_seconds=pause)
 
     def _late(self, route: RouteRow, tries: Tries) -> WholeAnswer | Failure:
@@ -541,22 +471,16 @@
         await connection.send_plain(request.method, request.target, request.body, headers)
         return await connection.read_answer(request.identifier)
 
-    def _log(
-        self,
-        request: ForwardedRequest,
-        route: RouteRow,
-        service: str,
-        tries: Tries,
-        answer: WholeAnswer | Failure,
-    ) -> None:
+    def _log(self, race: Race, answer: WholeAnswer | Failure) -> None:
+        request, tries = race.request, race.tries
         is_failure = isinstance(answer, Failure)
         outcome = answer.kind.value if isinstance(answer, Failure) else str(answer.status)
         logs.decision(
             "request_failed" if is_failure else "request_answered",
             request=request.identifier,
             content=request.content[:DIGEST_SHOWN],
-            route=route.name,
-            service=service,
+            route=race.route.name,
+            service=race.service,
             engines_revision=self._engines.revision,
             engine="" if isinstance(answer, Failure) else answer.engine,
             tried=";".join(tries.details),
--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -9,8 +9,9 @@
 from pondtiller.daemon import clock, logs
 from pondtiller.daemon.race import run_until
 from pondtiller.errors import ErrorKind, Failure, Ran
-from pondtiller.gateway.forward import ForwardedRequest, Forwarder, is_streamed
+from pondtiller.gateway.forward import Forwarder, is_streamed
 from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.race import ForwardedRequest
 from pondtiller.gateway.step_client import StepClient
 from pondtiller.gateway.streams import StreamForwarder
 from pondtiller.gateway.tenant_rates import TenantRates
--- a/src/pondtiller/gateway/sample_runner.py
+++ b/src/pondtiller/gateway/sample_runner.py
@@ -10,7 +10,8 @@
 from pondtiller.errors import Failure
 from pondtiller.gateway.cold_sends import ColdSends
 from pondtiller.gateway.engine_pool import EngineConnection, EnginePool, HeldBackError
-from pondtiller.gateway.forward import ForwardedRequest, Forwarder
+from pondtiller.gateway.forward import Forwarder
+from pondtiller.gateway.race import ForwardedRequest
 from pondtiller.hashing import content_digest
 from pondtiller.httpio.client import BrokenError, NotSentError
 from pondtiller.platform import engine_format
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -10,7 +10,8 @@
     EnginePool,
     HeldBackError,
 )
-from pondtiller.gateway.forward import ForwardedRequest, Forwarder
+from pondtiller.gateway.forward import Forwarder
+from pondtiller.gateway.race import ForwardedRequest
 from pondtiller.gateway.tries import Tries
 from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.httpio.client import BrokenError, NotSentError
--- a/src/pondtiller/gateway/tests/test_distances.py
+++ b/src/pondtiller/gateway/tests/test_distances.py
@@ -11,7 +11,7 @@
 from pondtiller.errors import Failure
 from pondtiller.gateway import forward
 from pondtiller.gateway.engine_pool import EnginePool, SilentEngineError
-from pondtiller.gateway.forward import ForwardedRequest, Forwarder
+from pondtiller.gateway.forward import Forwarder
 from pondtiller.gateway.leadership import (
     NO_QUORUM_IN_REGION_SECONDS,
     FirstGroupSource,
@@ -19,6 +19,7 @@
 )
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.mirrored_store import MirroredStore
+from pondtiller.gateway.race import ForwardedRequest
 from pondtiller.gateway.sample_runner import SampleRunner, ScoreOutcome
 from pondtiller.gateway.tries import WholeAnswer
 from pondtiller.rollouts.sample_work import ScoreEnd
--- a/src/pondtiller/gateway/tests/test_live_load.py
+++ b/src/pondtiller/gateway/tests/test_live_load.py
@@ -10,8 +10,9 @@
 from pondtiller.daemon import clock
 from pondtiller.errors import ErrorKind, Failure
 from pondtiller.gateway.engine_pool import AnswerHead, EnginePool
-from pondtiller.gateway.forward import ForwardedRequest, Forwarder
+from pondtiller.gateway.forward import Forwarder
 from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.race import ForwardedRequest
 from pondtiller.gateway.tries import WholeAnswer
 from pondtiller.httpio.client import NotSentError
 from pondtiller.platform import names
--- a/src/pondtiller/gateway/tests/test_suspended.py
+++ b/src/pondtiller/gateway/tests/test_suspended.py
@@ -16,9 +16,10 @@
 from pondtiller.daemon import clock
 from pondtiller.errors import ErrorKind, Failure
 from pondtiller.gateway.engine_pool import EnginePool
-from pondtiller.gateway.forward import ForwardedRequest, Forwarder
+from pondtiller.gateway.forward import Forwarder
 from pondtiller.gateway.key_freshness import KeyFreshness
 from pondtiller.gateway.metrics import GatewayMetrics
+from pondtiller.gateway.race import ForwardedRequest
 from pondtiller.gateway.settings import Keys
 from pondtiller.gateway.share_asker import ShareAsker
 from pondtiller.gateway.tests.system import System, run_system
--- a/src/pondtiller/soak/proxy.py
+++ b/src/pondtiller/soak/proxy.py
@@ -108,6 +108,11 @@
         except OSError:
             await stream.close()
             return
+        if self.is_ended:
+            # It was accepted in the moment of the end: nothing may outlive that.
+            await stream.close()
+            await other.close()
+            return
         ends = {stream, other}
         self._open |= ends
         own_port = other.getsockname()[1]
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -119,6 +119,8 @@
         await curio.sleep(WHOLE_SECONDS)
         self.end()
         await curio.spawn(self._come_back, daemon=True)
+        # As with a process that ends, its port refuses by the time that its connections break off.
+        await exchange.wait_closed()
         raise ConnectionLostError("the engine ends")
 
     async def _come_back(self) -> None:
