--- a/src/pondtiller/soak/tests/test_run.py
+++ b/src/pondtiller/soak/tests/test_run.py
@@ -16,8 +16,8 @@
     assert report.homed > 0
 
 
-# Seed 1038: a connection that was accepted as an engine ended outlived that end, so that its port was
-# taken to answer; the stand-in was at fault.
+# Seed 1038: a connection that was accepted as an engine ended outlived that end, so that its port
+# was taken to answer; the stand-in was at fault.
 @pytest.mark.parametrize(("seed", "seconds"), [(2, 12.0), (1038, 18.0)])
 def test_promises_hold_under_faults_that_come_together(
     tmp_path: Path, seed: int, seconds: float
