Engines of services that no row names get neither orders nor questions; tests tell how long they stood still

An entry of another writer may name a service that nobody knows: the steward asked its address for a report each 0.4 s and counted it among the engines to load. Found by reading; the test asked once before. Small systems of the tests say on a failure by how much their process stood still: two tests of runs failed once each beside other work, with no way to tell.

--- a/src/pondtiller/gateway/tests/system.py
+++ b/src/pondtiller/gateway/tests/system.py
@@ -1,6 +1,7 @@
 """A whole small system for tests: store, engines, replicas and gateways in one process."""
 
 import json
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -175,6 +176,17 @@
         return found
 
 
+LOOK_SECONDS = 0.02
+
+
+async def note_stalls(stalls: list[float]) -> None:
+    """Note by how much a short sleep is late, each time."""
+    while True:
+        began = time.monotonic()
+        await curio.sleep(LOOK_SECONDS)
+        stalls.append(time.monotonic() - began - LOOK_SECONDS)
+
+
 def run_system(
     folder: Path,
     test: Callable[[System], Awaitable[None]],
@@ -191,9 +203,14 @@
     async def main() -> None:
         system = System(folder, gateways, replicas, use_window, keys, evacuate_within, scaling)
         await system.start(with_configuration)
+        stalls: list[float] = []
+        watch = await curio.spawn(note_stalls, stalls)
         try:
             await curio.timeout_after(40.0, test, system)
         finally:
+            await watch.cancel()
+            # Shown where a test fails: all parts share this process, and waits of theirs are real.
+            print(f"this process stood still for {max(stalls, default=0.0):.3f} s at the longest")
             await system.stop()
 
     curio.run(main)
--- a/src/pondtiller/gateway/tests/test_engines_start_again.py
+++ b/src/pondtiller/gateway/tests/test_engines_start_again.py
@@ -9,6 +9,8 @@
 
 from pondtiller.gateway.tests.ending_engine import EndingEngine, replace_engines
 from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.httpio.messages import HttpResponse
+from pondtiller.platform.standins import StandInEngine
 from pondtiller.routes.engines import EngineState
 
 STEPS = 3
@@ -158,3 +160,27 @@
         assert answer.status == 200
 
     run_system(tmp_path, test)
+
+
+def test_an_entry_of_a_service_that_is_not_named_gets_neither_orders_nor_questions(
+    tmp_path: Path,
+) -> None:
+    async def test(system: System) -> None:
+        stranger = StandInEngine("zz", "nobody's")
+        stranger.models = ["m"]
+        asked: list[str] = []
+
+        async def noted(exchange: Any) -> None:
+            asked.append(exchange.request.path)
+            await exchange.respond(HttpResponse(404))
+
+        stranger._handle = noted  # type: ignore[method-assign]
+        await system.group.spawn(stranger.serve)
+        system.store.put("servers", "zz", stranger.entry())
+        await until_ready(system)
+        system.store.put("versions", "m", {"model": "m", "version": 2})
+        await system.until(lambda: all(engine.version == 2 for engine in system.llm))
+        await curio.sleep(1.0)
+        assert asked == []
+
+    run_system(tmp_path, test)
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -102,6 +102,7 @@
         if current is not None and table.version <= current.version:
             return
         self._front.table = table
+        self._engines.services = table.named_services
         logs.decision(
             "table_in_force",
             version=table.version,
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -233,6 +233,9 @@
         Whether that is not known yet: no engine gets anything before.
     starts_again
         How often an engine was seen to have started again.
+    services
+        Services that the rows in force name; None while there are none. Entries of others may be
+        anybody's, and get no orders.
     """
 
     def __init__(self, places: Places | None = None) -> None:
@@ -245,6 +248,7 @@
         self._current: dict[str, str] = {}
         self._earlier: dict[str, float] = {}
         self.starts_again = 0
+        self.services: frozenset[str] | None = None
         self.revision = 0
         self.is_known = False
 
@@ -327,6 +331,10 @@
         """Return whether an engine's zone is evacuated, or may be as far as it is known."""
         return self.awaits_evacuations or engine.entry.zone in self.evacuated
 
+    def is_named(self, engine: Engine) -> bool:
+        """Return whether a row in force names an engine's service, as far as rows are known."""
+        return self.services is None or engine.entry.service in self.services
+
     def usable(self, service: str, now: float, homes: frozenset[str] = frozenset()) -> list[Engine]:
         """Return the engines of a service that may get new work now.
 
--- a/src/pondtiller/routes/table.py
+++ b/src/pondtiller/routes/table.py
@@ -188,6 +188,11 @@
             rows.sort(key=lambda row: -len(row.path_prefix))
         object.__setattr__(self, "_by_host", by_host)
 
+    @property
+    def named_services(self) -> frozenset[str]:
+        """Return all services that have a row, or that a row of routes may use."""
+        return frozenset(self.services).union(*(route.services() for route in self.routes))
+
     def find(self, host: str, path: str) -> RouteRow | None:
         """Return the row with the longest prefix that begins the path."""
         rows: list[RouteRow] = getattr(self, "_by_host").get(host_name(host), [])  # noqa: B009
