A stopping gateway passes nothing on in its last moments

Cause: between the last look at open requests and the end of the process (0.4 s where a leader is told the last use) requests were still taken and passed on, then cut. Ruled out: a kill (none since the request), the engine (it answered). From 3 s after the signal on, when no new connections are sent here any more, requests are answered as not run; those that are open end first.

--- a/src/pondtiller/gateway/front.py
+++ b/src/pondtiller/gateway/front.py
@@ -40,6 +40,9 @@
         Rows in force; None until the first are known.
     open_exchanges
         Requests that are being answered now.
+    is_closed
+        Whether the process is about to end: what comes now is not run, since its answer would be
+        cut. Callers that use their connections to the last moment send as it ends.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self._places = places or Places()
         self.table: RouteTable | None = None
         self.open_exchanges = 0
+        self.is_closed = False
         self._forwarder = forwarder
         self._streams = streams
         self._steps = steps
@@ -92,6 +96,9 @@
 
     async def _route(self, exchange: Exchange) -> None:
         request = exchange.request
+        if self.is_closed:
+            await self._fail(exchange, Failure(ErrorKind.DRAINING), "")
+            return
         if request.path.startswith(names.STEPS_PATH):
             await self._step_call(exchange)
             return
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -17,6 +17,7 @@
 
 NOT_READY_SECONDS = 3.0
 STOP_MARGIN_SECONDS = 0.7
+OPEN_LOOK_SECONDS = 0.05
 LAST_USE_SECONDS = 0.4
 """Of the margin before a stopping process is ended."""
 
@@ -96,11 +97,10 @@
         await self.duties.save_progress()
         await self.leadership.resign()
         end = began + self.settings.durations.stop - STOP_MARGIN_SECONDS
-        while clock.monotonic() < end:
-            is_quiet = self.front.open_exchanges == 0
-            if is_quiet and clock.monotonic() >= began + NOT_READY_SECONDS:
-                break
-            await curio.sleep(0.05)
+        await curio.sleep(max(0.0, min(began + NOT_READY_SECONDS, end) - clock.monotonic()))
+        self.front.is_closed = True
+        while self.front.open_exchanges and clock.monotonic() < end:
+            await curio.sleep(OPEN_LOOK_SECONDS)
         await self._tell_last_use()
         await self._stopped.set()
 
--- a/src/pondtiller/platform/standins.py
+++ b/src/pondtiller/platform/standins.py
@@ -150,6 +150,7 @@
         self.service = service
         self.events = events
         self.event_seconds = 0.005
+        self.work_seconds = 0.0
         self.version = 1
         self.orders: list[dict[str, Any]] = []
         self.seen: list[tuple[str, str, dict[str, str]]] = []
@@ -195,6 +196,7 @@
         """Answer like a sound engine."""
         request = exchange.request
         identifier = request.headers["request-id"]
+        await curio.sleep(self.work_seconds)
         headers = (("Request-Id", identifier), ("Response-Signature", f"sig-{identifier}"))
         await exchange.respond(HttpResponse(200, b"answer " + request.body, "", headers))
 
