Soak: what a program sends right after it was held up is not counted against cold engines

Traced: g0 was frozen for 3.7 s, in which the engines turned cold, woke at 917.0 s, sent what its callers asked, and learned of it at 918.7 s.

--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -14,7 +14,7 @@
 from pondtiller.platform.standins import StandInEngine, StandInStore
 from pondtiller.soak.caller_rules import RateRule
 from pondtiller.soak.ending_rules import EndingRule, EndingRun
-from pondtiller.soak.engine_rules import EngineRules
+from pondtiller.soak.engine_rules import NEWS_SECONDS, EngineRules
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
 from pondtiller.soak.proxy import Proxy
@@ -139,7 +139,9 @@
         self.publish()
 
     def _check_rules(self, identifier: str, opener: str) -> None:
-        if not self.proxy.holds_up(opener):
+        # A program that was held up learns within this time of what happened meanwhile.
+        is_back = clock.monotonic() < self._can_act_since(opener) + NEWS_SECONDS
+        if not is_back and not self.proxy.holds_up(opener):
             self.rules.began(identifier, clock.monotonic())
 
     def _opener(self, exchange: Exchange) -> str:
--- a/src/pondtiller/soak/tests/test_stand_ins.py
+++ b/src/pondtiller/soak/tests/test_stand_ins.py
@@ -3,7 +3,9 @@
 from typing import Any
 
 import curio
+import pytest
 
+from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.httpio.client import HttpClient
 from pondtiller.platform.standins import StandInStore
@@ -65,3 +67,26 @@
 
 def test_an_engine_that_its_caller_leaves_at_once_does_not_count_until_its_next_event() -> None:
     assert overlapping(0.05) == []
+
+
+@pytest.mark.parametrize(("held_up_seconds_ago", "is_counted"), [(1.0, False), (10.0, True)])
+def test_a_program_that_just_went_on_is_not_counted_and_one_that_did_long_ago_is(
+    held_up_seconds_ago: float, is_counted: bool
+) -> None:
+    seen = Promises()
+    went_on = clock.monotonic() - held_up_seconds_ago
+    platform = Platform(
+        seen,
+        SampleRuns(seen),
+        RateRule(seen),
+        StandInStore(),
+        Owners(dict),
+        lambda _: went_on,
+        EndingRule(seen),
+        lambda _: went_on,
+    )
+    engine = SoakEngine("a0", "app", platform, 12)
+    engine.rules.cold_from, engine.rules.cold_until = float("-inf"), float("inf")
+    for number in range(20):
+        engine._check_rules(f"q{number}", "g0")
+    assert bool(seen.breaches) is is_counted
