Soak: a connection that is accepted as an engine ends breaks off once its port refuses

Traced: a connection whose serving began after the end was closed before the listener was, 10 ms at most; the port still answered then. It now waits for the listener (test).

--- a/src/pondtiller/soak/proxy.py
+++ b/src/pondtiller/soak/proxy.py
@@ -52,6 +52,7 @@
         self.watch: Callable[[bytes, str], None] | None = None
         self.openers: dict[int, str] = {}
         self.listener = bind_tcp("127.0.0.1", 0)
+        self._is_listening = True
         self._place = Address(*self.listener.getsockname())
         self._owners = owners
         self._open: set[Any] = set()
@@ -88,9 +89,11 @@
                 await self._wait_until(lambda: self.is_ended)
                 await accepting.cancel()
                 await self.listener.close()
+                self._is_listening = False
                 await self.reset()
             await self._wait_until(lambda: not self.is_ended)
             self.listener = bind_tcp(self._place.host, self._place.port)
+            self._is_listening = True
 
     async def _accept(self, group: Spawner) -> None:
         while True:
@@ -109,9 +112,13 @@
             await stream.close()
             return
         if self.is_ended:
-            # It was accepted in the moment of the end: nothing may outlive that.
-            await stream.close()
-            await other.close()
+            # It was accepted in the moment of the end: it must not outlive that, and not break off
+            # before the port refuses.
+            try:
+                await self._wait_until(lambda: not self._is_listening)
+            finally:
+                await stream.close()
+                await other.close()
             return
         ends = {stream, other}
         self._open |= ends
--- a/src/pondtiller/soak/tests/test_ending_rules.py
+++ b/src/pondtiller/soak/tests/test_ending_rules.py
@@ -68,6 +68,26 @@
     curio.run(main)
 
 
+def test_a_connection_that_is_accepted_as_a_proxy_ends_breaks_off_once_its_port_refuses() -> None:
+    async def main() -> None:
+        target = bind_tcp("127.0.0.1", 0)
+        proxy = Proxy(Address(*target.getsockname()))
+        serving = await curio.spawn(proxy.run, daemon=True)
+        host, _, port = proxy.address.rpartition(":")
+        place, client = Address(host, int(port)), HttpClient()
+        await curio.sleep(0.05)
+        # The kernel takes the connection; whoever serves it comes to it after the end.
+        connection = await client.open_plain(place)
+        proxy.is_ended = True
+        assert await curio.timeout_after(1.0, connection._socket.recv, 1) == b""
+        with pytest.raises(NotSentError):
+            await client.open_plain(place)
+        await connection.close()
+        await serving.cancel()
+
+    curio.run(main)
+
+
 def test_an_ended_proxy_refuses_and_listens_again_at_its_place() -> None:
     async def main() -> None:
         target = bind_tcp("127.0.0.1", 0)
