The end of an engine that this gateway does not know yet counts

Traced: the leader asks the store itself for engines and sent runs to starts that the runner's gateway had not heard of (it asks each 1.2 s); their ends were taken for planned ones.

--- a/src/pondtiller/gateway/engine_ends.py
+++ b/src/pondtiller/gateway/engine_ends.py
@@ -75,7 +75,10 @@
         closes a connection some time before its port counts once that refuses too.
         """
         known = self._engines.engines.get(engine)
-        is_planned = known is None or known.gone_at is not None or known.is_leaving
+        # One that is not known here yet is known to the leader that sent a run there, and has just
+        # started: its end counts.
+        has_gone = known is not None and known.gone_at is not None
+        is_planned = has_gone or self._engines.has_left(engine, clock.monotonic())
         broken = BrokenOff(engine, address, request, content, is_planned)
         connection = await self._ask(engine, address)
         if connection is not None:
