Soak tests: one maker of what engines share, one case of a proxy that ends

The same eight arguments stood in four places, and two tests of a proxy's end shared eleven lines. The assertions are the same; both kinds of start now also listen again.

--- a/src/pondtiller/soak/tests/test_callers.py
+++ b/src/pondtiller/soak/tests/test_callers.py
@@ -7,15 +7,12 @@
 import pytest
 
 from pondtiller.daemon.spawner import Spawner
-from pondtiller.platform.standins import StandInStore
-from pondtiller.soak.caller_rules import MOST_IN_A_WINDOW, RateRule
+from pondtiller.soak.caller_rules import MOST_IN_A_WINDOW
 from pondtiller.soak.callers import Callers
 from pondtiller.soak.calls import Calls
-from pondtiller.soak.ending_rules import EndingRule
-from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
-from pondtiller.soak.sample_runs import SampleRuns
-from pondtiller.soak.stand_ins import Platform, SoakEngine, to_address
+from pondtiller.soak.stand_ins import SoakEngine, to_address
+from pondtiller.soak.tests.platforms import make_platform
 
 Planted = Callable[[Callers], object]
 
@@ -25,22 +22,12 @@
     seen = Promises()
 
     async def test() -> None:
-        rate = RateRule(seen)
-        platform = Platform(
-            seen,
-            SampleRuns(seen),
-            rate,
-            StandInStore(),
-            Owners(dict),
-            lambda _: 0,
-            EndingRule(seen),
-            lambda _: 0,
-        )
+        platform = make_platform(seen, acts_since=0.0)
         engine = SoakEngine("a0", "app", platform, 2)
         calls = Calls([to_address(engine.address).port])
         async with Spawner() as group:
             await group.spawn(engine.serve)
-            await planted(Callers(random.Random(1), calls, seen, rate, [engine], group))  # type: ignore[misc]
+            await planted(Callers(random.Random(1), calls, seen, platform.rate, [engine], group))  # type: ignore[misc]
 
     curio.run(test)
     return {each.promise for each in seen.breaches}
--- a/src/pondtiller/soak/tests/test_ending_rules.py
+++ b/src/pondtiller/soak/tests/test_ending_rules.py
@@ -68,43 +68,34 @@
     curio.run(main)
 
 
-def test_a_connection_that_is_accepted_as_a_proxy_ends_breaks_off_once_its_port_refuses() -> None:
+async def end_and_be_refused(proxy: Proxy, place: Address) -> None:
+    """Connect, end the proxy, and see the connection break off and the port refuse."""
+    client = HttpClient()
+    connection = await client.open_plain(place)
+    proxy.is_ended = True
+    assert await curio.timeout_after(1.0, connection._socket.recv, 1) == b""
+    with pytest.raises(NotSentError):
+        await client.open_plain(place)
+    await connection.close()
+
+
+@pytest.mark.parametrize("head_start_seconds", [0.0, 0.05])
+def test_an_ended_proxy_breaks_off_refuses_and_listens_again_at_its_place(
+    head_start_seconds: float,
+) -> None:
+    # With a head start the kernel takes the connection, and it is served only after the end.
     async def main() -> None:
         target = bind_tcp("127.0.0.1", 0)
         proxy = Proxy(Address(*target.getsockname()))
         serving = await curio.spawn(proxy.run, daemon=True)
         host, _, port = proxy.address.rpartition(":")
-        place, client = Address(host, int(port)), HttpClient()
-        await curio.sleep(0.05)
-        # The kernel takes the connection; whoever serves it comes to it after the end.
-        connection = await client.open_plain(place)
-        proxy.is_ended = True
-        assert await curio.timeout_after(1.0, connection._socket.recv, 1) == b""
-        with pytest.raises(NotSentError):
-            await client.open_plain(place)
-        await connection.close()
-        await serving.cancel()
-
-    curio.run(main)
-
-
-def test_an_ended_proxy_refuses_and_listens_again_at_its_place() -> None:
-    async def main() -> None:
-        target = bind_tcp("127.0.0.1", 0)
-        proxy = Proxy(Address(*target.getsockname()))
-        serving = await curio.spawn(proxy.run, daemon=True)
-        host, _, port = proxy.address.rpartition(":")
-        place, client = Address(host, int(port)), HttpClient()
-        connection = await client.open_plain(place)
-        proxy.is_ended = True
-        assert await curio.timeout_after(1.0, connection._socket.recv, 1) == b""
-        with pytest.raises(NotSentError):
-            await client.open_plain(place)
+        place = Address(host, int(port))
+        await curio.sleep(head_start_seconds)
+        await end_and_be_refused(proxy, place)
         proxy.is_ended = False
         await curio.sleep(0.1)
-        again = await client.open_plain(place)
-        for each in (connection, again):
-            await each.close()
+        again = await HttpClient().open_plain(place)
+        await again.close()
         await serving.cancel()
 
     curio.run(main)
--- a/src/pondtiller/soak/tests/test_faults.py
+++ b/src/pondtiller/soak/tests/test_faults.py
@@ -3,17 +3,13 @@
 import random
 from pathlib import Path
 
-from pondtiller.platform.standins import StandInStore
-from pondtiller.soak.caller_rules import RateRule
-from pondtiller.soak.ending_rules import EndingRule
 from pondtiller.soak.faults import KINDS, Faults
 from pondtiller.soak.leader_log import LeaderLog
-from pondtiller.soak.owners import Owners
 from pondtiller.soak.programs import Program, ProgramSpec
 from pondtiller.soak.promises import Promises
 from pondtiller.soak.proxy import Proxy
-from pondtiller.soak.sample_runs import SampleRuns
-from pondtiller.soak.stand_ins import Platform, SoakEngine, to_address
+from pondtiller.soak.stand_ins import SoakEngine, to_address
+from pondtiller.soak.tests.platforms import make_platform
 from pondtiller.soak.trap import Trap
 
 ZONES = ("z0", "z1", "z2")
@@ -23,17 +19,9 @@
 
 def make_faults(folder: Path) -> Faults:
     """Return faults of programs that do not run, in three zones of two regions."""
-    seen, store = Promises(), StandInStore()
-    platform = Platform(
-        seen,
-        SampleRuns(seen),
-        RateRule(seen),
-        store,
-        Owners(dict),
-        lambda _: 0.0,
-        EndingRule(seen),
-        lambda _: 0.0,
-    )
+    seen = Promises()
+    platform = make_platform(seen, acts_since=0.0)
+    store = platform.store
     apps, models = (
         [SoakEngine(f"{kind}{n}", kind, platform, 2, zone) for n, zone in enumerate(ZONES)]
         for kind in "am"
--- a/src/pondtiller/soak/tests/test_stand_ins.py
+++ b/src/pondtiller/soak/tests/test_stand_ins.py
@@ -8,13 +8,9 @@
 from pondtiller.daemon import clock
 from pondtiller.daemon.spawner import Spawner
 from pondtiller.httpio.client import HttpClient
-from pondtiller.platform.standins import StandInStore
-from pondtiller.soak.caller_rules import RateRule
-from pondtiller.soak.ending_rules import EndingRule
-from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
-from pondtiller.soak.sample_runs import SampleRuns
-from pondtiller.soak.stand_ins import Platform, SoakEngine, to_address
+from pondtiller.soak.stand_ins import SoakEngine, to_address
+from pondtiller.soak.tests.platforms import make_platform
 
 LONG_SAMPLE = "s-0"
 
@@ -33,17 +29,7 @@
     seen = Promises()
 
     async def test() -> None:
-        runs, store = SampleRuns(seen), StandInStore()
-        platform = Platform(
-            seen,
-            runs,
-            RateRule(seen),
-            store,
-            Owners(dict),
-            lambda _: float("-inf"),
-            EndingRule(seen),
-            lambda _: float("-inf"),
-        )
+        platform = make_platform(seen)
         engines = [SoakEngine(name, "llm", platform, 12) for name in ("m0", "m1")]
         async with Spawner() as group:
             for engine in engines:
@@ -55,7 +41,7 @@
             await first.close()
             await curio.sleep(0.2)
             await second.close()
-            assert runs.overlaps == 1
+            assert platform.sample_runs.overlaps == 1
 
     curio.run(test)
     return [each.promise for each in seen.breaches]
@@ -75,17 +61,7 @@
 ) -> None:
     seen = Promises()
     went_on = clock.monotonic() - held_up_seconds_ago
-    platform = Platform(
-        seen,
-        SampleRuns(seen),
-        RateRule(seen),
-        StandInStore(),
-        Owners(dict),
-        lambda _: went_on,
-        EndingRule(seen),
-        lambda _: went_on,
-    )
-    engine = SoakEngine("a0", "app", platform, 12)
+    engine = SoakEngine("a0", "app", make_platform(seen, went_on), 12)
     engine.rules.cold_from, engine.rules.cold_until = float("-inf"), float("inf")
     for number in range(20):
         engine._check_rules(f"q{number}", "g0")
