--- a/src/pondtiller/gateway/forward.py
+++ b/src/pondtiller/gateway/forward.py
@@ -150,7 +150,7 @@
                 return self._late(route, tries)
             if not tries.running:
                 if self.suspects.is_held(request.content):
-                    return self._held_content(request, tries)
+                    return self.suspects.refuse(request.content, tries.ran)
                 failure = await self._start_in_turn(race)
                 if failure is not None:
                     return failure
@@ -195,10 +195,6 @@
             return False
         return race.route.may_repeat and len(race.tries.engines) < race.route.attempts
 
-    def _held_content(self, request: ForwardedRequest, tries: Tries) -> Failure:
-        refusal = self.suspects.refuse(request.content)
-        return refusal if tries.ran is Ran.NO else Failure(ErrorKind.ENGINE_FAILED)
-
     async def _start(self, race: Race) -> bool:
         """Begin an attempt at another engine; False where none may get the request now."""
         if self.suspects.is_held(race.request.content):
@@ -266,7 +262,7 @@
             while clock.monotonic() < ticket.leave_by:
                 await line.wait_turn(ticket)
                 if self.suspects.is_held(race.request.content):
-                    return self._held_content(race.request, race.tries)
+                    return self.suspects.refuse(race.request.content, race.tries.ran)
                 race.tries.look_again(race.route.may_repeat)
                 if line.queue.first is ticket and await self._start(race):
                     return None
--- a/src/pondtiller/gateway/replicas.py
+++ b/src/pondtiller/gateway/replicas.py
@@ -113,8 +113,7 @@
             return True
         if clock.monotonic() > self.last_heard() + LONELY_SECONDS:
             return True
-        at = place.address
-        return any(at.host == each.host and at.port == each.port for each in self.group.members)
+        return place.address in self._member_addresses()
 
     async def set_keeps_all(self, keeps_all: bool) -> None:
         """Set whether links to replicas outside of the group are kept, as a leader needs."""
@@ -185,9 +184,12 @@
         """Return when any replica was last heard."""
         return max((place.heard_at for place in self.places.values()), default=0.0)
 
+    def _member_addresses(self) -> list[Address]:
+        return [Address(each.host, each.port) for each in self.group.members]
+
     def member_links(self) -> list[Link]:
         """Return the open links to members of the group."""
-        members = {Address(each.host, each.port) for each in self.group.members}
+        members = self._member_addresses()
         found = (place.link for at, place in self.places.items() if at in members)
         return [link for link in found if link is not None]
 
@@ -195,7 +197,7 @@
         """Return whether most members of the group were heard lately."""
         since = clock.monotonic() - STALE_VIEW_SECONDS
         heard = {at for at, place in self.places.items() if place.link and place.heard_at >= since}
-        members = [Address(each.host, each.port) for each in self.group.members]
+        members = self._member_addresses()
         return 2 * sum(each in heard for each in members) > len(members)
 
     async def _keep_link(self, place: ReplicaLink) -> None:
--- a/src/pondtiller/gateway/streams.py
+++ b/src/pondtiller/gateway/streams.py
@@ -3,7 +3,7 @@
 import curio
 
 from pondtiller.daemon import clock, logs
-from pondtiller.errors import ErrorKind, Failure, Ran
+from pondtiller.errors import ErrorKind, Failure
 from pondtiller.gateway.engine_pool import (
     AnswerHead,
     EngineConnection,
@@ -82,9 +82,7 @@
     ) -> Failure | None:
         tries = state.tries
         if self._forwarder.suspects.is_held(request.content):
-            if tries.ran is not Ran.NO:
-                return Failure(ErrorKind.ENGINE_FAILED)
-            return self._forwarder.suspects.refuse(request.content)
+            return self._forwarder.suspects.refuse(request.content, tries.ran)
         engine = self._forwarder.choose(service, tries.passed_over, route.homes)
         if engine is None or len(tries.engines) >= route.attempts:
             return Failure(
--- a/src/pondtiller/gateway/suspect_sharing.py
+++ b/src/pondtiller/gateway/suspect_sharing.py
@@ -11,7 +11,13 @@
 import curio
 
 from pondtiller.daemon import clock, logs
-from pondtiller.gateway.store_watch import StoreHealth, StoreReader, Watch
+from pondtiller.gateway.store_watch import (
+    LONGEST_RETRY_SECONDS,
+    RETRY_SECONDS,
+    StoreHealth,
+    StoreReader,
+    Watch,
+)
 from pondtiller.gateway.suspects import SuspectContents
 from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.platform import names, objects
@@ -26,8 +32,6 @@
 PAUSE_SECONDS = 0.1
 """Between two writes of one gateway: ten a second, of the 400 that the platform's smallest store
 grants to all daemons together."""
-RETRY_SECONDS = 0.25
-LONGEST_RETRY_SECONDS = 1.0
 MOST_TRIES = 4
 """Writes of one content before others have their turn: another gateway wrote it meanwhile."""
 CLEARED_SECONDS = 60.0
--- a/src/pondtiller/gateway/suspects.py
+++ b/src/pondtiller/gateway/suspects.py
@@ -3,7 +3,7 @@
 import curio
 
 from pondtiller.daemon import clock, logs
-from pondtiller.errors import ErrorKind, Failure
+from pondtiller.errors import ErrorKind, Failure, Ran
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.routes.quarantine import Quarantine, Suspect
@@ -44,9 +44,17 @@
         """Return how many engines ended under a content, as far as it is known."""
         return self.quarantine.ends(content)
 
-    def refuse(self, content: str) -> Failure:
-        """Return the answer to a request that was not sent, since its content is held back."""
+    def refuse(self, content: str, ran: Ran) -> Failure:
+        """Return the answer to a request that is sent to no engine more: its content is held back.
+
+        Parameters
+        ----------
+        ran
+            Whether an engine may have begun it before.
+        """
         self._metrics.held_contents += 1
+        if ran is not Ran.NO:
+            return Failure(ErrorKind.ENGINE_FAILED)
         left = self.quarantine.seconds_left(content, clock.wall())
         return Failure(ErrorKind.ENDS_ENGINES, retry_after_seconds=left)
 
--- a/src/pondtiller/gateway/term.py
+++ b/src/pondtiller/gateway/term.py
@@ -163,7 +163,6 @@
         self._waiters: dict[str, set[Any]] = {}
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
-        self._has_texts = False
         self._scheduled: set[str] = set()
         self._is_over = False
         self._takes_turns = False
@@ -269,7 +268,6 @@
         began = clock.monotonic()
         await self._read_progress()
         read_at = clock.monotonic()
-        self._has_texts = True
         self.offers.texts_read(read_at)
         self._table = self._parts.front.table
         for record in self.book.steps.values():
@@ -289,7 +287,7 @@
         if not self._leadership.log.holds_lease(now):
             return
         table = self._parts.front.table
-        if self._has_texts and table is not None and table is not self._table:
+        if self.offers.has_texts and table is not None and table is not self._table:
             self._table = table
             self.scheduler.refresh_routes(table.find_for)
             for record in self.book.steps.values():
--- a/src/pondtiller/gateway/tests/test_held_runs.py
+++ b/src/pondtiller/gateway/tests/test_held_runs.py
@@ -157,14 +157,14 @@
     async def test(system: System) -> None:
         leader = await system.until_led()
         first = leader.duties.term
-        await system.until(lambda: first._has_texts)
+        await system.until(lambda: first.offers.has_texts)
         assert not first.offers.are_awaited(first.offers._began)
         monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.1)
         await system.tasks[leader].cancel()
         others = [each for each in system.gateways if each is not leader]
         await system.until(lambda: any(each.duties.term for each in others), 6.0)
         second = next(each.duties.term for each in others if each.duties.term)
-        await system.until(lambda: second._has_texts)
+        await system.until(lambda: second.offers.has_texts)
         assert second.offers.are_awaited(second.offers._began)
         assert not second.offers.are_awaited(
             second.offers._began + run_offers.HELD_WAIT_SECONDS + 0.01
--- a/src/pondtiller/platform/engine_entries.py
+++ b/src/pondtiller/platform/engine_entries.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from pondtiller.platform.engine_format import address, started_ms
+from pondtiller.platform.engine_format import address, is_whole, started_ms
 from pondtiller.routes.engines import EngineEntry, EngineState
 
 STATES = {"ready": EngineState.READY, "draining": EngineState.LEAVING}
@@ -17,12 +17,8 @@
     return isinstance(given, str) and bool(given)
 
 
-def _is_whole(given: Any) -> bool:
-    return isinstance(given, int) and not isinstance(given, bool)
-
-
 def _is_count(given: Any) -> bool:
-    return _is_whole(given) and given >= 0
+    return is_whole(given) and given >= 0
 
 
 def _is_duration(given: Any) -> bool:
@@ -53,7 +49,7 @@
     "address": _is_address,
     "zone": _is_text,
     "version": _is_text,
-    "slots": lambda given: _is_whole(given) and given >= 1,
+    "slots": lambda given: is_whole(given) and given >= 1,
     "state": lambda given: _is_text(given) and given in STATES,
     "cold_left_ms": _is_duration,
     "sequence": _is_count,
--- a/src/pondtiller/platform/engine_format.py
+++ b/src/pondtiller/platform/engine_format.py
@@ -35,10 +35,14 @@
 """Status of an engine that a request was not meant for: another start of it may be at its place."""
 
 
+def is_whole(given: Any) -> bool:
+    """Return whether a value is a whole number; true and false are none."""
+    return isinstance(given, int) and not isinstance(given, bool)
+
+
 def started_ms(given: Any) -> int:
     """Return when an engine started, in ms since 1970; 0 where no whole number is given."""
-    is_whole = isinstance(given, int) and not isinstance(given, bool)
-    return given if is_whole and given > 0 else 0
+    return int(given) if is_whole(given) and given > 0 else 0
 
 
 def address(text: Any) -> Address:
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -96,7 +96,7 @@
             query = f"?since_rev={quote(after)}" if after else ""
             answer = await self._call("list", "GET", f"{kind}{query}")
             page = _json(answer, 200)
-            given, at = _listed(page)
+            given, at = _page(page, "requests")
             found += self._sound(kind, given)
             last = max(map(_name, given), default="")
             if not page.get("more") or last <= after:
@@ -111,7 +111,7 @@
         answer = await self._call("watch", "GET", target, seconds=seconds)
         if answer.status == 410:
             raise HistoryGoneError
-        events, at = _events(_json(answer, 200))
+        events, at = _page(_json(answer, 200), "events")
         return StoreChanges(tuple(self._sound_changes(kind, events)), at)
 
     async def read(self, kind: str, name: str) -> StoreObject | None:
@@ -147,27 +147,27 @@
 
     def _sound(self, kind: str, given: list[Any]) -> Iterable[StoreObject]:
         """Return the objects that can be read: one that cannot takes none of the others with it."""
-        for each in given:
-            found = _object(kind, each)
-            if found is not None:
-                yield found
-            else:
-                self._note_unread(kind, _name(each))
+        read = (self._read_or_note(kind, each) for each in given)
+        return (each for each in read if each is not None)
 
     def _sound_changes(self, kind: str, events: list[Any]) -> Iterable[StoreChange]:
         for event in events:
             given = event.get("object") if isinstance(event, dict) else None
-            found = _object(kind, given)
+            found = self._read_or_note(kind, given)
             if found is not None:
                 yield StoreChange(found, bool(event.get("gone")))
-            else:
-                self._note_unread(kind, _name(given))
 
-    def _note_unread(self, kind: str, name: str) -> None:
+    def _read_or_note(self, kind: str, given: Any) -> StoreObject | None:
+        """Read an object; count one that cannot be read, and note its name once."""
+        found = _object(kind, given)
+        if found is not None:
+            return found
         self.unread += 1
+        name = _name(given)
         if (kind, name) not in self._unread and len(self._unread) < MOST_UNREAD:
             self._unread.add((kind, name))
             logs.decision("object_unreadable", kind=kind, name=name)
+        return None
 
     async def _call(
         self, name: str, method: str, target: str, body: Any = None, seconds: float = CALL_SECONDS
@@ -192,18 +192,12 @@
         raise StoreCallError("the answer is no JSON") from error
 
 
-def _listed(page: Any) -> tuple[list[Any], int]:
-    try:
-        return list(page["requests"]), int(page["at"])
-    except (KeyError, TypeError, ValueError) as error:
-        raise StoreCallError("the answer is no listing") from error
-
-
-def _events(page: Any) -> tuple[list[Any], int]:
+def _page(page: Any, field: str) -> tuple[list[Any], int]:
+    """Return what stands under a field of an answer, and the store's revision."""
     try:
-        return list(page["events"]), int(page["at"])
+        return list(page[field]), int(page["at"])
     except (KeyError, TypeError, ValueError) as error:
-        raise StoreCallError("the answer tells no changes") from error
+        raise StoreCallError(f"the answer tells no {field}") from error
 
 
 def _name(given: Any) -> str:
--- a/src/pondtiller/platform/objects.py
+++ b/src/pondtiller/platform/objects.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pondtiller.platform.engine_format import address
+from pondtiller.platform.engine_format import address, is_whole
 from pondtiller.platform.object_client import StoreObject
 from pondtiller.routes.quarantine import Suspect
 from pondtiller.wire.steplog import Group, GroupMember
@@ -25,10 +25,11 @@
 def named_version(found: StoreObject) -> NamedVersion | None:
     """Read a named version; None where it is not to be read."""
     spec = found.spec if isinstance(found.spec, dict) else {}
-    model, version = spec.get("model"), spec.get("version")
-    if not isinstance(model, str) or not isinstance(version, int) or isinstance(version, bool):
+    model: Any = spec.get("model")
+    version: Any = spec.get("version")
+    if not isinstance(model, str) or not is_whole(version) or version < 1:
         return None
-    return NamedVersion(model, version) if version >= 1 else None
+    return NamedVersion(model, version)
 
 
 def is_retired(found: StoreObject) -> bool:
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -349,8 +349,8 @@
         engine = self._engines.engines.get(offered.engine)
         if work is None or engine is None or work.stage is not Stage.WAITING:
             return False
-        is_wanted = work.is_routed and not work.has_left(engine.identifier, now)
-        is_wanted = is_wanted and work.kept_as not in self._ending.values()
+        is_free = work.kept_as not in self._ending.values()
+        is_wanted = work.is_routed and is_free and not work.has_left(engine.identifier, now)
         # Events of another run must not stand before those of this one.
         text = work.text
         is_begun_after = text.last_event == offered.after_event
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -246,7 +246,7 @@
         self._by_service: dict[str, dict[str, Engine]] = {}
         self._left_at: dict[str, float] = {}
         self._current: dict[str, str] = {}
-        self._earlier: dict[str, float] = {}
+        self._earlier: set[str] = set()
         self.starts_again = 0
         self.services: frozenset[str] | None = None
         self.revision = 0
@@ -319,7 +319,7 @@
         for identifier, left_at in list(self._left_at.items()):
             if now > left_at + REMEMBER_LEFT_SECONDS:
                 del self._left_at[identifier]
-                self._earlier.pop(identifier, None)
+                self._earlier.discard(identifier)
         for engine in list(self.engines.values()):
             engine.forget_pace(now)
             if engine.gone_at is None or now < engine.gone_at + SUSPECT_SECONDS:
@@ -393,7 +393,8 @@
     def _supersede(self, engine: Engine, now: float) -> None:
         """Take that an engine has started again: its earlier start gets nothing, and has ended."""
         self.starts_again += 1
-        self._left_at[engine.identifier] = self._earlier[engine.identifier] = now
+        self._left_at[engine.identifier] = now
+        self._earlier.add(engine.identifier)
         self._forget(engine)
 
     def _forget(self, engine: Engine) -> None:
