Known red: what left or was eased without a trace is back as first written

The cases judge as first written again: FASTER_FACTOR as in the product, 0.5 s for offers. Nothing of the product changes.

--- a/src/pondtiller/gateway/tests/test_stalls.py
+++ b/src/pondtiller/gateway/tests/test_stalls.py
@@ -35,7 +35,6 @@
 from pondtiller.peers.replicas import STALE_VIEW_SECONDS
 from pondtiller.process import clock
 from pondtiller.process.stalls import LOOK_SECONDS, StallWatch
-from pondtiller.rollouts import moving
 from pondtiller.rollouts.run_holding import LEADER_SILENT_SECONDS, TAKEN_SECONDS
 from pondtiller.rollouts.runner_choice import Daemon
 from pondtiller.wire.steplog import BeginRun, KeepRuns, RunNews
@@ -44,12 +43,7 @@
 
 
 @pytest.mark.parametrize("seconds", [0.15, 0.25, 0.4, 0.65])
-def test_a_standstill_moves_no_run(
-    seconds: float, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    # Engines share this process: on a busy machine their paces differ by more than usual.
-    monkeypatch.setattr(moving, "FASTER_FACTOR", 2.0)
-
+def test_a_standstill_moves_no_run(seconds: float, tmp_path: Path) -> None:
     async def test(system: System) -> None:
         leader = await connected(system, 2)
         for engine in system.llm:
@@ -68,11 +62,7 @@
     run_system(tmp_path, test, gateways=3)
 
 
-def test_a_run_of_the_leader_itself_is_not_moved_by_a_standstill(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    monkeypatch.setattr(moving, "FASTER_FACTOR", 2.0)
-
+def test_a_run_of_the_leader_itself_is_not_moved_by_a_standstill(tmp_path: Path) -> None:
     async def test(system: System) -> None:
         await system.until_led()
         for engine in system.llm:
@@ -89,11 +79,11 @@
     run_system(tmp_path, test)
 
 
-@pytest.mark.parametrize("held_wait_seconds", [1.0, 2.0])
+@pytest.mark.parametrize("held_wait_seconds", [0.5, 2.0])
 def test_a_standstill_while_runs_are_offered_ends_none(
     held_wait_seconds: float, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """The runner's wait for the answer ended by the clock."""
+    """The runner's wait for the answer ended, with 0.5 the leader's wait for offers too."""
     monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.0)
     monkeypatch.setattr(run_offers, "HELD_WAIT_SECONDS", held_wait_seconds)
 
