A run whose link to its runner ended goes on over a new link

Cause: the leader took the end of a link for the end of the runner and began its samples elsewhere 13 ms later. The runner kept the runs and offered them, and only its own speed bounded the overlap. A run that was cancelled while its link was down counted as over at once, with the same result.

Why it holds: the leader connects again and asks for each run by name; the sample begins elsewhere only once the runner says that it does not have the run, refuses connections, or was silent for 1.1 s, the rule that stood already. No wait was added: the runner answers at once, also one that was started again.

Failed before, pass now: test_a_reset_of_a_runners_link_begins_no_run_anew (8 runs where 4 are wanted), test_a_run_that_is_cancelled_while_its_link_is_down_leaves_its_engine_first (0.37 s), and two of the runner's side.

--- a/src/pondtiller/gateway/leader/run_links.py
+++ b/src/pondtiller/gateway/leader/run_links.py
@@ -1,7 +1,7 @@
 """A leader's link to one gateway that runs samples for it.
 
-Owns the runs and scores that go on there; they end with the link, and the gateway holds what it has
-for a successor. Which gateways are linked to, and which serves an engine, is decided in
+Owns the runs and scores that go on there, as long as the link lasts; the gateway keeps what it has
+beyond that (`reattach.py`). Which gateways are linked to, and which serves an engine, is decided in
 `runner_directory.py`; the gateway's side is `gateway/runs/run_host.py`.
 """
 
@@ -97,6 +97,16 @@
         Called before with the runs, seconds and the time where the runner says that it stood still.
     stalls
         Knows how long this process stood still; a watch that sees none where it is None.
+
+    Attributes
+    ----------
+    heard_at
+        When its last message came, in seconds of the steady clock; when its first run began where
+        none has come.
+    has_news
+        Whether any message has come over this link.
+    is_given_up
+        Whether the link was ended here since the runner was silent.
     """
 
     def __init__(
@@ -116,7 +126,9 @@
         self._checked = checked
         self._runner_stalled = runner_stalled
         self._stalls = stalls or StallWatch()
-        self._heard_at = clock.monotonic()
+        self.heard_at = clock.monotonic()
+        self.has_news = False
+        self.is_given_up = False
 
     async def serve(self) -> None:
         """Take the runner's news until the link ends; then all its runs have ended."""
@@ -139,11 +151,13 @@
             return RUNNER_LOST
         run = RemoteRun(take)
         if not self.runs:
-            self._heard_at = clock.monotonic()
+            self.heard_at = clock.monotonic()
         self.runs[order.run] = run
         has_ended = False
         try:
             await self.link.send(_begin(order, self._epoch))
+            if not order.is_wanted:
+                await self._drop(order.run, run, "dropped")
             await run.done.wait()
             has_ended = True
             return run.outcome
@@ -194,7 +208,8 @@
     async def _take(self, _link: Link, _call: int, message: Message) -> None:
         if not isinstance(message, RunNews):
             return
-        now = self._heard_at = clock.monotonic()
+        now = self.heard_at = clock.monotonic()
+        self.has_news = True
         try:
             events, ended = read_events(message, now), read_ends(message)
             scored = read_scores(message)
@@ -244,11 +259,12 @@
                     await self._stalls.read_first()
                 if self._is_silent():
                     logs.decision("runner_silent", runner=self.daemon.name, runs=len(self.runs))
+                    self.is_given_up = True
                     await self.link.drop()
             await curio.sleep(KEEP_SECONDS)
 
     def _is_silent(self) -> bool:
-        return is_silent(self._heard_at, self._dropped_at(), clock.monotonic())
+        return is_silent(self.heard_at, self._dropped_at(), clock.monotonic())
 
     def _dropped_at(self) -> list[float]:
         """Return when the runner was asked to end what it has not ended yet."""
--- a/src/pondtiller/gateway/leader/run_offers.py
+++ b/src/pondtiller/gateway/leader/run_offers.py
@@ -155,16 +155,20 @@
         self._to_come_again.discard(daemon.name)
         if not self._leadership.log.holds_lease(now):
             return RunsTaken(status=StepStatus.UNAVAILABLE)
+        offered = _read(message)
+        # Runs of this term go on over a new link, which is on its way (`SampleRuns`).
+        own = [self._scheduler.is_under_way(each) for each in offered]
         taken = [
-            link is not None and self._scheduler.take_over(each, daemon.name, now)
-            for each in _read(message)
+            is_own or (link is not None and self._scheduler.take_over(each, daemon.name, now))
+            for each, is_own in zip(offered, own, strict=True)
         ]
-        self._metrics.runs_taken_over += sum(taken)
+        self._metrics.runs_taken_over += sum(taken) - sum(own)
         logs.decision(
             "runs_offered",
             runner=daemon.name,
             runs=len(taken),
             taken=sum(taken),
+            own=sum(own),
             epoch=self._scheduler.epoch,
             connected=link is not None,
         )
@@ -180,6 +184,11 @@
             self._runner_of[start.run] = runner
         return start.runner, runner
 
+    def move_to(self, run: int, runner: RunnerLink) -> None:
+        """Take that a run goes on over another link, where it was taken over."""
+        if run in self._runner_of:
+            self._runner_of[run] = runner
+
     def take_runner(self, run: int) -> RunnerLink | None:
         """Return where a run that was taken over went on, once; None of other runs."""
         return self._runner_of.pop(run, None)
--- a/src/pondtiller/gateway/leader/runner_directory.py
+++ b/src/pondtiller/gateway/leader/runner_directory.py
@@ -11,7 +11,13 @@
 
 from pondtiller.address import Address
 from pondtiller.gateway.leader.run_links import Runner, RunnerLink
-from pondtiller.links.link import Link, LinkLostError, connect
+from pondtiller.links.link import (
+    CONNECT_SECONDS,
+    Link,
+    LinkLostError,
+    LinkRefusedError,
+    open_link,
+)
 from pondtiller.process import logs
 from pondtiller.process.spawner import Spawner
 from pondtiller.process.stalls import StallWatch
@@ -25,6 +31,8 @@
 list crosses the link only where it has changed."""
 CONNECT_LOOK_SECONDS = 0.01
 """How often one who waits for a connection looks; a connection in a zone takes 3 ms."""
+RECONNECT_PAUSE_SECONDS = 0.05
+"""Between two attempts to reach a runner whose link ended, in seconds."""
 DAEMONS_CALL_SECONDS = 0.5
 """How long a replica may take to answer with the gateways; then the next one is asked. Chosen, not
 measured: ten times an answer from another region, and half of `FIND_SECONDS`."""
@@ -67,11 +75,13 @@
         self._ask_member = ask_member
         self._checked = checked
         self._runner_stalled = runner_stalled
-        self._stalls = stalls
+        self._stalls = stalls or StallWatch()
         self._chosen = EngineRunners(engines.places, zone)
         self._daemons: tuple[Daemon, ...] = ()
         self._revision = 0
         self._connecting: set[str] = set()
+        self._refused: set[str] = set()
+        self._is_closed = False
         self._group = Spawner()
 
     def runner_for(self, engine: str) -> tuple[str, Runner]:
@@ -92,12 +102,34 @@
 
         This gateway itself may be one: it ran samples for the leader before.
         """
-        if daemon.name not in self.links and daemon.name not in self._connecting:
-            self._connecting.add(daemon.name)
-            await self._group.spawn(self._connect, daemon)
+        if self._connected(daemon.name) is None and daemon.name not in self._connecting:
+            await self._begin_connect(daemon)
         while daemon.name in self._connecting:
             await curio.sleep(CONNECT_LOOK_SECONDS)
-        found = self.links.get(daemon.name)
+        return self._connected(daemon.name)
+
+    async def reconnect_to(self, daemon: Daemon, give_up_at: float) -> RunnerLink | None:
+        """Return a link to a gateway whose last link ended; None where it is taken for gone.
+
+        A gateway that refuses connections has ended, and its runs with it. One that does not answer
+        is tried until `give_up_at`, and once at least.
+
+        Parameters
+        ----------
+        give_up_at
+            In seconds in which this process ran (`StallWatch.running_seconds`).
+        """
+        while not self._is_closed:
+            found = await self.connect_to(daemon)
+            if found is not None:
+                return found
+            if daemon.name in self._refused or self._stalls.running_seconds() >= give_up_at:
+                return None
+            await curio.sleep(RECONNECT_PAUSE_SECONDS)
+        return None
+
+    def _connected(self, name: str) -> RunnerLink | None:
+        found = self.links.get(name)
         return found if found is not None and not found.link.is_lost else None
 
     def relays(self, most: int) -> list[Link]:
@@ -121,6 +153,7 @@
 
     async def close(self) -> None:
         """End all links: the runners hold their runs for the next leader, or end them."""
+        self._is_closed = True
         for each in list(self.links.values()):
             await each.link.drop()
         await self._group.__aexit__()
@@ -144,13 +177,21 @@
         connected = frozenset(self.links)
         for daemon in wanted_runners(self._daemons, self._engines.engines.values(), connected):
             if daemon.name not in self.links and daemon.name not in self._connecting:
-                self._connecting.add(daemon.name)
-                await self._group.spawn(self._connect, daemon)
+                await self._begin_connect(daemon)
+
+    async def _begin_connect(self, daemon: Daemon) -> None:
+        self._connecting.add(daemon.name)
+        self._refused.discard(daemon.name)
+        await self._group.spawn(self._connect, daemon)
 
     async def _connect(self, daemon: Daemon) -> None:
         try:
-            link = await connect(daemon.address)
+            link = await self._stalls.call(CONNECT_SECONDS, open_link, daemon.address)
+            if link is None:
+                raise LinkLostError("no connection in time")
         except LinkLostError as error:
+            if isinstance(error, LinkRefusedError):
+                self._refused.add(daemon.name)
             logs.decision("runner_unreachable", runner=daemon.name, reason=str(error))
             return
         finally:
--- a/src/pondtiller/gateway/leader/sample_runs.py
+++ b/src/pondtiller/gateway/leader/sample_runs.py
@@ -10,6 +10,7 @@
 import curio
 
 from pondtiller.address import Address
+from pondtiller.gateway.leader.reattach import RunnerSearch
 from pondtiller.gateway.leader.run_links import RUNNER_LOST, Runner, RunnerLink
 from pondtiller.gateway.leader.run_offers import RunOffers
 from pondtiller.gateway.leader.runner_directory import RunnerDirectory
@@ -22,6 +23,7 @@
 from pondtiller.rollouts.sample_work import (
     CancelRun,
     RunEnd,
+    RunName,
     SampleWork,
     ScoreEnd,
     ScoreText,
@@ -75,6 +77,7 @@
         self._scheduler = parts.scheduler
         self._tasks: dict[int, curio.Task] = {}
         self._runner_of: dict[int, RunnerLink] = {}
+        self._unwanted: set[int] = set()
         self._stalls = parts.stalls.untaken()
 
     def note_stall(self) -> None:
@@ -95,8 +98,12 @@
     async def cancel(self, order: CancelRun) -> None:
         """End a run that is wanted no more."""
         runner = self._runner_of.get(order.run)
-        if runner is None or not await runner.drop(order.run):
+        if runner is None:
             await self._end_own(order.run)
+        else:
+            # Where the link has ended, the run is dropped over the next one.
+            self._unwanted.add(order.run)
+            await runner.drop(order.run)
         logs.decision(
             "sample_run_cancelled",
             sample=order.sample,
@@ -116,7 +123,6 @@
         task = self._tasks.pop(run, None)
         if task is not None:
             await task.cancel()
-        self._runner_of.pop(run, None)
         self._scheduler.run_is_over(run)
 
     async def _run(self, start: StartRun) -> None:
@@ -127,9 +133,10 @@
         name, runner = self._parts.offers.runner_of(start)
         self._log_start(start, work, name)
         began = clock.monotonic()
-        outcome = await self._outcome(start, engine, runner)
+        outcome = await self._outcome(start, work, engine, runner)
         self._tasks.pop(start.run, None)
         self._runner_of.pop(start.run, None)
+        self._unwanted.discard(start.run)
         if outcome.end is not RunEnd.WHOLE:
             self._parts.offers.take_runner(start.run)
         is_measured = outcome.end is RunEnd.WHOLE and not start.last_event and not start.runner
@@ -166,7 +173,7 @@
         )
 
     async def _outcome(
-        self, start: StartRun, engine: Engine | None, runner: Runner | None
+        self, start: StartRun, work: SampleWork, engine: Engine | None, runner: Runner | None
     ) -> RunOutcome:
         """Have a runner carry out a run; return how it ended."""
         if runner is None:
@@ -177,9 +184,43 @@
         is_cold = cold is not None and cold.is_cold(engine, clock.monotonic())
         order = run_order(start, engine.entry.address, is_cold)
         if isinstance(runner, RunnerLink):
-            self._runner_of[start.run] = runner
+            return await self._run_remotely(order, work, runner)
         return await runner.run(order, self._take_event)
 
+    async def _run_remotely(
+        self, order: RunOrder, work: SampleWork, runner: RunnerLink
+    ) -> RunOutcome:
+        """Have a gateway carry out a run, over a new link where the first one ends.
+
+        The gateway keeps the run and its engine works on, so the sample begins elsewhere only once
+        the gateway says that it does not have the run, or is taken for gone.
+        """
+        self._runner_of[order.run] = runner
+        outcome = await runner.run(order, self._take_event)
+        search = RunnerSearch(self._parts.runners, self._parts.stalls)
+        while outcome is RUNNER_LOST:
+            found = await search.find(runner)
+            if found is None:
+                return outcome
+            runner = self._runner_of[order.run] = found
+            self._parts.offers.move_to(order.run, runner)
+            kept = order._replace(
+                last_event=work.text.last_event,
+                held=RunName(self._parts.epoch, order.run),
+                is_wanted=order.run not in self._unwanted,
+            )
+            logs.decision(
+                "sample_run_reattached",
+                sample=work.sample_id,
+                run=kept.run,
+                runner=runner.daemon.name,
+                after_event=kept.last_event,
+                wanted=kept.is_wanted,
+                epoch=self._parts.epoch,
+            )
+            outcome = await runner.run(kept, self._take_event)
+        return outcome
+
     def _take_event(self, run: int, number: int, data: str, version: int, at: float) -> bool:
         """Take an event that came right after a standstill only once that is counted."""
         self.note_stall()
--- a/src/pondtiller/gateway/runs/leader_runs.py
+++ b/src/pondtiller/gateway/runs/leader_runs.py
@@ -108,6 +108,25 @@
         await self.take_end(EndedRun(run, RunEnd.STALE, "dropped"))
         await self._tell_on()
 
+    def hand_over(self, name: RunName) -> ExecutedRun | None:
+        """Return the run of a name, which goes on at another link; None where it is not here."""
+        for runs in (self.runs, self.judged):
+            for number, run in runs.items():
+                if run.name == name:
+                    self._news.drop(number)
+                    return runs.pop(number)
+        return None
+
+    async def refuse(self, run: int, reason: str) -> None:
+        """Tell at once that a run is not begun here."""
+        self._news.ended.append(EndedRun(run, RunEnd.STALE, reason))
+        await self.tell_now()
+
+    async def tell_ends(self, reason: str) -> None:
+        """Tell at once that all runs end here, before the link is ended."""
+        self._news.ended += [EndedRun(run, RunEnd.STALE, reason) for run in self.runs]
+        await self.tell_now()
+
     async def tell_now(self) -> None:
         """Send what was gathered, before the link is ended here."""
         await self._link.send(self._take_news())
--- a/src/pondtiller/gateway/runs/run_host.py
+++ b/src/pondtiller/gateway/runs/run_host.py
@@ -21,7 +21,7 @@
 from pondtiller.process.spawner import Spawner
 from pondtiller.process.stalls import StallWatch
 from pondtiller.rollouts.run_holding import LeaveReason, LostLeader, why_not_begun
-from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd
+from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, ScoreEnd
 from pondtiller.wire.steplog import BeginRun, DropRun, KeepRuns, ScoreAnswer, ScoreSample
 
 RUN_MESSAGES = (BeginRun, DropRun, KeepRuns)
@@ -113,8 +113,15 @@
         return reason
 
     def take_held(self, order: RunOrder) -> ExecutedRun | None:
-        """Return the held run of an order's sample; it is no longer held."""
-        return self.held.take(order.sample) if self.held is not None else None
+        """Return the held run of an order's sample; it is no longer held.
+
+        The leader may notice the end of a link first: the run is still at that link then.
+        """
+        held = self.held.take(order.sample) if self.held is not None else None
+        if held is not None or order.held == NO_RUN:
+            return held
+        at_links = (each.hand_over(order.held) for each in self.by_link.values())
+        return next((run for run in at_links if run is not None), None)
 
     async def leave(self, runs: list[ExecutedRun], lost: LostLeader, reason: LeaveReason) -> None:
         """Hold runs whose leader is lost, or end them."""
@@ -132,6 +139,7 @@
         reason = why_not_begun(message.epoch, highest, self.is_stopping)
         if reason is None:
             return True
+        await self.by_link[link].refuse(message.run, reason)
         logs.decision(
             "hosted_run_refused",
             run=message.run,
@@ -155,7 +163,7 @@
         if self.held is not None:
             await self.held.end(LeaveReason.STOPS)
         for link, of_leader in list(self.by_link.items()):
-            await of_leader.tell_now()
+            await of_leader.tell_ends(LeaveReason.STOPS)
             await link.drop()
 
     async def close(self) -> None:
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -63,6 +63,8 @@
         Name of a run that the runner offered and that goes on; `NO_RUN` where one is begun.
     text_by
         The run that made the text's last event.
+    is_wanted
+        False where a run that its runner kept is only to be ended.
     """
 
     run: int
@@ -78,6 +80,7 @@
     sample: str = ""
     held: RunName = NO_RUN
     text_by: RunName = NO_RUN
+    is_wanted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pondtiller/gateway/tests/test_held_runs.py
+++ b/src/pondtiller/gateway/tests/test_held_runs.py
@@ -21,13 +21,15 @@
 from pondtiller.process import clock
 from pondtiller.rollouts import run_holding
 from pondtiller.rollouts.run_news import read_ends, read_events, read_scores
-from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, ScoreEnd
+from pondtiller.rollouts.sample_work import NO_RUN, CancelReason, RunEnd, ScoreEnd, Stage
 from pondtiller.standins.engine import StandInEngine
 from pondtiller.wire.steplog import BeginRun, OfferRuns, RunNews, RunsTaken, Subscribe
 
 EVENTS = 60
 TWICE_SECONDS = 0.4
 """An engine may work on a sample for so long after another one has begun it."""
+ENGINE_LEFT_SECONDS = 0.2
+"""An engine notices within some gaps between events that its connection was closed."""
 BEGIN = BeginRun(epoch=5, run=1, engine="e", engine_host="10.0.0.1", engine_port=1, sample="s")
 
 
@@ -186,6 +188,47 @@
     run_system(tmp_path, test, gateways=3)
 
 
+def test_a_reset_of_a_runners_link_begins_no_run_anew(tmp_path: Path) -> None:
+    """Guards against runs that began at other engines while their runner still had them."""
+
+    async def test(system: System) -> None:
+        leader, working = await running(system)
+        for runner in list(leader.duties.term.runners.links.values()):
+            await runner.link.drop()
+        texts(await system.read_all("s1", 4), EVENTS)
+        assert sum(len(each.seen) for each in system.llm) == 4
+        assert working.doubled_seconds() == 0.0
+
+    run_system(tmp_path, test, gateways=3)
+
+
+def test_a_run_that_is_cancelled_while_its_link_is_down_leaves_its_engine_first(
+    tmp_path: Path,
+) -> None:
+    """Guards against a sample that began elsewhere while its runner could not be told."""
+
+    async def hangs(*_given: object) -> None:
+        await curio.sleep(LONG_SECONDS)
+
+    async def test(system: System) -> None:
+        leader, working = await running(system)
+        for each in system.gateways:
+            each.run_host.held._ask_leader = hangs
+        term = leader.duties.term
+        for runner in list(term.runners.links.values()):
+            await runner.link.drop()
+        for work in list(term.scheduler.runs.values()):
+            work.left[work.engine] = clock.monotonic()
+            term.scheduler._stop_run(work, CancelReason.SLOW)
+            work.stage = Stage.WAITING
+        await term._carry_out()
+        texts(await system.read_all("s1", 4), EVENTS)
+        assert sum(len(each.seen) for each in system.llm) == 8
+        assert working.doubled_seconds() < ENGINE_LEFT_SECONDS
+
+    run_system(tmp_path, test, gateways=3)
+
+
 def test_a_leader_that_reaches_no_runner_has_no_sample_run_twice(tmp_path: Path) -> None:
     """The links hang, both ways and new ones too; the replicas are heard by both sides."""
 
@@ -427,6 +470,42 @@
     curio.run(main)
 
 
+def test_a_run_goes_on_at_a_new_link_before_the_end_of_the_old_one_is_noticed() -> None:
+    async def main() -> None:
+        world, first, second = World(), FakeLink(), FakeLink()
+        await world.host.take(first, BEGIN)
+        await curio.sleep(0.05)
+        again = BeginRun(epoch=5, run=1, engine="e", sample="s", held_epoch=5, held_run=1)
+        await world.host.take(second, again)
+        await world.host.lost(first)
+        await curio.sleep(0.3)
+        assert (world.host.runs, world.engine.working, world.held.runs) == (1, 1, {})
+        told = [event for news in second.of(RunNews) for event in read_events(news, 0.0)]
+        assert [event.number for event in told] == list(range(1, 1 + len(told)))
+        assert len(told) > 5
+
+    curio.run(main)
+
+
+def test_a_gateway_that_stops_says_which_runs_it_does_not_have() -> None:
+    """Guards against a leader that looks for them until the gateway counts as silent."""
+
+    async def main() -> None:
+        world, first, second = World(), FakeLink(), FakeLink()
+        await world.host.take(first, BEGIN)
+        await world.host.stop()
+        await world.host.take(second, BEGIN)
+        ends = [
+            each
+            for link in (first, second)
+            for news in link.of(RunNews)
+            for each in read_ends(news)
+        ]
+        assert [(each.run, each.end) for each in ends] == [(1, RunEnd.STALE)] * 2
+
+    curio.run(main)
+
+
 def test_a_run_that_begins_elsewhere_anew_is_not_held_beside_it() -> None:
     async def main() -> None:
         world, first, second = World(), FakeLink(), FakeLink()
--- a/src/pondtiller/links/link.py
+++ b/src/pondtiller/links/link.py
@@ -56,6 +56,10 @@
     """The connection ended, or the other side is silent."""
 
 
+class LinkRefusedError(LinkLostError):
+    """Nothing listens at the address: the process that did has ended."""
+
+
 class Link:
     """One connection.
 
@@ -219,11 +223,28 @@
 async def connect(address: Address) -> Link:
     """Open a link; raises `LinkLostError`."""
     try:
-        stream = await curio.timeout_after(
-            CONNECT_SECONDS, curio.open_connection, address.host, address.port
-        )
-    except (OSError, curio.TaskTimeout) as error:
+        link: Link = await curio.timeout_after(CONNECT_SECONDS, open_link, address)
+        return link
+    except curio.TaskTimeout as error:
         raise LinkLostError(str(error) or "no connection in time") from error
+
+
+async def open_link(address: Address) -> Link:
+    """Open a link, however long it takes.
+
+    Raises
+    ------
+    LinkRefusedError
+        Where nothing listens at the address.
+    LinkLostError
+        Where the system cannot connect for another reason.
+    """
+    try:
+        stream = await curio.open_connection(address.host, address.port)
+    except ConnectionRefusedError as error:
+        raise LinkRefusedError(str(error)) from error
+    except OSError as error:
+        raise LinkLostError(str(error)) from error
     tune(stream)
     return Link(stream)
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -303,6 +303,13 @@
     def _is_run_alone(self, work: SampleWork) -> bool:
         return self._ends(work.content) >= ALONE_ENDS
 
+    def is_under_way(self, offered: OfferedRun) -> bool:
+        """Return whether an offered run is one of this term that has not ended here."""
+        work = self.runs.get(offered.name.run)
+        return (
+            offered.name.epoch == self.epoch and work is not None and work.kept_as == offered.sample
+        )
+
     def take_over(self, offered: OfferedRun, runner: str, now: float) -> bool:
         """Go on with a run that an earlier leader began and that its runner still has.
 
