An offered run tells the names that it had under earlier leaders

What callers saw: a trainer's long sample began anew at another engine after two changes of leader, though its runner still had the run; 5 or 6 runs at engines where 4 were to go on.

Cause: each leader names a run anew and renames the text in its memory. At the replicas the text bears the first name until it is saved again, half a second later at the earliest. The third leader compared that name with the last one alone and refused the run as another's.

Evidence: the refusal, which was dropped and is a log line now (offered_run_refused): other_text for name (2nd epoch, 2), where the text known was made by (1st epoch, 2); the runs that were taken had had an event in the second term.

Why it holds: the runner keeps the names of a run and offers them; a text whose last event bears any of them is the run's own. The fields are new, so earlier releases on either side judge as before.

Failed before, passes now: test_runs_go_on_under_the_third_leader, without a pause: 8 runs, 4 now.

--- a/src/pondtiller/gateway/leader/run_offers.py
+++ b/src/pondtiller/gateway/leader/run_offers.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from itertools import islice
 from typing import NamedTuple
 
 from pondtiller.address import Address
@@ -163,6 +164,9 @@
             for each, is_own in zip(offered, own, strict=True)
         ]
         self._metrics.runs_taken_over += sum(taken) - sum(own)
+        for each, is_taken in zip(offered, taken, strict=True):
+            if not is_taken and link is not None:
+                self._log_refusal(each, daemon.name, now)
         logs.decision(
             "runs_offered",
             runner=daemon.name,
@@ -175,6 +179,17 @@
         await self._carry_out()
         return RunsTaken(status=StepStatus.OK, taken=taken)
 
+    def _log_refusal(self, offered: OfferedRun, runner: str, now: float) -> None:
+        logs.decision(
+            "offered_run_refused",
+            sample=offered.sample,
+            engine=offered.engine,
+            runner=runner,
+            after_event=offered.after_event,
+            reason=self._scheduler.why_not_taken_over(offered, now),
+            epoch=self._scheduler.epoch,
+        )
+
     def runner_of(self, start: StartRun) -> tuple[str, Runner | None]:
         """Return who runs a sample; a run that is taken over goes on where it is, or nowhere."""
         if not start.runner:
@@ -201,5 +216,14 @@
         message.after_events,
         map(RunName, message.epochs, message.runs),
         map(RunName, message.text_epochs, message.text_runs),
+        _earlier_names(message),
     )
     return [OfferedRun(*each) for each in zip(*columns, strict=True)]
+
+
+def _earlier_names(message: OfferRuns) -> list[tuple[RunName, ...]]:
+    """Return the earlier names of each run; a runner of an earlier release tells none."""
+    if not message.earlier_counts:
+        return [()] * len(message.samples)
+    names = map(RunName, message.earlier_epochs, message.earlier_runs)
+    return [tuple(islice(names, count)) for count in message.earlier_counts]
--- a/src/pondtiller/gateway/runs/executed_run.py
+++ b/src/pondtiller/gateway/runs/executed_run.py
@@ -44,6 +44,8 @@
         What the leader asked for, and its epoch; they change with the leader.
     began_after, text_by
         The event after which the run began, and the run that made it.
+    earlier_names
+        Names that it had under earlier leaders.
     events
         What the engine made in this run.
     listener
@@ -63,6 +65,7 @@
     listener: RunListener | None
     began_after: int = 0
     text_by: RunName = NO_RUN
+    earlier_names: list[RunName] = field(default_factory=list)
     events: list[RunEvent] = field(default_factory=list)
     outcome: RunOutcome | None = None
     score: ScoreOutcome | None = None
@@ -99,7 +102,10 @@
 
     async def go_on(self, order: RunOrder, epoch: int, listener: RunListener) -> None:
         """Go on under another leader, which gets what it does not know yet."""
+        before = self.name
         self.order, self.epoch, self.listener = order, epoch, listener
+        if self.name != before:
+            self.earlier_names.append(before)
         self.events = [event._replace(run=order.run) for event in self.events]
         for event in self.events:
             if event.number > order.last_event:
--- a/src/pondtiller/gateway/runs/leaderless_runs.py
+++ b/src/pondtiller/gateway/runs/leaderless_runs.py
@@ -213,6 +213,7 @@
 
     def _message(self, held: list[LeaderlessRun]) -> OfferRuns:
         who = self._subscription()
+        earlier = [name for each in held for name in each.run.earlier_names]
         return OfferRuns(
             daemon=who.daemon,
             zone=who.zone,
@@ -226,6 +227,9 @@
             runs=[each.run.order.run for each in held],
             text_epochs=[each.run.text_by.epoch for each in held],
             text_runs=[each.run.text_by.run for each in held],
+            earlier_counts=[len(each.run.earlier_names) for each in held],
+            earlier_epochs=[name.epoch for name in earlier],
+            earlier_runs=[name.run for name in earlier],
         )
 
     async def _end(self, held: list[LeaderlessRun], reason: str) -> None:
--- a/src/pondtiller/gateway/tests/test_held_runs.py
+++ b/src/pondtiller/gateway/tests/test_held_runs.py
@@ -7,7 +7,7 @@
 import curio
 import pytest
 
-from pondtiller.gateway.leader import run_offers
+from pondtiller.gateway.leader import run_offers, unfinished_texts
 from pondtiller.gateway.leader.run_links import RUNNER_LOST, RunnerLink
 from pondtiller.gateway.leader.unfinished_texts import UnfinishedTexts
 from pondtiller.gateway.process import GatewayProcess
@@ -19,7 +19,7 @@
 from pondtiller.gateway.tests.test_runs_elsewhere import Engine, FakeLink, connected, texts
 from pondtiller.peers import replicas
 from pondtiller.process import clock
-from pondtiller.rollouts import run_holding
+from pondtiller.rollouts import moving, run_holding
 from pondtiller.rollouts.run_news import read_ends, read_events, read_scores
 from pondtiller.rollouts.sample_work import NO_RUN, CancelReason, RunEnd, ScoreEnd, Stage
 from pondtiller.standins.engine import StandInEngine
@@ -67,11 +67,11 @@
         return longest
 
 
-async def running(system: System) -> tuple[GatewayProcess, Working]:
-    """Return the leader of four samples that others run, 3 s long each."""
+async def running(system: System, events: int = EVENTS) -> tuple[GatewayProcess, Working]:
+    """Return the leader of four samples that others run, 3 s long each where not told."""
     leader = await connected(system, 2)
     for engine in system.llm:
-        engine.events, engine.event_seconds = EVENTS, 0.05
+        engine.events, engine.event_seconds = events, 0.05
     working = Working(system.llm)
     assert await system.submit("s1", samples=4) == 202
     others = [each for each in system.gateways if each is not leader]
@@ -129,6 +129,39 @@
     run_system(tmp_path, test, gateways=3)
 
 
+def test_runs_go_on_under_the_third_leader(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against runs begun anew since their text still bore a name of the first leader."""
+    monkeypatch.setattr(run_offers, "HELD_WAIT_SECONDS", 1.0)
+    monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.0)
+    # No event comes in the second leader's term; no run is moved for that.
+    monkeypatch.setattr(moving, "MOST_MOVES", 0)
+    # Its texts come too late for the third one, as where a pause took its lease.
+    monkeypatch.setattr(unfinished_texts, "MOST_RELAYS", 0)
+    events = 40
+
+    async def test(system: System) -> None:
+        leader, working = await running(system, events)
+        await system.until(lambda: any(len(each.texts.by_sample) == 4 for each in system.replicas))
+        for engine in system.llm:
+            engine.event_seconds = LONG_SECONDS
+        # The event that was on its way is saved too.
+        await curio.sleep(1.0)
+        others = [each for each in system.gateways if each is not leader]
+        await end_process(system, leader)
+        await system.until(lambda: sum(each.metrics.runs_taken_over for each in others) == 4)
+        second = next(each for each in others if each.duties.term)
+        await cut_from_replicas(system, second)
+        third = [each for each in others if each is not second]
+        await system.until(lambda: any(each.duties.term for each in third), 6.0)
+        for engine in system.llm:
+            engine.event_seconds = 0.05
+        await read_elsewhere(system, third, events)
+        assert sum(len(each.seen) for each in system.llm) == 4
+        assert working.doubled_seconds() < TWICE_SECONDS
+
+    run_system(tmp_path, test, gateways=4)
+
+
 def test_runs_that_were_offered_before_the_texts_were_read_are_waited_for(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -346,11 +379,13 @@
     run_system(tmp_path, test, gateways=3)
 
 
-async def read_elsewhere(system: System, others: list[GatewayProcess]) -> None:
+async def read_elsewhere(
+    system: System, others: list[GatewayProcess], events: int = EVENTS
+) -> None:
     """Read the step whole at a gateway that goes on."""
     await system.until(lambda: any(each.duties.term for each in others), 6.0)
     number = next(each for each, one in enumerate(system.gateways) if one in others)
-    texts(await system.read_all("s1", 4, gateway=number), EVENTS)
+    texts(await system.read_all("s1", 4, gateway=number), events)
 
 
 class World:
@@ -398,6 +433,7 @@
         world.epoch = 6
         await curio.sleep(2 * leaderless_runs.LOOK_SECONDS)
         assert [each.samples for each in world.offers] == [["s"]]
+        assert [each.earlier_counts for each in world.offers] == [[0]]
         again = BeginRun(
             epoch=6, run=7, engine="e", sample="s", last_event=3, held_epoch=5, held_run=1
         )
@@ -408,6 +444,12 @@
         assert {event.run for event in told} == {7}
         assert [event.number for event in told] == list(range(4, 4 + len(told)))
         assert len(told) > 10
+        await world.host.lost(second)
+        world.epoch = 7
+        await curio.sleep(2 * leaderless_runs.LOOK_SECONDS)
+        offer = world.offers[-1]
+        assert (offer.epochs, offer.runs) == ([6], [7])
+        assert (offer.earlier_counts, offer.earlier_epochs, offer.earlier_runs) == ([1], [5], [1])
 
     curio.run(main)
 
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -119,6 +119,8 @@
         Of the leader that began it, or took it over last.
     text_by
         The run that made the event after which it began.
+    earlier_names
+        Its names under the leaders before that one.
     """
 
     sample: str
@@ -126,6 +128,7 @@
     after_event: int
     name: RunName
     text_by: RunName = NO_RUN
+    earlier_names: tuple[RunName, ...] = ()
 
 
 class CancelRun(NamedTuple):
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -319,18 +319,31 @@
             False where the sample is wanted no more, runs elsewhere by now, or the text that is
             known is not the one that the run continues.
         """
-        work = next((each for each in self.work.values() if each.kept_as == offered.sample), None)
+        work = self._work_of(offered.sample)
         engine = self._engines.engines.get(offered.engine)
         if work is None or engine is None:
             return False
-        if self._why_not_taken_over(offered, work, engine, now) is not None:
+        if self._why_not_continued(offered, work, engine, now) is not None:
             return False
         self._out.append(self._table.begin(work, engine, now, runner, offered.name))
         if work.text.last_event > offered.after_event:
             work.text.made_by = RunName(self.epoch, work.run)
         return True
 
-    def _why_not_taken_over(
+    def why_not_taken_over(self, offered: OfferedRun, now: float) -> TakeOverRefusal | None:
+        """Return why an offered run does not go on, for the logs; None where it may."""
+        work = self._work_of(offered.sample)
+        if work is None:
+            return TakeOverRefusal.UNKNOWN_SAMPLE
+        engine = self._engines.engines.get(offered.engine)
+        if engine is None:
+            return TakeOverRefusal.UNKNOWN_ENGINE
+        return self._why_not_continued(offered, work, engine, now)
+
+    def _work_of(self, kept_as: str) -> SampleWork | None:
+        return next((each for each in self.work.values() if each.kept_as == kept_as), None)
+
+    def _why_not_continued(
         self, offered: OfferedRun, work: SampleWork, engine: Engine, now: float
     ) -> TakeOverRefusal | None:
         sample = OfferedSample(
--- a/src/pondtiller/rollouts/taking_over.py
+++ b/src/pondtiller/rollouts/taking_over.py
@@ -14,6 +14,8 @@
 class TakeOverRefusal(StrEnum):
     """Why an offered run does not go on."""
 
+    UNKNOWN_SAMPLE = "unknown_sample"
+    UNKNOWN_ENGINE = "unknown_engine"
     NOT_WAITING = "not_waiting"
     NOT_ROUTED = "not_routed"
     STILL_ENDING = "still_ending"
@@ -64,8 +66,12 @@
 
 
 def _continues(offered: OfferedRun, sample: OfferedSample) -> bool:
-    """Return whether no event of another run stands before those of the offered one."""
+    """Return whether no event of another run stands before those of the offered one.
+
+    A text that was saved before the run was taken over bears an earlier name of the run.
+    """
     if sample.last_event < offered.after_event:
         return False
-    is_begun_after = sample.last_event == offered.after_event
-    return sample.made_by == (offered.text_by if is_begun_after else offered.name)
+    if sample.last_event == offered.after_event:
+        return sample.made_by == offered.text_by
+    return sample.made_by in (offered.name, *offered.earlier_names)
--- a/src/pondtiller/rollouts/tests/test_taking_over.py
+++ b/src/pondtiller/rollouts/tests/test_taking_over.py
@@ -83,6 +83,18 @@
     assert work.text.made_by == RunName(9, start.run)
 
 
+@pytest.mark.parametrize(("earlier_names", "is_taken"), [((EARLIER,), True), ((), False)])
+def test_a_text_that_bears_an_earlier_name_of_the_run_is_its_own(
+    earlier_names: tuple[RunName, ...], is_taken: bool
+) -> None:
+    """Guards against runs begun anew where no text was saved under the leader in between."""
+    made = bench(last_event=5, made_by=EARLIER)
+    offered = OfferedRun(SAMPLE, "e1", 2, RunName(7, 3), BEFORE, earlier_names)
+    refusal = None if is_taken else TakeOverRefusal.OTHER_TEXT
+    assert made.scheduler.why_not_taken_over(offered, 1.0) is refusal
+    assert made.scheduler.take_over(offered, "d", 1.0) is is_taken
+
+
 @pytest.mark.parametrize("why", ["runs elsewhere", "unknown engine", "ended", "other sample"])
 def test_what_is_not_wanted_is_not_taken_over(why: str) -> None:
     made = bench(last_event=0)
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -164,6 +164,14 @@
     """
 
     text_runs: List[int] = betterproto.uint64_field(12)
+    earlier_counts: List[int] = betterproto.uint32_field(13)
+    """
+    How many earlier names each run had, and these names, run by run: a text that was saved under
+     an earlier leader bears one of them.
+    """
+
+    earlier_epochs: List[int] = betterproto.uint64_field(14)
+    earlier_runs: List[int] = betterproto.uint64_field(15)
 
 
 @dataclass(eq=False, repr=False)
