--- a/src/pondtiller/gateway/tests/test_stalls.py
+++ b/src/pondtiller/gateway/tests/test_stalls.py
@@ -21,7 +21,7 @@
 import pytest
 
 from pondtiller.address import Address
-from pondtiller.gateway.leader import run_offers
+from pondtiller.gateway.leader import run_offers, runner_directory
 from pondtiller.gateway.leader.run_links import KEEP_SECONDS, RUNNER_SILENT_SECONDS, RunnerLink
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.gateway.tests.test_held_runs import (
@@ -32,6 +32,7 @@
     running,
 )
 from pondtiller.gateway.tests.test_runs_elsewhere import ORDER, FakeLink, connected, texts
+from pondtiller.links.link import CONNECT_SECONDS, Link, open_link
 from pondtiller.peers.replicas import STALE_VIEW_SECONDS
 from pondtiller.process import clock
 from pondtiller.process.stalls import LOOK_SECONDS, StallWatch
@@ -100,6 +101,33 @@
     run_system(tmp_path, test, gateways=3)
 
 
+def test_a_leader_that_was_paused_as_it_connects_to_a_runner_takes_its_runs(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against runs that end since the connection to their runner counted as too late."""
+    monkeypatch.setattr(run_offers, "FRESH_START_SECONDS", 0.0)
+    monkeypatch.setattr(run_offers, "HELD_WAIT_SECONDS", 1.0)
+
+    async def open_slowly(address: Address) -> Link:
+        await curio.sleep(0.3)
+        return await open_link(address)
+
+    monkeypatch.setattr(runner_directory, "open_link", open_slowly)
+
+    async def test(system: System) -> None:
+        leader, _ = await running(system)
+        others = [each for each in system.gateways if each is not leader]
+        await end_process(system, leader)
+        await system.until(lambda: any(each.duties.term for each in others))
+        offers = next(each.duties.term.offers for each in others if each.duties.term)
+        await system.until(lambda: offers._connecting > 0, 2.0)
+        time.sleep(CONNECT_SECONDS + 0.3)
+        await read_elsewhere(system, others)
+        assert sum(len(each.seen) for each in system.llm) == 4
+
+    run_system(tmp_path, test, gateways=3)
+
+
 def test_a_standstill_as_a_leader_is_lost_is_no_cut_from_the_replicas(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
