A soak's proxy closes a connection whose target it is opening as it ends

The fault is the stand-in's.

Cause: a task that was cancelled while it opened the target left the accepted connection to the garbage collector, and a cycle through its exception kept it open.

Evidence: with the opening slowed by 0.5 s the connection stays open each time, without load or pause.

Why it holds: the connection is closed however its task ends.

Failed before (2 of 2), passes now: test_a_connection_that_an_ended_proxy_has_not_passed_on_yet_breaks_off.

--- a/src/pondtiller/soak/proxy.py
+++ b/src/pondtiller/soak/proxy.py
@@ -110,20 +110,31 @@
             await curio.sleep(END_LOOK_SECONDS)
 
     async def _serve(self, group: Spawner, stream: Any, port: int) -> None:
+        """Serve a connection; it is closed also where the proxy ends as the target is opened."""
         opener = self._owners.opener(port, self._place.port) if self._owners else ""
         try:
-            other = await curio.open_connection(self.target.host, self.target.port)
-        except OSError:
+            other = await self._open_target()
+            if other is None:
+                return
+            try:
+                await self._pass_both_ways(group, stream, other, opener)
+            finally:
+                await other.close()
+        finally:
             await stream.close()
-            return
+
+    async def _open_target(self) -> Any:
+        """Return a connection to the target; None where it takes none, and so neither does this."""
+        try:
+            return await curio.open_connection(self.target.host, self.target.port)
+        except OSError:
+            return None
+
+    async def _pass_both_ways(self, group: Spawner, stream: Any, other: Any, opener: str) -> None:
         if self.is_ended:
             # It was accepted in the moment of the end: it must not outlive that, and not break off
             # before the port refuses.
-            try:
-                await self._wait_until(lambda: not self._is_listening)
-            finally:
-                await stream.close()
-                await other.close()
+            await self._wait_until(lambda: not self._is_listening)
             return
         ends = {stream, other}
         self._open |= ends
@@ -136,8 +147,6 @@
         finally:
             del self.openers[own_port]
             self._open -= ends
-            for each in ends:
-                await each.close()
 
     async def _pass(self, source: Any, sink: Any, opener: str, receiver: str) -> None:
         """Pass bytes one way until an end closes; the other way then ends too."""
--- a/src/pondtiller/soak/tests/test_ending_rules.py
+++ b/src/pondtiller/soak/tests/test_ending_rules.py
@@ -105,3 +105,32 @@
         await serving.cancel()
 
     curio.run(main)
+
+
+def test_a_connection_that_an_ended_proxy_has_not_passed_on_yet_breaks_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a connection that stays open for its opener after the proxy ended."""
+    usual = curio.open_connection
+
+    async def main() -> None:
+        target = bind_tcp("127.0.0.1", 0)
+        proxy = Proxy(Address(*target.getsockname()))
+
+        async def open_slowly(host: str, port: int) -> object:
+            if Address(host, port) == proxy.target:
+                await curio.sleep(0.5)
+            return await usual(host, port)
+
+        monkeypatch.setattr(curio, "open_connection", open_slowly)
+        serving = await curio.spawn(proxy.run, daemon=True)
+        host, _, port = proxy.address.rpartition(":")
+        client = HttpClient()
+        connection = await client.open_plain(Address(host, int(port)))
+        await curio.sleep(0.05)
+        proxy.is_ended = True
+        assert await curio.timeout_after(1.0, connection._socket.recv, 1) == b""
+        await connection.close()
+        await serving.cancel()
+
+    curio.run(main)
