A soak says of each lost step who accepted it and how it was read last

The breach said only which samples were missing, so it could not tell a step that no gateway knows (404) from a gateway without a leader (503) and from samples that are not whole yet (200 with fewer results).

The breach says so now, and each part of the tests keeps its files under build/tests until its next run.

--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,10 @@
 	@echo "parts beside each other, each printed when it ends: $(PARTS)"
 	@$(MAKE) --no-print-directory --keep-going --jobs=$(words $(PARTS)) --output-sync=target $(PARTS)
 
+# Each part keeps its temporary files until its next run: a soak's logs and disks are among them.
 $(PARTS): test-%:
-	$(PYTHON) -m pytest $(RED) $(TESTS_$*)
+	@mkdir -p build/tests
+	$(PYTHON) -m pytest --basetemp=build/tests/$* $(RED) $(TESTS_$*)
 
 check: $(READY)
 	$(VENV)/bin/ruff format --check src tools examples deploy
--- a/src/pondtiller/soak/promises.py
+++ b/src/pondtiller/soak/promises.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, TypedDict
 
+from pondtiller.soak.step_reads import StepReads
+
 NOT_RUN = (401, 408, 421, 429, 503)
 """Answers that say that a request did not run, and will not."""
 
@@ -37,6 +39,8 @@
         Results by step and position, as they were first read.
     runs
         How often an engine began each request that must not be repeated.
+    step_reads
+        How each step was accepted and read last.
     """
 
     breaches: list[Breach] = field(default_factory=list)
@@ -46,6 +50,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     reads: int = 0
     answers: int = 0
+    step_reads: StepReads = field(default_factory=StepReads)
 
     def breach(self, promise: str, detail: str) -> None:
         """Note a broken promise."""
@@ -112,4 +117,5 @@
             listed = {result["id"] for result in self.results.get(step, {}).values()}
             missing = sorted(set(samples) - listed)
             if missing:
-                self.breach("nothing accepted is lost", f"{step}: {missing}")
+                detail = f"{step}: {missing}; {self.step_reads.tell(step)}"
+                self.breach("nothing accepted is lost", detail)
--- a/src/pondtiller/soak/tests/test_promises.py
+++ b/src/pondtiller/soak/tests/test_promises.py
@@ -80,3 +80,14 @@
     seen.page_read("s", 0, [result()], EVENTS)
     seen.ended()
     assert "s-1" in seen.breaches[0].detail
+
+
+def test_a_step_that_is_lost_says_who_accepted_it_and_how_it_was_read_last() -> None:
+    seen = promises()
+    seen.step_reads.accepted("s", 1)
+    seen.step_reads.read("s", 0, "503")
+    seen.step_reads.read("s", 2, "1 from 0")
+    seen.ended()
+    (breach,) = seen.breaches
+    assert breach.detail.startswith("s: ['s-0', 's-1']; accepted by g1 at 0.0 s; g0 at 0.0 s: 503")
+    assert breach.detail.endswith("g2 at 0.0 s: 1 from 0")
--- a/src/pondtiller/soak/trainer.py
+++ b/src/pondtiller/soak/trainer.py
@@ -105,6 +105,7 @@
             if answer is not None and answer[0] == 202:
                 samples = [each["id"] for each in document["requests"]]
                 self._promises.step_accepted(step, samples, oldest)
+                self._promises.step_reads.accepted(step, gateway)
                 return True
             await curio.sleep(SUBMIT_PAUSE_SECONDS)
         return False
@@ -122,11 +123,15 @@
     async def _read(self, step: str, position: int, gateway: int) -> int:
         target = f"{names.STEPS_PATH}{step}?{names.FROM_POSITION}={position}"
         answer = await self._calls.request(gateway, "GET", target, b"", HOST, wait_ms=READ_WAIT_MS)
+        reads = self._promises.step_reads
         if answer is None or answer[0] == 503:
+            reads.read(step, gateway, "no answer" if answer is None else str(answer[0]))
             return position
         if answer[0] != 200:
+            reads.read(step, gateway, str(answer[0]))
             self._promises.breach("nothing accepted is lost", f"{step}: {answer[0]}")
             return position
         page = json.loads(answer[1])
+        reads.read(step, gateway, f"{len(page['results'])} from {position}")
         self._promises.page_read(step, position, page["results"], EVENTS)
         return int(page["next_token"])
