A gap between events that holds a pause of the reader tells no engine's pace

What callers saw: 0.1 s after a pause of 0.71 s all runs left their engines as slow, and four samples read their prompts again at others.

Cause: the gap over the pause, less what was counted of it, was taken as a measure of the engine's pace, and a gap weighs by the time that passed, so it outweighed all before it. A pause is counted to the time between two looks only, and leader and runner may both count it.

Evidence: with 0.3 s or 0.6 s of 0.7 s counted, an engine's pace is taken for 0.21 s or 0.09 s where it is 0.05 s.

Why it holds: such a gap is left out, and the next one weighs as usual, however much was counted.

Failed before (both cases), passes now: test_a_pause_that_is_counted_in_part_moves_no_run.

--- a/src/pondtiller/rollouts/run_table.py
+++ b/src/pondtiller/rollouts/run_table.py
@@ -50,6 +50,7 @@
         work.run_started = work.last_heard = now
         work.checked_at = 0.0
         work.run_events = 0
+        work.spans_pause = False
         work.is_taken_over = held != NO_RUN
         engine.running += 1
         self.runs[work.run] = work
@@ -104,6 +105,7 @@
             work = self.runs.get(run)
             if work is not None:
                 work.last_heard = min(now, work.last_heard + seconds)
+                work.spans_pause = True
 
     def note_stall(self, now: float) -> None:
         """Count no run's silence until now."""
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -234,6 +234,8 @@
         none is under way. Times are in seconds of the steady clock.
     last_heard
         When the run's last event came, or the run began.
+    spans_pause
+        Whether who reads the run's stream was paused since its last event.
     moves
         How often it was moved for silence or slowness.
     late_at
@@ -268,6 +270,7 @@
     engine: str = ""
     run_started: float = 0.0
     last_heard: float = 0.0
+    spans_pause: bool = False
     checked_at: float = 0.0
     run_events: int = 0
     moves: int = 0
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -174,15 +174,28 @@
         if work.route.single_version and work.text.versions not in ([], [version]):
             work.text = Text()
             return False
-        engine = self._engines.engines.get(work.engine)
-        # No gap where a standstill was counted for longer than it lasted since the last event.
-        if engine is not None and work.run_events and now >= work.last_heard:
-            engine.note_event_gap(now - work.last_heard, now)
+        self._note_gap(work, now)
         work.text.add(number, data, version, RunName(self.epoch, run))
         work.run_events += 1
         work.last_heard = now
         return True
 
+    def _note_gap(self, work: SampleWork, now: float) -> None:
+        """Take the time since a run's last event as a measure of its engine's pace.
+
+        A gap that spans a pause of the reader is none: how much of it was the pause is known to
+        0.1 s, and after a pause a single gap weighs as much as all those before it.
+        """
+        engine = self._engines.engines.get(work.engine)
+        if engine is None or not work.run_events:
+            return
+        if work.spans_pause:
+            work.spans_pause = False
+            engine.skip_event_gap(now)
+        # No gap where a pause was counted for longer than it lasted since the last event.
+        elif now >= work.last_heard:
+            engine.note_event_gap(now - work.last_heard, now)
+
     def runs_checked(self, runs: list[int], now: float) -> None:
         """Take that all events of these runs are known until now."""
         self._table.checked(runs, now)
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -326,6 +326,27 @@
     assert bool(bench.tick(at + 0.05)) is not is_told
 
 
+@pytest.mark.parametrize("counted_seconds", [0.3, 0.6])
+def test_a_pause_that_is_counted_in_part_moves_no_run(counted_seconds: float) -> None:
+    """Guards against runs that leave their engine for one whose events were read earlier."""
+    bench = Bench(engines=2)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    for engine in bench.directory.engines.values():
+        engine.event_seconds = 0.05
+    for number in range(1, 11):
+        bench.scheduler.run_event(run.run, number, "a", 1, 0.5 + 0.05 * number)
+    bench.scheduler.runs_stalled([run.run], counted_seconds, 1.75)
+    # What waited is read at once, then events come as before.
+    for number in range(11, 16):
+        bench.scheduler.run_event(run.run, number, "a", 1, 1.75)
+    for number in range(16, 20):
+        bench.scheduler.run_event(run.run, number, "a", 1, 1.75 + 0.05 * (number - 15))
+    bench.scheduler.runs_checked([run.run], 1.96)
+    assert bench.directory.engines[run.engine].event_seconds == pytest.approx(0.05, rel=0.1)
+    assert bench.tick(1.96) == []
+
+
 def test_a_standstill_that_runner_and_leader_both_tell_is_no_gap_of_less_than_nothing() -> None:
     bench = Bench(engines=2)
     bench.open(size=1)
--- a/src/pondtiller/routes/engines.py
+++ b/src/pondtiller/routes/engines.py
@@ -214,6 +214,10 @@
             weight = 1.0 - math.exp(-passed / PACE_SMOOTHING_SECONDS)
             self.event_seconds += weight * (seconds - self.event_seconds)
 
+    def skip_event_gap(self, now: float) -> None:
+        """Leave out a gap that tells nothing of the engine, so that the next weighs as usual."""
+        self.paced_at = max(now, self.paced_at)
+
     def note_answer(self, seconds: float, now: float) -> None:
         """Take how long a whole answer took, or has taken so far when it was given up."""
         self.answered_at = now
