A leader's watch that meets a fault is begun again

What callers would see: after a fault in reading one named version, engines are told of no version until the term ends, and accepted steps that ask for it wait. Found by reading while the soak's three lost steps were sought, the first three of their run that ask for version 2 or newer; that it was their cause is only suspected.

Cause: the watches of a leader stood in one curio.TaskGroup, which does not raise where a task fails.

Why it holds: each watch is kept running and logs task_failed. A soak's breach of a lost step also says which versions the engines hold.

--- a/src/pondtiller/gateway/leader/leader_watches.py
+++ b/src/pondtiller/gateway/leader/leader_watches.py
@@ -19,6 +19,7 @@
 )
 from pondtiller.platform.values import address
 from pondtiller.process import logs
+from pondtiller.process.supervise import keep_running
 from pondtiller.rollouts.versions import VersionSteward
 from pondtiller.store.store_watch import RETRY_SECONDS, StoreHealth, StoreReader, Watch
 
@@ -86,10 +87,11 @@
             self._reader, self._health, names.REPLICAS, self.take_replicas, self._replica_changed
         )
         async with curio.TaskGroup() as group:
-            await group.spawn(versions.run)
-            await group.spawn(retirements.run)
-            await group.spawn(replicas.run)
-            await group.spawn(self._mark_retired)
+            # The group does not raise where one of its tasks fails, and nobody would follow its kind.
+            await group.spawn(keep_running, "named versions", versions.run)
+            await group.spawn(keep_running, "retirements", retirements.run)
+            await group.spawn(keep_running, "new replicas", replicas.run)
+            await group.spawn(keep_running, "retired marks", self._mark_retired)
 
     async def _take_retirements(self, found: tuple[StoreObject, ...]) -> None:
         self._retirements = {each.name: each for each in found}
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -184,6 +184,8 @@
             await self._finish()
         finally:
             await self.group.cancel_all()
+        versions = {each.identifier: each.version for each in self.models}
+        self.promises.step_reads.engine_versions = versions
         self.promises.ended()
         return self._report()
 
--- a/src/pondtiller/soak/step_reads.py
+++ b/src/pondtiller/soak/step_reads.py
@@ -6,6 +6,13 @@
 class StepReads:
     """Notes the acceptance of each step, and its last read at each gateway.
 
+    Attributes
+    ----------
+    engine_versions
+        Version that each engine of the model holds at the end.
+
+    Notes
+    -----
     A gateway without a leader answers 503, one that does not know the step 404, and one that lacks
     results 200 with fewer of them.
     """
@@ -14,10 +21,12 @@
         self._began = clock.monotonic()
         self._accepted: dict[str, str] = {}
         self._last_reads: dict[str, dict[int, str]] = {}
+        self.engine_versions: dict[str, int] = {}
 
-    def accepted(self, step: str, gateway: int) -> None:
-        """Take that a gateway accepted a step."""
-        self._accepted[step] = f"accepted by g{gateway} at {self._now():.1f} s"
+    def accepted(self, step: str, gateway: int, oldest: int) -> None:
+        """Take that a gateway accepted a step, which asks for a version or a newer one."""
+        when = f"accepted by g{gateway} at {self._now():.1f} s"
+        self._accepted[step] = f"{when}, oldest version {oldest}"
 
     def read(self, step: str, gateway: int, outcome: str) -> None:
         """Take the outcome of a read."""
@@ -28,7 +37,9 @@
         """Return what is known of a step, as a breach shows it."""
         reads = sorted(self._last_reads.get(step, {}).items())
         last = [text for _, text in reads] or ["never read"]
-        return "; ".join([self._accepted.get(step, "not accepted here"), *last])
+        held = ", ".join(f"{name} v{each}" for name, each in self.engine_versions.items())
+        accepted = self._accepted.get(step, "not accepted here")
+        return "; ".join([accepted, *last, f"engines hold {held or 'nothing known'}"])
 
     def _now(self) -> float:
         return clock.monotonic() - self._began
--- a/src/pondtiller/soak/tests/test_promises.py
+++ b/src/pondtiller/soak/tests/test_promises.py
@@ -84,10 +84,12 @@
 
 def test_a_step_that_is_lost_says_who_accepted_it_and_how_it_was_read_last() -> None:
     seen = promises()
-    seen.step_reads.accepted("s", 1)
+    seen.step_reads.accepted("s", 1, oldest=2)
+    seen.step_reads.engine_versions = {"m0": 1}
     seen.step_reads.read("s", 0, "503")
     seen.step_reads.read("s", 2, "1 from 0")
     seen.ended()
     (breach,) = seen.breaches
-    assert breach.detail.startswith("s: ['s-0', 's-1']; accepted by g1 at 0.0 s; g0 at 0.0 s: 503")
-    assert breach.detail.endswith("g2 at 0.0 s: 1 from 0")
+    accepted = "s: ['s-0', 's-1']; accepted by g1 at 0.0 s, oldest version 2; g0 at 0.0 s: 503"
+    assert breach.detail.startswith(accepted)
+    assert breach.detail.endswith("g2 at 0.0 s: 1 from 0; engines hold m0 v1")
--- a/src/pondtiller/soak/trainer.py
+++ b/src/pondtiller/soak/trainer.py
@@ -105,7 +105,7 @@
             if answer is not None and answer[0] == 202:
                 samples = [each["id"] for each in document["requests"]]
                 self._promises.step_accepted(step, samples, oldest)
-                self._promises.step_reads.accepted(step, gateway)
+                self._promises.step_reads.accepted(step, gateway, oldest)
                 return True
             await curio.sleep(SUBMIT_PAUSE_SECONDS)
         return False
