A run that meets a fault in the leader ends as stale

What callers would see: a sample that is never listed. Since runs go on over a new link, a run that is cancelled counts as over only once its task has ended; a task that a fault had ended never said so.

Cause: SampleRuns._run told the scheduler of an end only where _outcome returned.

Why it holds: a fault is logged (sample_run_failed) and ends the run; its sample goes on elsewhere.

--- a/src/pondtiller/gateway/leader/sample_runs.py
+++ b/src/pondtiller/gateway/leader/sample_runs.py
@@ -133,7 +133,7 @@
         name, runner = self._parts.offers.runner_of(start)
         self._log_start(start, work, name)
         began = clock.monotonic()
-        outcome = await self._outcome(start, work, engine, runner)
+        outcome = await self._safe_outcome(start, work, engine, runner)
         self._tasks.pop(start.run, None)
         self._runner_of.pop(start.run, None)
         self._unwanted.discard(start.run)
@@ -172,6 +172,17 @@
             epoch=self._parts.epoch,
         )
 
+    async def _safe_outcome(
+        self, start: StartRun, work: SampleWork, engine: Engine | None, runner: Runner | None
+    ) -> RunOutcome:
+        """Return how a run ended, also by a fault here: its sample would wait for its end."""
+        try:
+            return await self._outcome(start, work, engine, runner)
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            logs.decision("sample_run_failed", run=start.run, engine=start.engine, reason=reason)
+            return RunOutcome(RunEnd.STALE, reason)
+
     async def _outcome(
         self, start: StartRun, work: SampleWork, engine: Engine | None, runner: Runner | None
     ) -> RunOutcome:
--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -75,6 +75,29 @@
     run_system(tmp_path, test, gateways=3)
 
 
+def test_a_run_that_meets_a_fault_in_the_leader_goes_on_elsewhere(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a sample that waits for the end of a run which nobody carries out."""
+    usual, failed = RunnerLink.run, []
+
+    async def fails_once(link: RunnerLink, order: RunOrder, take: EventSink) -> RunOutcome:
+        if not failed:
+            failed.append(order.run)
+            raise ValueError("a fault")
+        return await usual(link, order, take)
+
+    monkeypatch.setattr(RunnerLink, "run", fails_once)
+
+    async def test(system: System) -> None:
+        await connected(system, 2)
+        assert await system.submit("s1", samples=4) == 202
+        texts(await system.read_all("s1", 4), 3)
+        assert failed
+
+    run_system(tmp_path, test, gateways=3)
+
+
 def test_a_gateway_that_stops_hands_its_runs_back(tmp_path: Path) -> None:
     async def test(system: System) -> None:
         leader = await connected(system, 2)
