--- a/src/pondtiller/gateway/leader/leader_watches.py
+++ b/src/pondtiller/gateway/leader/leader_watches.py
@@ -87,7 +87,7 @@
             self._reader, self._health, names.REPLICAS, self.take_replicas, self._replica_changed
         )
         async with curio.TaskGroup() as group:
-            # The group does not raise where one of its tasks fails, and nobody would follow its kind.
+            # The group does not raise where one of its tasks fails.
             await group.spawn(keep_running, "named versions", versions.run)
             await group.spawn(keep_running, "retirements", retirements.run)
             await group.spawn(keep_running, "new replicas", replicas.run)
