--- a/src/pondtiller/gateway/leader/reattach.py
+++ b/src/pondtiller/gateway/leader/reattach.py
@@ -19,7 +19,7 @@
     Parameters
     ----------
     stalls
-        Knows how long this process stood still: a connection that was made meanwhile is not late.
+        Knows how long this process was paused: a connection that was made meanwhile is not late.
     """
 
     def __init__(self, runners: RunnerDirectory, stalls: StallWatch) -> None:
