The running time of a process does not go back, and events of a run keep their order

What callers saw: samples that began anew though nothing had failed, each time that the event loop of a busy gateway was late by 50 ms between two events of a run.

Cause: a late look counts as a pause from 50 ms on, all of it at once, so the seconds in which the process ran went back by 50 ms. Two events read before and after that moment had their times the wrong way round, the leader sorted them by time, and the second event's number did not follow.

Evidence: sample_run_ended outcome=stale events=0 detail="event=2" of two samples, with no pause, move or lost link in the log; without the fix the running time read in a loop goes back as the look gets late.

Why it holds: the running time is never less than it was, and a leader keeps the order of a run's events whatever their times are, since runners of earlier releases may tell such times.

Failed before, pass now: test_the_running_time_does_not_go_back_as_a_pause_begins_to_count, test_events_whose_times_go_back_keep_their_order.

--- a/src/pondtiller/process/stalls.py
+++ b/src/pondtiller/process/stalls.py
@@ -89,6 +89,7 @@
         self._is_needed = is_needed
         self._users = 0
         self._clock = StallClock()
+        self._running = float("-inf")
         self._group = Spawner()
 
     async def __aenter__(self) -> "StallWatch":
@@ -114,9 +115,14 @@
         return self._clock.until(clock.monotonic())
 
     def running_seconds(self) -> float:
-        """Return the steady clock less all standstills, in seconds."""
+        """Return the steady clock less all standstills, in seconds; it never goes back.
+
+        A pause counts from when it is long enough: what was read before that moment would be timed
+        later than what is read after it.
+        """
         now = clock.monotonic()
-        return now - self._clock.until(now)
+        self._running = max(self._running, now - self._clock.until(now))
+        return self._running
 
     async def call(
         self, seconds: float, function: Callable[..., Awaitable[Result]], *given: object
--- a/src/pondtiller/process/tests/test_stalls.py
+++ b/src/pondtiller/process/tests/test_stalls.py
@@ -69,6 +69,20 @@
     curio.run(main)
 
 
+def test_the_running_time_does_not_go_back_as_a_pause_begins_to_count() -> None:
+    """Guards against events of a run that were told in the wrong order."""
+
+    async def main() -> None:
+        async with StallWatch() as watch:
+            end = time.monotonic() + LOOK_SECONDS + 3 * LATE_SECONDS
+            read = []
+            while time.monotonic() < end:
+                read.append(watch.running_seconds())
+            assert read == sorted(read)
+
+    curio.run(main)
+
+
 def test_a_process_that_is_always_late_does_not_wait_for_ever() -> None:
     """Such a leader would leave no silent runner, and its callers would get no second attempt."""
 
--- a/src/pondtiller/rollouts/run_news.py
+++ b/src/pondtiller/rollouts/run_news.py
@@ -141,7 +141,8 @@
     found: list[RunEvent] = []
     last_at: dict[int, float] = {}
     for run, number, version, first_age, last_age, data in _rows(news.events):
-        step = (first_age - last_age) / 1000.0 / max(1, len(data) - 1)
+        # Never below 0, whatever the ages are: sorting would bring a run's events out of order.
+        step = max(0, first_age - last_age) / 1000.0 / max(1, len(data) - 1)
         # Times are rounded: the parts of a run must not overlap, or sorting would mix them.
         began = max(now - first_age / 1000.0, last_at.get(run, 0.0))
         found += [
--- a/src/pondtiller/rollouts/tests/test_run_news.py
+++ b/src/pondtiller/rollouts/tests/test_run_news.py
@@ -34,6 +34,12 @@
     assert [each.at for each in read] == pytest.approx([20.0, 20.05, 20.1, 20.2], abs=0.002)
 
 
+def test_events_whose_times_go_back_keep_their_order() -> None:
+    """Guards against a run that begins anew since its second event arrived before its first."""
+    news = gathered(RunEvent(1, 1, "a", 7, 10.05), RunEvent(1, 2, "b", 7, 10.0))
+    assert [each.number for each in read_events(news.take(10.1), 20.0)] == [1, 2]
+
+
 def test_a_change_of_version_within_a_run_is_kept() -> None:
     news = gathered(RunEvent(1, 1, "a", 7, 1.0), RunEvent(1, 2, "b", 8, 1.1))
     assert [(each.number, each.version) for each in read_events(news.take(1.1), 1.1)] == [
