A pause while replicas are asked for the leader's age ends no run

What callers saw: two long samples began anew as their runner ended them, 24 ms before the next leader was elected.

Cause: the runner asks replicas how long ago they heard its leader, for 0.15 s by the clock. A pause took that time, and the answers lay unread.

Why it holds: no answer counts only where the process was not paused while it asked; the next look asks again. A runner that is cut off ends its runs as it hears no replica for 1.2 s.

Failed before, passes now: test_a_pause_while_replicas_are_asked_for_the_leaders_age_ends_no_run.

--- a/src/pondtiller/gateway/runs/leaderless_runs.py
+++ b/src/pondtiller/gateway/runs/leaderless_runs.py
@@ -158,7 +158,12 @@
     async def _decide(self, lost: LostLeader) -> None:
         choice = self._next_step(lost)
         if choice.step is HoldStep.ASK:
-            choice = after_asking(await self._leader_age(lost.epoch))
+            stalled_before = self.stalls.stalled_seconds()
+            age = await self._leader_age(lost.epoch)
+            if age is None and self.stalls.stalled_seconds() > stalled_before:
+                # The answers wait to be read: the next look asks again.
+                return
+            choice = after_asking(age)
         if choice.step is HoldStep.END:
             await self._end(self._of(lost), choice.reason)
         elif choice.step is HoldStep.OFFER and lost not in self._offering:
--- a/src/pondtiller/gateway/tests/test_stalls.py
+++ b/src/pondtiller/gateway/tests/test_stalls.py
@@ -146,6 +146,31 @@
     run_system(tmp_path, test, gateways=3)
 
 
+def test_a_pause_while_replicas_are_asked_for_the_leaders_age_ends_no_run() -> None:
+    """Guards against runs ended as "too few replicas answered" with the answers unread."""
+
+    async def main() -> None:
+        world, link, asked = World(), FakeLink(), []
+
+        async def answers_late(_epoch: int) -> float | None:
+            asked.append(_epoch)
+            if len(asked) > 1:
+                return 2.0
+            time.sleep(0.3)
+            return None
+
+        world.epoch = 5
+        world.held._leader_age = answers_late
+        await world.host.take(link, BEGIN)
+        world.host.by_link[link].heard_at -= LEADER_SILENT_SECONDS
+        await world.host.lost(link)
+        await curio.sleep(0.6)
+        assert len(asked) > 1
+        assert (world.host.runs, world.engine.working) == (1, 1)
+
+    curio.run(main)
+
+
 def test_a_run_that_was_taken_is_not_ended_while_its_begin_waits_to_be_read(tmp_path: Path) -> None:
     """It is ended where the leader does not begin it in `TAKEN_SECONDS`, in which this one ran."""
 
