--- a/src/pondtiller/process/stalls.py
+++ b/src/pondtiller/process/stalls.py
@@ -115,7 +115,7 @@
         return self._clock.until(clock.monotonic())
 
     def running_seconds(self) -> float:
-        """Return the steady clock less all standstills, in seconds; it never goes back.
+        """Return the steady clock less all pauses, in seconds; it never goes back.
 
         A pause counts from when it is long enough: what was read before that moment would be timed
         later than what is read after it.
