A pause of the leader is no silence of its runners

What callers saw: long samples began anew at other engines after a pause of 0.9 s and more in which leader and runners both stood, while the runners still had their runs.

Cause: RunnerLink compared the time of a runner's last message with now on the steady clock. After a pause both sides let sockets be read for 0.2 s; the leader's wait ended as the runner was about to speak.

Evidence: a pause of 0.932 s, 0.203 s later runner_silent of both runners, runner_lost runs=2 and four new runs. Ruled out: a pause of the leader alone, since runners send news each 0.25 s and those of the pause are read first.

Why it holds: both times are seconds in which the leader's process ran. A sample begins elsewhere later than before, never earlier, and the runner still ends its runs by the clock.

--- a/src/pondtiller/gateway/leader/reattach.py
+++ b/src/pondtiller/gateway/leader/reattach.py
@@ -9,7 +9,6 @@
 
 from pondtiller.gateway.leader.run_links import RUNNER_SILENT_SECONDS, RunnerLink
 from pondtiller.gateway.leader.runner_directory import RECONNECT_PAUSE_SECONDS, RunnerDirectory
-from pondtiller.process import clock
 from pondtiller.process.stalls import StallWatch
 
 
@@ -45,5 +44,4 @@
 
     def _silent_at(self, lost: RunnerLink) -> float:
         """Return when a gateway counts as silent, in seconds in which this process ran."""
-        left = lost.heard_at + RUNNER_SILENT_SECONDS - clock.monotonic()
-        return self._stalls.running_seconds() + max(0.0, left)
+        return max(self._stalls.running_seconds(), lost.heard_at + RUNNER_SILENT_SECONDS)
--- a/src/pondtiller/gateway/leader/run_links.py
+++ b/src/pondtiller/gateway/leader/run_links.py
@@ -73,7 +73,8 @@
     Attributes
     ----------
     dropped_at
-        When the runner was asked to end it, on the steady clock; None while it is wanted.
+        When the runner was asked to end it, in seconds in which this process ran; None while it is
+        wanted.
     dropped_for
         Why, for the logs.
     """
@@ -94,15 +95,15 @@
         Called with the numbers of the runs of which news came, and the time: nothing else of them
         has happened until then.
     runner_stalled
-        Called before with the runs, seconds and the time where the runner says that it stood still.
+        Called before with the runs, seconds and the time where the runner says that it was paused.
     stalls
-        Knows how long this process stood still; a watch that sees none where it is None.
+        Knows how long this process was paused; a watch that sees no pause where it is None.
 
     Attributes
     ----------
     heard_at
-        When its last message came, in seconds of the steady clock; when its first run began where
-        none has come.
+        When its last message came, in seconds in which this process ran
+        (`StallWatch.running_seconds`); when its first run began where none has come.
     has_news
         Whether any message has come over this link.
     is_given_up
@@ -126,7 +127,7 @@
         self._checked = checked
         self._runner_stalled = runner_stalled
         self._stalls = stalls or StallWatch()
-        self.heard_at = clock.monotonic()
+        self.heard_at = self._stalls.running_seconds()
         self.has_news = False
         self.is_given_up = False
 
@@ -151,7 +152,7 @@
             return RUNNER_LOST
         run = RemoteRun(take)
         if not self.runs:
-            self.heard_at = clock.monotonic()
+            self.heard_at = self._stalls.running_seconds()
         self.runs[order.run] = run
         has_ended = False
         try:
@@ -179,7 +180,7 @@
 
     async def _drop(self, run: int, dropped: RemoteRun, reason: str) -> None:
         if dropped.dropped_at is None:
-            dropped.dropped_at, dropped.dropped_for = clock.monotonic(), reason
+            dropped.dropped_at, dropped.dropped_for = self._stalls.running_seconds(), reason
             await self.link.send(DropRun(run=run))
 
     async def score(self, run: int, content: bytes) -> ScoreOutcome:
@@ -208,7 +209,8 @@
     async def _take(self, _link: Link, _call: int, message: Message) -> None:
         if not isinstance(message, RunNews):
             return
-        now = self.heard_at = clock.monotonic()
+        now = clock.monotonic()
+        self.heard_at = self._stalls.running_seconds()
         self.has_news = True
         try:
             events, ended = read_events(message, now), read_ends(message)
@@ -255,7 +257,7 @@
             if self.runs or any(not each.done.is_set() for each in self.scores.values()):
                 await self.link.send(KeepRuns(epoch=self._epoch))
                 if self._is_silent():
-                    # News that came while this process stood still are read first.
+                    # News that came while this process was paused are read first.
                     await self._stalls.read_first()
                 if self._is_silent():
                     logs.decision("runner_silent", runner=self.daemon.name, runs=len(self.runs))
@@ -264,7 +266,7 @@
             await curio.sleep(KEEP_SECONDS)
 
     def _is_silent(self) -> bool:
-        return is_silent(self.heard_at, self._dropped_at(), clock.monotonic())
+        return is_silent(self.heard_at, self._dropped_at(), self._stalls.running_seconds())
 
     def _dropped_at(self) -> list[float]:
         """Return when the runner was asked to end what it has not ended yet."""
@@ -274,10 +276,12 @@
 def is_silent(heard_at: float, dropped_at: Iterable[float], now: float) -> bool:
     """Return whether a runner is given up; its runs are begun elsewhere then.
 
+    The leader's own pauses don't count: a runner that was paused with it has sent nothing yet.
+
     Parameters
     ----------
     heard_at
-        When its last message came, in seconds of the steady clock, as all times here.
+        When its last message came, in seconds in which the leader's process ran, as all times here.
     dropped_at
         When it was asked to end runs that it has not ended yet: it may send news of others all the
         same.
