A leader keeps its term over a pause in which nobody was elected

What callers saw: a second and more without a leader, and all runs offered again, after a pause of 0.9 s and more (garbage collection, a throttled container, a moved machine) in which no other gateway had stood.

Cause: a term ended as soon as its lease was over by the leader's own clock. That did not tell a pause, in which no heartbeat could leave, from a cut, in which heartbeats left and were not answered.

Evidence: after a pause of 1.19 s leader_ended "the lease ended" 2 ms later, leader_won of the same gateway 0.09 s later, no standing of another one. Ruled out: a higher epoch (the reason would say so), replicas that refuse (they take messages of the epoch that they promised).

Why it holds: where the lease would still last but for a pause since the last look, the leader sends heartbeats and waits 0.3 running seconds for a write quorum. It does nothing that needs the lease meanwhile, and does not tell runners to keep their runs. A member that promised a higher epoch refuses and ends the term; each write quorum has one in common with each read quorum. Without a pause it stands down at once.

--- a/src/pondtiller/gateway/leader/leadership.py
+++ b/src/pondtiller/gateway/leader/leadership.py
@@ -25,6 +25,7 @@
 from pondtiller.links.frames import Encoded, encode_message
 from pondtiller.peers.replicas import LeaderPlace, ReplicaDirectory
 from pondtiller.process import clock, logs
+from pondtiller.process.stalls import StallWatch
 from pondtiller.rollouts.step_keys import keys_of_ended_steps
 from pondtiller.steplog.entry import Entry
 from pondtiller.steplog.fault_tolerance import USUAL_RULES, PlaceRules
@@ -98,6 +99,8 @@
         Speed of this gateway's machine: a slow one leads only where no faster one does.
     rules
         Which losses the group is to bear, and where zones lie.
+    stalls
+        Knows how long this process was paused; a watch that sees no pause where it is None.
 
     Attributes
     ----------
@@ -121,6 +124,7 @@
         metrics: GatewayMetrics,
         zone: str = "",
         rules: PlaceRules | None = None,
+        stalls: StallWatch | None = None,
     ) -> None:
         identity = score("epoch", f"{name}/{clock.new_incarnation()}") & 0xFFFFFFFF
         self.log = LeaderLog(name, address.host, address.port, identity, keys_of_ended_steps)
@@ -135,6 +139,8 @@
         self._rules = rules or USUAL_RULES
         self.group_upkeep = GroupUpkeep(self.log, wanted_size, self._rules)
         self.losses = (wanted_size - 1) // 2
+        self._stalls = stalls or StallWatch()
+        self._awaits_renewal = False
         self._first_group = first_group
         self._metrics = metrics
         self._duties: Duties | None = None
@@ -163,7 +169,8 @@
         while True:
             self._wake.clear()
             now = clock.monotonic()
-            self.log.tick(now)
+            self.log.tick(now, self._stalls.running_seconds())
+            self._log_renewal(now)
             if self.log.is_leading:
                 if self.group_upkeep.is_due(now):
                     self.group_upkeep.look(self._retiring(), now)
@@ -173,6 +180,17 @@
             await self._carry_out()
             await curio.ignore_after(self._pause(now), self._wake.wait)
 
+    def _log_renewal(self, now: float) -> None:
+        """Tell when a lease that ended in a pause is to be renewed, and when it was."""
+        if self.log.awaits_renewal is self._awaits_renewal:
+            return
+        self._awaits_renewal = self.log.awaits_renewal
+        if self._awaits_renewal:
+            seconds = now - self.log.lease_until()
+            logs.decision("lease_ended_in_pause", epoch=self.log.epoch, seconds=seconds)
+        elif self.log.is_leading:
+            logs.decision("lease_renewed", epoch=self.log.epoch)
+
     async def flush(self) -> None:
         """Send what was written."""
         self.log.flush(clock.monotonic())
--- a/src/pondtiller/gateway/leader/run_links.py
+++ b/src/pondtiller/gateway/leader/run_links.py
@@ -36,6 +36,9 @@
 
 KEEP_SECONDS = 0.3
 """As often as a leader renews its lease."""
+LEASE_LOOK_SECONDS = 0.02
+"""Between two looks of a leader that may not keep its runners' runs until its lease is renewed, in
+seconds: after a pause of both sides a runner waits 0.2 s for its leader's word."""
 RUNNER_SILENT_SECONDS = 1.1
 """A runner with runs tells something each `NEWS_SECONDS`, the last time up to so long before a cut.
 It ends its runs 1.0 s to 1.2 s after the cut (`LEADER_SILENT_SECONDS` and the replicas' answer), so
@@ -98,6 +101,8 @@
         Called before with the runs, seconds and the time where the runner says that it was paused.
     stalls
         Knows how long this process was paused; a watch that sees no pause where it is None.
+    holds_lease
+        Returns whether no other gateway can lead now: only then a runner is to keep its runs.
 
     Attributes
     ----------
@@ -118,6 +123,7 @@
         checked: Callable[[list[int], float], None],
         runner_stalled: Callable[[list[int], float, float], None] | None = None,
         stalls: StallWatch | None = None,
+        holds_lease: Callable[[], bool] = lambda: True,
     ) -> None:
         self.daemon = daemon
         self.runs: dict[int, RemoteRun] = {}
@@ -127,6 +133,7 @@
         self._checked = checked
         self._runner_stalled = runner_stalled
         self._stalls = stalls or StallWatch()
+        self._holds_lease = holds_lease
         self.heard_at = self._stalls.running_seconds()
         self.has_news = False
         self.is_given_up = False
@@ -255,6 +262,8 @@
         """Say that the leader lives while there are runs; end the link of a silent runner."""
         while not self.link.is_lost:
             if self.runs or any(not each.done.is_set() for each in self.scores.values()):
+                while not self._holds_lease() and not self.link.is_lost:
+                    await curio.sleep(LEASE_LOOK_SECONDS)
                 await self.link.send(KeepRuns(epoch=self._epoch))
                 if self._is_silent():
                     # News that came while this process was paused are read first.
--- a/src/pondtiller/gateway/leader/runner_directory.py
+++ b/src/pondtiller/gateway/leader/runner_directory.py
@@ -51,7 +51,7 @@
         Calls a replica of the group; None where none answers.
     zone
         Of this gateway.
-    checked, runner_stalled, stalls
+    checked, runner_stalled, stalls, holds_lease
         See `RunnerLink`.
     """
 
@@ -66,6 +66,7 @@
         zone: str = "",
         runner_stalled: Callable[[list[int], float, float], None] | None = None,
         stalls: StallWatch | None = None,
+        holds_lease: Callable[[], bool] = lambda: True,
     ) -> None:
         self.links: dict[str, RunnerLink] = {}
         self._name = name
@@ -76,6 +77,7 @@
         self._checked = checked
         self._runner_stalled = runner_stalled
         self._stalls = stalls or StallWatch()
+        self._holds_lease = holds_lease
         self._chosen = EngineRunners(engines.places, zone)
         self._daemons: tuple[Daemon, ...] = ()
         self._revision = 0
@@ -197,7 +199,13 @@
         finally:
             self._connecting.discard(daemon.name)
         runner = RunnerLink(
-            daemon, link, self._epoch, self._checked, self._runner_stalled, self._stalls
+            daemon,
+            link,
+            self._epoch,
+            self._checked,
+            self._runner_stalled,
+            self._stalls,
+            self._holds_lease,
         )
         self.links[daemon.name] = runner
         logs.decision("runner_found", runner=daemon.name, zone=daemon.zone, cores=daemon.cores)
--- a/src/pondtiller/gateway/leader/term.py
+++ b/src/pondtiller/gateway/leader/term.py
@@ -112,6 +112,7 @@
             parts.leadership.zone,
             self.scheduler.runs_stalled,
             parts.stalls,
+            self._holds_lease,
         )
         self.offers = RunOffers(
             parts.leadership,
@@ -272,6 +273,9 @@
         await self.wake.set()
         await self._leadership.read_rest()
 
+    def _holds_lease(self) -> bool:
+        return self._leadership.log.holds_lease(clock.monotonic())
+
     async def _tick(self, now: float) -> None:
         if not self._leadership.log.holds_lease(now):
             return
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -127,6 +127,7 @@
             self.metrics,
             settings.zone,
             rules,
+            self.stalls,
         )
         self.steps = LeaderClient(settings.name, self.leadership.leader, self)
 
--- a/src/pondtiller/steplog/leader.py
+++ b/src/pondtiller/steplog/leader.py
@@ -29,6 +29,7 @@
     StandDown,
     Won,
 )
+from pondtiller.steplog.lease_renewal import LeaseRenewal, Moment
 from pondtiller.steplog.order_notes import ORDER_PREFIX, OrderNotes, older_notes
 from pondtiller.steplog.replication import Replication
 from pondtiller.steplog.takeover_reads import Fetches, best_holders, deferrable
@@ -95,6 +96,7 @@
         self._groups = VotingGroups()
         self._notes = OrderNotes()
         self._fetches = Fetches()
+        self._renewal = LeaseRenewal()
         self._first_group = Group()
         self._hint = Group()
         self._advanced_at = 0.0
@@ -148,6 +150,11 @@
         """Return whether no other gateway can lead at this moment."""
         return self.is_leading and now < self.lease_until()
 
+    @property
+    def awaits_renewal(self) -> bool:
+        """Whether the lease ended in a pause of this process and may still be renewed."""
+        return self.is_leading and self._renewal.is_awaited
+
     def lease_until(self) -> float:
         """Return the time until which a write quorum keeps others from leading."""
         return self._groups.lease_until(self.phase, self.followers)
@@ -280,10 +287,18 @@
         self._advanced_at = now
         self._ask_wanted(now)
 
-    def tick(self, now: float) -> None:
-        """Renew the lease, and give up where it has ended."""
+    def tick(self, now: float, running: float | None = None) -> None:
+        """Renew the lease, and give up where it has ended.
+
+        Parameters
+        ----------
+        running
+            The time less all pauses of this process, in seconds; without pauses where it is None.
+        """
         if self.phase is Phase.IDLE:
             return
+        at = Moment(now, now if running is None else running)
+        self._renewal.looked(self.lease_until(), at)
         reason = reason_to_stand_down(self._state(), now)
         if reason is not None:
             self._depose(reason, self.epoch)
@@ -300,7 +315,7 @@
         self._depose(StandDown.RESIGNED, self.epoch)
 
     def _state(self) -> TermState:
-        return TermState(self.phase, self._advanced_at, self.lease_until())
+        return TermState(self.phase, self._advanced_at, self.lease_until(), self.awaits_renewal)
 
     def _depose(self, reason: StandDown, highest_epoch: int, wait_seconds: float = 0.0) -> None:
         self._replication.release_all()
@@ -315,6 +330,7 @@
         self._groups.reset()
         self._notes = OrderNotes()
         self._fetches = Fetches()
+        self._renewal = LeaseRenewal()
 
     # Takeover
 
--- a/src/pondtiller/steplog/term_rules.py
+++ b/src/pondtiller/steplog/term_rules.py
@@ -42,11 +42,14 @@
         When a takeover last made progress.
     lease_until
         Until when a write quorum keeps others from leading; minus infinity without one.
+    awaits_renewal
+        Whether a lease that has ended may still be renewed (`lease_renewal.py`).
     """
 
     phase: Phase
     advanced_at: float
     lease_until: float
+    awaits_renewal: bool = False
 
 
 def reason_to_stand_down(state: TermState, now: float) -> StandDown | None:
@@ -56,7 +59,8 @@
     if state.phase is not Phase.LEADING:
         is_late = now > state.advanced_at + TAKEOVER_SECONDS
         return StandDown.TAKEOVER_TOO_LONG if is_late else None
-    return StandDown.LEASE_ENDED if now >= state.lease_until else None
+    has_ended = now >= state.lease_until and not state.awaits_renewal
+    return StandDown.LEASE_ENDED if has_ended else None
 
 
 class RefusedPromise(NamedTuple):
--- a/src/pondtiller/steplog/tests/cluster.py
+++ b/src/pondtiller/steplog/tests/cluster.py
@@ -58,6 +58,7 @@
     log: LeaderLog
     links: dict[int, str] = field(default_factory=dict)
     frozen_until: float = 0.0
+    frozen_seconds: float = 0.0
     written: int = 0
     is_cut_from: set[str] = field(default_factory=set)
     stand_at: float | None = None
@@ -158,7 +159,7 @@
         if self.now < daemon.frozen_until:
             return
         log = daemon.log
-        log.tick(self.now)
+        log.tick(self.now, self.now - daemon.frozen_seconds)
         if log.holds_lease(self.now):
             self._lead(daemon)
         elif log.phase is Phase.IDLE and self._may_stand(daemon):
@@ -396,7 +397,9 @@
         self.nodes[name].frozen_until = self.now + seconds
 
     def freeze_daemon(self, number: int, seconds: float) -> None:
-        self.daemons[number].frozen_until = self.now + seconds
+        daemon, until = self.daemons[number], self.now + seconds
+        daemon.frozen_seconds += max(0.0, until - max(self.now, daemon.frozen_until))
+        daemon.frozen_until = until
 
     def cut(self, number: int, name: str, seconds: float) -> None:
         """Cut a daemon from a replica."""
--- a/src/pondtiller/steplog/tests/test_cluster.py
+++ b/src/pondtiller/steplog/tests/test_cluster.py
@@ -5,6 +5,8 @@
 from pondtiller.steplog.deferred import DeferredValues
 from pondtiller.steplog.instructions import Won
 from pondtiller.steplog.leader import LeaderLog
+from pondtiller.steplog.lease_renewal import RENEWAL_SECONDS
+from pondtiller.steplog.replica import LEASE_SECONDS
 from pondtiller.steplog.tests.cluster import Cluster, Daemon, ViolationError
 from pondtiller.wire.steplog import Group
 
@@ -180,6 +182,89 @@
     assert len(cluster.committed) > before
 
 
+def leader_of(cluster: Cluster) -> Daemon:
+    (leader,) = [each for each in cluster.daemons if each.log.holds_lease(cluster.now)]
+    return leader
+
+
+@pytest.mark.parametrize("seconds", [1.1, 1.4, 5.0])
+def test_a_leader_keeps_its_term_over_a_pause_in_which_nobody_was_elected(seconds: float) -> None:
+    """Guards against a takeover, with all runs offered again, for a pause that cost no lease."""
+    cluster = Cluster(1, daemons=1)
+    cluster.run(3.0)
+    leader = leader_of(cluster)
+    epoch = leader.log.epoch
+    cluster.freeze_daemon(0, seconds)
+    cluster.run(seconds - 0.01)
+    assert not leader.log.holds_lease(cluster.now)
+    cluster.run(0.5)
+    assert leader.log.holds_lease(cluster.now)
+    assert (cluster.terms, leader.log.epoch) == (1, epoch)
+
+
+def test_a_leader_whose_successor_was_elected_in_its_pause_ends_its_term() -> None:
+    """Guards against two leaders: the first answer says that a higher epoch was promised."""
+    cluster = Cluster(1)
+    cluster.run(3.0)
+    leader = leader_of(cluster)
+    cluster.freeze_daemon(cluster.daemons.index(leader), 6.0)
+    cluster.run(5.9)
+    successor = leader_of(cluster)
+    assert successor is not leader
+    assert leader.log.is_leading
+    held = []
+    for _ in range(50):
+        cluster.run(0.01)
+        held.append(leader.log.holds_lease(cluster.now))
+    assert not any(held)
+    assert not leader.log.is_leading
+    assert leader_of(cluster) is successor
+
+
+def test_a_leader_that_is_cut_off_as_its_pause_ends_gives_its_term_up_soon() -> None:
+    """Guards against runners that are kept from a successor by a leader without a lease."""
+    cluster = Cluster(1)
+    cluster.run(3.0)
+    leader = leader_of(cluster)
+    number = cluster.daemons.index(leader)
+    cluster.freeze_daemon(number, 1.3)
+    for name in cluster.nodes:
+        cluster.cut(number, name, 10.0)
+    cluster.run(1.2)
+    assert leader.log.is_leading
+    cluster.run(0.2 + RENEWAL_SECONDS + 0.1)
+    assert not leader.log.is_leading
+
+
+def test_a_leader_that_is_cut_off_without_a_pause_stands_down_as_its_lease_ends() -> None:
+    cluster = Cluster(1)
+    cluster.run(3.0)
+    leader = leader_of(cluster)
+    for name in cluster.nodes:
+        cluster.cut(cluster.daemons.index(leader), name, 10.0)
+    cluster.run(LEASE_SECONDS + 0.1)
+    assert not leader.log.is_leading
+    assert not leader.log.awaits_renewal
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_daemons_never_hold_the_lease_while_leaders_pause(seed: int) -> None:
+    cluster = Cluster(seed)
+    cluster.stands_like_a_gateway = True
+    cluster.run(3.0)
+    for _ in range(12):
+        for number, daemon in enumerate(cluster.daemons):
+            if daemon.log.is_leading or cluster.random.random() < 0.3:
+                cluster.freeze_daemon(number, 0.8 + cluster.random.random())
+        if cluster.random.random() < 0.3:
+            disturb(cluster, cluster.random.choice((0, 1, 3, 7)))
+        for _ in range(150):
+            cluster.run(0.02)
+            holders = [each for each in cluster.daemons if each.log.holds_lease(cluster.now)]
+            assert len(holders) <= 1
+    assert len(cluster.committed) > 20
+
+
 def test_the_check_sees_answers_that_leave_before_the_disk_has_the_write() -> None:
     """Where a replica answers at once, a loss of all power takes what was told committed."""
 
