A call that could not be answered in time is not sent, and told as not run

What callers saw: 504, not known whether it ran, up to 0.057 s after their deadline, for calls that waited for a cold engine; 503 with Retry-After is what they can act on. Each took a share of the cold engine.

Cause: as an attempt left, only the deadline itself was looked at, and after the gate, which counts shares.

Evidence: a new word in the log line, unanswered(left=S), says how much time an attempt had as it left.

Why it holds: an attempt leaves only while the smoothed time of its row's answers is left, the time by which the queue refuses too. The gate is asked last, so nothing is counted in vain.

Failed before: test_a_call_that_could_not_be_answered_in_time_is_told_as_not_run.

--- a/src/pondtiller/gateway/callers/attempts.py
+++ b/src/pondtiller/gateway/callers/attempts.py
@@ -67,6 +67,8 @@
         Attempts that have not ended.
     sent
         Attempts that left, less those that an engine refused as not run.
+    left_when_sent
+        Seconds until the deadline as each attempt left that has not ended, by engine.
     last_began
         When the last attempt began, on the steady clock.
     stalled_before
@@ -88,6 +90,7 @@
     unreached: set[str] = field(default_factory=set)
     running: int = 0
     sent: int = 0
+    left_when_sent: dict[str, float] = field(default_factory=dict)
     last_began: float = 0.0
     stalled_before: float = 0.0
     reserved: list[Engine] = field(default_factory=list)
@@ -171,6 +174,11 @@
         self.engines.discard(engine.identifier)
         self.unreached.add(engine.identifier)
 
+    def note_unanswered(self) -> None:
+        """Name for the log the attempts that were under way as the deadline passed."""
+        for engine, left in self.left_when_sent.items():
+            self.details.append(f"{engine}:unanswered(left={left:.3f})")
+
     def hold_back(self, engine: Engine, reason: Held) -> None:
         """Take that a request did not leave for an engine that was chosen."""
         self.engines.discard(engine.identifier)
--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -234,7 +234,7 @@
         attempts.reserved.remove(engine)
         began = self._stalls.running_seconds()
         try:
-            answer = await self._send(engine, request, attempts)
+            answer = await self._send(engine, whole)
             seconds = self._stalls.running_seconds() - began
             end = end_of_answer(_facts(answer))
             await ended.put(EndedAttempt(engine, end, answer, seconds=seconds))
@@ -254,13 +254,12 @@
             detail = f"{engine.identifier}:{how}({error})"
             await ended.put(EndedAttempt(engine, AttemptEnd.BROKEN, detail=detail))
 
-    async def _send(
-        self, engine: Engine, request: ForwardedRequest, attempts: RequestAttempts
-    ) -> WholeAnswer:
+    async def _send(self, engine: Engine, whole: WholeRequest) -> WholeAnswer:
         """Return an engine's answer, and free the place that was reserved there.
 
         Raises `HeldBackError`, `NotSentError`, `BrokenError`.
         """
+        request, attempts = whole.request, whole.attempts
         self._metrics.attempts += 1
         began = self._stalls.running_seconds()
         is_answered = is_unanswered = False
@@ -269,7 +268,7 @@
             await self._sender.prepare(engine.identifier, request.deadline)
             began = self._stalls.running_seconds()
             connection = await self._sender.take(
-                engine.identifier, engine.entry.address, request.content, request.deadline
+                engine.identifier, engine.entry.address, request.content, self._send_by(whole)
             )
             request.beginning.sent(clock.monotonic())
             is_unanswered = True
@@ -292,10 +291,16 @@
             if is_unanswered:
                 self.zones.note_unanswered(engine, seconds)
             engine.end_work()
+            attempts.left_when_sent.pop(engine.identifier, None)
             if connection is not None:
                 await connection.close()
             await self._lines.call(engine.entry.service)
 
+    def _send_by(self, whole: WholeRequest) -> float:
+        """Return when an attempt must have left to be answered in time, at the row's pace."""
+        pace = self._times.pace(whole.route, whole.service, clock.monotonic())
+        return whole.request.deadline - pace.own_seconds
+
     def _judge(
         self, ended: EndedAttempt, route: RouteRow, attempts: RequestAttempts
     ) -> WholeAnswer | Failure | None:
@@ -356,6 +361,7 @@
             engine = self._engines.engines.get(name)
             if engine is not None and attempts.running and not has_stalled:
                 engine.limit.note_late(engine.running, route.objective_seconds, now)
+        attempts.note_unanswered()
         return Failure(error_without_time(attempts.ran))
 
     def _log(self, whole: WholeRequest, answer: WholeAnswer | Failure) -> None:
--- a/src/pondtiller/gateway/callers/sending.py
+++ b/src/pondtiller/gateway/callers/sending.py
@@ -62,21 +62,27 @@
             await self._cold.prepare(engine, deadline)
 
     async def take(
-        self, engine: str, address: Address, content: str, deadline: float
+        self, engine: str, address: Address, content: str, send_by: float
     ) -> EngineConnection:
         """Return a connection on which an attempt is to leave at once.
 
         Raises `HeldBackError` where it must not leave, and `NotSentError` where no connection came
         up.
+
+        Parameters
+        ----------
+        send_by
+            When it must have left to be answered in time, on the steady clock.
         """
-        connection = await self._pool.take_to_send(engine, address, self._gate)
-        held = self._held(content, deadline)
+        connection = await self._pool.take(engine, address)
+        # The gate counts a cold engine's share, so it is asked last.
+        held = self._held(content, send_by) or self._gate.check(engine, clock.monotonic())
         if held is None:
             return connection
         await self._pool.give_back_unused(connection)
         raise HeldBackError(held)
 
-    def _held(self, content: str, deadline: float) -> Held | None:
+    def _held(self, content: str, send_by: float) -> Held | None:
         """Return what came up while the connection was awaited.
 
         Other runs of the same content may have ended their engines meanwhile: each attempt after
@@ -84,7 +90,7 @@
         """
         if self._suspects.is_held(content):
             return Held.ENDS_ENGINES
-        return Held.LATE if clock.monotonic() >= deadline else None
+        return Held.LATE if clock.monotonic() >= send_by else None
 
     async def send(
         self,
@@ -104,6 +110,7 @@
         # Counted first: a connection that breaks meanwhile may have brought a part to the engine.
         attempts.sent += 1
         left = request.deadline - clock.monotonic()
+        attempts.left_when_sent[engine] = left
         headers = forwarded_headers(request.headers, engine, left)
         if last_event:
             headers = continued(headers, last_event)
--- a/src/pondtiller/gateway/engines/engine_pool.py
+++ b/src/pondtiller/gateway/engines/engine_pool.py
@@ -20,7 +20,7 @@
 from pondtiller.platform import engine_answers
 from pondtiller.platform.headers import Headers, header
 from pondtiller.process import clock
-from pondtiller.routes.send_gate import Held, SendGate
+from pondtiller.routes.send_gate import Held
 
 CONNECT_SECONDS = 0.5
 """Longest wait for a connection to an engine. Load: an engine or its zone is cut off, so that
@@ -177,19 +177,6 @@
         self.opened += 1
         return EngineConnection(engine, address, stream)
 
-    async def take_to_send(self, engine: str, address: Address, gate: SendGate) -> EngineConnection:
-        """Return a connection on which a request is to leave at once.
-
-        The gate is asked once the connection is open, since that may have taken a while. Raises
-        `HeldBackError`, `NotSentError`.
-        """
-        connection = await self.take(engine, address)
-        held = gate.check(engine, clock.monotonic())
-        if held is None:
-            return connection
-        await self.give_back_unused(connection)
-        raise HeldBackError(held)
-
     async def give_back(self, connection: EngineConnection) -> None:
         """Keep a connection whose answer was read whole, where it may be used again."""
         kept = self._kept.setdefault(connection.engine, [])
--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_late_answers.py
@@ -0,0 +1,51 @@
+"""Calls whose time is nearly over: what can't be answered in time is not sent."""
+
+from typing import Any
+
+import curio
+import pytest
+
+from pondtiller.errors import ErrorKind, Failure
+from pondtiller.gateway.callers.attempts import WholeAnswer
+from pondtiller.gateway.tests.test_live_load import FakeEngine, Gateway
+from pondtiller.process import clock
+from pondtiller.routes.engines import Engine
+from pondtiller.routes.send_gate import Held
+
+WORK_SECONDS = 0.2
+
+
+@pytest.mark.parametrize(("left_seconds", "is_sent"), [(0.05, False), (0.5, True)])
+def test_a_call_that_could_not_be_answered_in_time_is_told_as_not_run(
+    left_seconds: float, is_sent: bool
+) -> None:
+    """Guards against a 504, and a cold engine's share in vain, for a call sent just before it."""
+    engine = FakeEngine(WORK_SECONDS)
+    gateway = Gateway(engine)
+    counted: list[float] = []
+    take = gateway.forwarder._pool.take
+
+    def count(_engine: Engine, now: float) -> Held | None:
+        counted.append(now)
+        return None
+
+    async def take_slowly(name: str, address: Any) -> Any:
+        await curio.sleep(0.3)
+        return await take(name, address)
+
+    async def play() -> Any:
+        assert isinstance(await gateway.ask("first"), WholeAnswer)
+        gateway.forwarder._sender._gate.rules.append(count)
+        gateway.forwarder._pool.take = take_slowly  # type: ignore[method-assign]
+        began = clock.monotonic()
+        answer = await gateway.ask("second", 0.3 + left_seconds)
+        assert clock.monotonic() < began + 0.3 + left_seconds
+        return answer
+
+    answer = curio.run(play)
+    assert engine.seen == (["first", "second"] if is_sent else ["first"])
+    assert len(counted) == (1 if is_sent else 0)
+    assert isinstance(answer, WholeAnswer) is is_sent
+    if isinstance(answer, Failure):
+        assert answer.kind is ErrorKind.NO_ENGINE
+        assert answer.retry_after_seconds is not None
