An answer that the gateway has goes back also as its deadline passes

What callers saw: 504, not known whether it ran, for calls whose answer had been read, right after pauses.

Cause: after a pause sockets are read until the deadline at most, and then the deadline was looked at before what had been read. An attempt that was answered first woke all that waited, and said only then that it had an answer.

Ruled out: a count of sent attempts that is not taken back.

An answer that is unread as the deadline passes stays late.

Failed before: test_an_answer_that_is_read_after_a_pause_and_before_its_deadline_goes_back.

--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -129,7 +129,7 @@
         request, route, attempts = whole.request, whole.route, whole.attempts
         while True:
             now = clock.monotonic()
-            if now >= request.deadline:
+            if now >= request.deadline and whole.ended.empty():
                 return self._late(route, attempts)
             if not attempts.running:
                 if self.suspects.is_held(request.content):
@@ -141,9 +141,8 @@
             usual = self.usual_seconds(whole.service)
             if self._may_hedge(whole):
                 patience = min(patience, usual)
-            try:
-                ended = await curio.timeout_after(patience, whole.ended.get)
-            except curio.TaskTimeout:
+            ended = await _next_end(whole, patience)
+            if ended is None:
                 await self._stalls.read_first(request.deadline - clock.monotonic())
                 if whole.ended.empty():
                     await self._hedge(whole, usual)
@@ -247,12 +246,17 @@
             detail = f"{engine.identifier}:unreachable"
             await ended.put(EndedAttempt(engine, AttemptEnd.UNREACHABLE, detail=detail))
         except BrokenError as error:
+            # Those that wait need not wait for the confirmation.
+            await self._lines.call(engine.entry.service)
             has_ended = await self.ends.confirm(
                 engine.identifier, engine.entry.address, request.identifier, request.content
             )
             how = "ended" if has_ended else "broken"
             detail = f"{engine.identifier}:{how}({error})"
             await ended.put(EndedAttempt(engine, AttemptEnd.BROKEN, detail=detail))
+        finally:
+            # After the answer, which may be due soon: those that wait take the loop for a while.
+            await self._lines.call(engine.entry.service)
 
     async def _send(self, engine: Engine, whole: WholeRequest) -> WholeAnswer:
         """Return an engine's answer, and free the place that was reserved there.
@@ -294,7 +298,6 @@
             attempts.left_when_sent.pop(engine.identifier, None)
             if connection is not None:
                 await connection.close()
-            await self._lines.call(engine.entry.service)
 
     def _send_by(self, whole: WholeRequest) -> float:
         """Return when an attempt must have left to be answered in time, at the row's pace."""
@@ -383,6 +386,19 @@
         )
 
 
+async def _next_end(whole: WholeRequest, patience: float) -> EndedAttempt | None:
+    """Return the next attempt that ends, or has ended; None where none does in so many seconds."""
+    ended: EndedAttempt
+    try:
+        if whole.ended.empty():
+            ended = await curio.timeout_after(patience, whole.ended.get)
+        else:
+            ended = await whole.ended.get()
+    except curio.TaskTimeout:
+        return None
+    return ended
+
+
 def _facts(answer: WholeAnswer) -> AnswerFacts:
     return AnswerFacts(
         status=answer.status,
--- a/src/pondtiller/gateway/tests/test_late_answers.py
+++ b/src/pondtiller/gateway/tests/test_late_answers.py
@@ -1,5 +1,6 @@
 """Calls whose time is nearly over: what can't be answered in time is not sent."""
 
+import time
 from typing import Any
 
 import curio
@@ -49,3 +50,17 @@
     if isinstance(answer, Failure):
         assert answer.kind is ErrorKind.NO_ENGINE
         assert answer.retry_after_seconds is not None
+
+
+def test_an_answer_that_is_read_after_a_pause_and_before_its_deadline_goes_back() -> None:
+    """Guards against a 504 in place of an answer that the gateway has."""
+    gateway = Gateway(FakeEngine(WORK_SECONDS))
+
+    async def play() -> Any:
+        task = await curio.spawn(gateway.ask, "q", WORK_SECONDS + 0.25)
+        await curio.sleep(0.05)
+        # Sockets are read until the deadline after this pause, and the answer is among them.
+        time.sleep(WORK_SECONDS + 0.1)
+        return await task.join()
+
+    assert isinstance(curio.run(play), WholeAnswer)
