A pause while connecting is no silence of an engine

What callers saw: all runs ended as a pause of 0.959 s ended, and their samples began anew.

Cause: a connection to an engine was waited for by the clock (0.5 s). The pause used that time up, and the timer fired before the connection was looked at, so a living engine counted as unreachable. An engine's port, asked whether the engine has ended, was waited for by the clock too (0.15 s), and the end was not counted.

Evidence: sample_run_ended outcome=broken detail="unreachable(connection timed out)" of four runs at once, right after the pause; the engines lived. Ruled out: listeners that are full, since the next try succeeded.

Why it holds: both waits count seconds in which the process runs. A call that is waited for so makes the watch look at the clock, also at a gateway without runs. An engine that does not answer still counts as silent after 0.5 s.

Failed before: test_a_pause_while_connecting_is_no_silence_of_an_engine.

--- a/src/pondtiller/gateway/engines/engine_ends.py
+++ b/src/pondtiller/gateway/engines/engine_ends.py
@@ -12,7 +12,11 @@
 import curio
 
 from pondtiller.address import Address
-from pondtiller.gateway.engines.engine_pool import EngineConnection, EnginePool
+from pondtiller.gateway.engines.engine_pool import (
+    EngineConnection,
+    EnginePool,
+    SilentEngineError,
+)
 from pondtiller.gateway.engines.suspects import SuspectContents
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.httpio.client import NotSentError
@@ -124,15 +128,12 @@
         if self._has_ended(engine):
             return None
         try:
-            connection: EngineConnection = await curio.timeout_after(
-                ASK_SECONDS, self._pool.open, engine, address
-            )
-        except curio.TaskTimeout:
+            return await self._pool.open(engine, address, ASK_SECONDS)
+        except SilentEngineError:
             return None
         except NotSentError:
             self._ended_at[engine] = clock.monotonic()
             return None
-        return connection
 
     def _has_ended(self, engine: str) -> bool:
         return engine in self._ended_at
--- a/src/pondtiller/gateway/engines/engine_pool.py
+++ b/src/pondtiller/gateway/engines/engine_pool.py
@@ -20,13 +20,13 @@
 from pondtiller.platform import engine_answers
 from pondtiller.platform.headers import Headers, header
 from pondtiller.process import clock
+from pondtiller.process.stalls import StallWatch
 from pondtiller.routes.send_gate import Held
 
 CONNECT_SECONDS = 0.5
-"""Longest wait for a connection to an engine. Load: an engine or its zone is cut off, so that
-nothing answers. Chosen, not measured: twelve times the way there and back between regions (0.04 s),
-so that a lost packet of the handshake has no second chance but a busy machine has; more would take
-most of an objective of 1 s from a request that has another engine left.
+"""Longest wait for a connection to an engine, in seconds in which this process runs. Bounds what an
+engine that is cut off takes from a request that has another engine left; the way there and back
+between regions takes 0.04 s.
 """
 IDLE_SECONDS = 20.0
 """How long an unused connection is kept where the engine's answers do not say. Chosen, not
@@ -139,14 +139,20 @@
 class EnginePool:
     """Kept connections by engine.
 
+    Parameters
+    ----------
+    stalls
+        Knows how long this process was paused, which is no silence of an engine.
+
     Attributes
     ----------
     opened
         New connections since the start, for `/metrics`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, stalls: StallWatch | None = None) -> None:
         self.opened = 0
+        self._stalls = stalls or StallWatch()
         self._kept: dict[str, list[EngineConnection]] = {}
 
     def has_kept(self, engine: str) -> bool:
@@ -163,16 +169,24 @@
             await connection.close()
         return await self.open(engine, address)
 
-    async def open(self, engine: str, address: Address) -> EngineConnection:
-        """Return a new connection; raises `NotSentError`, `SilentEngineError`."""
+    async def open(
+        self, engine: str, address: Address, seconds: float = CONNECT_SECONDS
+    ) -> EngineConnection:
+        """Return a new connection; raises `NotSentError`, `SilentEngineError`.
+
+        Parameters
+        ----------
+        seconds
+            Longest wait, in which this process runs.
+        """
         try:
-            stream = await curio.timeout_after(
-                CONNECT_SECONDS, curio.open_connection, address.host, address.port
+            stream = await self._stalls.call(
+                seconds, curio.open_connection, address.host, address.port
             )
-        except curio.TaskTimeout as error:
-            raise SilentEngineError("connection timed out") from error
         except OSError as error:
             raise NotSentError(str(error)) from error
+        if stream is None:
+            raise SilentEngineError("connection timed out")
         tune(stream)
         self.opened += 1
         return EngineConnection(engine, address, stream)
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -89,7 +89,8 @@
         """Make what sends requests to engines, and what holds them back."""
         settings = self.settings
         self.gate = SendGate(self.engines)
-        self.pool = EnginePool()
+        self.stalls = StallWatch(lambda: self.run_host.runs > 0 or self.duties.term is not None)
+        self.pool = EnginePool(self.stalls)
         bound = ColdBound(settings.cold.excess, settings.cold.slack)
         self._cold_engines = ColdEngines(self.engines, bound, self._table)
         self.shares = ShareAsker(
@@ -101,7 +102,6 @@
         self.gate.rules.append(self.cold.rule)
         self.gate.unknown_rule = self.cold.unknown_rule
         self.suspects = SuspectContents(self.metrics)
-        self.stalls = StallWatch(lambda: self.run_host.runs > 0 or self.duties.term is not None)
         self.forwarder = Forwarder(
             settings.zone,
             self.engines,
--- a/src/pondtiller/process/stalls.py
+++ b/src/pondtiller/process/stalls.py
@@ -129,8 +129,14 @@
     ) -> Result | None:
         """Call a coroutine function; None where it takes longer than so many running seconds.
 
-        An answer that came in a standstill is read before the wait counts as over.
+        An answer that came in a pause is read before the wait counts as over.
         """
+        async with self:
+            return await self._call(seconds, function, *given)
+
+    async def _call(
+        self, seconds: float, function: Callable[..., Awaitable[Result]], *given: object
+    ) -> Result | None:
         done = curio.Event()
         outcomes: list[Result] = []
         errors: list[Exception] = []
