A pause while unfinished texts are read loses none

What callers would see: samples that begin from nothing after a change of leader, and runs that go on but are refused, since the new leader has no text for them. Found by reading, in the search for other waits that take a pause for somebody's silence; nobody is known to have met it.

Cause: each member of the group was given 0.3 s by the clock to answer with the texts; after a pause the timer fired before the answer was read, and after the last member the sample had no text. Gateways that run samples were asked for in the same way (0.5 s).

Why it holds: both count seconds in which the process runs (StallWatch.call).

Failed before: test_a_pause_while_texts_are_read_is_no_silence_of_a_replica (no text was kept).

--- a/src/pondtiller/gateway/leader/term.py
+++ b/src/pondtiller/gateway/leader/term.py
@@ -123,7 +123,9 @@
             clock.monotonic(),
             parts.stalls,
         )
-        self.texts = UnfinishedTexts(parts.leadership, won.epoch, self.scheduler, self.runners)
+        self.texts = UnfinishedTexts(
+            parts.leadership, won.epoch, self.scheduler, self.runners, parts.stalls
+        )
         self._waiters = StepWaiters()
         self._written_at: dict[str, float] = {}
         self._table: RouteTable | None = None
@@ -424,15 +426,23 @@
         )
 
     async def _ask_member(self, message: Message, seconds: float) -> Message | None:
-        """Call a replica of the group, the nearest that answers; None where none does."""
+        """Call a replica of the group, the nearest that answers; None where none does.
+
+        Parameters
+        ----------
+        seconds
+            Longest wait for each one, in which this process runs.
+        """
         for number in self._leadership.member_links():
             link = self._leadership.replicas.link(number)
             if link is None:
                 continue
             try:
-                return await link.call(message, seconds)
+                answer = await self._parts.stalls.call(seconds, link.call, message, None)
             except LinkLostError:
                 continue
+            if answer is not None:
+                return answer
         return None
 
     # Housekeeping
--- a/src/pondtiller/gateway/leader/unfinished_texts.py
+++ b/src/pondtiller/gateway/leader/unfinished_texts.py
@@ -14,15 +14,15 @@
 from pondtiller.links.frames import encode_message
 from pondtiller.links.link import LinkLostError
 from pondtiller.process import clock, logs
+from pondtiller.process.stalls import StallWatch
 from pondtiller.rollouts.progress import ProgressSaver
 from pondtiller.rollouts.samples import SampleScheduler
 from pondtiller.wire.steplog import ProgressList, ReadProgress, SaveProgress
 
 PROGRESS_CALL_SECONDS = 0.3
-"""How long a member may take to answer with the texts that it has; then the next one is asked.
-
-Seven ways there and back between regions (40 ms). Chosen, not measured: a member that is gone costs
-a new leader's samples so long, and one that is asked in vain only its answer."""
+"""How long a member may take to answer with the texts that it has, in seconds in which this process
+runs; then the next one is asked. Bounds what a member that is gone costs a new leader's samples;
+seven ways there and back between regions (40 ms)."""
 
 MOST_RELAYS = 6
 """Runners that pass on the texts of a leader that replicas do not hear, each a part of them: 50
@@ -34,7 +34,13 @@
 
 
 class UnfinishedTexts:
-    """The texts of one term."""
+    """The texts of one term.
+
+    Parameters
+    ----------
+    stalls
+        Knows how long this process was paused, which is no silence of a member.
+    """
 
     def __init__(
         self,
@@ -42,11 +48,13 @@
         epoch: int,
         scheduler: SampleScheduler,
         runners: RunnerDirectory,
+        stalls: StallWatch,
     ) -> None:
         self._leadership = leadership
         self._epoch = epoch
         self._scheduler = scheduler
         self._runners = runners
+        self._stalls = stalls
         self._saver = ProgressSaver()
 
     async def save(self, is_last: bool = False) -> None:
@@ -95,8 +103,9 @@
             link = self._leadership.replicas.link(number)
             if link is None or not wanted:
                 continue
+            message = ReadProgress(ids=list(wanted))
             try:
-                answer = await link.call(ReadProgress(ids=list(wanted)), PROGRESS_CALL_SECONDS)
+                answer = await self._stalls.call(PROGRESS_CALL_SECONDS, link.call, message, None)
             except LinkLostError:
                 continue
             if isinstance(answer, ProgressList):
--- a/src/pondtiller/gateway/tests/test_pauses.py
+++ b/src/pondtiller/gateway/tests/test_pauses.py
@@ -2,22 +2,27 @@
 
 import time
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import curio
 import pytest
+from betterproto import Message
 
 from pondtiller.address import Address
 from pondtiller.gateway.engines.engine_pool import CONNECT_SECONDS, EnginePool, SilentEngineError
 from pondtiller.gateway.leader.run_links import KEEP_SECONDS, RUNNER_SILENT_SECONDS, RunnerLink
+from pondtiller.gateway.leader.unfinished_texts import PROGRESS_CALL_SECONDS, UnfinishedTexts
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.gateway.tests.test_held_runs import LONG_SECONDS, running
 from pondtiller.gateway.tests.test_runs_elsewhere import ORDER, FakeLink, texts
+from pondtiller.links.link import Link
 from pondtiller.process import clock
 from pondtiller.process.stalls import LOOK_SECONDS, SETTLE_SECONDS, StallWatch
 from pondtiller.rollouts import moving
 from pondtiller.rollouts.runner_choice import Daemon
 from pondtiller.standins.engine import StandInEngine
+from pondtiller.wire.steplog import ProgressList, ReadProgress, SampleProgress
 
 EVENTS = 40
 
@@ -105,3 +110,37 @@
         await serving.cancel()
 
     curio.run(main)
+
+
+def test_a_pause_while_texts_are_read_is_no_silence_of_a_replica() -> None:
+    """Guards against samples that begin from nothing as their texts lay unread."""
+
+    async def main() -> None:
+        left, right = curio.socket.socketpair()
+        link, replica = Link(left), Link(right)
+        kept: list[str] = []
+
+        async def answer(_link: Link, call: int, message: Message) -> None:
+            assert isinstance(message, ReadProgress)
+            await curio.sleep(0.1)
+            texts_of = [SampleProgress(id=each) for each in message.ids]
+            await replica.reply(call, ProgressList(samples=texts_of))
+
+        leadership = SimpleNamespace(
+            member_links=lambda: [1], replicas=SimpleNamespace(link=lambda _number: link)
+        )
+        scheduler = SimpleNamespace(keep_progress=lambda sample: kept.append(sample.id))
+        unread = UnfinishedTexts(leadership, 5, scheduler, None, StallWatch())  # type: ignore[arg-type]
+        serving = [
+            await curio.spawn(replica.run, answer),
+            await curio.spawn(link.run, answer),
+        ]
+        reading = await curio.spawn(unread.read, ["s"])
+        await curio.sleep(0.02)
+        time.sleep(PROGRESS_CALL_SECONDS + 0.1)
+        await reading.join()
+        assert kept == ["s"]
+        for each in serving:
+            await each.cancel()
+
+    curio.run(main)
--- a/src/pondtiller/links/link.py
+++ b/src/pondtiller/links/link.py
@@ -113,8 +113,14 @@
         """Answer a call."""
         await self.send(message, call, is_reply=True)
 
-    async def call(self, message: Message, seconds: float) -> Message:
-        """Call the other side and wait for the answer; raises `LinkLostError`."""
+    async def call(self, message: Message, seconds: float | None) -> Message:
+        """Call the other side and wait for the answer; raises `LinkLostError`.
+
+        Parameters
+        ----------
+        seconds
+            Longest wait by the clock; None where the caller bounds it.
+        """
         answers: list[Message] = []
         done = curio.Event()
 
@@ -127,7 +133,10 @@
         number = await self.request(message, take)
         self._calls[number] = done
         try:
-            await curio.ignore_after(seconds, done.wait)
+            if seconds is None:
+                await done.wait()
+            else:
+                await curio.ignore_after(seconds, done.wait)
         finally:
             self._waiting.pop(number, None)
             self._calls.pop(number, None)
