A runner offers its runs to a leader that may have been paused

Cause: a runner that has not heard its leader for 1.0 s ends its runs where the replicas hear it, since the leader then has begun them elsewhere. A leader that was paused is heard by nobody for a while and by all afterwards; one that was paused together with the runner was silent only while the runner did not run.

Evidence: lease_ended_in_pause, runs_held "the leader is silent", held_runs_ended "the leader leads and does not reach this daemon", and 1 to 6 ms later sample_run_reattached of the same runs. Ruled out: that the leader had begun them elsewhere, since it asked for them.

Why it holds: in these two cases the runner offers the runs, and ends them where the leader does not take them within 0.1 s; otherwise it ends them as before. A lease that was renewed between two looks and ended again in a further pause is told apart now. The renewal is awaited for 0.5 s: what came in the pause is read for 0.2 s first. The bound is the 0.4 s for which two engines may work on a sample, not the test.

--- a/src/pondtiller/gateway/runs/leader_runs.py
+++ b/src/pondtiller/gateway/runs/leader_runs.py
@@ -54,6 +54,8 @@
         The same of those whose texts are whole and wait for their scorers.
     heard_at
         When the leader was last heard on the link, in seconds of the steady clock.
+    heard_running
+        The same in seconds in which this process ran.
     epoch
         Of the leader's last message that began a run; 0 before.
     """
@@ -62,6 +64,7 @@
         self.runs: dict[int, ExecutedRun] = {}
         self.judged: dict[int, ExecutedRun] = {}
         self.heard_at = clock.monotonic()
+        self.heard_running = host.stalls.running_seconds()
         self.epoch = 0
         self._host = host
         self._link = link
@@ -71,6 +74,11 @@
         self._has_news = curio.Event()
         self._stalls = host.stalls.untaken()
 
+    def note_heard(self) -> None:
+        """Take that the leader said something."""
+        self.heard_at = clock.monotonic()
+        self.heard_running = self._host.stalls.running_seconds()
+
     async def begin(self, message: BeginRun) -> None:
         """Begin a run, or go on with a held one; its outcome follows with the news."""
         self.epoch = message.epoch
@@ -145,7 +153,8 @@
     async def _leave_runs(self, reason: LeaveReason) -> None:
         runs = [*self.runs.values(), *self.judged.values()]
         self.runs, self.judged, self._teller = {}, {}, None
-        await self._host.leave(runs, LostLeader(self.epoch, self.heard_at), reason)
+        lost = LostLeader(self.epoch, self.heard_at, self.heard_running)
+        await self._host.leave(runs, lost, reason)
 
     def take_event(self, event: RunEvent) -> None:
         """Take an event of an engine."""
--- a/src/pondtiller/gateway/runs/leaderless_runs.py
+++ b/src/pondtiller/gateway/runs/leaderless_runs.py
@@ -17,14 +17,17 @@
 from pondtiller.rollouts.run_holding import (
     LONGEST_SECONDS,
     NEXT_LEADER_SECONDS,
+    RETURNED_LEADER_SECONDS,
     SAME_LEADER_SECONDS,
     TAKEN_SECONDS,
     HoldChoice,
+    HoldReason,
     HoldStep,
     KeepEnd,
     LeaveReason,
     LostLeader,
     after_asking,
+    may_have_returned,
     next_step,
 )
 from pondtiller.wire.steplog import OfferRuns, RunsTaken, Subscribe
@@ -100,6 +103,7 @@
         self._group = Spawner()
         self._is_looking = False
         self._offering: set[LostLeader] = set()
+        self._lost_by_all: set[LostLeader] = set()
 
     async def hold(
         self, runs: Iterable[ExecutedRun], lost: LostLeader, reason: LeaveReason
@@ -150,6 +154,7 @@
             await self.end(f"{type(error).__name__}: {error}")
         finally:
             self._is_looking = False
+            self._lost_by_all.clear()
 
     async def _end_untaken(self, now: float) -> None:
         late = [each for each in self.runs.values() if each.taken_until and now > each.taken_until]
@@ -163,8 +168,11 @@
             if age is None and self.stalls.stalled_seconds() > stalled_before:
                 # The answers wait to be read: the next look asks again.
                 return
-            choice = after_asking(age)
-        if choice.step is HoldStep.END:
+            running = self.stalls.running_seconds()
+            choice = after_asking(age, may_have_returned(lost, lost in self._lost_by_all, running))
+        if choice.step is HoldStep.KEEP:
+            self._lost_by_all.add(lost)
+        elif choice.step is HoldStep.END:
             await self._end(self._of(lost), choice.reason)
         elif choice.step is HoldStep.OFFER and lost not in self._offering:
             self._offering.add(lost)
@@ -187,7 +195,10 @@
 
     async def _offer_once(self, lost: LostLeader, reason: str) -> None:
         held, epoch = self._of(lost), self._leader_epoch()
-        limit = SAME_LEADER_SECONDS if epoch == lost.epoch else NEXT_LEADER_SECONDS
+        limit = NEXT_LEADER_SECONDS
+        if epoch == lost.epoch:
+            has_returned = reason == HoldReason.LEADER_RETURNED
+            limit = RETURNED_LEADER_SECONDS if has_returned else SAME_LEADER_SECONDS
         late_at = self.stalls.running_seconds() + limit
         answer = await self.stalls.call(
             limit, self._ask_leader, self._message(held), LONGEST_SECONDS
--- a/src/pondtiller/gateway/runs/run_host.py
+++ b/src/pondtiller/gateway/runs/run_host.py
@@ -17,7 +17,7 @@
 from pondtiller.gateway.runs.leaderless_runs import LeaderlessRuns
 from pondtiller.gateway.runs.sample_runner import RunOrder, RunOutcome, SampleRunner, ScoreOutcome
 from pondtiller.links.link import Link
-from pondtiller.process import clock, logs
+from pondtiller.process import logs
 from pondtiller.process.spawner import Spawner
 from pondtiller.process.stalls import StallWatch
 from pondtiller.rollouts.run_holding import LeaveReason, LostLeader, why_not_begun
@@ -71,7 +71,7 @@
         of_leader = self.by_link.get(link)
         if of_leader is None:
             of_leader = self.by_link[link] = LeaderRuns(self, link)
-        of_leader.heard_at = clock.monotonic()
+        of_leader.note_heard()
         match message:
             case BeginRun():
                 if await self._may_begin(link, message):
--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -17,6 +17,7 @@
 from pondtiller.gateway.runs.sample_runner import EventSink, RunOrder, RunOutcome
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.links.link import Link
+from pondtiller.process import clock
 from pondtiller.rollouts import run_holding
 from pondtiller.rollouts.run_news import EndedRun, read_ends, read_events
 from pondtiller.rollouts.runner_choice import Daemon
@@ -189,7 +190,7 @@
         self.seconds = 0.0
 
     def __getattr__(self, name: str) -> object:
-        return getattr(curio if hasattr(curio, name) else run_host.clock, name)
+        return getattr(curio if hasattr(curio, name) else clock, name)
 
     def monotonic(self) -> float:
         return self.seconds
@@ -246,7 +247,7 @@
             while True:
                 await curio.sleep(0.02)
                 number += 1
-                if not take(order.run, number, "x", 1, run_host.clock.monotonic()):
+                if not take(order.run, number, "x", 1, clock.monotonic()):
                     return RunOutcome(RunEnd.STALE, "")
         finally:
             self.working -= 1
--- a/src/pondtiller/rollouts/run_holding.py
+++ b/src/pondtiller/rollouts/run_holding.py
@@ -30,6 +30,9 @@
 SAME_LEADER_SECONDS = 0.3
 """Longest wait for the answer of a leader whose link ended. If it lives it began the samples
 elsewhere then, so the wait must be under 0.4 s. Between regions an answer takes 80 ms at least."""
+RETURNED_LEADER_SECONDS = 0.1
+"""The same of a leader that may have been paused (`may_have_returned`). One that was answers at
+once; one that is cut off from this process may keep two engines at work for so much longer."""
 NEXT_LEADER_SECONDS = 0.5
 """The same of another leader: it begins none for 0.2 s of its term, and is named when promised."""
 
@@ -69,6 +72,7 @@
     TOO_FEW_ANSWERED = "too few replicas answered"
     LEADER_LEADS = "the leader leads and does not reach this daemon"
     LOST_BY_ALL = "the replicas do not hear the leader either"
+    LEADER_RETURNED = "the leader leads again"
 
 
 class HoldStep(StrEnum):
@@ -81,10 +85,19 @@
 
 
 class LostLeader(NamedTuple):
-    """Whose runs they were, and when it was last heard here, in seconds of the steady clock."""
+    """Whose runs they were, and when it was last heard here.
+
+    Attributes
+    ----------
+    heard_at
+        In seconds of the steady clock.
+    heard_running
+        The same in seconds in which this process ran; never where it is not known.
+    """
 
     epoch: int
     heard_at: float
+    heard_running: float = float("-inf")
 
 
 class HoldChoice(NamedTuple):
@@ -122,19 +135,37 @@
     return HoldChoice(HoldStep.OFFER, HoldReason.LINK_ENDED)
 
 
-def after_asking(leader_age: float | None) -> HoldChoice:
+def may_have_returned(lost: LostLeader, was_lost_by_all: bool, running: float) -> bool:
+    """Return whether a silent leader that leads may have all its runs, and ask for them soon.
+
+    Parameters
+    ----------
+    was_lost_by_all
+        Whether replicas did not hear it for some time either: then it was paused itself.
+    running
+        Now, in seconds in which this process ran. A leader that was silent only while this process
+        was paused may have been paused with it.
+    """
+    return was_lost_by_all or running - lost.heard_running < LEADER_SILENT_SECONDS
+
+
+def after_asking(leader_age: float | None, may_return: bool = False) -> HoldChoice:
     """Return what to do with the runs of a silent leader whom the replicas still name.
 
     Parameters
     ----------
     leader_age
         How long ago any member of their group heard it, in seconds; None where too few answered.
+    may_return
+        See `may_have_returned`.
     """
     if leader_age is None:
         return HoldChoice(HoldStep.END, HoldReason.TOO_FEW_ANSWERED)
-    if leader_age < HEARD_SECONDS:
-        return HoldChoice(HoldStep.END, HoldReason.LEADER_LEADS)
-    return HoldChoice(HoldStep.KEEP, HoldReason.LOST_BY_ALL)
+    if leader_age >= HEARD_SECONDS:
+        return HoldChoice(HoldStep.KEEP, HoldReason.LOST_BY_ALL)
+    if may_return:
+        return HoldChoice(HoldStep.OFFER, HoldReason.LEADER_RETURNED)
+    return HoldChoice(HoldStep.END, HoldReason.LEADER_LEADS)
 
 
 def why_not_begun(epoch: int, highest_epoch: int, is_stopping: bool) -> BeginRefusal | None:
--- a/src/pondtiller/rollouts/tests/test_run_holding.py
+++ b/src/pondtiller/rollouts/tests/test_run_holding.py
@@ -16,6 +16,7 @@
     HoldStep,
     LostLeader,
     after_asking,
+    may_have_returned,
     next_step,
     why_not_begun,
 )
@@ -71,6 +72,32 @@
     assert after_asking(age).step is step
 
 
+@pytest.mark.parametrize(
+    ("age", "step"),
+    [
+        (None, HoldStep.END),
+        (0.0, HoldStep.OFFER),
+        (HEARTBEAT_SECONDS, HoldStep.OFFER),
+        (HEARD_SECONDS, HoldStep.KEEP),
+    ],
+)
+def test_a_leader_that_may_have_been_paused_is_offered_its_runs(
+    age: float | None, step: HoldStep
+) -> None:
+    assert after_asking(age, may_return=True).step is step
+
+
+@pytest.mark.parametrize(
+    ("was_lost_by_all", "running_silence", "may_return"),
+    [(True, 2.0, True), (False, 0.1, True), (False, LEADER_SILENT_SECONDS, False)],
+)
+def test_a_silent_leader_may_return_where_either_side_was_paused(
+    was_lost_by_all: bool, running_silence: float, may_return: bool
+) -> None:
+    lost = LostLeader(epoch=5, heard_at=0.0, heard_running=7.0)
+    assert may_have_returned(lost, was_lost_by_all, 7.0 + running_silence) is may_return
+
+
 def test_a_leader_that_does_not_reach_a_runner_is_doubled_for_less_than_0_4_s() -> None:
     """The last news left up to `NEWS_SECONDS` before a cut, the last word of the leader at it."""
     leader_begins = -NEWS_SECONDS + RUNNER_SILENT_SECONDS
--- a/src/pondtiller/steplog/lease_renewal.py
+++ b/src/pondtiller/steplog/lease_renewal.py
@@ -10,9 +10,12 @@
 
 from pondtiller.steplog.term_rules import HEARTBEAT_SECONDS
 
-RENEWAL_SECONDS = HEARTBEAT_SECONDS
+READING_SECONDS = 0.2
+"""After a pause, until what came in it has been read."""
+RENEWAL_SECONDS = READING_SECONDS + HEARTBEAT_SECONDS
 """Longest wait for a write quorum after such a pause, in seconds in which the process ran. A leader
-that is cut off from its replicas keeps its runners from a successor for so long."""
+that is cut off as it wakes lets its own runs go on for so long; a successor begins them anew 1.4 s
+after its last heartbeat at the earliest, and two engines may work on a sample for 0.4 s."""
 
 
 class Moment(NamedTuple):
@@ -47,15 +50,18 @@
     def __init__(self) -> None:
         self.is_awaited = False
         self._before: Moment | None = None
+        self._ended_lease = float("-inf")
         self._give_up_at = 0.0
 
     def looked(self, lease_until: float, at: Moment) -> None:
         """Take the end of the lease, and the time, as a leader looks at them."""
         before, self._before = self._before, at
-        if at.now < lease_until:
+        if lease_until > self._ended_lease:
+            # Renewed since, though it may have ended again in a further pause.
             self.is_awaited = False
-        elif self.is_awaited:
+        if self.is_awaited:
             self.is_awaited = at.running < self._give_up_at
         elif before is not None and ended_in_pause(lease_until, before, at):
             self.is_awaited = True
+            self._ended_lease = lease_until
             self._give_up_at = at.running + RENEWAL_SECONDS
--- a/src/pondtiller/steplog/tests/test_term_rules.py
+++ b/src/pondtiller/steplog/tests/test_term_rules.py
@@ -3,6 +3,7 @@
 import pytest
 
 from pondtiller.steplog.instructions import Phase, StandDown
+from pondtiller.steplog.lease_renewal import RENEWAL_SECONDS, LeaseRenewal, Moment
 from pondtiller.steplog.replica import LEASE_SECONDS
 from pondtiller.steplog.term_rules import (
     LEASE_MARGIN_SECONDS,
@@ -67,3 +68,33 @@
     margin = LEASE_SECONDS - LEASE_MARGIN_SECONDS
     assert lease_until([5.0, 9.0, 7.0], needed=2) == pytest.approx(7.0 + margin)
     assert lease_until([5.0], needed=2) == NEVER
+
+
+def test_a_lease_that_was_renewed_between_two_looks_may_end_in_a_further_pause() -> None:
+    """Guards against a term that ends since a renewal was not looked at before the next pause."""
+    renewal = LeaseRenewal()
+    renewal.looked(1.05, Moment(now=0.5, running=0.5))
+    renewal.looked(1.05, Moment(now=1.8, running=0.6))
+    assert renewal.is_awaited
+    # Renewed until 2.85 at once; the next look comes after a second pause.
+    renewal.looked(2.85, Moment(now=3.5, running=0.6 + RENEWAL_SECONDS))
+    assert renewal.is_awaited
+    renewal.looked(4.55, Moment(now=3.6, running=0.7 + RENEWAL_SECONDS))
+    assert not renewal.is_awaited
+
+
+def test_a_renewal_is_awaited_for_a_time_that_further_pauses_do_not_count_for() -> None:
+    renewal = LeaseRenewal()
+    renewal.looked(1.05, Moment(now=1.0, running=1.0))
+    renewal.looked(1.05, Moment(now=2.0, running=1.01))
+    renewal.looked(1.05, Moment(now=3.0, running=1.02))
+    assert renewal.is_awaited
+    renewal.looked(1.05, Moment(now=3.5, running=1.01 + RENEWAL_SECONDS))
+    assert not renewal.is_awaited
+
+
+def test_a_lease_that_ends_beside_a_pause_is_not_waited_for() -> None:
+    renewal = LeaseRenewal()
+    renewal.looked(1.05, Moment(now=0.9, running=0.9))
+    renewal.looked(1.05, Moment(now=1.3, running=1.1))
+    assert not renewal.is_awaited
