--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -12,7 +12,7 @@
 from pondtiller.gateway.leader import run_links, unfinished_texts
 from pondtiller.gateway.leader.run_links import RUNNER_SILENT_SECONDS, RunnerLink
 from pondtiller.gateway.process import GatewayProcess
-from pondtiller.gateway.runs import leader_runs, run_host
+from pondtiller.gateway.runs import leader_runs
 from pondtiller.gateway.runs.run_host import RunHost
 from pondtiller.gateway.runs.sample_runner import EventSink, RunOrder, RunOutcome
 from pondtiller.gateway.tests.system import System, run_system
