A leader's wait for offers is checked on the clock that it counts on

Cause: the wait counts the seconds in which the leader's process ran; the test gave a moment of the steady clock, so a pause between the term's start and the look moved one of them and not the other. The product waits as it should: offers that came in a pause have not been read.

The check that takes its place is as strict: both moments are given on the wait's own clock, one more lies 0.01 s before the wait's end, and a second case plays the pause in each run.

--- a/src/pondtiller/gateway/tests/test_held_runs.py
+++ b/src/pondtiller/gateway/tests/test_held_runs.py
@@ -1,5 +1,6 @@
 """Runs go on when their leader is lost, and never at two engines for longer than 0.4 s."""
 
+import time
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -9,6 +10,7 @@
 
 from pondtiller.gateway.leader import run_offers, unfinished_texts
 from pondtiller.gateway.leader.run_links import RUNNER_LOST, RunnerLink
+from pondtiller.gateway.leader.run_offers import RunOffers
 from pondtiller.gateway.leader.unfinished_texts import UnfinishedTexts
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.runs import leaderless_runs
@@ -188,9 +190,17 @@
     run_system(tmp_path, test, gateways=3)
 
 
+def running_moment(offers: RunOffers, seconds: float) -> float:
+    """Return the moment at which a term has lasted so many seconds in which its process ran."""
+    return offers._began + (offers._stalls.stalled_seconds() - offers._stalled_before) + seconds
+
+
+@pytest.mark.parametrize("pause_seconds", [0.0, 0.3])
 def test_a_leader_that_has_just_started_waits_for_no_runs(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    pause_seconds: float, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """Guards against a wait for runs that nobody has; a later leader's wait counts no pause."""
+
     async def test(system: System) -> None:
         leader = await system.until_led()
         first = leader.duties.term
@@ -202,10 +212,11 @@
         await system.until(lambda: any(each.duties.term for each in others), 6.0)
         second = next(each.duties.term for each in others if each.duties.term)
         await system.until(lambda: second.offers.has_texts)
-        assert second.offers.are_awaited(second.offers._began)
-        assert not second.offers.are_awaited(
-            second.offers._began + run_offers.HELD_WAIT_SECONDS + 0.01
-        )
+        time.sleep(pause_seconds)
+        waited = run_offers.HELD_WAIT_SECONDS
+        assert second.offers.are_awaited(running_moment(second.offers, 0.0))
+        assert second.offers.are_awaited(running_moment(second.offers, waited - 0.01))
+        assert not second.offers.are_awaited(running_moment(second.offers, waited + 0.01))
 
     run_system(tmp_path, test, gateways=2)
 
