A watch's rest is checked on a clock of its own

Cause: the test let the watch run for 0.65 s of real time. A pause of the process lets the test's own sleep and the watch's rest fall due together, and the test ends first.

The check that takes its place asks the same of the same script, with sleeps that take the watch's own time only. A second test plays the pause: a watch does not make up for missed asks.

--- a/src/pondtiller/gateway/tests/test_watches.py
+++ b/src/pondtiller/gateway/tests/test_watches.py
@@ -1,8 +1,10 @@
 """Watches: resumed after a loss, relisted after lost history, never fooled by silence."""
 
+import time
 from collections.abc import Awaitable, Callable
 
 import curio
+import pytest
 
 from pondtiller.platform.object_client import (
     HistoryGoneError,
@@ -13,6 +15,7 @@
     StoreObject,
 )
 from pondtiller.process import clock
+from pondtiller.store import store_watch
 from pondtiller.store.store_watch import StoreHealth, Watch
 
 
@@ -127,12 +130,50 @@
     assert len(store.asked) < 6
 
 
-def test_a_watch_that_rests_after_a_change_gathers_the_next_ones() -> None:
-    store, recorder = play(["a", "b"] + ["c"] * 100, rest=lambda: 0.25)
+class OwnTime:
+    """`curio` whose sleeps take no time but its own, up to an end."""
+
+    def __init__(self, end: float) -> None:
+        self.seconds = 0.0
+        self.end = end
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(curio, name)
+
+    async def sleep(self, seconds: float) -> None:
+        self.seconds += seconds
+        await curio.sleep(0 if self.seconds < self.end else 1000.0)
+
+
+def test_a_watch_that_rests_after_a_change_gathers_the_next_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a call of each gateway for each change."""
+    own = OwnTime(0.65)
+    monkeypatch.setattr(store_watch, "curio", own)
+    store, recorder = ScriptedStore(["a", "b"] + ["c"] * 100), Recorder()
+
+    async def main() -> None:
+        watch = Watch(store, StoreHealth(), "kind", recorder.replace, recorder.change, lambda: 0.25)
+        task = await curio.spawn(watch.run)
+        while own.seconds < own.end:
+            await curio.sleep(0)
+        await task.cancel()
+
+    curio.run(main)
     assert recorder.told[:3] == ["listed1", "a", "b"]
     assert len(store.asked) <= 4
 
 
+def test_a_watch_that_rests_asks_no_more_often_after_a_pause() -> None:
+    async def pause(_health: StoreHealth) -> None:
+        time.sleep(0.5)
+
+    store, recorder = play(["a", "b"] + ["c"] * 100, pause, rest=lambda: 0.25)
+    assert recorder.told[:2] == ["listed1", "a"]
+    assert len(store.asked) <= 6
+
+
 def test_a_watch_that_pauses_goes_on_once_another_is_answered() -> None:
     """Two daemons' watches of one process fail; the pause of the second is cut short."""
 
