--- a/src/pondtiller/gateway/tests/test_distances.py
+++ b/src/pondtiller/gateway/tests/test_distances.py
@@ -62,7 +62,7 @@
     async def _take(self, _engine: str, _address: Address) -> object:
         raise SilentEngineError("connection timed out")
 
-    async def _send(self, engine: object, _request: object, _attempts: object) -> WholeAnswer:
+    async def _send(self, engine: object, _whole: object) -> WholeAnswer:
         zone = engine.entry.zone  # type: ignore[attr-defined]
         self.tried.append(zone)
         if zone in self.cut:
