--- a/src/pondtiller/gateway/tests/test_live_streams.py
+++ b/src/pondtiller/gateway/tests/test_live_streams.py
@@ -53,7 +53,7 @@
     async def take(_engine: str, _address: Address) -> Any:
         return BreakingConnection()
 
-    async def refuse(_engine: str, _address: Address) -> Any:
+    async def refuse(_engine: str, _address: Address, _seconds: float) -> Any:
         raise NotSentError("connection refused")
 
     async def give_back(connection: BreakingConnection) -> None:
