--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -377,6 +377,8 @@
             content=shown_content(request.content),
             route=whole.route.name,
             service=whole.service,
+            table_version=request.decided_by.version,
+            table_age=request.decided_by.age_seconds,
             engines_revision=self._engines.revision,
             engine="" if isinstance(answer, Failure) else answer.engine,
             tried=";".join(attempts.details),
--- a/src/pondtiller/gateway/callers/front.py
+++ b/src/pondtiller/gateway/callers/front.py
@@ -18,7 +18,7 @@
 from pondtiller.gateway.callers.request_routing import Refusal, RequestRouter
 from pondtiller.gateway.callers.step_requests import StepRequests
 from pondtiller.gateway.callers.streams import StreamForwarder
-from pondtiller.gateway.callers.table_in_force import TableInForce
+from pondtiller.gateway.callers.table_in_force import TableInForce, TableReading
 from pondtiller.gateway.callers.tenant_rates import TenantRates
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.httpio.server import ConnectionLostError, Exchange
@@ -107,23 +107,31 @@
             await self._answer_step(exchange, request)
 
     async def _answer_routed(self, exchange: Exchange, request: CallerRequest) -> None:
+        decided_by = self.in_force.read()
         routed = self._router.route(request)
         if isinstance(routed, Err):
-            await self._refuse(exchange, request, routed.err_value)
+            await self._refuse(exchange, request, routed.err_value, decided_by)
         elif routed.ok_value.route.kind is RequestKind.STEP and request.method == "POST":
-            await self._steps.submit(exchange, request, routed.ok_value)
+            await self._steps.submit(exchange, request, routed.ok_value, decided_by)
         else:
-            await self._live.answer(exchange, request, routed.ok_value)
+            await self._live.answer(exchange, request, routed.ok_value, decided_by)
 
     async def _answer_step(self, exchange: Exchange, request: CallerRequest) -> None:
+        decided_by = self.in_force.read()
         owner = self._router.step_owner(request)
         if isinstance(owner, Err):
-            await self._refuse(exchange, request, owner.err_value)
+            await self._refuse(exchange, request, owner.err_value, decided_by)
         elif request.target is RequestTarget.STEP:
             await self._steps.answer(exchange, request, owner.ok_value)
         else:
             await self._steps.answer_sample(exchange, request, owner.ok_value)
 
-    async def _refuse(self, exchange: Exchange, request: CallerRequest, refusal: Refusal) -> None:
-        log_refusal(refusal, request)
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        refusal: Refusal,
+        decided_by: TableReading,
+    ) -> None:
+        log_refusal(refusal, request, decided_by)
         await self._failures.answer(exchange, refusal.failure, refusal.label)
--- a/src/pondtiller/gateway/callers/live_requests.py
+++ b/src/pondtiller/gateway/callers/live_requests.py
@@ -10,6 +10,7 @@
 from pondtiller.gateway.callers.request import ForwardedRequest
 from pondtiller.gateway.callers.request_routing import RoutedRequest
 from pondtiller.gateway.callers.streams import StreamForwarder
+from pondtiller.gateway.callers.table_in_force import TableReading
 from pondtiller.gateway.callers.tenant_rates import TenantRates
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.hashing import content_digest
@@ -43,12 +44,16 @@
         self._failures = failures
 
     async def answer(
-        self, exchange: Exchange, request: CallerRequest, routed: RoutedRequest
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        routed: RoutedRequest,
+        decided_by: TableReading,
     ) -> None:
         """Answer one request; its use is counted in the window in which an engine began it."""
         route, tenant = routed
         beginning = self._meter.open(tenant, clock.monotonic())
-        forwarded = forwarded_request(request, route, beginning)
+        forwarded = forwarded_request(request, route, beginning, decided_by)
         seconds = forwarded.deadline - clock.monotonic()
         try:
             failure = await self._rates.admit(tenant, request.identifier, seconds)
@@ -77,7 +82,7 @@
 
 
 def forwarded_request(
-    request: CallerRequest, route: RouteRow, beginning: Beginning
+    request: CallerRequest, route: RouteRow, beginning: Beginning, decided_by: TableReading
 ) -> ForwardedRequest:
     """Return a request as it is sent on: due after the row's time limit, or earlier if asked so."""
     limit = route.time_limit_seconds
@@ -91,6 +96,7 @@
         content=_content(request, beginning.tenant),
         deadline=clock.monotonic() + seconds,
         beginning=beginning,
+        decided_by=decided_by,
     )
 
 
--- a/src/pondtiller/gateway/callers/refusal_log.py
+++ b/src/pondtiller/gateway/callers/refusal_log.py
@@ -1,12 +1,13 @@
 """The log line of a request that is refused before anything is done for it."""
 
 from pondtiller.gateway.callers.request_routing import HOME_REASONS, Reason, Refusal
+from pondtiller.gateway.callers.table_in_force import TableReading
 from pondtiller.hashing import DIGEST_SHOWN
 from pondtiller.platform.requests import CallerRequest
 from pondtiller.process import logs
 
 
-def log_refusal(refusal: Refusal, request: CallerRequest) -> None:
+def log_refusal(refusal: Refusal, request: CallerRequest, decided_by: TableReading) -> None:
     """Write why a request is refused.
 
     There is no line for a gateway without a table, nor for one whose keys are too old: readiness
@@ -19,6 +20,7 @@
             host=request.host,
             path=request.path,
             version=refusal.version,
+            table_age=decided_by.age_seconds,
         )
     elif refusal.reason is Reason.UNKNOWN_KEY:
         logs.decision(
@@ -28,6 +30,7 @@
             path=request.path,
             digest=(request.key_digest or "none")[:DIGEST_SHOWN],
             version=refusal.version,
+            table_age=decided_by.age_seconds,
         )
     elif refusal.reason in HOME_REASONS:
         logs.decision(
--- a/src/pondtiller/gateway/callers/request.py
+++ b/src/pondtiller/gateway/callers/request.py
@@ -10,6 +10,7 @@
 import curio
 
 from pondtiller.gateway.callers.attempts import RequestAttempts
+from pondtiller.gateway.callers.table_in_force import NOT_DECIDED, TableReading
 from pondtiller.platform.headers import Headers
 from pondtiller.process.spawner import Spawner
 from pondtiller.routes.table import RouteRow
@@ -29,6 +30,8 @@
     content
         Digest of what makes it the same request when it comes again: caller, host, method, path
         and body.
+    decided_by
+        Table by which the request was routed.
     """
 
     identifier: str
@@ -39,6 +42,7 @@
     deadline: float
     beginning: Beginning = field(default_factory=Beginning)
     content: str = ""
+    decided_by: TableReading = NOT_DECIDED
 
 
 @dataclass(eq=False)
--- a/src/pondtiller/gateway/callers/step_requests.py
+++ b/src/pondtiller/gateway/callers/step_requests.py
@@ -9,6 +9,7 @@
 from pondtiller.errors import ErrorKind, Failure
 from pondtiller.gateway.callers.failure_answers import FailureAnswers
 from pondtiller.gateway.callers.request_routing import STEPS_LABEL, RoutedRequest
+from pondtiller.gateway.callers.table_in_force import TableReading
 from pondtiller.gateway.callers.tenant_rates import TenantRates
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange
@@ -41,7 +42,11 @@
         self._failures = failures
 
     async def submit(
-        self, exchange: Exchange, request: CallerRequest, routed: RoutedRequest
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        routed: RoutedRequest,
+        decided_by: TableReading,
     ) -> None:
         """Open a step within its tenant's rate; it is accepted once the replicas hold it."""
         route, tenant = routed
@@ -63,6 +68,8 @@
             "step_submitted",
             step=read.ok_value.id,
             route=route.name,
+            table_version=decided_by.version,
+            table_age=decided_by.age_seconds,
             number=read.ok_value.number,
             samples=len(read.ok_value.sample_ids),
             outcome=status.name,
--- a/src/pondtiller/gateway/callers/streams.py
+++ b/src/pondtiller/gateway/callers/streams.py
@@ -107,6 +107,8 @@
             request=request.identifier,
             content=shown_content(request.content),
             route=route.name,
+            table_version=request.decided_by.version,
+            table_age=request.decided_by.age_seconds,
             last_event=stream.last_event,
             tried=";".join(stream.attempts.details),
         )
--- a/src/pondtiller/gateway/housekeeping.py
+++ b/src/pondtiller/gateway/housekeeping.py
@@ -1,4 +1,4 @@
-"""What a gateway looks after at intervals: replicas that it must find, engines that are gone.
+"""What a gateway looks after at intervals: replicas to find, engines that are gone, late news.
 
 Owns no state but its next search. Relies on the store to find replicas; a gateway that hears one
 replica learns of the others from it.
@@ -46,6 +46,7 @@
             parts.leadership.may_stand = parts.is_ready()
             parts.engines.keep_house(now)
             parts.cold.look(now)
+            parts.late_news.look()
             await parts.pool.forget(set(parts.engines.engines))
             await curio.sleep(HOUSEKEEPING_SECONDS)
 
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -19,6 +19,7 @@
 from pondtiller.gateway.engines.orders import EngineOrders
 from pondtiller.gateway.engines.suspect_sharing import SuspectSharing
 from pondtiller.gateway.engines.suspects import SuspectContents
+from pondtiller.gateway.late_news import LateNews
 from pondtiller.gateway.leader.duties import LeaderDuties
 from pondtiller.gateway.leader.duty_parts import DutyParts
 from pondtiller.gateway.leader.duty_settings import (
@@ -41,6 +42,7 @@
 from pondtiller.peers.leader_client import LeaderClient
 from pondtiller.peers.share_asker import ShareAsker
 from pondtiller.peers.usage_teller import UsageTeller
+from pondtiller.platform import names
 from pondtiller.platform.object_client import ObjectClient
 from pondtiller.process.stalls import StallWatch
 from pondtiller.routes.cold import SUBJECT_PREFIX as COLD_PREFIX
@@ -221,6 +223,11 @@
             lambda: self.mirrored_store.follows_mirrors,
             self._keys.wait_seconds,
         )
+        self.late_news = LateNews(
+            self.front.in_force,
+            settings.news.configuration,
+            lambda: self.mirrored_store.reader.get(names.CONFIGURATIONS, ""),
+        )
         self.suspect_sharing = SuspectSharing(
             self.suspects,
             self.store,
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -15,6 +15,7 @@
 from pondtiller.gateway.callers.forward import Forwarder
 from pondtiller.gateway.callers.request import ForwardedRequest
 from pondtiller.gateway.callers.sending import EngineSender
+from pondtiller.gateway.callers.table_in_force import TableReading
 from pondtiller.gateway.engines.cold_sends import ColdSends
 from pondtiller.gateway.engines.engine_pool import EngineConnection, EnginePool, HeldBackError
 from pondtiller.hashing import content_digest
@@ -214,7 +215,7 @@
         """Send one request, hedged like a caller's."""
         table = self._find_table()
         route = table.find(scorer.host, scorer.path) if table is not None else None
-        if route is None:
+        if table is None or route is None:
             return ScoreOutcome(ScoreEnd.LOST, "", "no route")
         service = route.choose_service(scorer.id)
         if not self._forwarder.has_room(service, route.homes):
@@ -228,6 +229,7 @@
             body=scorer.body,
             content=content_digest(scorer.host.encode(), scorer.path.encode(), scorer.body),
             deadline=clock.monotonic() + plan.seconds,
+            decided_by=TableReading(table.version),
         )
         answer = await self._forwarder.whole(request, replace(route, attempts=plan.engines))
         if isinstance(answer, Failure):
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -73,6 +73,7 @@
             wait_seconds=configuration_wait_seconds,
             longest_retry=self.longest_retry,
         )
+        in_force.age_seconds = lambda: clock.monotonic() - self.configuration.heard_at
         self.engines = Watch(
             store,
             health,
--- a/src/pondtiller/settings.py
+++ b/src/pondtiller/settings.py
@@ -139,6 +139,18 @@
     unheard: float = Field(default=5.0, gt=2.0, le=3600)
 
 
+class News(Section):
+    """How soon what changes in the store must be in force here, in seconds.
+
+    Attributes
+    ----------
+    configuration
+        From the store's acknowledgement of a configuration until requests are decided by it.
+    """
+
+    configuration: float = Field(default=4.0, gt=0, le=3600)
+
+
 class Evacuation(Section):
     """Evacuations of zones that the operator asks for.
 
@@ -212,6 +224,7 @@
     operator: OperatorApi = OperatorApi()
     scaling: Scaling = Scaling()
     keys: Keys = Keys()
+    news: News = News()
     regions: dict[str, str] = Field(default_factory=dict)
     places_lost: Losses = Losses()
     evacuation: Evacuation = Evacuation()
