--- a/src/pondtiller/gateway/tests/system.py
+++ b/src/pondtiller/gateway/tests/system.py
@@ -22,6 +22,7 @@
     Evacuation,
     GatewaySettings,
     Keys,
+    News,
     OperatorApi,
     ReplicaSettings,
     Scaling,
@@ -48,7 +49,9 @@
         keys: Keys | None = None,
         evacuate_within: float = 0.0,
         scaling: PolicyName = PolicyName.LEAVE,
+        news: News | None = None,
     ) -> None:
+        self.news = news or News()
         self.evacuation = Evacuation(within=evacuate_within)
         self.folder = folder
         self.scaling = scaling
@@ -91,6 +94,7 @@
                 store=self.store.address,
                 usage=Usage(window=self.use_window),
                 keys=self.keys,
+                news=self.news,
                 evacuation=self.evacuation,
                 operator=OperatorApi(address=self.operator.address, duties=DUTIES),
                 scaling=Scaling(policy=self.scaling),
@@ -203,6 +207,7 @@
     keys: Keys | None = None,
     evacuate_within: float = 0.0,
     scaling: PolicyName = PolicyName.LEAVE,
+    news: News | None = None,
 ) -> None:
     """Run one test against a fresh system."""
 
@@ -213,7 +218,9 @@
     )
 
     async def main() -> None:
-        system = System(folder, gateways, replicas, use_window, keys, evacuate_within, scaling)
+        system = System(
+            folder, gateways, replicas, use_window, keys, evacuate_within, scaling, news
+        )
         await system.start(with_configuration)
         watch = await curio.spawn(note_stalls, system.stalls)
         try:
--- a/src/pondtiller/standins/store.py
+++ b/src/pondtiller/standins/store.py
@@ -61,6 +61,8 @@
         self.loses_answers = False
         self.page = 2
         self.calls = 0
+        self._ports: set[int] = set()
+        self._silent_ports: set[int] = set()
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object as the operator, a trainer or an engine does."""
@@ -76,6 +78,10 @@
         """Answer watches from older revisions with 410 from now on."""
         self.oldest = self.revision
 
+    def silence_open_connections(self) -> None:
+        """Answer nothing any more on connections that are open, and leave them open."""
+        self._silent_ports |= self._ports
+
     def _store(self, kind: str, name: str, spec: Any, status: Any) -> dict[str, Any]:
         self.revision += 1
         found = {
@@ -89,6 +95,8 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         self.calls += 1
+        self._ports.add(exchange.peer_port)
+        await self._keep_silence(exchange)
         if self.is_down:
             await exchange.respond(HttpResponse(503))
             return
@@ -106,6 +114,12 @@
                 raise ConnectionLostError("cut")
             await exchange.respond(answer)
 
+    async def _keep_silence(self, exchange: Exchange) -> None:
+        """Wait for the end of a connection that is silent; return at once on any other."""
+        if exchange.peer_port in self._silent_ports:
+            await exchange.wait_closed()
+            raise ConnectionLostError("the connection was silent")
+
     def _read(self, kind: str, name: str, after: str) -> HttpResponse:
         objects = self.kinds.get(kind, {})
         if name:
@@ -121,6 +135,7 @@
         # By the clock: in a busy process a number of short sleeps lasts far longer than their sum.
         until = clock.monotonic() + int(exchange.request.query["wait_ms"]) / 1000.0
         while True:
+            await self._keep_silence(exchange)
             if self.is_down:
                 await exchange.respond(HttpResponse(503))
                 return
