A call to the store that gets no answer ends in time for the next one

Cause shown by a test, not by the record: a gateway that asks the store itself waited 6 s for changes and 1 s more, then paused for up to 2 s, while a version must be in force within 2 to 4 s, and no setting carried that bound. A store or proxy that acknowledges bytes and answers nothing is not noticed by TCP keep-alive.

Why this helps: news_times derives the wait and the pause from the bound, so that each sum of waits stays below it: 1.75, 2.75 and 3.75 s for 2, 3 and 4 s. After a call without an answer the next one follows at once; a listing may take no longer than a call for changes; the margin of a call is 0.4 s in place of 1 s. Settings that promise less than 1.5 s are refused.

Cost: a gateway that follows no mirror asks for the configuration each 1.05 s in place of 6 s where the bound is 2 s.

--- a/src/pondtiller/gateway/callers/key_freshness.py
+++ b/src/pondtiller/gateway/callers/key_freshness.py
@@ -10,7 +10,7 @@
 from pondtiller.process import clock, logs
 from pondtiller.settings import Keys
 from pondtiller.store.mirror import FRESH_SECONDS
-from pondtiller.store.store_watch import WATCH_SECONDS
+from pondtiller.store.news_times import NewsTimes
 
 MARGIN_SECONDS = 0.2
 """For an answer that is on its way while a request is admitted, in seconds. Chosen, not measured:
@@ -33,10 +33,11 @@
         self._heard_at = heard_at
         self._was_fresh = True
 
-    @property
-    def wait_seconds(self) -> float:
-        """Longest wait of a call for changes, so that a store without changes answers in time."""
-        return self._longest_seconds / 2 if self._fails_closed else WATCH_SECONDS
+    def times(self, times: NewsTimes) -> NewsTimes:
+        """Return waits of which one call is answered in time also by a store without changes."""
+        if not self._fails_closed:
+            return times
+        return times._replace(wait_seconds=min(times.wait_seconds, self._longest_seconds / 2))
 
     def is_fresh(self) -> bool:
         """Return whether keys may be trusted now."""
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -56,6 +56,7 @@
 from pondtiller.steplog.fault_tolerance import PlaceRules
 from pondtiller.store.evacuation_watch import EvacuationWatch
 from pondtiller.store.mirrored_store import MirroredStore
+from pondtiller.store.news_times import news_times
 from pondtiller.store.store_watch import StoreHealth
 from pondtiller.usage.meter import UseMeter
 from pondtiller.wire.steplog import Subscribe
@@ -221,7 +222,7 @@
             self._view_changed,
             self._is_leading,
             lambda: self.mirrored_store.follows_mirrors,
-            self._keys.wait_seconds,
+            self._keys.times(news_times(settings.news.configuration)),
         )
         self.late_news = LateNews(
             self.front.in_force,
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -15,9 +15,9 @@
 from pondtiller.platform.object_client import StoreChange, StoreObject
 from pondtiller.process import clock, logs
 from pondtiller.routes.engines import EngineDirectory, EngineEntry
+from pondtiller.store.news_times import NewsTimes
 from pondtiller.store.store_watch import (
     LONGEST_RETRY_SECONDS,
-    WATCH_SECONDS,
     StoreHealth,
     StoreReader,
     Watch,
@@ -40,6 +40,11 @@
 class GatewayWatches:
     """Follows the configuration and the engines.
 
+    Parameters
+    ----------
+    configuration_times
+        Waits by which a configuration is in force within its bound.
+
     Attributes
     ----------
     entries_unread
@@ -55,7 +60,7 @@
         changed: Callable[[], Awaitable[None]],
         is_leading: Callable[[], bool],
         follows_mirrors: Callable[[], bool],
-        configuration_wait_seconds: float = WATCH_SECONDS,
+        configuration_times: NewsTimes,
     ) -> None:
         self.is_leading = is_leading
         self._follows_mirrors = follows_mirrors
@@ -70,8 +75,8 @@
             names.CONFIGURATIONS,
             self._take_configurations,
             self._configuration_changed,
-            wait_seconds=configuration_wait_seconds,
-            longest_retry=self.longest_retry,
+            wait_seconds=configuration_times.wait_seconds,
+            longest_retry=lambda: min(self.longest_retry(), configuration_times.retry_seconds),
         )
         in_force.age_seconds = lambda: clock.monotonic() - self.configuration.heard_at
         self.engines = Watch(
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -13,7 +13,7 @@
 from urllib.parse import quote
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import BrokenError, HttpClient, NoAnswerError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform.configuration import without_keys
 from pondtiller.platform.names import CONFIGURATIONS, OBJECTS_PATH
@@ -22,9 +22,9 @@
 CALL_SECONDS = 2.0
 """Longest wait for an answer that the store does not hold back, in seconds. Chosen, not
 measured."""
-WATCH_MARGIN_SECONDS = 1.0
-"""How much longer than its own wait a watch may take, in seconds, for the way of its answer.
-Chosen, not measured."""
+WATCH_MARGIN_SECONDS = 0.4
+"""How much longer than its own wait a watch may take, in seconds, for the way of its answer: twice
+that of a slow store."""
 MOST_UNREAD = 200
 """Objects that cannot be read and are logged by name, in the life of a process: it bounds memory
 and log lines. Chosen, not measured; the count goes on beyond it."""
@@ -34,6 +34,10 @@
     """A call was not answered, or answered with a failure."""
 
 
+class StoreSilentError(StoreCallError):
+    """A call got no answer within its time."""
+
+
 class HistoryGoneError(Exception):
     """The store does not hold the history that a watch wants."""
 
@@ -188,6 +192,8 @@
             return await self._client.request(
                 self._address, method, OBJECTS_PATH + target, content, seconds
             )
+        except NoAnswerError as error:
+            raise StoreSilentError(str(error)) from error
         except (NotSentError, BrokenError) as error:
             raise StoreCallError(str(error)) from error
 
--- a/src/pondtiller/settings.py
+++ b/src/pondtiller/settings.py
@@ -13,6 +13,7 @@
 from pondtiller.rollouts.scaling import PolicyName
 from pondtiller.steplog.fault_tolerance import Tolerance
 from pondtiller.store.evacuation_bounds import reason_against
+from pondtiller.store.news_times import reason_against as reason_against_news
 
 
 def _check_address(text: str) -> str:
@@ -139,6 +140,13 @@
     unheard: float = Field(default=5.0, gt=2.0, le=3600)
 
 
+def _check_news(seconds: float) -> float:
+    reason = reason_against_news(seconds)
+    if reason is not None:
+        raise ValueError(reason)
+    return seconds
+
+
 class News(Section):
     """How soon what changes in the store must be in force here, in seconds.
 
@@ -148,7 +156,7 @@
         From the store's acknowledgement of a configuration until requests are decided by it.
     """
 
-    configuration: float = Field(default=4.0, gt=0, le=3600)
+    configuration: Annotated[float, AfterValidator(_check_news)] = Field(default=4.0, le=3600)
 
 
 class Evacuation(Section):
--- /dev/null
+++ b/src/pondtiller/store/news_times.py
@@ -0,0 +1,64 @@
+"""From the acknowledgement of a change in the store until a gateway acts on it.
+
+Names each wait on that way, in seconds, and derives from the bound those that a gateway chooses, so
+that every sum stays below it. docs/design/32-news-in-time.md has the table of what may fail.
+
+Owns no state; relies on the constants of the modules that wait. Evacuations have waits of their
+own, in `evacuation_bounds`.
+"""
+
+from typing import NamedTuple
+
+from pondtiller.platform.object_client import WATCH_MARGIN_SECONDS
+from pondtiller.store.store_watch import PROBE_SECONDS, WATCH_SECONDS
+
+STORE_SECONDS = 0.2
+"""Time for the store's own answer: 4 ms, 50 times that when it is slow."""
+ACT_SECONDS = 0.1
+"""From an answer in the socket until the next request is decided by it: the event loop's lag."""
+SPARE_SECONDS = 0.25
+"""Between a sum of waits and its bound, for a pause of the process."""
+SHORTEST_BOUND_SECONDS = 1.5
+"""Below this, what is left of a bound is too short for a call that waits and a pause."""
+
+
+class NewsTimes(NamedTuple):
+    """Waits of a gateway that follows a kind of objects in the store.
+
+    Attributes
+    ----------
+    within_seconds
+        The bound: a change is to be acted on so long after the store acknowledged it.
+    wait_seconds
+        How long one call to the store waits for changes.
+    retry_seconds
+        Longest pause between two calls to a store that refuses them.
+    """
+
+    within_seconds: float
+    wait_seconds: float
+    retry_seconds: float
+
+    @property
+    def unanswered_seconds(self) -> float:
+        """A call gets no answer to its end; the next one, sent at once, brings the change."""
+        return self.wait_seconds + WATCH_MARGIN_SECONDS + STORE_SECONDS + ACT_SECONDS
+
+    @property
+    def returned_seconds(self) -> float:
+        """A store returns while a first call hangs; the next is refused, and a pause follows."""
+        probe = PROBE_SECONDS + WATCH_MARGIN_SECONDS
+        return probe + self.retry_seconds + STORE_SECONDS + ACT_SECONDS
+
+
+def news_times(within_seconds: float) -> NewsTimes:
+    """Return waits whose sums are below a bound, in seconds."""
+    left = within_seconds - WATCH_MARGIN_SECONDS - STORE_SECONDS - ACT_SECONDS - SPARE_SECONDS
+    return NewsTimes(within_seconds, min(WATCH_SECONDS, left), left - PROBE_SECONDS)
+
+
+def reason_against(within_seconds: float) -> str | None:
+    """Return why changes cannot be in force within so many seconds; None where they can."""
+    if within_seconds >= SHORTEST_BOUND_SECONDS:
+        return None
+    return f"news of a change may take {SHORTEST_BOUND_SECONDS} s: give at least as much"
--- a/src/pondtiller/store/store_watch.py
+++ b/src/pondtiller/store/store_watch.py
@@ -12,12 +12,14 @@
 import curio
 
 from pondtiller.platform.object_client import (
+    WATCH_MARGIN_SECONDS,
     HistoryGoneError,
     StoreCallError,
     StoreChange,
     StoreChanges,
     StoreListing,
     StoreObject,
+    StoreSilentError,
 )
 from pondtiller.process import clock, logs
 from pondtiller.process.curio_types import Event
@@ -29,7 +31,10 @@
 it answers any watch of the process again, all others ask again."""
 SHORTEST_FIRST_WATCH_SECONDS = 1.0
 """First waits are drawn between this and the full wait, so that the watches of a process end at
-different times; also the wait of the first call after a failure. Chosen, not measured."""
+different times."""
+PROBE_SECONDS = 0.5
+"""How long the first call after a failure waits for changes: until it is answered, nothing is known
+of its kind."""
 RETRY_SECONDS = 0.25
 """The first pause after a failed call, doubled each time. Chosen, not measured:
 `evacuation_bounds` counts one such pause."""
@@ -159,13 +164,18 @@
                 await self._pause(error)
 
     async def _pause(self, error: StoreCallError) -> None:
-        """Wait before the next call, longer each time; no longer once another watch is answered."""
+        """Wait before the next call, longer each time; no longer once another watch is answered.
+
+        A call without an answer has waited already.
+        """
         self._health.lost(self._kind, error)
+        if isinstance(error, StoreSilentError):
+            return
         await curio.ignore_after(self._retry_seconds, self._health.wait_regained)
         self._retry_seconds = min(2 * self._retry_seconds, self._longest_retry())
 
     async def _follow(self) -> None:
-        listing = await self._store.list_all(self._kind)
+        listing = await self._list()
         await self._heard(listing.at)
         await self._replace(listing.objects)
         at = self.at = listing.at
@@ -177,7 +187,7 @@
                 found = await self._ask(at, seconds)
             except StoreCallError as error:
                 await self._pause(error)
-                seconds = shortest
+                seconds = min(PROBE_SECONDS, self._wait_seconds)
                 continue
             seconds = self._wait_seconds
             if found is None:
@@ -190,6 +200,17 @@
             if found.changes and self.rest is not None:
                 await curio.sleep(self.rest())
 
+    async def _list(self) -> StoreListing:
+        """Return all objects; no longer than a call for changes may take."""
+        seconds = self._wait_seconds + WATCH_MARGIN_SECONDS
+        try:
+            listing: StoreListing = await curio.timeout_after(
+                seconds, self._store.list_all, self._kind
+            )
+        except curio.TaskTimeout as error:
+            raise StoreSilentError(f"no listing within {seconds:.2f} s") from error
+        return listing
+
     async def _ask(self, at: int, seconds: float) -> StoreChanges | None:
         """Return what changed; None where the store was lost and regained meanwhile."""
         return await run_until(
