Mirrors that say that they are behind do not use up those that a gateway asks

Cause: a gateway asked the two nearest mirrors and then the store, whatever they answered.

Why this helps: such an answer comes at once, so the next mirror is asked; only silent ones are counted.

--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -1,13 +1,26 @@
 """Gateways that follow the store through replicas: as quick, and right whatever fails."""
 
+from collections.abc import Awaitable, Callable
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
 
 import curio
 import pytest
 
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.tests.system import System, run_system
-from pondtiller.platform.object_client import StoreCallError
+from pondtiller.links.link import LinkLostError
+from pondtiller.platform.mirror import MirrorStatus, changes_page
+from pondtiller.platform.object_client import (
+    WATCH_MARGIN_SECONDS,
+    StoreCallError,
+    StoreChange,
+    StoreChanges,
+    StoreListing,
+    StoreObject,
+    StoreSilentError,
+)
 from pondtiller.process import clock
 from pondtiller.replica import process as replica_process
 from pondtiller.standins.documents import configuration
@@ -16,8 +29,11 @@
     FIRST_NOT_MIRRORED_SECONDS,
     LONGEST_NEWS_SECONDS,
     LONGEST_WAIT_SECONDS,
+    Mirror,
+    MirroredStore,
 )
 from pondtiller.store.store_watch import Watch
+from pondtiller.wire.steplog import Group, MirrorPage, ReadMirror
 
 USUAL_FRESH_SECONDS = mirrors.FRESH_SECONDS
 
@@ -231,3 +247,70 @@
         )
 
     run_system(tmp_path, test, gateways=2)
+
+
+class ScriptedLink:
+    """Answers as it is told, and notes with which waits it was asked, in seconds."""
+
+    def __init__(self, answer: Callable[[ReadMirror], Awaitable[MirrorPage]]) -> None:
+        self.answer = answer
+        self.waits: list[float] = []
+
+    async def call(self, message: ReadMirror, seconds: float) -> MirrorPage:
+        self.waits.append(message.wait_milliseconds / 1000)
+        try:
+            page: MirrorPage = await curio.timeout_after(seconds, self.answer, message)
+        except curio.TaskTimeout as error:
+            raise LinkLostError("no answer") from error
+        return page
+
+
+def scripted(store: Any, *links: Any) -> MirroredStore:
+    """Return a gateway's reader with these mirrors, nearest first."""
+    replicas: Any = SimpleNamespace(places={}, group=Group())
+    reader = MirroredStore("g", "a", store, replicas, lambda: False)
+    mirrors_of_it = [Mirror(f"r{number}", "a", link) for number, link in enumerate(links)]
+
+    def usable() -> list[Mirror]:
+        refused = reader._refused_until
+        return [each for each in mirrors_of_it if refused.get(each.name, 0.0) < clock.monotonic()]
+
+    reader._mirrors = usable  # type: ignore[method-assign]
+    return reader
+
+
+class SilentStore:
+    """Answers nothing, and notes when and how it was asked."""
+
+    def __init__(self) -> None:
+        self.asked_at: list[float] = []
+
+    async def list_all(self, _kind: str) -> StoreListing:
+        raise NotImplementedError
+
+    async def watch(self, _kind: str, _at: int, wait_seconds: float) -> StoreChanges:
+        self.asked_at.append(clock.monotonic())
+        await curio.sleep(wait_seconds + WATCH_MARGIN_SECONDS)
+        raise StoreSilentError("no answer in time")
+
+
+async def behind(_message: ReadMirror) -> MirrorPage:
+    return MirrorPage(status=MirrorStatus.UNAVAILABLE)
+
+
+async def tells_a_change(message: ReadMirror) -> MirrorPage:
+    return changes_page(
+        StoreChanges((StoreChange(StoreObject("main", message.at + 1, {}), False),), message.at + 1)
+    )
+
+
+def test_mirrors_that_are_behind_do_not_keep_a_gateway_from_one_that_is_not() -> None:
+    store = SilentStore()
+    links = [ScriptedLink(behind), ScriptedLink(behind), ScriptedLink(tells_a_change)]
+
+    async def main() -> None:
+        found = await scripted(store, *links).watch("config", 5, 6.0)
+        assert [each.object.revision for each in found.changes] == [6]
+        assert not store.asked_at
+
+    curio.run(main)
--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -45,12 +45,16 @@
 RETRY_SECONDS = 0.1
 """Between two looks for a mirror within `TOLD_SECONDS`. Chosen, not measured: a look costs no call
 where no mirror is usable; `evacuation_bounds` counts it once."""
-MOST_MIRRORS = 2
-"""Mirrors asked for one answer; where these cannot answer, the store itself is asked."""
+MOST_SILENT_MIRRORS = 2
+"""Mirrors that may be silent before the store itself is asked. One that says that it is behind
+costs no time, and the next one is asked."""
 STORE_SECONDS = 0.2
 """Time for the store's own answer: 4 ms, 50 times that when it is slow."""
 LONGEST_NEWS_SECONDS = (
-    LONGEST_WAIT_SECONDS + ANSWER_SECONDS + (MOST_MIRRORS - 1) * ANSWER_SECONDS + STORE_SECONDS
+    LONGEST_WAIT_SECONDS
+    + ANSWER_SECONDS
+    + (MOST_SILENT_MIRRORS - 1) * ANSWER_SECONDS
+    + STORE_SECONDS
 )
 """From a change of the store until a gateway knows it, at most, while mirrors fall silent: the
 first is silent through the whole wait, the others are asked for what they have now."""
@@ -177,11 +181,15 @@
         """Return the answer of the first mirror that can give one; None where none can."""
         if not self._may_ask_mirrors(message.kind):
             return None
-        for mirror in self._mirrors()[:MOST_MIRRORS]:
+        silent = 0
+        for mirror in self._mirrors():
             page = await self._ask(mirror, message, wait)
             if page is None or page.status == MirrorStatus.UNAVAILABLE:
                 self._refused_until[mirror.name] = clock.monotonic() + REFUSED_SECONDS
             if page is None:
+                silent += 1
+                if silent == MOST_SILENT_MIRRORS:
+                    return None
                 # It was silent, maybe through the whole wait: what came meanwhile is late.
                 message, wait = _without_wait(message), 0.0
             elif page.status == MirrorStatus.UNAVAILABLE:
@@ -201,7 +209,7 @@
         wait = message.wait_milliseconds / 1000.0
         in_group = {member.name for member in self._replicas.group.members}
         members = [each for each in self._mirrors() if each.name in in_group]
-        for member in members[:MOST_MIRRORS]:
+        for member in members[:MOST_SILENT_MIRRORS]:
             page = await self._ask(member, message, wait)
             if page is not None and page.status != MirrorStatus.UNAVAILABLE:
                 self._note_reader(message.kind, member.name)
