What is known counts from when the store told it, not from when it was read

Cause, by reading the code: heard_at was the time at which an answer was read. A replica or gateway that was paused, or whose answer lay in a socket, took an old answer for a new one, and a mirror told it to its gateways as fresh for up to 1.5 s more.

Why this helps: a call for changes is answered when its wait is over at the latest, so an answer is at least as old as the time since then; listings count from when they were asked for. Mirrors pass the age on (MirrorPage. age_milliseconds). Wire: a new field. A gateway of the earlier build ignores it; a replica of that build tells 0, which is what it meant.

--- a/src/pondtiller/platform/mirror.py
+++ b/src/pondtiller/platform/mirror.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from pondtiller.platform.object_client import (
+    HistoryGoneError,
     StoreChange,
     StoreChanges,
     StoreListing,
@@ -111,22 +112,42 @@
 
 def listing_page(listing: StoreListing) -> MirrorPage:
     """Return the page of a listing that the store itself gave."""
-    return _page(listing.at, [StoreChange(each, False) for each in listing.objects])
+    page = _page(listing.at, [StoreChange(each, False) for each in listing.objects])
+    set_age(page, listing.age_seconds)
+    return page
 
 
 def changes_page(changes: StoreChanges) -> MirrorPage:
     """Return the page of changes that the store itself gave."""
-    return _page(changes.at, list(changes.changes))
+    page = _page(changes.at, list(changes.changes))
+    set_age(page, changes.age_seconds)
+    return page
+
+
+def set_age(page: MirrorPage, seconds: float) -> None:
+    """Say how old what a page tells is."""
+    page.age_milliseconds = int(seconds * 1000)
+
+
+def age_seconds(page: MirrorPage) -> float:
+    """Return how old what a page tells was when the replica answered."""
+    return page.age_milliseconds / 1000.0
 
 
 def read_listing(page: MirrorPage) -> StoreListing:
     """Return a page as a listing; raises `ValueError` where it is not sound."""
-    return StoreListing(tuple(each.object for each in _changes(page)), page.at)
+    objects = tuple(each.object for each in _changes(page))
+    return StoreListing(objects, page.at, age_seconds(page))
 
 
 def read_changes(page: MirrorPage) -> StoreChanges:
-    """Return a page as changes; raises `ValueError` where it is not sound."""
-    return StoreChanges(tuple(_changes(page)), page.at)
+    """Return a page as changes; raises `ValueError` where it is not sound.
+
+    Raises `HistoryGoneError` where the mirror does not keep all changes that were asked for.
+    """
+    if page.status == MirrorStatus.HISTORY_GONE:
+        raise HistoryGoneError
+    return StoreChanges(tuple(_changes(page)), page.at, age_seconds(page))
 
 
 def _changes(page: MirrorPage) -> Iterable[StoreChange]:
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -17,7 +17,7 @@
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform.configuration import without_keys
 from pondtiller.platform.names import CONFIGURATIONS, OBJECTS_PATH
-from pondtiller.process import logs
+from pondtiller.process import clock, logs
 
 CALL_SECONDS = 2.0
 """Longest wait for an answer that the store does not hold back, in seconds. Chosen, not
@@ -62,10 +62,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreListing:
-    """All objects of a kind at a revision of the store."""
+    """All objects of a kind at a revision of the store.
+
+    Attributes
+    ----------
+    age_seconds
+        How long ago, at most, the store held just these, when the answer was read.
+    """
 
     objects: tuple[StoreObject, ...]
     at: int
+    age_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,10 +85,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreChanges:
-    """What a watch returned: changes, and the revision to go on from."""
+    """What a watch returned: changes, and the revision to go on from.
+
+    Attributes
+    ----------
+    age_seconds
+        How long ago, at most, there were no further changes, when the answer was read.
+    """
 
     changes: tuple[StoreChange, ...]
     at: int
+    age_seconds: float = 0.0
 
 
 class ObjectClient:
@@ -104,6 +118,7 @@
 
     async def list_all(self, kind: str) -> StoreListing:
         """Return all objects of a kind; raises `StoreCallError`."""
+        asked_at = clock.monotonic()
         found: list[StoreObject] = []
         after = ""
         while True:
@@ -114,7 +129,7 @@
             found += self._sound(kind, given)
             last = max(map(_name, given), default="")
             if not page.get("more") or last <= after:
-                return StoreListing(tuple(found), at)
+                return StoreListing(tuple(found), at, clock.monotonic() - asked_at)
             after = last
 
     async def watch(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
@@ -122,11 +137,13 @@
         wait = int(wait_seconds * 1000)
         target = f"{kind}?watch={at}&wait_ms={wait}"
         seconds = wait_seconds + WATCH_MARGIN_SECONDS
+        asked_at = clock.monotonic()
         answer = await self._call("watch", "GET", target, seconds=seconds)
         if answer.status == 410:
             raise HistoryGoneError
         events, at = _page(_json(answer, 200), "events")
-        return StoreChanges(tuple(self._sound_changes(kind, events)), at)
+        age = age_of_answer(asked_at, wait_seconds, clock.monotonic())
+        return StoreChanges(tuple(self._sound_changes(kind, events)), at, age)
 
     async def read(self, kind: str, name: str) -> StoreObject | None:
         """Return one object, or None where there is none; raises `StoreCallError`."""
@@ -198,6 +215,14 @@
             raise StoreCallError(str(error)) from error
 
 
+def age_of_answer(asked_at: float, wait_seconds: float, now: float) -> float:
+    """Return how long an answer may have lain unread: it was made when its wait ended, or before.
+
+    A process that was paused reads an old answer; the time of reading says nothing of its age.
+    """
+    return max(0.0, now - asked_at - wait_seconds)
+
+
 def _json(answer: HttpResponse, status: int) -> Any:
     if answer.status != status:
         raise StoreCallError(f"status {answer.status}")
--- a/src/pondtiller/store/leader_store.py
+++ b/src/pondtiller/store/leader_store.py
@@ -13,9 +13,8 @@
 
 import curio
 
-from pondtiller.platform.mirror import MirrorStatus, read_changes, read_listing
+from pondtiller.platform.mirror import read_changes, read_listing
 from pondtiller.platform.object_client import (
-    HistoryGoneError,
     StoreCallError,
     StoreChanges,
     StoreListing,
@@ -90,7 +89,7 @@
         message = ReadMirror(kind, at, int(wait * 1000), passes_on=True)
         page = await self._ask_replicas(message) if self._is_paused() else None
         if page is not None:
-            return _changes(page)
+            return read_changes(page)
         try:
             found = await self._watch_itself(kind, at, wait_seconds)
         except StoreCallError:
@@ -98,7 +97,7 @@
             page = await self._ask_replicas(message)
             if page is None:
                 raise
-            return _changes(page)
+            return read_changes(page)
         self._take_answer(kind)
         return found
 
@@ -129,9 +128,3 @@
         self._note_reader(kind, "store")
         self._is_refused = False
         self._refused.clear()
-
-
-def _changes(page: MirrorPage) -> StoreChanges:
-    if page.status == MirrorStatus.HISTORY_GONE:
-        raise HistoryGoneError
-    return read_changes(page)
--- a/src/pondtiller/store/mirror.py
+++ b/src/pondtiller/store/mirror.py
@@ -16,7 +16,13 @@
 import curio
 
 from pondtiller.platform import names
-from pondtiller.platform.mirror import MirroredKind, MirrorStatus, changes_page, listing_page
+from pondtiller.platform.mirror import (
+    MirroredKind,
+    MirrorStatus,
+    changes_page,
+    listing_page,
+    set_age,
+)
 from pondtiller.platform.object_client import (
     HistoryGoneError,
     StoreCallError,
@@ -226,4 +232,6 @@
         if not self._may_answer(message.kind):
             return MirrorPage(status=MirrorStatus.UNAVAILABLE)
         kind = self.kinds[message.kind]
-        return kind.since(message.at) if message.at else kind.listing()
+        page = kind.since(message.at) if message.at else kind.listing()
+        set_age(page, clock.monotonic() - self._followed[message.kind].heard_at)
+        return page
--- a/src/pondtiller/store/store_watch.py
+++ b/src/pondtiller/store/store_watch.py
@@ -126,7 +126,7 @@
     at
         Revision of the store up to which everything was passed on; 0 before the first listing.
     heard_at
-        When the store last answered.
+        When the store was last known to hold nothing newer, however late its answer was read.
     """
 
     def __init__(
@@ -176,7 +176,7 @@
 
     async def _follow(self) -> None:
         listing = await self._list()
-        await self._heard(listing.at)
+        await self._heard(listing.at, listing.age_seconds)
         await self._replace(listing.objects)
         at = self.at = listing.at
         # The watches of a process end at different times, so one of them soon notices a loss.
@@ -192,7 +192,7 @@
             seconds = self._wait_seconds
             if found is None:
                 continue
-            await self._heard(found.at)
+            await self._heard(found.at, found.age_seconds)
             at = found.at
             for change in found.changes:
                 await self._change(change)
@@ -217,7 +217,7 @@
             self._health.wait_regained, self._store.watch, self._kind, at, seconds
         )
 
-    async def _heard(self, at: int) -> None:
-        self.heard_at = clock.monotonic()
+    async def _heard(self, at: int, age_seconds: float) -> None:
+        self.heard_at = max(self.heard_at, clock.monotonic() - age_seconds)
         self._retry_seconds = RETRY_SECONDS
         await self._health.heard(self._kind, at)
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -570,6 +570,12 @@
     gone: List[bool] = betterproto.bool_field(6)
     """Of changes: whether the object is gone."""
 
+    age_milliseconds: int = betterproto.uint32_field(7)
+    """
+    For how long before this answer the store was not known to hold nothing newer; a replica of an
+     earlier build tells 0.
+    """
+
 
 @dataclass(eq=False, repr=False)
 class UseTold(betterproto.Message):
