Mirrors are asked only while what is known is young enough to ask the store after them

Cause: each ask of a mirror had a limit, and their sum had none that counts from the change: a mirror may be 1.5 s old and then behind, the next silent for its wait and 0.6 s more, the next for 0.6 s. The sum that stood in mirrored_store (2.9 s) left out the age of what a mirror tells.

Why this helps: a gateway knows as of when it is told, and asks mirrors until the bound less what the store's own answer and acting on it take (0.55 s); waits are shortened to fit. Where the store does not answer it then, mirrors are asked for what there is. Evacuations are bound the same way.

--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -179,12 +179,21 @@
             self.leadership.replicas,
             self._is_leading,
             self.places,
+            self._news_bounds(),
         )
         self.leader_watches = LeaderWatches(
             self.store, self.mirrored_store.for_leader, self._health, self.leadership.replicas
         )
         self.leader_watches.follow_members(self._is_group_member)
 
+    def _news_bounds(self) -> dict[str, float]:
+        """Return within how many seconds changes must be known, by kind of objects."""
+        settings = self.settings
+        bounds = {names.CONFIGURATIONS: settings.news.configuration}
+        if settings.evacuation.within:
+            bounds[names.EVACUATIONS] = settings.evacuation.within
+        return bounds
+
     def _make_duties(self) -> None:
         """Make what this gateway does while it leads."""
         settings = self.settings
--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -32,6 +32,7 @@
     Mirror,
     MirroredStore,
 )
+from pondtiller.store.news_times import STORE_SECONDS
 from pondtiller.store.store_watch import Watch
 from pondtiller.wire.steplog import Group, MirrorPage, ReadMirror
 
@@ -265,10 +266,10 @@
         return page
 
 
-def scripted(store: Any, *links: Any) -> MirroredStore:
+def scripted(store: Any, *links: Any, bound: float = 4.0) -> MirroredStore:
     """Return a gateway's reader with these mirrors, nearest first."""
     replicas: Any = SimpleNamespace(places={}, group=Group())
-    reader = MirroredStore("g", "a", store, replicas, lambda: False)
+    reader = MirroredStore("g", "a", store, replicas, lambda: False, None, {"config": bound})
     mirrors_of_it = [Mirror(f"r{number}", "a", link) for number, link in enumerate(links)]
 
     def usable() -> list[Mirror]:
@@ -314,3 +315,32 @@
         assert not store.asked_at
 
     curio.run(main)
+
+
+def test_the_age_of_what_mirrors_tell_counts_towards_the_bound() -> None:
+    """A mirror that was told 1.4 s ago, then is behind; two that are silent; then the store."""
+    bound, age_seconds, behind_after_seconds = 3.0, 1.4, 0.3
+    store = SilentStore()
+    answers = iter([StoreChanges((), 5, age_seconds)])
+
+    async def old_then_behind(_message: ReadMirror) -> MirrorPage:
+        told = next(answers, None)
+        if told is not None:
+            return changes_page(told)
+        await curio.sleep(behind_after_seconds)
+        return await behind(_message)
+
+    async def silent(_message: ReadMirror) -> MirrorPage:
+        await curio.sleep(1000.0)
+        raise AssertionError
+
+    async def main() -> None:
+        links = [ScriptedLink(old_then_behind), ScriptedLink(silent), ScriptedLink(silent)]
+        reader = scripted(store, *links, bound=bound)
+        known_at = clock.monotonic() - age_seconds
+        await reader.watch("config", 5, 6.0)
+        with pytest.raises(StoreCallError):
+            await reader.watch("config", 5, 6.0)
+        assert store.asked_at[0] - known_at < bound - STORE_SECONDS
+
+    curio.run(main)
--- a/src/pondtiller/store/evacuation_bounds.py
+++ b/src/pondtiller/store/evacuation_bounds.py
@@ -12,9 +12,9 @@
     ANSWER_SECONDS,
     LONGEST_WAIT_SECONDS,
     RETRY_SECONDS,
-    STORE_SECONDS,
     TOLD_SECONDS,
 )
+from pondtiller.store.news_times import STORE_SECONDS
 from pondtiller.store.store_watch import RETRY_SECONDS as STORE_RETRY_SECONDS
 
 DIRECT_WAIT_SECONDS = 2.5
--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -5,7 +5,8 @@
 of the store. It keeps no objects: who watches does. `LONGEST_NEWS_SECONDS` is the sum of its waits.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, TypeVar
 
 import curio
@@ -14,15 +15,23 @@
 from pondtiller.links.link import Link, LinkLostError
 from pondtiller.peers.replicas import ReplicaDirectory
 from pondtiller.platform import names
-from pondtiller.platform.mirror import MirrorStatus, read_changes, read_listing
+from pondtiller.platform.mirror import (
+    MirrorStatus,
+    age_seconds,
+    read_changes,
+    read_listing,
+    set_age,
+)
 from pondtiller.platform.object_client import (
-    HistoryGoneError,
+    StoreCallError,
     StoreChanges,
     StoreListing,
+    age_of_answer,
 )
 from pondtiller.process import clock, logs
 from pondtiller.routes.places import Places
 from pondtiller.store.leader_store import LeaderStore
+from pondtiller.store.news_times import STORE_SECONDS, mirrored_seconds
 from pondtiller.store.store_watch import StoreReader
 from pondtiller.wire.steplog import MirrorPage, ReadMirror
 
@@ -48,8 +57,10 @@
 MOST_SILENT_MIRRORS = 2
 """Mirrors that may be silent before the store itself is asked. One that says that it is behind
 costs no time, and the next one is asked."""
-STORE_SECONDS = 0.2
-"""Time for the store's own answer: 4 ms, 50 times that when it is slow."""
+SHORTEST_WAIT_SECONDS = 0.25
+"""Below this a mirror is not asked to wait: such calls would follow each other all the time."""
+SHORTEST_ASK_SECONDS = 0.1
+"""Below this no mirror is asked at all: one in another region answers after 40 ms."""
 LONGEST_NEWS_SECONDS = (
     LONGEST_WAIT_SECONDS
     + ANSWER_SECONDS
@@ -83,6 +94,8 @@
         Returns whether this gateway leads: it then asks the store itself for `LEADER_KINDS`.
     places
         Zones with their regions.
+    bounds
+        Within how many seconds a change must be known, by kind.
 
     Attributes
     ----------
@@ -102,6 +115,7 @@
         replicas: ReplicaDirectory,
         asks_store: Callable[[], bool],
         places: Places | None = None,
+        bounds: Mapping[str, float] | None = None,
     ) -> None:
         self._places = places or Places()
         self.reader: dict[str, str] = {}
@@ -116,6 +130,8 @@
         self._not_mirrored_seconds = FIRST_NOT_MIRRORED_SECONDS
         self._known: dict[str, int] = {}
         self._told_at: dict[str, float] = {}
+        self._bounds = dict(bounds or {})
+        self._known_at: dict[str, float] = {}
         self.for_leader = LeaderStore(store, self._ask_members, self._known, self._note_reader)
 
     async def list_all(self, kind: str) -> StoreListing:
@@ -127,20 +143,29 @@
 
     async def watch(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
         """Return the changes after a revision; raises as the store's own client does."""
+        message = ReadMirror(kind=kind, at=at)
         wait = min(wait_seconds, LONGEST_WAIT_SECONDS)
-        message = ReadMirror(kind=kind, at=at, wait_milliseconds=int(wait * 1000))
         page = await self._ask_mirrors(message, wait)
         while page is None and self._may_wait(kind):
             await curio.sleep(RETRY_SECONDS)
             page = await self._ask_mirrors(message, wait)
-        if page is None:
-            if self._may_ask_mirrors(kind) and self._knows_mirrors():
-                # The mirrors may answer again soon; a long call to the store may hang for its wait.
-                wait_seconds = wait
-            return self._told(kind, await self._ask_store(kind).watch(kind, at, wait_seconds))
-        if page.status == MirrorStatus.HISTORY_GONE:
-            raise HistoryGoneError
-        return self._told(kind, read_changes(page))
+        if page is not None:
+            return self._told(kind, read_changes(page))
+        if self._may_ask_mirrors(kind) and self._knows_mirrors():
+            # The mirrors may answer again soon; a long call to the store may hang for its wait.
+            wait_seconds = wait
+        try:
+            found = await self._ask_store(kind).watch(kind, at, wait_seconds)
+        except StoreCallError:
+            page = await self._ask_without_store(message)
+            if page is None:
+                raise
+            found = read_changes(page)
+        return self._told(kind, found)
+
+    async def _ask_without_store(self, message: ReadMirror) -> MirrorPage | None:
+        """Ask mirrors for what there is: the store does not answer this gateway."""
+        return await self._ask_mirrors(message, 0.0, is_late=True)
 
     def _may_ask_mirrors(self, kind: str) -> bool:
         """Return whether replicas may mirror the store, as far as it is known."""
@@ -156,12 +181,22 @@
 
     def _may_wait(self, kind: str) -> bool:
         """Return whether what is known is new enough to wait for a mirror."""
-        if not self._may_ask_mirrors(kind):
+        if not self._may_ask_mirrors(kind) or self._left(kind) <= 0.0:
             return False
         return clock.monotonic() < self._told_at.get(kind, float("-inf")) + TOLD_SECONDS
 
+    def _left(self, kind: str) -> float:
+        """Return for how long mirrors may be asked until the store itself must be, in seconds."""
+        known_at = self._known_at.get(kind)
+        within = self._bounds.get(kind)
+        if known_at is None or within is None:
+            return math.inf
+        return known_at + mirrored_seconds(within) - clock.monotonic()
+
     def _told(self, kind: str, found: Found) -> Found:
-        self._told_at[kind] = clock.monotonic()
+        now = clock.monotonic()
+        self._told_at[kind] = now
+        self._known_at[kind] = max(now - found.age_seconds, self._known_at.get(kind, -math.inf))
         self._known[kind] = max(found.at, self._known.get(kind, 0))
         return found
 
@@ -177,13 +212,26 @@
             self.reader[kind] = reader
             logs.decision("store_reader", kind=kind, reader=reader, before=before or "")
 
-    async def _ask_mirrors(self, message: ReadMirror, wait: float) -> MirrorPage | None:
-        """Return the answer of the first mirror that can give one; None where none can."""
+    async def _ask_mirrors(
+        self, message: ReadMirror, wait: float, is_late: bool = False
+    ) -> MirrorPage | None:
+        """Return the answer of the first mirror that can give one in time; None where none can.
+
+        Parameters
+        ----------
+        wait
+            How long a mirror may hold its answer back.
+        is_late
+            Whether the store was asked in vain, so that no time is left to be kept for it.
+        """
         if not self._may_ask_mirrors(message.kind):
             return None
         silent = 0
         for mirror in self._mirrors():
-            page = await self._ask(mirror, message, wait)
+            left = math.inf if is_late else self._left(message.kind)
+            if left < (ANSWER_SECONDS + SHORTEST_WAIT_SECONDS if wait else SHORTEST_ASK_SECONDS):
+                return None
+            page = await self._ask(mirror, message, min(wait, left - ANSWER_SECONDS), left)
             if page is None or page.status == MirrorStatus.UNAVAILABLE:
                 self._refused_until[mirror.name] = clock.monotonic() + REFUSED_SECONDS
             if page is None:
@@ -191,7 +239,7 @@
                 if silent == MOST_SILENT_MIRRORS:
                     return None
                 # It was silent, maybe through the whole wait: what came meanwhile is late.
-                message, wait = _without_wait(message), 0.0
+                wait = 0.0
             elif page.status == MirrorStatus.UNAVAILABLE:
                 continue
             elif page.status == MirrorStatus.NOT_MIRRORED:
@@ -216,7 +264,7 @@
                 return page
             self._refused_until[member.name] = clock.monotonic() + REFUSED_SECONDS
             # It may have been silent through the whole wait: what came meanwhile is late.
-            message, wait = _without_wait(message), 0.0
+            wait = 0.0
         return None
 
     def _leave_mirrors(self) -> None:
@@ -247,14 +295,19 @@
         distance = self._places.distance(self._zone, mirror.zone)
         return distance, -score(self._name, mirror.name)
 
-    async def _ask(self, mirror: Mirror, message: ReadMirror, wait: float) -> MirrorPage | None:
+    async def _ask(
+        self, mirror: Mirror, message: ReadMirror, wait: float, left: float = math.inf
+    ) -> MirrorPage | None:
+        """Return a mirror's answer, with the age of what it tells; None where it is silent."""
+        wait = max(0.0, wait)
+        asked = ReadMirror(message.kind, message.at, int(wait * 1000), message.passes_on)
+        asked_at = clock.monotonic()
         try:
-            page = await mirror.link.call(message, wait + ANSWER_SECONDS)
+            page = await mirror.link.call(asked, min(wait + ANSWER_SECONDS, left))
         except LinkLostError:
             return None
-        return page if isinstance(page, MirrorPage) else None
-
-
-def _without_wait(message: ReadMirror) -> ReadMirror:
-    """Return the same question for what there is now."""
-    return ReadMirror(kind=message.kind, at=message.at, passes_on=message.passes_on)
+        if not isinstance(page, MirrorPage):
+            return None
+        unread = age_of_answer(asked_at, wait, clock.monotonic())
+        set_age(page, age_seconds(page) + unread)
+        return page
--- a/src/pondtiller/store/news_times.py
+++ b/src/pondtiller/store/news_times.py
@@ -57,6 +57,14 @@
     return NewsTimes(within_seconds, min(WATCH_SECONDS, left), left - PROBE_SECONDS)
 
 
+def mirrored_seconds(within_seconds: float) -> float:
+    """Return how old what is known may become while mirrors are asked, in seconds.
+
+    Then the store itself is, and its answer must be acted on within the bound.
+    """
+    return within_seconds - STORE_SECONDS - ACT_SECONDS - SPARE_SECONDS
+
+
 def reason_against(within_seconds: float) -> str | None:
     """Return why changes cannot be in force within so many seconds; None where they can."""
     if within_seconds >= SHORTEST_BOUND_SECONDS:
