A gateway that the store does not answer asks mirrors that did not mirror lately

Cause: a replica with few followers says that it does not mirror, as all do when a whole system starts; then no mirror was asked for 1 s, 2 s, up to 10 s, also where the store itself did not answer. Why this helps: a call to the store in vain ends that pause.

Measured: the new test fails before (the call's failure is raised) and passes.

--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -344,3 +344,25 @@
         assert store.asked_at[0] - known_at < bound - STORE_SECONDS
 
     curio.run(main)
+
+
+def test_a_gateway_that_the_store_does_not_answer_asks_mirrors_that_did_not_mirror() -> None:
+    store = SilentStore()
+    mirrors_now = False
+
+    async def main() -> None:
+        nonlocal mirrors_now
+
+        async def mirrors_later(message: ReadMirror) -> MirrorPage:
+            if not mirrors_now:
+                return MirrorPage(status=MirrorStatus.NOT_MIRRORED)
+            return await tells_a_change(message)
+
+        reader = scripted(store, ScriptedLink(mirrors_later))
+        asking = await curio.spawn(reader.watch, "config", 5, 0.2)
+        await curio.sleep(0.1)
+        mirrors_now = True
+        found = await asking.join()
+        assert [each.object.revision for each in found.changes] == [6]
+
+    curio.run(main)
--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -164,7 +164,11 @@
         return self._told(kind, found)
 
     async def _ask_without_store(self, message: ReadMirror) -> MirrorPage | None:
-        """Ask mirrors for what there is: the store does not answer this gateway."""
+        """Ask mirrors for what there is: the store does not answer this gateway.
+
+        Also those that did not mirror lately: they may by now, and nobody else tells this gateway.
+        """
+        self._not_before = 0.0
         return await self._ask_mirrors(message, 0.0, is_late=True)
 
     def _may_ask_mirrors(self, kind: str) -> bool:
