A change between two pages of a listing is not lost

Cause: each page of a listing is read at a revision of its own, and the watch went on from that of the last one: what changed on an earlier page in between was told by neither. Why this helps: where the revision moved between the pages, the changes since the first page are read and put on top.

--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -117,9 +117,10 @@
         self._unread: set[tuple[str, str]] = set()
 
     async def list_all(self, kind: str) -> StoreListing:
-        """Return all objects of a kind; raises `StoreCallError`."""
+        """Return all objects of a kind as they are at one revision; raises `StoreCallError`."""
         asked_at = clock.monotonic()
         found: list[StoreObject] = []
+        revisions: list[int] = []
         after = ""
         while True:
             query = f"?since_rev={quote(after)}" if after else ""
@@ -127,10 +128,30 @@
             page = _json(answer, 200)
             given, at = _page(page, "requests")
             found += self._sound(kind, given)
+            revisions.append(at)
             last = max(map(_name, given), default="")
             if not page.get("more") or last <= after:
-                return StoreListing(tuple(found), at, clock.monotonic() - asked_at)
+                break
             after = last
+        if at != revisions[0]:
+            found, at = await self._with_changes(kind, found, revisions[0])
+        return StoreListing(tuple(found), at, clock.monotonic() - asked_at)
+
+    async def _with_changes(
+        self, kind: str, found: list[StoreObject], since: int
+    ) -> tuple[list[StoreObject], int]:
+        """Bring the pages of a listing to one revision: each was read at a revision of its own."""
+        try:
+            changes = await self.watch(kind, since, 0.0)
+        except HistoryGoneError as error:
+            raise StoreCallError("the history since the first page is gone") from error
+        objects = {each.name: each for each in found}
+        for change in changes.changes:
+            if change.is_gone:
+                objects.pop(change.object.name, None)
+            else:
+                objects[change.object.name] = change.object
+        return list(objects.values()), changes.at
 
     async def watch(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
         """Return the changes after a revision; raises `HistoryGoneError`, `StoreCallError`."""
