A table is taken only from the object that holds the configuration

Cause: any object of the kind was taken for the configuration, and one with a higher version kept all later ones out. The users' pages name one object. Nobody is known to have written another one. Why this helps: others are refused with a log line.

Measured: the new test fails before (version 99 stays in force) and passes.

--- a/src/pondtiller/gateway/tests/test_system.py
+++ b/src/pondtiller/gateway/tests/test_system.py
@@ -157,6 +157,19 @@
     run_system(tmp_path, test)
 
 
+def test_a_table_in_another_object_keeps_no_configuration_out_of_force(tmp_path: Path) -> None:
+    async def test(system: System) -> None:
+        await ready(system)
+        engines = (*system.app, *system.llm)
+        system.store.put("config", "other", configuration(99, *engines))
+        system.store.put("config", "main", configuration(10, *engines))
+        front = system.gateways[0].front
+        await system.until(lambda: front.table is not None and front.table.version != 3)
+        assert front.table is not None and front.table.version == 10
+
+    run_system(tmp_path, test)
+
+
 def test_the_store_may_forget_its_history_and_be_down(tmp_path: Path) -> None:
     async def test(system: System) -> None:
         await ready(system)
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -108,6 +108,9 @@
             await self._take_configuration(change.object)
 
     async def _take_configuration(self, found: StoreObject) -> None:
+        if found.name != names.CONFIGURATION:
+            logs.decision("table_refused", name=found.name, reason="no place of the configuration")
+            return
         read = configuration.route_table(found.spec)
         if isinstance(read, Err):
             logs.decision("table_refused", name=found.name, reason=read.err_value)
--- a/src/pondtiller/platform/names.py
+++ b/src/pondtiller/platform/names.py
@@ -50,6 +50,8 @@
 
 ENGINES = "servers"
 CONFIGURATIONS = "config"
+CONFIGURATION = "main"
+"""The object of that kind that holds the newest configuration; others hold none."""
 VERSIONS_NAMED = "versions"
 RETIREMENTS = "retirements"
 EVACUATIONS = "evacuations"
