A call to the store that gets no answer does not keep a leaving engine in use

Callers may see: requests at an engine beyond the time in which it may leave (DRAIN). Cause: the one of, for the engines: a call waited 6 s and its margin, and no setting carried the bound. Why this helps: the same waits, from the deployment's own bound (drain_ms, as news.engines).

Measured: the new test fails before for 2 and 3 s (3.95 s and 3.94 s, ended by the configuration's watch, which wakes the others) and passes for 2, 3 and 4 s.

--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -36,7 +36,7 @@
 from pondtiller.gateway.runs.run_host import RunHost
 from pondtiller.gateway.runs.sample_runner import SampleRunner
 from pondtiller.gateway.sockets import GatewaySockets
-from pondtiller.gateway.watches import GatewayWatches
+from pondtiller.gateway.watches import ENGINES_REST_SECONDS, GatewayWatches
 from pondtiller.httpio.client import HttpClient
 from pondtiller.peers.leader_age import leader_age
 from pondtiller.peers.leader_client import LeaderClient
@@ -189,7 +189,10 @@
     def _news_bounds(self) -> dict[str, float]:
         """Return within how many seconds changes must be known, by kind of objects."""
         settings = self.settings
-        bounds = {names.CONFIGURATIONS: settings.news.configuration}
+        bounds = {
+            names.CONFIGURATIONS: settings.news.configuration,
+            names.ENGINES: settings.news.engines + ENGINES_REST_SECONDS,
+        }
         if settings.evacuation.within:
             bounds[names.EVACUATIONS] = settings.evacuation.within
         return bounds
@@ -232,6 +235,7 @@
             self._is_leading,
             lambda: self.mirrored_store.follows_mirrors,
             self._keys.times(news_times(settings.news.configuration)),
+            news_times(settings.news.engines),
         )
         self.late_news = LateNews(
             self.front.in_force,
--- a/src/pondtiller/gateway/tests/test_configuration_in_time.py
+++ b/src/pondtiller/gateway/tests/test_configuration_in_time.py
@@ -1,4 +1,4 @@
-"""A configuration is in force within its bound, whichever way to it gives no answer."""
+"""Changes of the store are acted on within their bounds though a call to it gets no answer."""
 
 from pathlib import Path
 
@@ -6,7 +6,6 @@
 import pytest
 
 from pondtiller.gateway.process import GatewayProcess
-from pondtiller.gateway.tests import test_mirrored_store
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.platform import names
 from pondtiller.platform.object_client import StoreChanges
@@ -16,10 +15,8 @@
 from pondtiller.store import mirror as mirrors
 from pondtiller.store import store_watch
 
-few_followers = test_mirrored_store.few_followers
-"""Replicas mirror for as few gateways as a test has."""
 BOUNDS_SECONDS = (2.0, 3.0, 4.0)
-"""What the users' deployments give from the acknowledgement until a version is in force."""
+"""What the users' deployments give to a version, and to an engine that leaves."""
 LATEST_SECONDS = 12.0
 
 
@@ -33,36 +30,62 @@
     return clock.monotonic() - began
 
 
-async def until_asked(system: System, gateway: GatewayProcess) -> None:
-    """Wait until a gateway's next call for changes of the configuration has just begun."""
+async def until_asked(gateway: GatewayProcess, kind: str) -> None:
+    """Wait until a gateway's next call for changes of a kind has just begun."""
     watch, asked = gateway.store.watch, curio.Event()
 
-    async def noted(kind: str, at: int, wait_seconds: float) -> StoreChanges:
-        if kind == names.CONFIGURATIONS:
+    async def noted(of_kind: str, at: int, wait_seconds: float) -> StoreChanges:
+        if of_kind == kind:
             await asked.set()
-        return await watch(kind, at, wait_seconds)
+        return await watch(of_kind, at, wait_seconds)
 
     gateway.store.watch = noted  # type: ignore[method-assign]
     await asked.wait()
     await curio.sleep(0.05)
 
 
-@pytest.mark.parametrize("bound", BOUNDS_SECONDS)
-def test_a_call_that_gets_no_answer_does_not_keep_a_version_out_of_force(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, bound: float
-) -> None:
+async def silence(system: System, kind: str) -> GatewayProcess:
+    """Silence all connections as a gateway has just asked for a kind; return that gateway."""
+    leader = await system.until_led()
+    gateway = next(each for each in system.gateways if each is not leader)
+    # Kept connections turn silent too, also those that no call uses.
+    for _connection in range(3):
+        await curio.spawn(gateway.store.list_all, "config", daemon=True)
+    await until_asked(gateway, kind)
+    system.store.silence_open_connections()
+    return gateway
+
+
+@pytest.fixture
+def without_mirrors(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(mirrors, "FEWEST_FOLLOWERS", 1000)
     monkeypatch.setattr(store_watch, "SHORTEST_FIRST_WATCH_SECONDS", 0.5)
     monkeypatch.setattr(store_watch.random, "uniform", lambda shortest, _longest: shortest)
 
+
+@pytest.mark.usefixtures("without_mirrors")
+@pytest.mark.parametrize("bound", BOUNDS_SECONDS)
+def test_a_call_that_gets_no_answer_does_not_keep_a_version_out_of_force(
+    tmp_path: Path, bound: float
+) -> None:
     async def test(system: System) -> None:
-        leader = await system.until_led()
-        gateway = next(each for each in system.gateways if each is not leader)
-        # Kept connections turn silent too, also those that no call uses.
-        for _connection in range(3):
-            await curio.spawn(gateway.store.list_all, "config", daemon=True)
-        await until_asked(system, gateway)
-        system.store.silence_open_connections()
+        gateway = await silence(system, names.CONFIGURATIONS)
         assert await seconds_until_in_force(system, gateway) < bound
 
     run_system(tmp_path, test, gateways=2, news=News(configuration=bound))
+
+
+@pytest.mark.usefixtures("without_mirrors")
+@pytest.mark.parametrize("bound", BOUNDS_SECONDS)
+def test_a_call_that_gets_no_answer_does_not_keep_a_leaving_engine_in_use(
+    tmp_path: Path, bound: float
+) -> None:
+    async def test(system: System) -> None:
+        gateway = await silence(system, names.ENGINES)
+        began = clock.monotonic()
+        system.store.put(names.ENGINES, "a0", system.app[0].entry("draining"))
+        entry = gateway.engines.engines["a0"]
+        await system.until(lambda: entry.entry.state.value == "leaving", LATEST_SECONDS)
+        assert clock.monotonic() - began < bound
+
+    run_system(tmp_path, test, gateways=2, news=News(engines=bound))
--- a/src/pondtiller/gateway/watches.py
+++ b/src/pondtiller/gateway/watches.py
@@ -42,8 +42,8 @@
 
     Parameters
     ----------
-    configuration_times
-        Waits by which a configuration is in force within its bound.
+    configuration_times, engines_times
+        Waits by which changes of each are known within their bounds.
 
     Attributes
     ----------
@@ -61,6 +61,7 @@
         is_leading: Callable[[], bool],
         follows_mirrors: Callable[[], bool],
         configuration_times: NewsTimes,
+        engines_times: NewsTimes,
     ) -> None:
         self.is_leading = is_leading
         self._follows_mirrors = follows_mirrors
@@ -86,7 +87,8 @@
             self._take_engines,
             self._engine_changed,
             self._engines_rest,
-            longest_retry=self.longest_retry,
+            wait_seconds=engines_times.wait_seconds,
+            longest_retry=lambda: min(self.longest_retry(), engines_times.retry_seconds),
         )
 
     def longest_retry(self) -> float:
--- a/src/pondtiller/settings.py
+++ b/src/pondtiller/settings.py
@@ -154,9 +154,12 @@
     ----------
     configuration
         From the store's acknowledgement of a configuration until requests are decided by it.
+    engines
+        The same of an engine that leaves, until no request goes there.
     """
 
     configuration: Annotated[float, AfterValidator(_check_news)] = Field(default=4.0, le=3600)
+    engines: Annotated[float, AfterValidator(_check_news)] = Field(default=4.0, le=3600)
 
 
 class Evacuation(Section):
