A soak changes the table and checks that each gateway acts on it in time

Now versions come each 2 s to 6 s, each has a row of its own, and every gateway that could know is asked for that row 4 s after the acknowledgement, or after the last fault of it. silent_store, a kind that is named and not drawn, so that seeds keep their draws, has the store answer nothing on the connections that are open.

--- a/src/pondtiller/cli/soak.py
+++ b/src/pondtiller/cli/soak.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from pondtiller.cli.common import EXIT_OK, EXIT_VIOLATION, bad_option, read_number
-from pondtiller.soak.fault_kinds import KINDS
+from pondtiller.soak.fault_kinds import NAMED_KINDS
 from pondtiller.soak.report import SoakReport
 from pondtiller.soak.run import play
 
@@ -42,9 +42,11 @@
             return bad_option(self, "seed", seed.err_value)
         folder = Path(self.option("folder") or tempfile.mkdtemp(prefix="pondtiller-soak-"))
         only = tuple(filter(None, (self.option("faults") or "").split(",")))
-        unknown = sorted(set(only) - set(KINDS))
+        unknown = sorted(set(only) - set(NAMED_KINDS))
         if unknown:
-            return bad_option(self, "faults", f"{','.join(unknown)}: not of {', '.join(KINDS)}")
+            return bad_option(
+                self, "faults", f"{','.join(unknown)}: not of {', '.join(NAMED_KINDS)}"
+            )
         report = play(
             int(seed.ok_value), minutes.ok_value * 60.0, folder, only, bool(self.option("together"))
         )
--- a/src/pondtiller/soak/fault_kinds.py
+++ b/src/pondtiller/soak/fault_kinds.py
@@ -29,3 +29,6 @@
     "end_engine": platform_faults.end_engine,
     "odd_entries": platform_faults.bad_entries,
 }
+NAMED_KINDS = {**KINDS, "silent_store": platform_faults.silent_store}
+"""Those that may be named for a soak: with kinds that are not drawn otherwise, so that seeds keep
+what they draw."""
--- a/src/pondtiller/soak/faults.py
+++ b/src/pondtiller/soak/faults.py
@@ -10,7 +10,7 @@
 
 from pondtiller.process import clock
 from pondtiller.process.spawner import Spawner
-from pondtiller.soak.fault_kinds import KINDS
+from pondtiller.soak.fault_kinds import KINDS, NAMED_KINDS
 from pondtiller.soak.fault_targets import Fault, FaultTargets
 from pondtiller.soak.platform_faults import end_evacuations
 
@@ -82,7 +82,7 @@
 
     def _strike_once(self, only: tuple[str, ...]) -> Fault:
         self._end_evacuations(clock.monotonic())
-        fault = KINDS[self._random.choice(only or tuple(KINDS))](self.targets)
+        fault = NAMED_KINDS[self._random.choice(only or tuple(KINDS))](self.targets)
         self._note(fault.kind, fault.target)
         return fault
 
--- a/src/pondtiller/soak/platform_faults.py
+++ b/src/pondtiller/soak/platform_faults.py
@@ -27,6 +27,12 @@
     return Fault("store_lossy", "store", lambda: setattr(store, "loses_answers", False))
 
 
+def silent_store(targets: FaultTargets) -> Fault:
+    """Have the store answer nothing on the connections that are open; new ones work."""
+    targets.store.silence_open_connections()
+    return Fault("silent_store", "store", lambda: None)
+
+
 def evacuate(targets: FaultTargets) -> Fault:
     """Have a zone evacuated; it stays so through the next faults, and comes back cold."""
     zone = targets.draw_zone()
--- a/src/pondtiller/soak/report.py
+++ b/src/pondtiller/soak/report.py
@@ -25,6 +25,8 @@
         Times that a body with a home was on its way to an engine.
     ended
         Runs of contents that end engines.
+    changed
+        Answers that showed whether a gateway acts on a version of the table.
     """
 
     seed: int
@@ -39,3 +41,4 @@
     rated: int
     homed: int
     ended: int
+    changed: int
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -11,6 +11,7 @@
 
 from pondtiller.address import to_address
 from pondtiller.platform import names
+from pondtiller.platform.object_client import WATCH_MARGIN_SECONDS
 from pondtiller.process import clock
 from pondtiller.process.spawner import Spawner
 from pondtiller.soak.caller_rules import HomeRule, RateRule
@@ -33,9 +34,11 @@
 from pondtiller.soak.settings_files import SettingsFiles
 from pondtiller.soak.soak_table import soak_configuration
 from pondtiller.soak.stand_ins import Platform, SoakEngine
+from pondtiller.soak.table_changes import TableChanges
 from pondtiller.soak.trainer import EVENTS, Trainer
 from pondtiller.soak.trap import Trap
 from pondtiller.standins.store import StandInStore
+from pondtiller.store.store_watch import WATCH_SECONDS
 
 GATEWAYS = 3
 """One a zone: a leader that is lost has two successors."""
@@ -53,6 +56,8 @@
 it ends as soon as all are there. Chosen, not measured."""
 CALM_LOOK_SECONDS = 0.5
 """How often it is looked whether all results are there."""
+LONGEST_CALL_SECONDS = WATCH_SECONDS + WATCH_MARGIN_SECONDS
+"""Longest call for changes of what has no bound of its own."""
 LISTED_OBJECTS = 100
 """Objects in a page of the store: all of a kind at once, since the soak is not about pages."""
 
@@ -89,7 +94,7 @@
             owners,
             self._acts_since,
             self.ending,
-            self._could_know_since,
+            self._could_know_contents_since,
         )
         self.apps = [SoakEngine(f"a{n}", "app", platform, EVENTS, f"z{n}") for n in range(ZONES)]
         self.models = [SoakEngine(f"m{n}", "llm", platform, EVENTS, f"z{n}") for n in range(ZONES)]
@@ -127,6 +132,15 @@
         calls = Calls(self.ports)
         self.callers = Callers(self.random, calls, self.promises, self.rate, self.apps, self.group)
         self.trainer = Trainer(self.random, calls, self.promises, self.store, self.group)
+        self.table_changes = TableChanges(
+            random.Random(f"table of {self.seed}"),
+            self.store,
+            self.faults.targets.engines,
+            self.gateways,
+            calls,
+            self.promises,
+            self._could_know_since,
+        )
         self.kept_callers = KeptCallers(self.gateways, self.ports, self.promises, self._has_begun)
 
     @property
@@ -151,6 +165,10 @@
         started = max(each.started_at for each in self.programs if each.spec.name == name)
         return max(self._acts_since(name), self.reach.since(name), started)
 
+    def _could_know_contents_since(self, name: str) -> float:
+        """Return the same for what is followed with long calls, which may get no answer."""
+        return max(self._could_know_since(name), self.store.silenced_at + LONGEST_CALL_SECONDS)
+
     def _has_begun(self, identifier: str) -> bool:
         return any(identifier in each.begun for each in self.apps)
 
@@ -176,7 +194,7 @@
             for program in self.programs:
                 program.start()
             await curio.sleep(START_SECONDS)
-            for task in (self.trainer.run, self.callers.run):
+            for task in (self.trainer.run, self.callers.run, self.table_changes.run):
                 await self.group.spawn(task)
             await self.kept_callers.run(self.group)
             strike = self.faults.strike_together if together else self.faults.strike
@@ -202,6 +220,7 @@
 
     async def _finish(self) -> None:
         self.trainer.is_calm = self.callers.is_calm = self.kept_callers.is_calm = True
+        self.table_changes.is_calm = True
         self.faults.heal()
         give_up = clock.monotonic() + CALM_SECONDS
         while clock.monotonic() < give_up and self.trainer.has_unfinished():
@@ -223,6 +242,7 @@
             rated=self.rate.begun,
             homed=self.homes.seen,
             ended=sum(map(len, self.ending.runs.values())),
+            changed=self.table_changes.checked,
         )
 
 
--- a/src/pondtiller/soak/soak_table.py
+++ b/src/pondtiller/soak/soak_table.py
@@ -1,5 +1,6 @@
 """The configuration of a soak: rows that need a key or a home beside public ones, rates, cold."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from pondtiller.soak.caller_rules import RATE
@@ -10,13 +11,29 @@
 from pondtiller.standins.documents import configuration, with_tenants
 
 VERSION = 3
-"""Of the configuration; it does not change during a soak, so any positive number serves."""
+"""Of the first configuration."""
+PROBE_HOST = "probe.example"
+PROBE_SERVICE = "nowhere"
+"""A service without engines: a call that reaches it shows that its row is in force, and no more."""
 PUBLIC = ("quotes", "listings", "rollouts")
 
 
-def soak_configuration(engines: list[SoakEngine]) -> dict[str, Any]:
-    """Return the operator's configuration object."""
-    made = with_tenants(configuration(VERSION, *engines), KEYS, PUBLIC)
+def probe_path(version: int) -> str:
+    """Return a path that a version of the configuration has, and none before it."""
+    return f"/v{version}/"
+
+
+def soak_configuration(
+    engines: list[SoakEngine], versions: Sequence[int] = (VERSION,)
+) -> dict[str, Any]:
+    """Return the operator's configuration object.
+
+    Parameters
+    ----------
+    versions
+        Its own version, last, and those before it whose probes it still has.
+    """
+    made = with_tenants(configuration(versions[-1], *engines), KEYS, PUBLIC)
     listings = next(each for each in made["routes"] if each["name"] == "listings")
     made["routes"] += [
         {**listings, "name": "tenants", "host": "tenants.example", "public": False},
@@ -27,6 +44,11 @@
             tenant["rate_per_s"] = RATE
         else:
             tenant["allowed_regions"] = [SOUTH]
+    probe = {**listings, "host": PROBE_HOST, "service": PROBE_SERVICE, "public": True}
+    made["routes"] += [
+        {**probe, "name": f"probe-{each}", "path_prefix": probe_path(each)} for each in versions
+    ]
+    made["services"].append({"name": PROBE_SERVICE})
     for service in made["services"]:
         service["cold_per_s"], service["cold_start_s"] = COLD_RATE, COLD_SECONDS
     return made
--- a/src/pondtiller/soak/tests/test_run.py
+++ b/src/pondtiller/soak/tests/test_run.py
@@ -37,3 +37,12 @@
     # when the leader was silent for 1.0 s. Seen first with seeds 201 and 401.
     report = play(401, 40.0, tmp_path, only=("cut_runner",))
     assert report.breaches == []
+
+
+def test_table_changes_are_in_force_in_time_though_connections_to_the_store_turn_silent(
+    tmp_path: Path,
+) -> None:
+    report = play(5, 15.0, tmp_path, only=("silent_store", "kill", "terminate"), together=True)
+    assert report.breaches == []
+    assert report.own_ends == []
+    assert report.changed >= 3
--- a/src/pondtiller/standins/store.py
+++ b/src/pondtiller/standins/store.py
@@ -49,6 +49,8 @@
         Whether it takes writes and ends the connection instead of answering.
     page
         Objects in one page of a listing, at most.
+    silenced_at
+        When connections that were open turned silent, on the steady clock.
     """
 
     def __init__(self) -> None:
@@ -63,6 +65,7 @@
         self.calls = 0
         self._ports: set[int] = set()
         self._silent_ports: set[int] = set()
+        self.silenced_at = float("-inf")
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object as the operator, a trainer or an engine does."""
@@ -81,6 +84,7 @@
     def silence_open_connections(self) -> None:
         """Answer nothing any more on connections that are open, and leave them open."""
         self._silent_ports |= self._ports
+        self.silenced_at = clock.monotonic()
 
     def _store(self, kind: str, name: str, spec: Any, status: Any) -> dict[str, Any]:
         self.revision += 1
