A pause of a gateway does not end its links to the replicas

Cause: a link's silence was taken by the clock, and the look after a pause comes before what arrived meanwhile is read. Why this helps: looks in a row without a byte are counted, so a pause counts as one; without a pause a silent link is given up after 2.5 s to 3.1 s, as before.

--- a/src/pondtiller/gateway/tests/test_replicas.py
+++ b/src/pondtiller/gateway/tests/test_replicas.py
@@ -1,5 +1,8 @@
 """Which replicas a daemon keeps a link to."""
 
+import time
+from typing import Any
+
 import curio
 import pytest
 
@@ -105,6 +108,34 @@
     return curio.run(main)
 
 
+class NotedLink:
+    """Notes when it is dropped."""
+
+    def __init__(self) -> None:
+        self.dropped_at = float("inf")
+
+    async def drop(self) -> None:
+        self.dropped_at = clock.monotonic()
+
+
+def test_a_pause_of_this_process_is_no_silence_of_its_replicas() -> None:
+    async def main() -> None:
+        place = ReplicaLink(Address("10.0.0.1", 1), 1, heard_at=clock.monotonic())
+        link: Any = NotedLink()
+        await curio.spawn(directory(1)._drop_silent, place, link, daemon=True)
+        await curio.sleep(0.1)
+        time.sleep(replicas.SILENT_SECONDS + 0.5)
+        await curio.sleep(0.1)
+        place.note_heard()
+        heard_at = clock.monotonic()
+        await curio.sleep(replicas.SILENT_SECONDS - 0.2)
+        assert link.dropped_at == float("inf")
+        await curio.sleep(replicas.SILENT_SECONDS / replicas.SILENT_LOOKS + 0.5)
+        assert link.dropped_at - heard_at >= replicas.SILENT_SECONDS
+
+    curio.run(main)
+
+
 @pytest.mark.parametrize("is_on", [True, False])
 def test_replicas_that_start_after_a_gateway_are_found_soon(
     is_on: bool, monkeypatch: pytest.MonkeyPatch
--- a/src/pondtiller/peers/replicas.py
+++ b/src/pondtiller/peers/replicas.py
@@ -29,6 +29,8 @@
 """After this without a byte a link is given up. Chosen, not measured: two views (`VIEW_SECONDS`)
 may be lost or late; a leader is not missed later for it, as a view counts no more after
 `STALE_VIEW_SECONDS`."""
+SILENT_LOOKS = 4
+"""Looks in a row at which nothing had come, in `SILENT_SECONDS`, after which a link is given up."""
 STALE_VIEW_SECONDS = 1.2
 """A replica tells its view each second (`VIEW_SECONDS`). Answers the loss of a zone with the leader
 and a replica in it: gateways outside stood for leader only when their links to that replica were
@@ -259,8 +261,16 @@
             await self._changed()
 
     async def _drop_silent(self, place: ReplicaLink, link: Link) -> None:
-        while clock.monotonic() < place.heard_at + SILENT_SECONDS:
-            await curio.sleep(SILENT_SECONDS / 4)
+        """Give a link up on which nothing comes.
+
+        Looks are counted in place of seconds: the first one after a pause of this process comes
+        before what has arrived meanwhile is read.
+        """
+        silent_looks = 0
+        while silent_looks < SILENT_LOOKS:
+            heard_at = place.heard_at
+            await curio.sleep(SILENT_SECONDS / SILENT_LOOKS)
+            silent_looks = 0 if place.heard_at > heard_at else silent_looks + 1
         await link.drop()
 
     async def _take(self, place: ReplicaLink, message: Message) -> None:
