An answer to a heartbeat from before a pause does not end the wait for a renewal

Cause: any move of the lease's end counted as a renewal, also one to a moment before the look that saw it ended. Why this helps: a renewal reaches beyond the look before.

--- a/src/pondtiller/steplog/lease_renewal.py
+++ b/src/pondtiller/steplog/lease_renewal.py
@@ -56,8 +56,9 @@
     def looked(self, lease_until: float, at: Moment) -> None:
         """Take the end of the lease, and the time, as a leader looks at them."""
         before, self._before = self._before, at
-        if lease_until > self._ended_lease:
-            # Renewed since, though it may have ended again in a further pause.
+        if before is not None and lease_until > max(self._ended_lease, before.now):
+            # Renewed since, though it may have ended again in a further pause. An answer to a
+            # heartbeat from before the pause moves the lease too, to an end that has passed.
             self.is_awaited = False
         if self.is_awaited:
             self.is_awaited = at.running < self._give_up_at
--- a/src/pondtiller/steplog/tests/test_term_rules.py
+++ b/src/pondtiller/steplog/tests/test_term_rules.py
@@ -93,6 +93,16 @@
     assert not renewal.is_awaited
 
 
+def test_an_answer_to_a_heartbeat_from_before_a_pause_does_not_end_the_wait_for_a_renewal() -> None:
+    renewal = LeaseRenewal()
+    renewal.looked(1.05, Moment(now=0.1, running=0.1))
+    renewal.looked(1.05, Moment(now=1.7, running=0.12))
+    renewal.looked(1.15, Moment(now=1.72, running=0.14))
+    assert renewal.is_awaited
+    renewal.looked(2.9, Moment(now=1.8, running=0.22))
+    assert not renewal.is_awaited
+
+
 def test_a_lease_that_ends_beside_a_pause_is_not_waited_for() -> None:
     renewal = LeaseRenewal()
     renewal.looked(1.05, Moment(now=0.9, running=0.9))
