A content that one gateway had answered lately is held back by none

Cause: these requests are all alike, so one content; a gateway without an answer of it counted two ends beside another content and told the store, and gateways that had its answers took that word. Then nobody sent it, so nothing cleared it for an hour. Why this helps: who had an answer within the last minute, for which its own ends tell nothing either, clears the content for all.

Measured: the new test fails before (held at both gateways) and passes; test_ending_requests.py, test_quarantine.py, test_engine_ends.py pass.

--- a/src/pondtiller/gateway/engines/suspect_sharing.py
+++ b/src/pondtiller/gateway/engines/suspect_sharing.py
@@ -109,7 +109,7 @@
             if content not in listed and content not in self._suspects.untold:
                 self._suspects.quarantine.forget(content)
         for each in found:
-            self._take(each)
+            await self._take(each)
         await self._changed()
 
     async def _change(self, change: StoreChange) -> None:
@@ -117,10 +117,10 @@
             self._kept_until.pop(change.object.name, None)
             self._suspects.quarantine.forget(change.object.name)
         else:
-            self._take(change.object)
+            await self._take(change.object)
         await self._changed()
 
-    def _take(self, found: StoreObject) -> None:
+    async def _take(self, found: StoreObject) -> None:
         told = objects.read_suspect(found)
         if told is None:
             # Left as it is: a later version of this program may have written it.
@@ -129,7 +129,7 @@
         self._kept_until[told.content] = told.until
         if not told.ends:
             self._suspects.untold.pop(told.content, None)
-        if clock.wall() >= told.until or not self._suspects.quarantine.take(told):
+        if clock.wall() >= told.until or not await self._suspects.take(told):
             return
         logs.decision(
             "content_told",
--- a/src/pondtiller/gateway/engines/suspects.py
+++ b/src/pondtiller/gateway/engines/suspects.py
@@ -78,6 +78,18 @@
         self._log(suspect, engine)
         await self.has_news.set()
 
+    async def take(self, told: Suspect) -> bool:
+        """Take what all gateways together know of a content; return whether that is new here.
+
+        One that was answered here lately is cleared for all: who tells of its ends had no answer.
+        """
+        if told.ends and self.quarantine.was_answered(told.content, clock.monotonic()):
+            self.untold[told.content] = clock.monotonic()
+            await self.has_news.set()
+            logs.decision("content_cleared", content=shown_content(told.content))
+            return False
+        return self.quarantine.take(told)
+
     async def note_answer(self, content: str) -> None:
         """Take that an engine answered a content."""
         if not content or not self.quarantine.note_answer(content, clock.monotonic()):
--- a/src/pondtiller/gateway/tests/test_ending_requests.py
+++ b/src/pondtiller/gateway/tests/test_ending_requests.py
@@ -25,7 +25,7 @@
 from pondtiller.httpio.server import ConnectionLostError, Exchange
 from pondtiller.platform import names
 from pondtiller.process import clock
-from pondtiller.routes.quarantine import MOST_SAMPLE_ENDS
+from pondtiller.routes.quarantine import MOST_ENDS, MOST_SAMPLE_ENDS, QUARANTINE_SECONDS
 from pondtiller.standins.documents import configuration, step_body
 from pondtiller.standins.ending_engine import DOWN_SECONDS, ENDING, EndingEngine, EndingRun
 
@@ -155,6 +155,28 @@
     run_system(tmp_path, test, gateways=2)
 
 
+def test_a_content_that_one_gateway_had_answered_lately_is_held_back_by_none(
+    tmp_path: Path,
+) -> None:
+    """Guards against scorers' requests, all alike, that no gateway sends any more."""
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        assert (await system.call("POST", "/quote/7", b"sound", 0, request_id="q")).status == 200
+        (content,) = system.gateways[0].suspects.quarantine._answered
+        ends = [f"e{number}@1" for number in range(MOST_ENDS)]
+        spec = {"ends": ends, "until": clock.wall() + QUARANTINE_SECONDS}
+        system.store.put(names.SUSPECTS, content, spec)
+        stored = system.store.kinds[names.SUSPECTS]
+        await system.until(lambda: not stored[content]["spec"]["ends"])
+        await system.until(
+            lambda: not any(each.suspects.is_held(content) for each in system.gateways)
+        )
+        assert (await system.call("POST", "/quote/7", b"sound", 1, request_id="r")).status == 200
+
+    run_system(tmp_path, test, gateways=2)
+
+
 def test_objects_that_are_not_to_be_read_hold_nothing_back(tmp_path: Path) -> None:
     async def test(system: System) -> None:
         await until_ready(system)
--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -115,7 +115,7 @@
         now, wall_now
             Steady time, and time of day.
         """
-        if now < self._answered.get(content, float("-inf")) + ANSWERED_SECONDS:
+        if self.was_answered(content, now):
             return None
         before = self.suspects.get(content)
         known = before.ends if before is not None and wall_now < before.until else frozenset()
@@ -133,6 +133,10 @@
             self._answered.popitem(last=False)
         return self.suspects.pop(content, None) is not None
 
+    def was_answered(self, content: str, now: float) -> bool:
+        """Return whether an engine answered a content here so lately that an end tells nothing."""
+        return now < self._answered.get(content, float("-inf")) + ANSWERED_SECONDS
+
     def take(self, told: Suspect) -> bool:
         """Take what all daemons together know of a content; return whether that is new here.
 
