The rows that a soak asks for are written by the stand-ins' documents

make check found a word of the platform in the soak's table (check_platform_words). The same rows, made where the other documents of stand-ins are.

--- a/src/pondtiller/soak/soak_table.py
+++ b/src/pondtiller/soak/soak_table.py
@@ -8,7 +8,7 @@
 from pondtiller.soak.engine_rules import COLD_RATE, COLD_SECONDS
 from pondtiller.soak.places import NORTH, SOUTH
 from pondtiller.soak.stand_ins import SoakEngine
-from pondtiller.standins.documents import configuration, with_tenants
+from pondtiller.standins.documents import configuration, public_routes, with_tenants
 
 VERSION = 3
 """Of the first configuration."""
@@ -44,10 +44,7 @@
             tenant["rate_per_s"] = RATE
         else:
             tenant["allowed_regions"] = [SOUTH]
-    probe = {**listings, "host": PROBE_HOST, "service": PROBE_SERVICE, "public": True}
-    made["routes"] += [
-        {**probe, "name": f"probe-{each}", "path_prefix": probe_path(each)} for each in versions
-    ]
+    made["routes"] += public_routes(PROBE_HOST, list(map(probe_path, versions)), PROBE_SERVICE)
     made["services"].append({"name": PROBE_SERVICE})
     for service in made["services"]:
         service["cold_per_s"], service["cold_start_s"] = COLD_RATE, COLD_SECONDS
--- a/src/pondtiller/standins/documents.py
+++ b/src/pondtiller/standins/documents.py
@@ -1,6 +1,7 @@
 """Sample documents: a configuration as the operator writes it, a step as a trainer submits it."""
 
 import base64
+from collections.abc import Sequence
 from typing import Any
 
 from pondtiller.standins.engine import StandInEngine
@@ -15,6 +16,21 @@
     return {**given, "routes": routes, "tenants": tenants}
 
 
+def public_routes(host: str, paths: Sequence[str], service: str) -> list[dict[str, Any]]:
+    """Return routes for requests that may be repeated and need no key, one for each path."""
+    return [
+        {
+            "name": f"{host}{path}",
+            "host": host,
+            "path_prefix": path,
+            "kind": "safe",
+            "service": service,
+            "public": True,
+        }
+        for path in paths
+    ]
+
+
 def configuration(version: int, *engines: StandInEngine) -> dict[str, Any]:
     """Return a configuration with a route for whole requests and one for steps."""
     services = sorted({engine.service for engine in engines})
