The stand-in store knows a connection's port also after its end

A watch of the stand-in that outlives its connection asked that for its port, which fails (OSError: Bad file descriptor) and ended the watch's task. The port is taken when the call comes.

--- a/src/pondtiller/standins/store.py
+++ b/src/pondtiller/standins/store.py
@@ -99,8 +99,9 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         self.calls += 1
-        self._ports.add(exchange.peer_port)
-        await self._keep_silence(exchange)
+        port = exchange.peer_port
+        self._ports.add(port)
+        await self._keep_silence(exchange, port)
         if self.is_down:
             await exchange.respond(HttpResponse(503))
             return
@@ -118,9 +119,9 @@
                 raise ConnectionLostError("cut")
             await exchange.respond(answer)
 
-    async def _keep_silence(self, exchange: Exchange) -> None:
+    async def _keep_silence(self, exchange: Exchange, port: int) -> None:
         """Wait for the end of a connection that is silent; return at once on any other."""
-        if exchange.peer_port in self._silent_ports:
+        if port in self._silent_ports:
             await exchange.wait_closed()
             raise ConnectionLostError("the connection was silent")
 
@@ -135,11 +136,11 @@
         return json_response(200, {"requests": page, "more": more, "at": self.revision})
 
     async def _watch(self, exchange: Exchange, kind: str) -> None:
-        at = int(exchange.request.query["watch"])
+        at, port = int(exchange.request.query["watch"]), exchange.peer_port
         # By the clock: in a busy process a number of short sleeps lasts far longer than their sum.
         until = clock.monotonic() + int(exchange.request.query["wait_ms"]) / 1000.0
         while True:
-            await self._keep_silence(exchange)
+            await self._keep_silence(exchange, port)
             if self.is_down:
                 await exchange.respond(HttpResponse(503))
                 return
