--- a/src/pondtiller/store/evacuation_bounds.py
+++ b/src/pondtiller/store/evacuation_bounds.py
@@ -35,7 +35,8 @@
 DIRECT_NEWS_SECONDS = (
     DIRECT_WAIT_SECONDS + WATCH_MARGIN_SECONDS + STORE_RETRY_SECONDS + STORE_SECONDS
 )
-"""A call to the store hangs to its end, and the next one brings the change."""
+"""A call to the store hangs to its end, and the next one brings the change; one that is refused is
+followed by a pause."""
 LONGEST_SECONDS = max(MIRRORED_NEWS_SECONDS, DIRECT_NEWS_SECONDS) + SEND_SECONDS
 
 
