The reader through mirrors says what its parameters are, and who bounds its waits

Read as a newcomer: the module named a sum that is no longer the whole of its waits, and a condition stood within a condition. No change of what is done.

--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -1,8 +1,9 @@
 """The store as a gateway reads it: through a replica's mirror, or itself where none can answer.
 
-Owns, in memory: the revision returned of each kind, which an older answer never replaces; which
-mirrors are left out for a while; who answered last. Relies on the links to replicas and on a client
-of the store. It keeps no objects: who watches does. `LONGEST_NEWS_SECONDS` is the sum of its waits.
+Owns, in memory: the revision returned of each kind, which an older answer never replaces, and as of
+when it was known; which mirrors are left out for a while; who answered last. Relies on the links to
+replicas, on a client of the store, and on `news_times` for how long mirrors may be asked. It keeps
+no objects: who watches does.
 """
 
 import math
@@ -61,14 +62,9 @@
 """Below this a mirror is not asked to wait: such calls would follow each other all the time."""
 SHORTEST_ASK_SECONDS = 0.1
 """Below this no mirror is asked at all: one in another region answers after 40 ms."""
-LONGEST_NEWS_SECONDS = (
-    LONGEST_WAIT_SECONDS
-    + ANSWER_SECONDS
-    + (MOST_SILENT_MIRRORS - 1) * ANSWER_SECONDS
-    + STORE_SECONDS
-)
-"""From a change of the store until a gateway knows it, at most, while mirrors fall silent: the
-first is silent through the whole wait, the others are asked for what they have now."""
+LONGEST_NEWS_SECONDS = LONGEST_WAIT_SECONDS + MOST_SILENT_MIRRORS * ANSWER_SECONDS + STORE_SECONDS
+"""From a change of the store until a gateway knows it, where mirrors that were up to date fall
+silent: the first through the whole wait, the next is asked for what it has now."""
 
 LEADER_KINDS = frozenset({names.ENGINES})
 """What a leader asks the store itself for: it places samples by the engines' loads. All else it
@@ -233,7 +229,8 @@
         silent = 0
         for mirror in self._mirrors():
             left = math.inf if is_late else self._left(message.kind)
-            if left < (ANSWER_SECONDS + SHORTEST_WAIT_SECONDS if wait else SHORTEST_ASK_SECONDS):
+            needed = ANSWER_SECONDS + SHORTEST_WAIT_SECONDS if wait else SHORTEST_ASK_SECONDS
+            if left < needed:
                 return None
             page = await self._ask(mirror, message, min(wait, left - ANSWER_SECONDS), left)
             if page is None or page.status == MirrorStatus.UNAVAILABLE:
@@ -302,7 +299,15 @@
     async def _ask(
         self, mirror: Mirror, message: ReadMirror, wait: float, left: float = math.inf
     ) -> MirrorPage | None:
-        """Return a mirror's answer, with the age of what it tells; None where it is silent."""
+        """Return a mirror's answer, with the age of what it tells; None where it is silent.
+
+        Parameters
+        ----------
+        wait
+            How long the mirror may hold its answer back; not at all where it is below 0.
+        left
+            Longest time for all of it, in seconds.
+        """
         wait = max(0.0, wait)
         asked = ReadMirror(message.kind, message.at, int(wait * 1000), message.passes_on)
         asked_at = clock.monotonic()
