A connection to the store that rested for long is not used again

Its log: table_age=6.655, no answer about the configuration since 229.14; its links to the replicas were silent (cut_leader g1) while the store's open connections turned silent. So mirrors that did not mirror used up the time until the store was asked, and that call went out on a kept connection that had turned silent, waited 1.5 s and 0.4 s, then asked silent replicas for 1.2 s.

Measured: the new test of HttpClient; tests of mirrors, news and store pass (34).

--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -43,7 +43,7 @@
 from pondtiller.peers.share_asker import ShareAsker
 from pondtiller.peers.usage_teller import UsageTeller
 from pondtiller.platform import names
-from pondtiller.platform.object_client import ObjectClient
+from pondtiller.platform.object_client import LONGEST_REST_SECONDS, ObjectClient
 from pondtiller.process.stalls import StallWatch
 from pondtiller.routes.cold import SUBJECT_PREFIX as COLD_PREFIX
 from pondtiller.routes.cold import ColdBound, ColdEngines
@@ -77,7 +77,7 @@
         self.metrics = GatewayMetrics()
         self.places = Places(settings.regions)
         self.engines = EngineDirectory(self.places)
-        self.store = ObjectClient(to_address(settings.store), HttpClient())
+        self.store = ObjectClient(to_address(settings.store), HttpClient(LONGEST_REST_SECONDS))
         self._health = StoreHealth()
         self._make_sending()
         self._make_leadership()
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -5,8 +5,9 @@
 `gateway/engines/engine_pool.py`, which keeps connections by rules of its own.
 """
 
+import math
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 import h11
@@ -14,6 +15,7 @@
 from pondtiller.address import Address
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.sockets import tune
+from pondtiller.process import clock
 
 READ_BYTES = 65_536
 """Read from a connection at once, at most, in bytes. Chosen, not measured: a whole answer of most
@@ -125,6 +127,13 @@
                 raise BrokenError(str(error)) from error
 
 
+class KeptConnection(NamedTuple):
+    """A connection at rest, and since when, on the steady clock."""
+
+    connection: ClientConnection
+    rests_since: float
+
+
 class BodyPieces:
     """Pieces of a body for `async for`.
 
@@ -146,10 +155,18 @@
 
 
 class HttpClient:
-    """Sends requests over kept connections."""
+    """Sends requests over kept connections.
 
-    def __init__(self) -> None:
-        self._kept: dict[Address, list[ClientConnection]] = {}
+    Parameters
+    ----------
+    longest_rest_seconds
+        After so long at rest a connection is not used again: it may have turned silent, which only
+        a call on it would show.
+    """
+
+    def __init__(self, longest_rest_seconds: float = math.inf) -> None:
+        self._longest_rest_seconds = longest_rest_seconds
+        self._kept: dict[Address, list[KeptConnection]] = {}
 
     async def request(
         self,
@@ -219,7 +236,7 @@
 
         Raises `NotSentError` where it may not be sent any more.
         """
-        connection = self._take_kept(address) or await self._connect(address)
+        connection = await self._take_kept(address) or await self._connect(address)
         if not may_send():
             await connection.close()
             raise NotSentError("it may not be sent any more")
@@ -238,20 +255,22 @@
         """Keep a connection whose answer was read to its end."""
         kept = self._kept.setdefault(connection.address, [])
         if len(kept) < KEPT_CONNECTIONS and connection.can_be_kept():
-            kept.append(connection)
+            kept.append(KeptConnection(connection, clock.monotonic()))
         else:
             await connection.close()
 
     async def _close_kept(self, address: Address) -> None:
         """Close kept connections: what makes one silent may have done so to those at rest."""
-        for connection in self._kept.pop(address, []):
-            await connection.close()
+        for kept in self._kept.pop(address, []):
+            await kept.connection.close()
 
-    def _take_kept(self, address: Address) -> ClientConnection | None:
+    async def _take_kept(self, address: Address) -> ClientConnection | None:
         kept = self._kept.get(address)
         while kept:
-            connection = kept.pop()
-            if not _was_closed(connection):
+            connection, rests_since = kept.pop()
+            if clock.monotonic() > rests_since + self._longest_rest_seconds:
+                await connection.close()
+            elif not _was_closed(connection):
                 return connection
         return None
 
--- a/src/pondtiller/httpio/tests/test_client.py
+++ b/src/pondtiller/httpio/tests/test_client.py
@@ -9,6 +9,27 @@
 from pondtiller.httpio.server import Exchange, bind_tcp, serve_http
 
 
+def test_a_connection_that_rested_for_long_is_not_used_again() -> None:
+    listener = bind_tcp("127.0.0.1", 0)
+    address = Address(*listener.getsockname())
+    ports: list[int] = []
+
+    async def handle(exchange: Exchange) -> None:
+        ports.append(exchange.peer_port)
+        await exchange.respond(HttpResponse(200))
+
+    async def main() -> None:
+        server = await curio.spawn(serve_http, listener, handle, lambda: False)
+        client = HttpClient(longest_rest_seconds=0.3)
+        for rest in (0.0, 0.5, 0.0):
+            await client.request(address, "GET", "/")
+            await curio.sleep(rest)
+        assert ports[0] == ports[1] != ports[2]
+        await server.cancel()
+
+    curio.run(main)
+
+
 def test_a_call_without_an_answer_is_not_followed_by_one_on_a_kept_connection() -> None:
     listener = bind_tcp("127.0.0.1", 0)
     address = Address(*listener.getsockname())
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -25,6 +25,9 @@
 WATCH_MARGIN_SECONDS = 0.4
 """How much longer than its own wait a watch may take, in seconds, for the way of its answer: twice
 that of a slow store."""
+LONGEST_REST_SECONDS = 1.5
+"""How long a connection to the store may rest and be used again: longer than a gateway rests
+between two calls for engines, and less than mirrors are asked before the store is."""
 MOST_UNREAD = 200
 """Objects that cannot be read and are logged by name, in the life of a process: it bounds memory
 and log lines. Chosen, not measured; the count goes on beyond it."""
--- a/src/pondtiller/replica/process.py
+++ b/src/pondtiller/replica/process.py
@@ -15,7 +15,12 @@
 from pondtiller.httpio.server import bind_tcp
 from pondtiller.links.link import serve_links
 from pondtiller.platform import names, objects
-from pondtiller.platform.object_client import ObjectClient, PutOutcome, StoreCallError
+from pondtiller.platform.object_client import (
+    LONGEST_REST_SECONDS,
+    ObjectClient,
+    PutOutcome,
+    StoreCallError,
+)
 from pondtiller.process import clock, logs
 from pondtiller.process.spawner import Spawner
 from pondtiller.process.supervise import keep_running
@@ -42,7 +47,7 @@
         self._listener = bind_tcp(place.host, place.port)
         self.texts = KeptTexts()
         self.replica = self._restore()
-        self.store = ObjectClient(to_address(settings.store), HttpClient())
+        self.store = ObjectClient(to_address(settings.store), HttpClient(LONGEST_REST_SECONDS))
         further = {names.SUSPECTS: MIRROR_TIMES}
         if settings.evacuation.within:
             further[names.EVACUATIONS] = MIRROR_TIMES
--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -33,7 +33,7 @@
 from pondtiller.routes.places import Places
 from pondtiller.store.leader_store import LeaderStore
 from pondtiller.store.news_times import STORE_SECONDS, mirrored_seconds
-from pondtiller.store.store_watch import StoreReader
+from pondtiller.store.store_watch import PROBE_SECONDS, StoreReader
 from pondtiller.wire.steplog import MirrorPage, ReadMirror
 
 ANSWER_SECONDS = 0.6
@@ -149,7 +149,8 @@
             return self._told(kind, read_changes(page))
         if self._may_ask_mirrors(kind) and self._knows_mirrors():
             # The mirrors may answer again soon; a long call to the store may hang for its wait.
-            wait_seconds = wait
+            is_old = self._left(kind) < SHORTEST_ASK_SECONDS
+            wait_seconds = min(wait, PROBE_SECONDS) if is_old else wait
         try:
             found = await self._ask_store(kind).watch(kind, at, wait_seconds)
         except StoreCallError:
