The log line of an old configuration is called stale, the field's word

configuration_unheard and configuration_heard become configuration_stale and configuration_fresh, with module, class and test. No change of what is done.

Measured: make check passes, test_stale_configuration.py passes.

--- a/src/pondtiller/gateway/housekeeping.py
+++ b/src/pondtiller/gateway/housekeeping.py
@@ -1,4 +1,4 @@
-"""What a gateway looks after at intervals: replicas to find, engines that are gone, late news.
+"""What a gateway looks after at intervals: replicas to find, engines that are gone, a stale table.
 
 Owns no state but its next search. Relies on the store to find replicas; a gateway that hears one
 replica learns of the others from it.
@@ -46,7 +46,7 @@
             parts.leadership.may_stand = parts.is_ready()
             parts.engines.keep_house(now)
             parts.cold.look(now)
-            parts.late_news.look()
+            parts.stale_configuration.look()
             await parts.pool.forget(set(parts.engines.engines))
             await curio.sleep(HOUSEKEEPING_SECONDS)
 
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -19,7 +19,6 @@
 from pondtiller.gateway.engines.orders import EngineOrders
 from pondtiller.gateway.engines.suspect_sharing import SuspectSharing
 from pondtiller.gateway.engines.suspects import SuspectContents
-from pondtiller.gateway.late_news import LateNews
 from pondtiller.gateway.leader.duties import LeaderDuties
 from pondtiller.gateway.leader.duty_parts import DutyParts
 from pondtiller.gateway.leader.duty_settings import (
@@ -36,6 +35,7 @@
 from pondtiller.gateway.runs.run_host import RunHost
 from pondtiller.gateway.runs.sample_runner import SampleRunner
 from pondtiller.gateway.sockets import GatewaySockets
+from pondtiller.gateway.stale_configuration import StaleConfigurationLog
 from pondtiller.gateway.watches import ENGINES_REST_SECONDS, GatewayWatches
 from pondtiller.httpio.client import HttpClient
 from pondtiller.peers.leader_age import leader_age
@@ -237,7 +237,7 @@
             self._keys.times(news_times(settings.news.configuration)),
             news_times(settings.news.engines),
         )
-        self.late_news = LateNews(
+        self.stale_configuration = StaleConfigurationLog(
             self.front.in_force,
             settings.news.configuration,
             lambda: self.mirrored_store.reader.get(names.CONFIGURATIONS, ""),
--- a/src/pondtiller/gateway/late_news.py
+++ b/src/pondtiller/gateway/stale_configuration.py
@@ -10,8 +10,8 @@
 from pondtiller.process import logs
 
 
-class LateNews:
-    """Writes a line when the configuration is not heard of within its bound, and when it is again.
+class StaleConfigurationLog:
+    """Writes a line when the configuration becomes older than its bound, and when it no longer is.
 
     Parameters
     ----------
@@ -27,17 +27,17 @@
         self._in_force = in_force
         self._within_seconds = within_seconds
         self._reader = reader
-        self._is_late = False
+        self._is_stale = False
 
     def look(self) -> None:
         """Compare the age of what is known with the bound; nothing before the first table."""
         version, age = self._in_force.read()
-        is_late = bool(version) and age > self._within_seconds
-        if is_late == self._is_late:
+        is_stale = bool(version) and age > self._within_seconds
+        if is_stale == self._is_stale:
             return
-        self._is_late = is_late
+        self._is_stale = is_stale
         logs.decision(
-            "configuration_unheard" if is_late else "configuration_heard",
+            "configuration_stale" if is_stale else "configuration_fresh",
             version=version,
             age=age,
             within=self._within_seconds,
--- a/src/pondtiller/gateway/tests/test_late_news.py
+++ b/src/pondtiller/gateway/tests/test_stale_configuration.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pondtiller.gateway.callers.table_in_force import TableInForce
-from pondtiller.gateway.late_news import LateNews
+from pondtiller.gateway.stale_configuration import StaleConfigurationLog
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.gateway.tests.test_request_routing import table
 from pondtiller.process import logs
@@ -35,18 +35,18 @@
     assert 0.0 <= lines["no_route"]["table_age"] < 40.0
 
 
-def test_a_configuration_that_was_not_heard_of_within_its_bound_is_logged_once(
+def test_a_configuration_that_becomes_older_than_its_bound_is_logged_once(
     decisions: list[tuple[str, dict[str, Any]]],
 ) -> None:
     in_force, ages = TableInForce(), iter([9.0, 3.9, 4.1, 5.0, 0.1])
     in_force.age_seconds = lambda: next(ages)
-    late = LateNews(in_force, 4.0, lambda: "store")
+    late = StaleConfigurationLog(in_force, 4.0, lambda: "store")
     late.look()
     in_force.table = table()
     for _look in range(4):
         late.look()
     told = [(event, fields["age"], fields["reader"]) for event, fields in decisions]
     assert told == [
-        ("configuration_unheard", 4.1, "store"),
-        ("configuration_heard", 0.1, "store"),
+        ("configuration_stale", 4.1, "store"),
+        ("configuration_fresh", 0.1, "store"),
     ]
