One check refuses bounds of settings, of changes and of evacuations

The check of news repeated that of evacuations but for the function asked.

Measured: make check passes; 58 tests of kept settings, news and evacuations pass.

--- a/src/pondtiller/settings.py
+++ b/src/pondtiller/settings.py
@@ -5,6 +5,7 @@
 takes a changed one at a reload.
 """
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated
 
@@ -12,8 +13,7 @@
 
 from pondtiller.rollouts.scaling import PolicyName
 from pondtiller.steplog.fault_tolerance import Tolerance
-from pondtiller.store.evacuation_bounds import reason_against
-from pondtiller.store.news_times import reason_against as reason_against_news
+from pondtiller.store import evacuation_bounds, news_times
 
 
 def _check_address(text: str) -> str:
@@ -27,13 +27,20 @@
     return _check_address(text) if text else text
 
 
-def _check_within(seconds: float) -> float:
-    reason = reason_against(seconds)
-    if reason is not None:
-        raise ValueError(reason)
-    return seconds
+def _refused_by(reason_against: Callable[[float], str | None]) -> AfterValidator:
+    """Return a check that refuses a bound for which there is a reason against it."""
 
+    def check(seconds: float) -> float:
+        reason = reason_against(seconds)
+        if reason is not None:
+            raise ValueError(reason)
+        return seconds
 
+    return AfterValidator(check)
+
+
+NewsSeconds = Annotated[float, _refused_by(news_times.reason_against)]
+EvacuationSeconds = Annotated[float, _refused_by(evacuation_bounds.reason_against)]
 AddressText = Annotated[str, AfterValidator(_check_address)]
 OptionalAddress = Annotated[str, AfterValidator(_check_optional)]
 
@@ -140,13 +147,6 @@
     unheard: float = Field(default=5.0, gt=2.0, le=3600)
 
 
-def _check_news(seconds: float) -> float:
-    reason = reason_against_news(seconds)
-    if reason is not None:
-        raise ValueError(reason)
-    return seconds
-
-
 class News(Section):
     """How soon what changes in the store must be in force here, in seconds.
 
@@ -158,8 +158,8 @@
         The same of an engine that leaves, until no request goes there.
     """
 
-    configuration: Annotated[float, AfterValidator(_check_news)] = Field(default=4.0, le=3600)
-    engines: Annotated[float, AfterValidator(_check_news)] = Field(default=4.0, le=3600)
+    configuration: NewsSeconds = Field(default=4.0, le=3600)
+    engines: NewsSeconds = Field(default=4.0, le=3600)
 
 
 class Evacuation(Section):
@@ -171,7 +171,7 @@
         Seconds after which no request may reach an engine of the zone; 0 where none are asked for.
     """
 
-    within: Annotated[float, AfterValidator(_check_within)] = Field(default=0.0, ge=0, le=3600)
+    within: EvacuationSeconds = Field(default=0.0, ge=0, le=3600)
 
 
 class Cold(Section):
