A gateway that the store turns away has its calls passed on by replicas

Cause: one source. Mirrors are on only where six gateways follow each replica, and replicas passed calls on for a leader, and for the leader's kinds alone. All else was read from the store or not at all.

Now every gateway reads the store through RelayedStore, which LeaderStore becomes: what the store refuses is passed on by a member of the group at once; a call whose connection failed is repeated on a new one, and passed on beside it 0.1 s later. A replica whose own call failed passes none on for 1 s, so that a store that answers nobody gets no call more for each gateway.

--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -182,7 +182,7 @@
             self._news_bounds(),
         )
         self.leader_watches = LeaderWatches(
-            self.store, self.mirrored_store.for_leader, self._health, self.leadership.replicas
+            self.store, self.mirrored_store.relayed, self._health, self.leadership.replicas
         )
         self.leader_watches.follow_members(self._is_group_member)
 
--- a/src/pondtiller/gateway/tests/test_configuration_in_time.py
+++ b/src/pondtiller/gateway/tests/test_configuration_in_time.py
@@ -8,7 +8,13 @@
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.platform import names
-from pondtiller.platform.object_client import StoreChanges
+from pondtiller.platform.object_client import (
+    WATCH_MARGIN_SECONDS,
+    StoreCallError,
+    StoreChanges,
+    StoreListing,
+    StoreSilentError,
+)
 from pondtiller.process import clock
 from pondtiller.settings import News
 from pondtiller.standins.documents import configuration
@@ -60,6 +66,32 @@
     await curio.sleep(0.05)
 
 
+class TurnedAway:
+    """Stands in the place of a gateway's calls to a store that does not serve its machine."""
+
+    def __init__(self, gateway: GatewayProcess, is_silent: bool) -> None:
+        self._is_silent = is_silent
+        self.asked = curio.Event()
+        gateway.store.list_all = self.list_all  # type: ignore[method-assign]
+        gateway.store.watch = self.watch  # type: ignore[method-assign]
+
+    async def list_all(self, _kind: str) -> StoreListing:
+        await self._fail(0.0)
+        raise AssertionError
+
+    async def watch(self, kind: str, _at: int, wait_seconds: float) -> StoreChanges:
+        if kind == names.CONFIGURATIONS:
+            await self.asked.set()
+        await self._fail(wait_seconds)
+        raise AssertionError
+
+    async def _fail(self, wait_seconds: float) -> None:
+        if not self._is_silent:
+            raise StoreCallError("status 503")
+        await curio.sleep(wait_seconds + WATCH_MARGIN_SECONDS)
+        raise StoreSilentError("no answer in time")
+
+
 async def silence(system: System, kind: str) -> GatewayProcess:
     """Silence all connections as a gateway has just asked for a kind; return that gateway."""
     leader = await system.until_led()
@@ -105,3 +137,20 @@
         assert watch.seconds() < bound
 
     run_system(tmp_path, test, gateways=2, news=News(engines=bound))
+
+
+@pytest.mark.usefixtures("without_mirrors")
+@pytest.mark.parametrize("bound", BOUNDS_SECONDS)
+@pytest.mark.parametrize("is_leader", [False, True])
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_a_gateway_that_the_store_turns_away_acts_on_a_version_that_others_have(
+    tmp_path: Path, is_silent: bool, is_leader: bool, bound: float
+) -> None:
+    async def test(system: System) -> None:
+        leader = await system.until_led()
+        follower = next(each for each in system.gateways if each is not leader)
+        gateway = leader if is_leader else follower
+        await TurnedAway(gateway, is_silent).asked.wait()
+        assert await seconds_until_in_force(system, gateway) < bound
+
+    run_system(tmp_path, test, gateways=2, news=News(configuration=bound))
--- a/src/pondtiller/gateway/tests/test_leader_store.py
+++ b/src/pondtiller/gateway/tests/test_leader_store.py
@@ -24,8 +24,8 @@
 from pondtiller.rollouts.versions import OrderVersion, VersionSteward
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
 from pondtiller.routes.places import Places
-from pondtiller.store import leader_store
-from pondtiller.store.leader_store import LeaderStore
+from pondtiller.store import relayed_store
+from pondtiller.store.relayed_store import RelayedStore
 from pondtiller.store.store_watch import StoreHealth
 from pondtiller.wire.steplog import MirrorPage, ReadMirror
 
@@ -74,6 +74,9 @@
             raise StoreCallError("reset")
         return found
 
+    async def leave_connections(self) -> None:
+        return
+
     async def _admit(self) -> None:
         self.own_calls += 1
         if self.hangs:
@@ -139,7 +142,7 @@
 
     async def main() -> None:
         ask = store.pass_on if may_pass_on else nobody
-        reader = LeaderStore(store, ask, {}, lambda _kind, _reader: None)
+        reader = RelayedStore(store, ask, {}, lambda _kind, _reader: None)
         unused: Any = None
         replicas = ReplicaDirectory("g", unused, unused, unused)
         watches = LeaderWatches(unused, reader, StoreHealth(), replicas)
@@ -175,7 +178,7 @@
 def test_a_store_that_turns_away_is_asked_seldom_and_again_once_it_serves(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(leader_store, "OWN_RETRY_SECONDS", 0.3)
+    monkeypatch.setattr(relayed_store, "OWN_RETRY_SECONDS", 0.3)
     calls: list[int] = []
 
     async def act(store: FakeStore, steward: VersionSteward) -> None:
@@ -199,7 +202,7 @@
 
 def test_a_call_that_hangs_is_left_when_another_is_refused() -> None:
     async def act(store: FakeStore, _steward: VersionSteward) -> None:
-        reader = LeaderStore(store, store.pass_on, {}, lambda _kind, _reader: None)
+        reader = RelayedStore(store, store.pass_on, {}, lambda _kind, _reader: None)
         store.hangs = True
         hung = await curio.spawn(reader.watch, names.VERSIONS_NAMED, store.at, 6.0)
         await curio.sleep(0.05)
@@ -216,7 +219,7 @@
     async def act(store: FakeStore, _steward: VersionSteward) -> None:
         store.is_refused, store.history_is_gone = True, True
         known = {names.VERSIONS_NAMED: 100}
-        reader = LeaderStore(store, store.pass_on, known, lambda _kind, _reader: None)
+        reader = RelayedStore(store, store.pass_on, known, lambda _kind, _reader: None)
         with pytest.raises(HistoryGoneError):
             await reader.watch(names.VERSIONS_NAMED, 1, 0.1)
         with pytest.raises(StoreCallError):
--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -289,6 +289,9 @@
     async def list_all(self, _kind: str) -> StoreListing:
         raise NotImplementedError
 
+    async def leave_connections(self) -> None:
+        return
+
     async def watch(self, _kind: str, _at: int, wait_seconds: float) -> StoreChanges:
         self.asked_at.append(clock.monotonic())
         await curio.sleep(wait_seconds + WATCH_MARGIN_SECONDS)
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -199,7 +199,7 @@
                 seconds, self._request, address, method, target, body, headers, may_send
             )
         except curio.TaskTimeout as error:
-            await self._close_kept(address)
+            await self.close_kept(address)
             raise NoAnswerError("no answer in time") from error
         return response
 
@@ -259,8 +259,8 @@
         else:
             await connection.close()
 
-    async def _close_kept(self, address: Address) -> None:
-        """Close kept connections: what makes one silent may have done so to those at rest."""
+    async def close_kept(self, address: Address) -> None:
+        """Close connections at rest: what made one silent may have done so to them."""
         for kept in self._kept.pop(address, []):
             await kept.connection.close()
 
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -37,7 +37,11 @@
     """A call was not answered, or answered with a failure."""
 
 
-class StoreSilentError(StoreCallError):
+class StoreUnreachedError(StoreCallError):
+    """A call got no whole answer: its connection failed, or was silent."""
+
+
+class StoreSilentError(StoreUnreachedError):
     """A call got no answer within its time."""
 
 
@@ -169,6 +173,10 @@
         age = age_of_answer(asked_at, wait_seconds, clock.monotonic())
         return StoreChanges(tuple(self._sound_changes(kind, events)), at, age)
 
+    async def leave_connections(self) -> None:
+        """Use no connection again that is at rest: any of them may be silent."""
+        await self._client.close_kept(self._address)
+
     async def read(self, kind: str, name: str) -> StoreObject | None:
         """Return one object, or None where there is none; raises `StoreCallError`."""
         answer = await self._call("read", "GET", f"{kind}/{quote(name)}")
@@ -236,7 +244,7 @@
         except NoAnswerError as error:
             raise StoreSilentError(str(error)) from error
         except (NotSentError, BrokenError) as error:
-            raise StoreCallError(str(error)) from error
+            raise StoreUnreachedError(str(error)) from error
 
 
 def age_of_answer(asked_at: float, wait_seconds: float, now: float) -> float:
--- a/src/pondtiller/store/mirror.py
+++ b/src/pondtiller/store/mirror.py
@@ -52,6 +52,9 @@
 CHECK_SECONDS = 0.25
 """Between two looks of a waiting answer at whether the mirror is still fresh: a gateway that waits
 learns it this much late at most, which `evacuation_bounds` counts. Chosen, not measured."""
+PASS_ON_RETRY_SECONDS = 1.0
+"""How long no call is passed on after one that failed, in seconds: where the store answers nobody,
+each call of each gateway would become one of each replica, too."""
 ALWAYS = (names.CONFIGURATIONS, names.ENGINES)
 """Kinds that each mirror follows; it answers for none of them while one of them is stale."""
 
@@ -126,6 +129,7 @@
         self._followed[names.ENGINES].rest = lambda: ENGINES_REST_SECONDS
         self._waiting: set[Event] = set()
         self._watches = Spawner()
+        self._passes_on_from = 0.0
 
     def _watch(self, reader: MirroringReader, kind: str) -> Watch:
         async def replace(_found: tuple[StoreObject, ...]) -> None:
@@ -214,7 +218,9 @@
             self._waiting.discard(event)
 
     async def _pass_on(self, message: ReadMirror) -> MirrorPage:
-        """Ask the store for a leader that it turns away."""
+        """Ask the store for a gateway that it does not answer."""
+        if clock.monotonic() < self._passes_on_from:
+            return MirrorPage(status=MirrorStatus.UNAVAILABLE)
         wait = message.wait_milliseconds / 1000.0
         try:
             if not message.at:
@@ -223,6 +229,7 @@
         except HistoryGoneError:
             return MirrorPage(status=MirrorStatus.HISTORY_GONE)
         except StoreCallError as error:
+            self._passes_on_from = clock.monotonic() + PASS_ON_RETRY_SECONDS
             logs.decision("pass_on_failed", kind=message.kind, reason=str(error))
             return MirrorPage(status=MirrorStatus.UNAVAILABLE)
 
--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -1,5 +1,7 @@
 """The store as a gateway reads it: through a replica's mirror, or itself where none can answer.
 
+Where the store does not answer this machine, replicas pass calls on (`relayed_store.py`).
+
 Owns, in memory: the revision returned of each kind, which an older answer never replaces, and as of
 when it was known; which mirrors are left out for a while; who answered last. Relies on the links to
 replicas, on a client of the store, and on `news_times` for how long mirrors may be asked. It keeps
@@ -31,9 +33,8 @@
 )
 from pondtiller.process import clock, logs
 from pondtiller.routes.places import Places
-from pondtiller.store.leader_store import LeaderStore
 from pondtiller.store.news_times import STORE_SECONDS, mirrored_seconds
-from pondtiller.store.store_watch import PROBE_SECONDS, StoreReader
+from pondtiller.store.relayed_store import RelayedStore, StoreClient
 from pondtiller.wire.steplog import MirrorPage, ReadMirror
 
 ANSWER_SECONDS = 0.6
@@ -99,15 +100,15 @@
         Who gave the last answer, by kind: a replica's name, or `store`.
     follows_mirrors
         Whether a mirror has answered this gateway since one said that it does not mirror.
-    for_leader
-        The store as this gateway reads it while it leads.
+    relayed
+        The store itself, through replicas where it does not answer this machine.
     """
 
     def __init__(
         self,
         name: str,
         zone: str,
-        store: StoreReader,
+        store: StoreClient,
         replicas: ReplicaDirectory,
         asks_store: Callable[[], bool],
         places: Places | None = None,
@@ -128,14 +129,14 @@
         self._told_at: dict[str, float] = {}
         self._bounds = dict(bounds or {})
         self._known_at: dict[str, float] = {}
-        self.for_leader = LeaderStore(store, self._ask_members, self._known, self._note_reader)
+        self.relayed = RelayedStore(store, self._ask_members, self._known, self._note_reader)
 
     async def list_all(self, kind: str) -> StoreListing:
         """Return all objects of a kind, never older than what was returned before."""
         page = await self._ask_mirrors(ReadMirror(kind=kind), 0.0)
         if page is not None and page.at >= self._known.get(kind, 0):
             return self._told(kind, read_listing(page))
-        return self._told(kind, await self._ask_store(kind).list_all(kind))
+        return self._told(kind, await self.relayed.list_all(kind))
 
     async def watch(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
         """Return the changes after a revision; raises as the store's own client does."""
@@ -149,10 +150,9 @@
             return self._told(kind, read_changes(page))
         if self._may_ask_mirrors(kind) and self._knows_mirrors():
             # The mirrors may answer again soon; a long call to the store may hang for its wait.
-            is_old = self._left(kind) < SHORTEST_ASK_SECONDS
-            wait_seconds = min(wait, PROBE_SECONDS) if is_old else wait
+            wait_seconds = wait
         try:
-            found = await self._ask_store(kind).watch(kind, at, wait_seconds)
+            found = await self._ask_store(kind, at, wait_seconds)
         except StoreCallError:
             page = await self._ask_without_store(message)
             if page is None:
@@ -201,11 +201,8 @@
         self._known[kind] = max(found.at, self._known.get(kind, 0))
         return found
 
-    def _ask_store(self, kind: str) -> StoreReader:
-        if self._asks_itself(kind):
-            return self.for_leader
-        self._note_reader(kind, "store")
-        return self._store
+    async def _ask_store(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
+        return await self.relayed.watch(kind, at, wait_seconds)
 
     def _note_reader(self, kind: str, reader: str) -> None:
         before = self.reader.get(kind)
--- a/src/pondtiller/store/tests/test_mirror.py
+++ b/src/pondtiller/store/tests/test_mirror.py
@@ -5,7 +5,7 @@
 
 from pondtiller.platform import names
 from pondtiller.platform.mirror import MirrorStatus
-from pondtiller.platform.object_client import StoreChanges, StoreListing
+from pondtiller.platform.object_client import StoreCallError, StoreChanges, StoreListing
 from pondtiller.store.mirror import FRESH_SECONDS, FollowTimes, StoreMirror
 from pondtiller.wire.steplog import ReadMirror
 
@@ -72,3 +72,24 @@
         await task.cancel()
 
     curio.run(main)
+
+
+def test_a_store_that_answers_nobody_is_asked_once_for_all_that_have_calls_passed_on() -> None:
+    asked: list[str] = []
+
+    class Refusing:
+        async def list_all(self, _kind: str) -> StoreListing:
+            raise AssertionError
+
+        async def watch(self, kind: str, _at: int, _wait_seconds: float) -> StoreChanges:
+            asked.append(kind)
+            raise StoreCallError("status 503")
+
+    async def main() -> None:
+        mirror = StoreMirror(Refusing(), lambda: 0.0)
+        for _gateway in range(5):
+            page = await mirror.answer(ReadMirror("config", 5, 0, passes_on=True))
+            assert page.status == MirrorStatus.UNAVAILABLE
+
+    curio.run(main)
+    assert asked == ["config"]
