Connections that all fall silent at once keep no change out of force

Users of a gateway that reads mirrors saw an old configuration decide for up to 3.1 s with a bound of 2 s, where all its connections turned silent in the same moment.

Cause: mirrors are asked only while one answer of the store is still in time, but the call that follows went out on a kept connection that may be silent as well, and lasted its whole wait. The limit was of the mirrors' part; no sum covered both.

Now a call to the store waits only so long that its silence leaves time for another one, and goes out on a new connection where no such time is left.

Evidence: test_connections_that_all_fall_silent_keep_no_change_out_of_force (mirrors that told what they knew up to 1.2 s before, then they and all kept connections silent) failed for 2, 3 and 4 s before (StoreSilentError after all waits), none after.

--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -13,6 +13,7 @@
 from pondtiller.links.link import LinkLostError
 from pondtiller.platform.mirror import MirrorStatus, changes_page
 from pondtiller.platform.object_client import (
+    CALL_SECONDS,
     WATCH_MARGIN_SECONDS,
     StoreCallError,
     StoreChange,
@@ -32,7 +33,7 @@
     Mirror,
     MirroredStore,
 )
-from pondtiller.store.news_times import STORE_SECONDS
+from pondtiller.store.news_times import ACT_SECONDS, STORE_SECONDS
 from pondtiller.store.store_watch import Watch
 from pondtiller.wire.steplog import Group, MirrorPage, ReadMirror
 
@@ -298,10 +299,41 @@
         raise StoreSilentError("no answer in time")
 
 
+class StoreWithSilentConnections:
+    """Answers with a change on new connections; those that are kept are silent."""
+
+    def __init__(self) -> None:
+        self._has_kept = True
+
+    async def leave_connections(self) -> None:
+        self._has_kept = False
+
+    async def list_all(self, _kind: str) -> StoreListing:
+        await self._answer_on_new_connection(CALL_SECONDS)
+        return StoreListing((StoreObject("main", 6, {}),), 6)
+
+    async def watch(self, _kind: str, at: int, wait_seconds: float) -> StoreChanges:
+        await self._answer_on_new_connection(wait_seconds + WATCH_MARGIN_SECONDS)
+        change = StoreChange(StoreObject("main", at + 1, {}), False)
+        return StoreChanges((change,), at + 1)
+
+    async def _answer_on_new_connection(self, longest_seconds: float) -> None:
+        if self._has_kept:
+            await curio.sleep(longest_seconds)
+            # As the client does where a call got no answer.
+            self._has_kept = False
+            raise StoreSilentError("no answer in time")
+
+
 async def behind(_message: ReadMirror) -> MirrorPage:
     return MirrorPage(status=MirrorStatus.UNAVAILABLE)
 
 
+async def never(_message: ReadMirror) -> MirrorPage:
+    await curio.sleep(1000.0)
+    raise AssertionError
+
+
 async def tells_a_change(message: ReadMirror) -> MirrorPage:
     return changes_page(
         StoreChanges((StoreChange(StoreObject("main", message.at + 1, {}), False),), message.at + 1)
@@ -349,6 +381,35 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize("bound", [2.0, 3.0, 4.0])
+def test_connections_that_all_fall_silent_keep_no_change_out_of_force(bound: float) -> None:
+    """Mirrors told what they knew so long ago; then they and kept connections are silent."""
+
+    async def change_is_known(age_seconds: float) -> None:
+        told = iter([StoreChanges((), 5, age_seconds)])
+
+        async def silent_from_now_on(_message: ReadMirror) -> MirrorPage:
+            for each in told:
+                return changes_page(each)
+            await curio.sleep(1000.0)
+            raise AssertionError
+
+        links = [ScriptedLink(silent_from_now_on), ScriptedLink(never), ScriptedLink(never)]
+        reader = scripted(StoreWithSilentConnections(), *links, bound=bound)
+        known_at = clock.monotonic() - age_seconds
+        await reader.watch("config", 5, 6.0)
+        while not (await reader.watch("config", 5, 6.0)).changes:
+            pass
+        assert clock.monotonic() - known_at < bound - ACT_SECONDS
+
+    async def main() -> None:
+        tasks = [await curio.spawn(change_is_known, each) for each in (0.0, 0.3, 0.6, 0.9, 1.2)]
+        for task in tasks:
+            await task.join()
+
+    curio.run(main)
+
+
 def test_a_gateway_that_the_store_does_not_answer_asks_mirrors_that_did_not_mirror() -> None:
     store = SilentStore()
     mirrors_now = False
--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -26,6 +26,7 @@
     set_age,
 )
 from pondtiller.platform.object_client import (
+    WATCH_MARGIN_SECONDS,
     StoreCallError,
     StoreChanges,
     StoreListing,
@@ -202,7 +203,13 @@
         return found
 
     async def _ask_store(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
-        return await self.relayed.watch(kind, at, wait_seconds)
+        """Ask the store for changes; a call that gets no answer leaves time for another one."""
+        wait = min(wait_seconds, self._left(kind) - WATCH_MARGIN_SECONDS)
+        if wait < min(wait_seconds, SHORTEST_WAIT_SECONDS):
+            # Too late to find out that a kept connection is silent.
+            await self._store.leave_connections()
+            wait = 0.0
+        return await self.relayed.watch(kind, at, wait)
 
     def _note_reader(self, kind: str, reader: str) -> None:
         before = self.reader.get(kind)
