A listing goes out on a connection that cannot have turned silent before

After a forgotten history a gateway lists the configuration anew. With silent mirrors and silent kept connections the listing hung until Watch ended it, which closed no kept connection, so that the next listing could hang on another one: an old table decided for as long as that went on.

--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -11,7 +11,7 @@
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.links.link import LinkLostError
-from pondtiller.platform.mirror import MirrorStatus, changes_page
+from pondtiller.platform.mirror import MirrorStatus, changes_page, listing_page
 from pondtiller.platform.object_client import (
     CALL_SECONDS,
     WATCH_MARGIN_SECONDS,
@@ -33,8 +33,8 @@
     Mirror,
     MirroredStore,
 )
-from pondtiller.store.news_times import ACT_SECONDS, STORE_SECONDS
-from pondtiller.store.store_watch import Watch
+from pondtiller.store.news_times import ACT_SECONDS, STORE_SECONDS, news_times
+from pondtiller.store.store_watch import StoreHealth, Watch
 from pondtiller.wire.steplog import Group, MirrorPage, ReadMirror
 
 USUAL_FRESH_SECONDS = mirrors.FRESH_SECONDS
@@ -410,6 +410,46 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize("bound", [2.0, 3.0, 4.0])
+def test_a_listing_goes_out_on_no_connection_that_may_be_silent(bound: float) -> None:
+    """A mirror has forgotten the history; it, the next one and kept connections are silent."""
+    listed = curio.Event()
+
+    async def forgotten_then_silent(message: ReadMirror) -> MirrorPage:
+        if message.at:
+            return MirrorPage(status=MirrorStatus.HISTORY_GONE)
+        await curio.sleep(1000.0)
+        raise AssertionError
+
+    async def silent_but_once(message: ReadMirror) -> MirrorPage:
+        if not message.at and not has_told:
+            has_told.append(True)
+            return listing_page(StoreListing((), 5))
+        return await forgotten_then_silent(message)
+
+    has_told: list[bool] = []
+
+    async def replace(found: tuple[StoreObject, ...]) -> None:
+        if found:
+            await listed.set()
+
+    async def ignore(_change: StoreChange) -> None:
+        return
+
+    async def main() -> None:
+        links = [ScriptedLink(silent_but_once), ScriptedLink(never), ScriptedLink(never)]
+        reader = scripted(StoreWithSilentConnections(), *links, bound=bound)
+        wait_seconds = news_times(bound).wait_seconds
+        watch = Watch(reader, StoreHealth(), "config", replace, ignore, None, wait_seconds)
+        began = clock.monotonic()
+        task = await curio.spawn(watch.run, daemon=True)
+        await curio.timeout_after(10.0, listed.wait)
+        await task.cancel()
+        assert clock.monotonic() - began < bound - ACT_SECONDS
+
+    curio.run(main)
+
+
 def test_a_gateway_that_the_store_does_not_answer_asks_mirrors_that_did_not_mirror() -> None:
     store = SilentStore()
     mirrors_now = False
--- a/src/pondtiller/store/relayed_store.py
+++ b/src/pondtiller/store/relayed_store.py
@@ -102,6 +102,7 @@
         async def replicas() -> StoreListing | None:
             return await self._listed_by_replicas(kind)
 
+        await self._store.leave_connections()
         found = await hedged(itself, replicas, WATCH_MARGIN_SECONDS)
         if found is None:
             raise failures[0]
