A runner carries out no order of an old table that its own table overrules

Trainers could see a sample run by a service that its step's row had left, at a gateway that acts on the newer table for all else: the engine is chosen by the leader's table, which is older where the leader's news are late, and an order may wait at the runner besides.

An order names the version of the leader's table and the path of the step now. Right before a sample leaves, a runner with a newer table refuses it where the row is gone or has left the engine's service; the leader places the sample again. Orders of an earlier build name no version and pass. sample_started names the version, so that logs tell such a case.

That it happened to the users is not shown.

--- a/src/pondtiller/gateway/leader/run_links.py
+++ b/src/pondtiller/gateway/leader/run_links.py
@@ -317,4 +317,6 @@
         held_run=order.held.run,
         text_epoch=order.text_by.epoch,
         text_run=order.text_by.run,
+        table_version=order.table_version,
+        step_path=order.step_path,
     )
--- a/src/pondtiller/gateway/leader/sample_runs.py
+++ b/src/pondtiller/gateway/leader/sample_runs.py
@@ -168,6 +168,7 @@
             runner=runner,
             run=start.run,
             after_event=start.last_event,
+            table_version=start.table_version,
             taken_over=bool(start.runner),
             epoch=self._parts.epoch,
         )
@@ -276,4 +277,6 @@
         owned_name(start.tenant, start.sample.id),
         start.held,
         start.text_by,
+        table_version=start.table_version,
+        step_path=start.step_path,
     )
--- a/src/pondtiller/gateway/leader/term.py
+++ b/src/pondtiller/gateway/leader/term.py
@@ -284,7 +284,7 @@
         table = self._parts.in_force.table
         if self.offers.has_texts and table is not None and table is not self._table:
             self._table = table
-            self.scheduler.refresh_routes(table.find_for)
+            self.scheduler.refresh_routes(table.find_for, table.version)
             for record in self.book.steps.values():
                 self._schedule(record)
         self.steward.tick(now)
@@ -322,7 +322,7 @@
             self._scheduled.add(record.step.id)
             tokens = sum(each.expected_tokens for each in record.samples)
             self.steward.step_opened(record.step.model, tokens, record.total)
-        self.scheduler.open(record, route)
+        self.scheduler.open(record, route, self._table.version)
 
     # Calls
 
--- a/src/pondtiller/gateway/runs/leader_runs.py
+++ b/src/pondtiller/gateway/runs/leader_runs.py
@@ -215,4 +215,6 @@
         message.sample,
         RunName(message.held_epoch, message.held_run),
         RunName(message.text_epoch, message.text_run),
+        table_version=message.table_version,
+        step_path=message.step_path,
     )
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -66,6 +66,10 @@
         The run that made the text's last event.
     is_wanted
         False where a run that its runner kept is only to be ended.
+    table_version
+        Version of the table by which the engine was chosen; 0 where it is not told.
+    step_path
+        Path of the sample's step.
     """
 
     run: int
@@ -82,6 +86,8 @@
     held: RunName = NO_RUN
     text_by: RunName = NO_RUN
     is_wanted: bool = True
+    table_version: int = 0
+    step_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +156,10 @@
         try:
             # The leader watches a run's time: no deadline holds it back here.
             connection = await self._sender.take(order.engine, order.address, content, math.inf)
+            if self._is_overruled(order):
+                await self._pool.give_back_unused(connection)
+                connection = None
+                return RunOutcome(RunEnd.REFUSED, Held.OLD_TABLE.value)
             outcome = await self._stream(order, connection, take)
             if outcome.end in ANSWERED_ENDS:
                 await suspects.note_answer(content)
@@ -168,6 +178,15 @@
             if connection is not None:
                 await connection.close()
 
+    def _is_overruled(self, order: RunOrder) -> bool:
+        """Return whether a newer table than the leader's keeps the sample from the engine."""
+        table = self._find_table()
+        engine = self._gate.engines.engines.get(order.engine)
+        if table is None or engine is None or not 0 < order.table_version < table.version:
+            return False
+        row = table.find_for(order.host, order.step_path, order.tenant)
+        return row is None or engine.entry.service not in row.services()
+
     async def _prepare(self, order: RunOrder) -> None:
         if self._cold is not None and order.is_cold:
             self._cold.told(order.engine)
--- a/src/pondtiller/rollouts/run_table.py
+++ b/src/pondtiller/rollouts/run_table.py
@@ -67,6 +67,8 @@
             work.text.made_by,
             runner,
             held,
+            work.table_version,
+            work.step.step.path,
         )
 
     def cancel(self, work: SampleWork, reason: CancelReason) -> CancelRun | None:
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -91,6 +91,10 @@
         Daemon where a run of it goes on that is taken over; empty where one is begun.
     held
         Name of the run that is taken over.
+    table_version
+        Version of the table that holds the route; 0 where it is not told.
+    step_path
+        Path of the sample's step.
     """
 
     run: int
@@ -104,6 +108,8 @@
     text_by: RunName = NO_RUN
     runner: str = ""
     held: RunName = NO_RUN
+    table_version: int = 0
+    step_path: str = ""
 
 
 class OfferedRun(NamedTuple):
@@ -242,6 +248,8 @@
         When it is given up for its age, in seconds of the time of day.
     is_routed
         Whether a row in force serves its step.
+    table_version
+        Version of the table that says so; 0 where it is not told.
     group, model, oldest_version, accepted_at
         Copies of the sample's and the step's own: a message's fields are slow to read, and
         these are looked at in every tick.
@@ -278,6 +286,7 @@
     score_failures: int = 0
     late_at: float = float("inf")
     is_routed: bool = True
+    table_version: int = 0
     left: dict[str, float] = field(default_factory=dict)
     is_taken_over: bool = False
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -121,8 +121,14 @@
 
     # Steps
 
-    def open(self, record: StepRecord, route: RouteRow) -> None:
-        """Take an accepted step; samples that are listed already are left out."""
+    def open(self, record: StepRecord, route: RouteRow, table_version: int = 0) -> None:
+        """Take an accepted step; samples that are listed already are left out.
+
+        Parameters
+        ----------
+        table_version
+            Version of the table that holds the row; 0 where it is not told.
+        """
         mean = sum(each.expected_tokens for each in record.samples) / max(record.total, 1)
         for sample in record.samples:
             key = (record.step.id, sample.id)
@@ -133,6 +139,7 @@
             work.text = self._texts.adopt(work.kept_as, work.oldest_version, route.single_version)
             work.late_at = late_at(work.accepted_at, route.queue_seconds)
             work.order = start_order(work.accepted_at, route.priority, work.cost, work.size)
+            work.table_version = table_version
             self.work[key] = work
             if work.text.is_whole:
                 self._score(work)
@@ -141,12 +148,15 @@
         """Leave all engines: another leader goes on with the samples."""
         self._table.abandon()
 
-    def refresh_routes(self, find: Callable[[str, str, str], RouteRow | None]) -> None:
+    def refresh_routes(
+        self, find: Callable[[str, str, str], RouteRow | None], table_version: int = 0
+    ) -> None:
         """Take the rows in force, by host, path and tenant; samples whose row is gone wait."""
         for work in self.work.values():
             step = work.step.step
             route = find(step.host, step.path, step.tenant)
             work.is_routed = route is not None
+            work.table_version = table_version
             if route is not None:
                 work.route = route
                 work.late_at = late_at(work.accepted_at, route.queue_seconds)
--- a/src/pondtiller/routes/send_gate.py
+++ b/src/pondtiller/routes/send_gate.py
@@ -22,6 +22,7 @@
     COLD = "cold"
     ENDS_ENGINES = "ends_engines"
     LATE = "late"
+    OLD_TABLE = "old_table"
 
 
 Rule = Callable[[Engine, float], Held | None]
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -132,6 +132,15 @@
     """The run that made the text's last event; 0 where there is none."""
 
     text_run: int = betterproto.uint64_field(17)
+    table_version: int = betterproto.uint64_field(18)
+    """
+    Version of the table by which the leader chose the engine; 0 of a leader of an earlier build.
+    """
+
+    step_path: str = betterproto.string_field(19)
+    """
+    Path of the sample's step, which finds its row in the runner's table.
+    """
 
 
 @dataclass(eq=False, repr=False)
