Members that the store turns away do not use up the two that are asked

Where the store turns several machines away, a gateway whose first two members are among them learned nothing through the others, though these would have answered at once.

Now members are asked one after the other for as long as two silent ones would take. test_members_that_the_store_turns_away_do_not_keep_a_gateway_from_one_that_it_answers failed before (no answer); test_members_that_are_slow_to_fail_are_not_all_asked bounds the time.

--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -27,15 +27,17 @@
 from pondtiller.standins.documents import configuration
 from pondtiller.store import mirror as mirrors
 from pondtiller.store.mirrored_store import (
+    ANSWER_SECONDS,
     FIRST_NOT_MIRRORED_SECONDS,
     LONGEST_NEWS_SECONDS,
     LONGEST_WAIT_SECONDS,
+    MOST_SILENT_MIRRORS,
     Mirror,
     MirroredStore,
 )
 from pondtiller.store.news_times import ACT_SECONDS, STORE_SECONDS, news_times
 from pondtiller.store.store_watch import StoreHealth, Watch
-from pondtiller.wire.steplog import Group, MirrorPage, ReadMirror
+from pondtiller.wire.steplog import Group, GroupMember, MirrorPage, ReadMirror
 
 USUAL_FRESH_SECONDS = mirrors.FRESH_SECONDS
 
@@ -352,6 +354,33 @@
     curio.run(main)
 
 
+def test_members_that_the_store_turns_away_do_not_keep_a_gateway_from_one_that_it_answers() -> None:
+    links = [ScriptedLink(behind), ScriptedLink(behind), ScriptedLink(tells_a_change)]
+
+    async def main() -> None:
+        reader = scripted(SilentStore(), *links)
+        reader._replicas.group.members = [GroupMember(name=f"r{each}") for each in range(3)]
+        page = await reader._ask_members(ReadMirror("config", 5, 0, passes_on=True))
+        assert page is not None and page.at == 6
+
+    curio.run(main)
+
+
+def test_members_that_are_slow_to_fail_are_not_all_asked() -> None:
+    async def slow_to_fail(message: ReadMirror) -> MirrorPage:
+        await curio.sleep(WATCH_MARGIN_SECONDS)
+        return await behind(message)
+
+    async def main() -> None:
+        reader = scripted(SilentStore(), *(ScriptedLink(slow_to_fail) for _ in range(12)))
+        reader._replicas.group.members = [GroupMember(name=f"r{each}") for each in range(12)]
+        began = clock.monotonic()
+        assert await reader._ask_members(ReadMirror("config", 5, 0, passes_on=True)) is None
+        assert clock.monotonic() - began < (MOST_SILENT_MIRRORS + 1) * ANSWER_SECONDS
+
+    curio.run(main)
+
+
 def test_the_age_of_what_mirrors_tell_counts_towards_the_bound() -> None:
     """A mirror that was told 1.4 s ago, then is behind; two that are silent; then the store."""
     bound, age_seconds, behind_after_seconds = 3.0, 1.4, 0.3
--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -259,11 +259,17 @@
         return None
 
     async def _ask_members(self, message: ReadMirror) -> MirrorPage | None:
-        """Return what a member of the group hears from the store; None where none can answer."""
+        """Return what a member of the group hears from the store; None where none can in time.
+
+        A member that the store refuses says so at once, and the next one is asked.
+        """
         wait = message.wait_milliseconds / 1000.0
+        until = clock.monotonic() + wait + MOST_SILENT_MIRRORS * ANSWER_SECONDS
         in_group = {member.name for member in self._replicas.group.members}
         members = [each for each in self._mirrors() if each.name in in_group]
-        for member in members[:MOST_SILENT_MIRRORS]:
+        for member in members:
+            if clock.monotonic() >= until:
+                return None
             page = await self._ask(member, message, wait)
             if page is not None and page.status != MirrorStatus.UNAVAILABLE:
                 self._note_reader(message.kind, member.name)
