One sum of waits until a gateway acts on a change, also with a silent mirror and no store

A gateway whose mirror fell silent in the moment in which the store turned its machine away acted on an old table beyond the bound: the last call before the bound asked the store alone, on a new connection, for 0.4 s in vain; replicas came after it.

Now that call goes out on a new connection and, 0.1 s later, through the replicas, whichever answers. NewsTimes.longest_seconds adds up each way that one source, or all connections at once, may fail; test_no_sum_of_waits_reaches_the_bound compares it with the bound.

--- a/src/pondtiller/gateway/tests/test_mirrored_store.py
+++ b/src/pondtiller/gateway/tests/test_mirrored_store.py
@@ -439,6 +439,35 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize("bound", [2.0, 3.0, 4.0])
+def test_a_silent_mirror_and_a_store_that_turns_away_keep_no_change_out_of_force(
+    bound: float,
+) -> None:
+    told = iter([StoreChanges((), 5, 0.0)])
+
+    async def silent_from_now_on(_message: ReadMirror) -> MirrorPage:
+        for each in told:
+            return changes_page(each)
+        return await never(_message)
+
+    async def passes_on(message: ReadMirror) -> MirrorPage:
+        if message.passes_on:
+            return await tells_a_change(message)
+        return MirrorPage(status=MirrorStatus.NOT_MIRRORED)
+
+    async def main() -> None:
+        links = [ScriptedLink(silent_from_now_on), ScriptedLink(passes_on)]
+        reader = scripted(SilentStore(), *links, bound=bound)
+        reader._replicas.group.members = [GroupMember(name=f"r{each}") for each in range(2)]
+        known_at = clock.monotonic()
+        await reader.watch("config", 5, 6.0)
+        while not (await reader.watch("config", 5, 6.0)).changes:
+            pass
+        assert clock.monotonic() - known_at < bound - ACT_SECONDS
+
+    curio.run(main)
+
+
 @pytest.mark.parametrize("bound", [2.0, 3.0, 4.0])
 def test_a_listing_goes_out_on_no_connection_that_may_be_silent(bound: float) -> None:
     """A mirror has forgotten the history; it, the next one and kept connections are silent."""
--- a/src/pondtiller/store/mirrored_store.py
+++ b/src/pondtiller/store/mirrored_store.py
@@ -207,8 +207,7 @@
         wait = min(wait_seconds, self._left(kind) - WATCH_MARGIN_SECONDS)
         if wait < min(wait_seconds, SHORTEST_WAIT_SECONDS):
             # Too late to find out that a kept connection is silent.
-            await self._store.leave_connections()
-            wait = 0.0
+            return await self.relayed.changes_by_now(kind, at)
         return await self.relayed.watch(kind, at, wait)
 
     def _note_reader(self, kind: str, reader: str) -> None:
--- a/src/pondtiller/store/news_times.py
+++ b/src/pondtiller/store/news_times.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from pondtiller.platform.object_client import WATCH_MARGIN_SECONDS
+from pondtiller.store.relayed_store import HEDGE_SECONDS
 from pondtiller.store.store_watch import PROBE_SECONDS, WATCH_SECONDS
 
 STORE_SECONDS = 0.2
@@ -44,12 +45,33 @@
         """A call gets no answer to its end; the next one, sent at once, brings the change."""
         return self.wait_seconds + WATCH_MARGIN_SECONDS + STORE_SECONDS + ACT_SECONDS
 
+    @property
+    def relayed_seconds(self) -> float:
+        """The same, and the store does not answer this machine: a replica brings the change."""
+        return self.unanswered_seconds + HEDGE_SECONDS
+
+    @property
+    def silenced_seconds(self) -> float:
+        """Mirrors fall silent, and all other connections: the store answers on a new one."""
+        return mirrored_seconds(self.within_seconds) + STORE_SECONDS + ACT_SECONDS
+
     @property
     def returned_seconds(self) -> float:
         """A store returns while a first call hangs; the next is refused, and a pause follows."""
         probe = PROBE_SECONDS + WATCH_MARGIN_SECONDS
         return probe + self.retry_seconds + STORE_SECONDS + ACT_SECONDS
 
+    @property
+    def longest_seconds(self) -> float:
+        """The longest of these: from an acknowledgement until a gateway acts on the change."""
+        ways = (
+            self.unanswered_seconds,
+            self.relayed_seconds,
+            self.silenced_seconds,
+            self.returned_seconds,
+        )
+        return max(ways)
+
 
 def news_times(within_seconds: float) -> NewsTimes:
     """Return waits whose sums are below a bound, in seconds."""
--- a/src/pondtiller/store/relayed_store.py
+++ b/src/pondtiller/store/relayed_store.py
@@ -118,10 +118,17 @@
             found = await self._watch_itself(kind, at, wait_seconds)
         except StoreCallError as error:
             await self._take_refusal()
-            return await self._watch_otherwise(kind, at, error)
+            return await self._changes_by_now(kind, at, error)
         self._take_answer(kind)
         return found
 
+    async def changes_by_now(self, kind: str, at: int) -> StoreChanges:
+        """Return the changes after a revision that there are, as soon as anybody can tell them.
+
+        Raises as `watch`.
+        """
+        return await self._changes_by_now(kind, at, StoreUnreachedError("nobody answers"))
+
     async def _watch_itself(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
         """Ask the store; a call that waits ends where another one learns of a refusal."""
         if self._is_refused:
@@ -131,10 +138,10 @@
             raise StoreUnreachedError("another call got no answer")
         return found
 
-    async def _watch_otherwise(self, kind: str, at: int, error: StoreCallError) -> StoreChanges:
-        """Return what there is by now, after a call that failed; raises its error where none is.
+    async def _changes_by_now(self, kind: str, at: int, error: StoreCallError) -> StoreChanges:
+        """Return the changes that there are, after a call that failed; else raises its error.
 
-        A connection that failed says nothing of the store, which is asked once more on a new one.
+        A connection that failed says nothing of the store, which is asked on a new one.
         """
 
         async def itself() -> StoreChanges | None:
@@ -144,6 +151,7 @@
             try:
                 changes = await self._store.watch(kind, at, 0.0)
             except StoreCallError:
+                await self._take_refusal()
                 return None
             self._take_answer(kind)
             return changes
--- a/src/pondtiller/store/tests/test_news_times.py
+++ b/src/pondtiller/store/tests/test_news_times.py
@@ -15,6 +15,7 @@
     times = news_times(bound)
     assert times.unanswered_seconds < bound
     assert times.returned_seconds < bound
+    assert times.longest_seconds < bound
     assert times.wait_seconds > 0.0 and times.retry_seconds > 0.0
 
 
