--- a/src/pondtiller/store/relayed_store.py
+++ b/src/pondtiller/store/relayed_store.py
@@ -89,7 +89,7 @@
                 return listing
         failures: list[StoreCallError] = []
 
-        async def itself() -> StoreListing | None:
+        async def ask_store() -> StoreListing | None:
             try:
                 listing = await self._store.list_all(kind)
             except StoreCallError as error:
@@ -99,11 +99,11 @@
             self._take_answer(kind)
             return listing
 
-        async def replicas() -> StoreListing | None:
+        async def ask_replicas() -> StoreListing | None:
             return await self._listed_by_replicas(kind)
 
         await self._store.leave_connections()
-        found = await hedged(itself, replicas, WATCH_MARGIN_SECONDS)
+        found = await hedged(ask_store, ask_replicas, WATCH_MARGIN_SECONDS)
         if found is None:
             raise failures[0]
         return found
@@ -127,10 +127,11 @@
 
         Raises as `watch`.
         """
-        return await self._changes_by_now(kind, at, StoreUnreachedError("nobody answers"))
+        error = StoreUnreachedError(f"neither the store nor a replica tells changes of {kind}")
+        return await self._changes_by_now(kind, at, error)
 
     async def _watch_itself(self, kind: str, at: int, wait_seconds: float) -> StoreChanges:
-        """Ask the store; a call that waits ends where another one learns of a refusal."""
+        """Ask the store; a call that waits ends where another one fails."""
         if self._is_refused:
             return await self._store.watch(kind, at, min(wait_seconds, PROBE_WAIT_SECONDS))
         found = await run_until(self._refused.wait, self._store.watch, kind, at, wait_seconds)
@@ -144,7 +145,7 @@
         A connection that failed says nothing of the store, which is asked on a new one.
         """
 
-        async def itself() -> StoreChanges | None:
+        async def ask_store() -> StoreChanges | None:
             if not isinstance(error, StoreUnreachedError):
                 return None
             await self._store.leave_connections()
@@ -156,10 +157,10 @@
             self._take_answer(kind)
             return changes
 
-        async def replicas() -> StoreChanges | None:
+        async def ask_replicas() -> StoreChanges | None:
             return await self._passed_on(kind, at, 0.0)
 
-        found = await hedged(itself, replicas, HEDGE_SECONDS)
+        found = await hedged(ask_store, ask_replicas, HEDGE_SECONDS)
         if found is None:
             raise error
         return found
