A content that is held back gets a few trials, so that one that did no harm is cleared

Cause: scorers' requests that are alike are one content. It ran at both engines that another content ended within 0.06 s, and no gateway had an answer of it from the minute before, so it was held back like the one that ended them. An answer clears a content, but one that is held back is sent nowhere: a breaker with no half-open state.

Now one request goes to one engine 20 s after the content's last end, then 60 s and 600 s later, of all gateways together: the store's object counts trials under its revision. An answer clears the content for all. A content that ends engines ends three more in its hour at the most.

--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -9,6 +9,7 @@
 """
 
 import random
+from dataclasses import replace
 
 import curio
 
@@ -115,7 +116,11 @@
         What may be repeated goes to a second engine too when the first is silent for longer than
         nearly all answers take; the first good answer counts, and the other engine is left.
         """
-        whole = WholeRequest(request, route, route.choose_service(request.identifier))
+        is_trial = await self._is_trial(request)
+        if is_trial:
+            route = replace(route, attempts=1)
+        service = route.choose_service(request.identifier)
+        whole = WholeRequest(request, route, service, is_trial)
         async with self._stalls:
             try:
                 answer = await self._run(whole)
@@ -125,6 +130,12 @@
         self._log(whole, answer)
         return answer
 
+    async def _is_trial(self, request: ForwardedRequest) -> bool:
+        """Return whether a request is its content's trial: an answer tells that it does no harm."""
+        if not self.suspects.is_held(request.content):
+            return False
+        return await self.suspects.take_trial(request.content)
+
     async def _run(self, whole: WholeRequest) -> WholeAnswer | Failure:
         request, route, attempts = whole.request, whole.route, whole.attempts
         while True:
@@ -132,7 +143,7 @@
             if now >= request.deadline and whole.ended.empty():
                 return self._late(route, attempts)
             if not attempts.running:
-                if self.suspects.is_held(request.content):
+                if self.suspects.is_held(whole.checked_content):
                     return self.suspects.refuse(request.content, attempts.ran)
                 failure = await self._begin_in_turn(whole)
                 if failure is not None:
@@ -169,7 +180,7 @@
 
     async def _begin(self, whole: WholeRequest) -> bool:
         """Begin an attempt at another engine; False where none may get the request now."""
-        if self.suspects.is_held(whole.request.content):
+        if self.suspects.is_held(whole.checked_content):
             return False
         now = clock.monotonic()
         engine = self.choice.choose_with_room(
@@ -201,7 +212,7 @@
         try:
             while clock.monotonic() < ticket.leave_by:
                 await line.wait_turn(ticket)
-                if self.suspects.is_held(whole.request.content):
+                if self.suspects.is_held(whole.checked_content):
                     return self.suspects.refuse(whole.request.content, whole.attempts.ran)
                 whole.attempts.look_again(whole.route.may_repeat)
                 if line.queue.first is ticket and await self._begin(whole):
@@ -272,7 +283,7 @@
             await self._sender.prepare(engine.identifier, request.deadline)
             began = self._stalls.running_seconds()
             connection = await self._sender.take(
-                engine.identifier, engine.entry.address, request.content, self._send_by(whole)
+                engine.identifier, engine.entry.address, whole.checked_content, self._send_by(whole)
             )
             request.beginning.sent(clock.monotonic())
             is_unanswered = True
--- a/src/pondtiller/gateway/callers/request.py
+++ b/src/pondtiller/gateway/callers/request.py
@@ -59,11 +59,19 @@
         A `curio.Queue` of `EndedAttempt`.
     tasks
         The attempts that go on.
+    is_trial
+        Whether it goes to one engine though its content is held back.
     """
 
     request: ForwardedRequest
     route: RouteRow
     service: str
+    is_trial: bool = False
     attempts: RequestAttempts = field(default_factory=RequestAttempts)
     ended: Any = field(default_factory=curio.Queue)
     tasks: Spawner = field(default_factory=Spawner)
+
+    @property
+    def checked_content(self) -> str:
+        """Content that is held back from engines where others ended under it; empty for a trial."""
+        return "" if self.is_trial else self.request.content
--- a/src/pondtiller/gateway/engines/suspect_sharing.py
+++ b/src/pondtiller/gateway/engines/suspect_sharing.py
@@ -90,6 +90,7 @@
         self._is_leading = is_leading
         self._retry_seconds = RETRY_SECONDS
         self._kept_until: dict[str, float] = {}
+        self._asks_trial: set[str] = set()
         self.watch = Watch(
             reader,
             health,
@@ -139,6 +140,44 @@
             revision=found.revision,
         )
 
+    # Trials
+
+    async def take_trial(self, content: str) -> bool:
+        """Return whether this gateway takes a held content's next trial, which is then used up."""
+        if content in self._asks_trial:
+            return False
+        quarantine = self._suspects.quarantine
+        if not quarantine.is_trial_due(content, clock.wall()):
+            return False
+        self._asks_trial.add(content)
+        try:
+            return await self._write_trial(content)
+        except StoreCallError as error:
+            logs.decision("content_untold", content=shown_content(content), reason=str(error))
+            return False
+        finally:
+            self._asks_trial.discard(content)
+
+    async def _write_trial(self, content: str) -> bool:
+        """Count a trial in the content's object; False where another gateway did so first."""
+        found = await self._store.read(names.SUSPECTS, content)
+        told = objects.read_suspect(found) if found is not None else None
+        if found is None or told is None or not told.ends:
+            return False
+        self._suspects.quarantine.take(told)
+        now = clock.wall()
+        if not self._suspects.quarantine.is_trial_due(content, now):
+            return False
+        trial = self._suspects.quarantine.suspects[content].tried(now)
+        outcome = await self._store.replace(
+            names.SUSPECTS, content, found.revision, objects.suspect_spec(trial)
+        )
+        if outcome is not PutOutcome.DONE:
+            return False
+        self._suspects.quarantine.take(trial)
+        logs.decision("content_tried", content=shown_content(content), trials=trial.trials)
+        return True
+
     # What others are told
 
     async def run(self) -> None:
@@ -204,7 +243,7 @@
             quarantine.take(told)
         cleared = Suspect(found.name, frozenset(), clock.wall() + CLEARED_SECONDS)
         renewed = quarantine.suspects.get(found.name, cleared)
-        if told is not None and renewed.ends == told.ends:
+        if told is not None and renewed.ends == told.ends and renewed.trials == told.trials:
             return True
         outcome = await self._store.replace(
             names.SUSPECTS, found.name, found.revision, objects.suspect_spec(renewed)
--- a/src/pondtiller/gateway/engines/suspects.py
+++ b/src/pondtiller/gateway/engines/suspects.py
@@ -5,6 +5,8 @@
 answered is `routes.live_attempts.error_of_held_content`.
 """
 
+from collections.abc import Awaitable, Callable
+
 import curio
 
 from pondtiller.errors import Failure, Ran
@@ -29,12 +31,16 @@
         Contents to be shared with others, with the steady time by which to do so.
     has_news
         Set when something is to be shared.
+    take_trial
+        Returns whether this gateway may send one request of a held content now. All gateways
+        together make a few trials, so that one of them has to be granted it.
     """
 
     def __init__(self, metrics: GatewayMetrics) -> None:
         self.quarantine = Quarantine()
         self.untold: dict[str, float] = {}
         self.has_news = curio.Event()
+        self.take_trial: Callable[[str], Awaitable[bool]] = _no_trial
         self._metrics = metrics
 
     def is_held(self, content: str) -> bool:
@@ -108,3 +114,7 @@
             ends=len(suspect.ends),
             is_held=suspect.is_held,
         )
+
+
+async def _no_trial(_content: str) -> bool:
+    return False
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -251,6 +251,7 @@
             self._is_leading,
             self.watches.longest_retry,
         )
+        self.suspects.take_trial = self.suspect_sharing.take_trial
         self.evacuations: EvacuationWatch | None = None
         if settings.evacuation.within:
             self.evacuations = EvacuationWatch(
--- a/src/pondtiller/gateway/tests/test_ending_requests.py
+++ b/src/pondtiller/gateway/tests/test_ending_requests.py
@@ -22,9 +22,11 @@
 
 from pondtiller.gateway.tests.ending_engines import replace_engines
 from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.hashing import content_digest
 from pondtiller.httpio.server import ConnectionLostError, Exchange
 from pondtiller.platform import names
 from pondtiller.process import clock
+from pondtiller.routes import quarantine
 from pondtiller.routes.quarantine import MOST_ENDS, MOST_SAMPLE_ENDS, QUARANTINE_SECONDS
 from pondtiller.standins.documents import configuration, step_body
 from pondtiller.standins.ending_engine import DOWN_SECONDS, ENDING, EndingEngine, EndingRun
@@ -177,6 +179,51 @@
     run_system(tmp_path, test, gateways=2)
 
 
+async def hold_back_scorers(system: System) -> str:
+    """Have two engines end beside the scorers' requests, which are all alike; return these."""
+    scorer = step_body("s1", 1, 1)["requests"][0]["scorer"]
+    body = base64.b64decode(scorer["body"])
+    content = content_digest(scorer["host"].encode(), scorer["path"].encode(), body)
+    for number in range(MOST_ENDS):
+        await system.gateways[0].suspects.note_end(content, f"e{number}@1")
+    await system.until(lambda: all(held_at(system, each) for each in range(len(system.gateways))))
+    return content
+
+
+def test_samples_do_not_wait_for_an_hour_since_engines_ended_beside_their_scorers_requests(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(quarantine, "TRIAL_PAUSES_SECONDS", (1.0, 60.0))
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        content = await hold_back_scorers(system)
+        assert await system.submit("s1") == 202
+        assert all(each["state"] == "succeeded" for each in await system.read_all("s1", 4))
+        await system.until(
+            lambda: not any(each.suspects.is_held(content) for each in system.gateways)
+        )
+
+    run_system(tmp_path, test, gateways=2)
+
+
+def test_a_content_that_ends_each_engine_gets_no_more_trials_than_all_gateways_may_make(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    pauses = (0.3, 0.3, 0.3)
+    monkeypatch.setattr(quarantine, "TRIAL_PAUSES_SECONDS", pauses)
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "app", 3)
+        await call_again_and_again(system, "/quote/7")
+        await call_again_and_again(system, "/quote/7")
+        runs = [run for engine in engines for run in engine.runs]
+        assert ENDS < len(runs) <= ENDS + len(pauses)
+
+    run_system(tmp_path, test, gateways=3)
+
+
 def test_objects_that_are_not_to_be_read_hold_nothing_back(tmp_path: Path) -> None:
     async def test(system: System) -> None:
         await until_ready(system)
--- a/src/pondtiller/platform/objects.py
+++ b/src/pondtiller/platform/objects.py
@@ -83,15 +83,20 @@
 
 def suspect_spec(suspect: Suspect) -> dict[str, Any]:
     """Return a content under which engines ended as an object."""
-    return {"ends": sorted(suspect.ends), "until": suspect.until}
+    spec = {"ends": sorted(suspect.ends), "until": suspect.until}
+    if suspect.trials:
+        spec |= {"trials": suspect.trials, "tried_at": suspect.tried_at}
+    return spec
 
 
 def read_suspect(found: StoreObject) -> Suspect | None:
     """Read the object of a content; None where it is not to be read."""
     try:
         ends, until = found.spec["ends"], float(found.spec["until"])
-    except (KeyError, TypeError, ValueError):
+        trials, tried_at = int(found.spec.get("trials", 0)), float(found.spec.get("tried_at", 0))
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
-    if not isinstance(ends, list) or not math.isfinite(until):
+    if not isinstance(ends, list) or not math.isfinite(until) or not math.isfinite(tried_at):
         return None
-    return Suspect(found.name, frozenset(str(each) for each in ends), until)
+    names_of_ends = frozenset(str(each) for each in ends)
+    return Suspect(found.name, names_of_ends, until, max(0, trials), tried_at)
--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -9,6 +9,7 @@
 requests (`live_attempts.error_of_held_content`).
 """
 
+import math
 from collections import OrderedDict
 from typing import NamedTuple
 
@@ -29,6 +30,10 @@
 QUARANTINE_SECONDS = 3600.0
 """How long ends count, from the last one. A request that is the fault of an engine's software comes
 again until that is mended; after an hour it may end as many engines once more."""
+TRIAL_PAUSES_SECONDS = (20.0, 60.0, 600.0)
+"""From a content's last end, or its last trial, until one request of it goes to one engine again,
+by its trials so far. A content that did no harm, and ran at both engines that another one ended,
+gets no answer while it is held back, so nothing else clears it. Each trial may end an engine."""
 ANSWERED_SECONDS = 60.0
 """How long after an answer of a content an end under it tells nothing. Load: a content that many
 callers send, as a status call without a body, is at work at every moment, so also when three
@@ -50,11 +55,17 @@
         Names of the starts of engines that ended.
     until
         Time of day until which the ends count, in seconds since 1970.
+    trials
+        Requests that were let through since it is held back, by all daemons.
+    tried_at
+        Time of day of the last of them, in seconds since 1970; 0 before the first.
     """
 
     content: str
     ends: frozenset[str]
     until: float
+    trials: int = 0
+    tried_at: float = 0.0
 
     @property
     def is_held(self) -> bool:
@@ -62,6 +73,28 @@
         is_sample = self.content.startswith(SAMPLE_PREFIX)
         return len(self.ends) >= (MOST_SAMPLE_ENDS if is_sample else MOST_ENDS)
 
+    @property
+    def next_trial_at(self) -> float:
+        """Time of day from which on one request may go to one engine, in seconds since 1970."""
+        if self.trials >= len(TRIAL_PAUSES_SECONDS):
+            return math.inf
+        last_end = self.until - QUARANTINE_SECONDS
+        return max(last_end, self.tried_at) + TRIAL_PAUSES_SECONDS[self.trials]
+
+    def tried(self, wall_now: float) -> "Suspect":
+        """Return it with one more trial."""
+        return self._replace(trials=self.trials + 1, tried_at=wall_now)
+
+    def joined(self, other: "Suspect") -> "Suspect":
+        """Return what both tell of the same content."""
+        return Suspect(
+            self.content,
+            self.ends | other.ends,
+            max(self.until, other.until),
+            max(self.trials, other.trials),
+            max(self.tried_at, other.tried_at),
+        )
+
 
 def sample_content(kept_as: str) -> str:
     """Return the name that stands for a sample's content: it comes again as the same sample.
@@ -118,10 +151,11 @@
         if self.was_answered(content, now):
             return None
         before = self.suspects.get(content)
-        known = before.ends if before is not None and wall_now < before.until else frozenset()
-        if engine in known:
-            return None
-        suspect = Suspect(content, known | {engine}, wall_now + QUARANTINE_SECONDS)
+        suspect = Suspect(content, frozenset({engine}), wall_now + QUARANTINE_SECONDS)
+        if before is not None and wall_now < before.until:
+            if engine in before.ends:
+                return None
+            suspect = suspect.joined(before)
         self._keep(suspect)
         return suspect
 
@@ -148,10 +182,15 @@
         if before is None:
             self._keep(told)
             return True
-        merged = Suspect(told.content, before.ends | told.ends, max(before.until, told.until))
+        merged = before.joined(told)
         self._keep(merged)
         return merged != before
 
+    def is_trial_due(self, content: str, wall_now: float) -> bool:
+        """Return whether one request of a content that is held back may go to one engine."""
+        suspect = self.suspects.get(content)
+        return suspect is not None and wall_now >= suspect.next_trial_at
+
     def forget(self, content: str) -> None:
         """Take that a content is to be suspected no longer."""
         self.suspects.pop(content, None)
