A trial that the store does not grant is asked for again after 2 s only

Found by reading: samples ask for their score ten times a second, and each such request would read the content's object while the store does not answer, or while the object is not there. test_a_trial_that_the_store_does_not_grant_costs_few_calls: 50 reads before, 1 now.

--- a/src/pondtiller/gateway/engines/suspect_sharing.py
+++ b/src/pondtiller/gateway/engines/suspect_sharing.py
@@ -39,6 +39,9 @@
 CLEARED_SECONDS = 60.0
 """How long the object of a content stays that was answered: gateways that were cut off meanwhile
 learn from its listing that it is gone, the others from the change itself."""
+TRIAL_RETRY_SECONDS = 2.0
+"""Between two calls to the store for a content's trial: its requests may come many times a second,
+and each would ask while the store does not answer."""
 REMOVE_SECONDS = 60.0
 """Between two looks of a leader for objects that are out of date."""
 
@@ -90,7 +93,7 @@
         self._is_leading = is_leading
         self._retry_seconds = RETRY_SECONDS
         self._kept_until: dict[str, float] = {}
-        self._asks_trial: set[str] = set()
+        self._no_trial_before: dict[str, float] = {}
         self.watch = Watch(
             reader,
             health,
@@ -144,19 +147,17 @@
 
     async def take_trial(self, content: str) -> bool:
         """Return whether this gateway takes a held content's next trial, which is then used up."""
-        if content in self._asks_trial:
+        now = clock.monotonic()
+        if now < self._no_trial_before.get(content, 0.0):
             return False
-        quarantine = self._suspects.quarantine
-        if not quarantine.is_trial_due(content, clock.wall()):
+        if not self._suspects.quarantine.is_trial_due(content, clock.wall()):
             return False
-        self._asks_trial.add(content)
+        self._no_trial_before[content] = now + TRIAL_RETRY_SECONDS
         try:
             return await self._write_trial(content)
         except StoreCallError as error:
             logs.decision("content_untold", content=shown_content(content), reason=str(error))
             return False
-        finally:
-            self._asks_trial.discard(content)
 
     async def _write_trial(self, content: str) -> bool:
         """Count a trial in the content's object; False where another gateway did so first."""
@@ -253,7 +254,10 @@
     async def _remove_old(self) -> None:
         """Remove objects whose ends count no longer, where this gateway leads."""
         now = clock.wall()
-        self._suspects.quarantine.keep_house(now)
+        quarantine = self._suspects.quarantine
+        quarantine.keep_house(now)
+        for content in set(self._no_trial_before) - set(quarantine.suspects):
+            del self._no_trial_before[content]
         if not self._is_leading():
             return
         for name in [each for each, until in self._kept_until.items() if now >= until]:
--- a/src/pondtiller/gateway/tests/test_ending_requests.py
+++ b/src/pondtiller/gateway/tests/test_ending_requests.py
@@ -20,6 +20,7 @@
 import curio
 import pytest
 
+from pondtiller.gateway.engines import suspect_sharing
 from pondtiller.gateway.tests.ending_engines import replace_engines
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.hashing import content_digest
@@ -207,6 +208,27 @@
     run_system(tmp_path, test, gateways=2)
 
 
+def test_a_trial_that_the_store_does_not_grant_costs_few_calls(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(quarantine, "TRIAL_PAUSES_SECONDS", (0.1,))
+    monkeypatch.setattr(suspect_sharing, "TRIAL_RETRY_SECONDS", 60.0)
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        content = await hold_back_scorers(system)
+        gateway = system.gateways[0]
+        await curio.sleep(0.2)
+        system.store.is_down = True
+        before = gateway.store.calls.get("read", 0)
+        for _request in range(50):
+            assert not await gateway.suspects.take_trial(content)
+            await curio.sleep(0.01)
+        assert gateway.store.calls["read"] == before + 1
+
+    run_system(tmp_path, test)
+
+
 def test_a_content_that_ends_each_engine_gets_no_more_trials_than_all_gateways_may_make(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
