--- a/src/pondtiller/store/relayed_store.py
+++ b/src/pondtiller/store/relayed_store.py
@@ -40,8 +40,8 @@
 and the next one answers with what there is: 2 s in all, as long as an engine that leaves may go on
 getting work at the least."""
 HEDGE_SECONDS = 0.1
-"""How long a call that is repeated on a new connection may take before replicas are asked, too:
-several times the store's usual answer, and a small part of the time that is left then."""
+"""How long a call that is repeated on a new connection may take before replicas are asked, too: a
+store that answers gets one call, not two."""
 
 AskReplicas = Callable[[ReadMirror], Awaitable[MirrorPage | None]]
 
