--- a/src/pondtiller/store/news_times.py
+++ b/src/pondtiller/store/news_times.py
@@ -75,7 +75,7 @@
 
 def news_times(within_seconds: float) -> NewsTimes:
     """Return waits whose sums are below a bound, in seconds."""
-    left = within_seconds - WATCH_MARGIN_SECONDS - STORE_SECONDS - ACT_SECONDS - SPARE_SECONDS
+    left = mirrored_seconds(within_seconds) - WATCH_MARGIN_SECONDS
     return NewsTimes(within_seconds, min(WATCH_SECONDS, left), left - PROBE_SECONDS)
 
 
