The outcome of a held content's trial is logged

A log told that a trial of a held content was granted (content_tried), not what became of it: a trial whose request never left, one without an answer whose engine ran on, and one whose engine ended under it or beside it left the same lines at the gateway, or none.

content_trial_ended says answered, engine_ended or inconclusive. A second after a trial without an answer its engine is asked whether it still runs. Nothing is decided by it yet. The code of trials moves from Forwarder to gateway/callers/content_trials.py.

--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -15,6 +15,7 @@
 
 from pondtiller.errors import Failure, Ran
 from pondtiller.gateway.callers.attempts import EndedAttempt, RequestAttempts, WholeAnswer
+from pondtiller.gateway.callers.content_trials import ContentTrials
 from pondtiller.gateway.callers.request import ForwardedRequest, WholeRequest
 from pondtiller.gateway.callers.sending import EngineSender
 from pondtiller.gateway.callers.waiting import WaitingLine, WaitingLines
@@ -97,6 +98,7 @@
         self.cold = cold
         self.suspects = suspects or SuspectContents(metrics)
         self.ends = EngineEnds(engines, pool, metrics, self.suspects)
+        self._trials = ContentTrials(self.ends, self.suspects)
         self.choice = EngineChoice(zone, engines, pool.has_kept, cold, rng)
         self.zones = ZoneReach(self.choice.silent_zones)
         self._sender = EngineSender(pool, gate, self.suspects, cold)
@@ -116,7 +118,7 @@
         What may be repeated goes to a second engine too when the first is silent for longer than
         nearly all answers take; the first good answer counts, and the other engine is left.
         """
-        is_trial = await self._is_trial(request)
+        is_trial = await self._trials.take(request)
         if is_trial:
             route = replace(route, attempts=1)
         service = route.choose_service(request.identifier)
@@ -128,14 +130,10 @@
                 await whole.tasks.cancel_all()
                 whole.attempts.leave_reserved()
         self._log(whole, answer)
+        if is_trial:
+            await self._trials.follow(whole, not isinstance(answer, Failure))
         return answer
 
-    async def _is_trial(self, request: ForwardedRequest) -> bool:
-        """Return whether a request is its content's trial: an answer tells that it does no harm."""
-        if not self.suspects.is_held(request.content):
-            return False
-        return await self.suspects.take_trial(request.content)
-
     async def _run(self, whole: WholeRequest) -> WholeAnswer | Failure:
         request, route, attempts = whole.request, whole.route, whole.attempts
         while True:
--- a/src/pondtiller/gateway/engines/engine_ends.py
+++ b/src/pondtiller/gateway/engines/engine_ends.py
@@ -92,6 +92,17 @@
             await curio.spawn(self._look_again, broken, connection, daemon=True)
         return await self._note(broken, self._has_ended(engine))
 
+    async def still_runs(self, engine: str) -> bool:
+        """Return whether a start of an engine is still listed and its port takes connections."""
+        known = self._engines.engines.get(engine)
+        if known is None or known.gone_at is not None:
+            return False
+        connection = await self._ask(engine, known.entry.address)
+        if connection is None:
+            return False
+        await self._pool.give_back_unused(connection)
+        return True
+
     async def _look_again(self, broken: BrokenOff, connection: EngineConnection) -> None:
         """Keep a connection that lasts; ask the port again where it does not."""
         await curio.sleep(LOOK_AGAIN_SECONDS)
