A content whose ends another held content shares is tried again after 2 s

Cause: a caller's content ended two engines beside the scorers' requests, so both were held back. The scorers' first trial came 20 s later, when the next caller's content ended engines, and met that end: content_tried at 24.26 s, content_suspected of both contents at the same engine at 24.28 s. The end counted against the scorers' requests in full, and the next trial was due 60 s later.

An end that is also one of another held content is no longer a content's own. With fewer than two own ends its next trial comes after 2 s, while its service keeps another engine; else after 20, 60 and 600 s as before. A trial that met an end of another cause so costs 2 s. A content that ends engines still ends three more in its hour at the most; where another held content shares its ends, the first two of these may come after 2 s each.

Two tests bound the price: a service's last engine gets no early trial, and two contents that end engines under shared ends get no more trials than others.

--- a/src/pondtiller/gateway/callers/content_trials.py
+++ b/src/pondtiller/gateway/callers/content_trials.py
@@ -15,7 +15,8 @@
 from pondtiller.gateway.callers.request import ForwardedRequest, WholeRequest
 from pondtiller.gateway.engines.engine_ends import EngineEnds
 from pondtiller.gateway.engines.suspects import SuspectContents
-from pondtiller.process import logs
+from pondtiller.process import clock, logs
+from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.quarantine import shown_content
 
 SETTLE_SECONDS = 1.0
@@ -45,15 +46,34 @@
         Contents that are held back.
     """
 
-    def __init__(self, ends: EngineEnds, suspects: SuspectContents) -> None:
+    def __init__(
+        self, engines: EngineDirectory, ends: EngineEnds, suspects: SuspectContents
+    ) -> None:
+        self._engines = engines
         self._ends = ends
         self._suspects = suspects
 
-    async def take(self, request: ForwardedRequest) -> bool:
-        """Return whether a request is its content's trial, which is then used up."""
-        if not self._suspects.is_held(request.content):
+    async def take(self, request: ForwardedRequest, service: str, homes: frozenset[str]) -> bool:
+        """Return whether a request is its content's trial, which is then used up.
+
+        Parameters
+        ----------
+        service, homes
+            Whose engines may get the request, and in which regions.
+        """
+        content = request.content
+        if not self._suspects.is_held(content):
             return False
-        return await self._suspects.take_trial(request.content)
+        return await self._suspects.take_trial(content, self._has_spare(content, service, homes))
+
+    def _has_spare(self, content: str, service: str, homes: frozenset[str]) -> bool:
+        """Return whether a service has two usable engines, so that one outlasts a trial.
+
+        Entries of engines that ended stay listed for some heartbeats: those are left out.
+        """
+        usable = self._engines.usable(service, clock.monotonic(), homes)
+        ended = self._suspects.known_ends(content)
+        return len([each for each in usable if each.identifier not in ended]) > 1
 
     async def follow(self, whole: WholeRequest, is_answered: bool) -> None:
         """Log the outcome of a trial that has ended, once it is known."""
@@ -72,10 +92,9 @@
 
     async def _has_ended_engine(self, whole: WholeRequest) -> bool:
         """Return whether an engine that got a trial ended, or cannot be shown to run still."""
-        suspect = self._suspects.quarantine.suspects.get(whole.request.content)
-        known_ends = suspect.ends if suspect is not None else frozenset()
+        ended = self._suspects.known_ends(whole.request.content)
         for engine in whole.attempts.engines:
-            if engine in known_ends or not await self._ends.still_runs(engine):
+            if engine in ended or not await self._ends.still_runs(engine):
                 return True
         return False
 
--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -98,7 +98,7 @@
         self.cold = cold
         self.suspects = suspects or SuspectContents(metrics)
         self.ends = EngineEnds(engines, pool, metrics, self.suspects)
-        self._trials = ContentTrials(self.ends, self.suspects)
+        self._trials = ContentTrials(engines, self.ends, self.suspects)
         self.choice = EngineChoice(zone, engines, pool.has_kept, cold, rng)
         self.zones = ZoneReach(self.choice.silent_zones)
         self._sender = EngineSender(pool, gate, self.suspects, cold)
@@ -118,10 +118,10 @@
         What may be repeated goes to a second engine too when the first is silent for longer than
         nearly all answers take; the first good answer counts, and the other engine is left.
         """
-        is_trial = await self._trials.take(request)
+        service = route.choose_service(request.identifier)
+        is_trial = await self._trials.take(request, service, route.homes)
         if is_trial:
             route = replace(route, attempts=1)
-        service = route.choose_service(request.identifier)
         whole = WholeRequest(request, route, service, is_trial)
         async with self._stalls:
             try:
--- a/src/pondtiller/gateway/engines/suspect_sharing.py
+++ b/src/pondtiller/gateway/engines/suspect_sharing.py
@@ -145,21 +145,27 @@
 
     # Trials
 
-    async def take_trial(self, content: str) -> bool:
-        """Return whether this gateway takes a held content's next trial, which is then used up."""
+    async def take_trial(self, content: str, has_spare: bool = False) -> bool:
+        """Return whether this gateway takes a held content's next trial, which is then used up.
+
+        Parameters
+        ----------
+        has_spare
+            Whether the content's service keeps another engine if the trial ends one.
+        """
         now = clock.monotonic()
         if now < self._no_trial_before.get(content, 0.0):
             return False
-        if not self._suspects.quarantine.is_trial_due(content, clock.wall()):
+        if not self._suspects.quarantine.is_trial_due(content, clock.wall(), has_spare):
             return False
         self._no_trial_before[content] = now + TRIAL_RETRY_SECONDS
         try:
-            return await self._write_trial(content)
+            return await self._write_trial(content, has_spare)
         except StoreCallError as error:
             logs.decision("content_untold", content=shown_content(content), reason=str(error))
             return False
 
-    async def _write_trial(self, content: str) -> bool:
+    async def _write_trial(self, content: str, has_spare: bool) -> bool:
         """Count a trial in the content's object; False where another gateway did so first."""
         found = await self._store.read(names.SUSPECTS, content)
         told = objects.read_suspect(found) if found is not None else None
@@ -167,7 +173,7 @@
             return False
         self._suspects.quarantine.take(told)
         now = clock.wall()
-        if not self._suspects.quarantine.is_trial_due(content, now):
+        if not self._suspects.quarantine.is_trial_due(content, now, has_spare):
             return False
         trial = self._suspects.quarantine.suspects[content].tried(now)
         outcome = await self._store.replace(
@@ -176,7 +182,13 @@
         if outcome is not PutOutcome.DONE:
             return False
         self._suspects.quarantine.take(trial)
-        logs.decision("content_tried", content=shown_content(content), trials=trial.trials)
+        logs.decision(
+            "content_tried",
+            content=shown_content(content),
+            ends=len(trial.ends),
+            own_ends=self._suspects.quarantine.own_ends(content),
+            trials=trial.trials,
+        )
         return True
 
     # What others are told
--- a/src/pondtiller/gateway/engines/suspects.py
+++ b/src/pondtiller/gateway/engines/suspects.py
@@ -5,7 +5,7 @@
 answered is `routes.live_attempts.error_of_held_content`.
 """
 
-from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import curio
 
@@ -22,6 +22,19 @@
 """Ends from which on each is shared at once: no engine may get the content any more, or one may."""
 
 
+class TrialGrant(Protocol):
+    """Grants trials of held contents, of all gateways together."""
+
+    async def __call__(self, content: str, has_spare: bool = False) -> bool:
+        """Return whether this gateway may send one request of a content now.
+
+        Parameters
+        ----------
+        has_spare
+            Whether the content's service keeps another engine if the trial ends one.
+        """
+
+
 class SuspectContents:
     """What this gateway knows of contents, asked before a request leaves.
 
@@ -32,15 +45,14 @@
     has_news
         Set when something is to be shared.
     take_trial
-        Returns whether this gateway may send one request of a held content now. All gateways
-        together make a few trials, so that one of them has to be granted it.
+        Grants this gateway a trial of a held content.
     """
 
     def __init__(self, metrics: GatewayMetrics) -> None:
         self.quarantine = Quarantine()
         self.untold: dict[str, float] = {}
         self.has_news = curio.Event()
-        self.take_trial: Callable[[str], Awaitable[bool]] = _no_trial
+        self.take_trial: TrialGrant = _no_trial
         self._metrics = metrics
 
     def is_held(self, content: str) -> bool:
@@ -55,6 +67,11 @@
         """Return how many engines ended under a content, as far as it is known."""
         return self.quarantine.ends(content)
 
+    def known_ends(self, content: str) -> frozenset[str]:
+        """Return the starts of engines that are known to have ended under a content."""
+        suspect = self.quarantine.suspects.get(content)
+        return suspect.ends if suspect is not None else frozenset()
+
     def refuse(self, content: str, ran: Ran) -> Failure:
         """Return the answer to a request that is sent to no engine more: its content is held back.
 
@@ -116,5 +133,5 @@
         )
 
 
-async def _no_trial(_content: str) -> bool:
+async def _no_trial(content: str, has_spare: bool = False) -> bool:
     return False
--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_held_scorers.py
@@ -0,0 +1,177 @@
+"""Scorers' requests that are held back since engines ended beside them, in a controlled order.
+
+Seen (soak, seed 2048): whole steps were accepted and never listed. Order of events: a caller's
+content ended two engines within 0.1 s while scorers' requests, which are all alike, ran at both; no
+gateway had an answer of these, so both contents were held back; the engine with the first trial of
+the scorers' requests ended for a reason of its own; the next trial was due a minute later.
+"""
+
+import base64
+from pathlib import Path
+
+import curio
+import pytest
+
+from pondtiller.gateway.callers.content_trials import ContentTrials
+from pondtiller.gateway.callers.request import ForwardedRequest
+from pondtiller.gateway.tests.ending_engines import replace_engines
+from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.hashing import content_digest
+from pondtiller.httpio.server import ConnectionLostError, Exchange
+from pondtiller.platform import names
+from pondtiller.process import clock
+from pondtiller.routes import quarantine
+from pondtiller.routes.quarantine import MOST_ENDS
+from pondtiller.standins.documents import step_body
+from pondtiller.standins.ending_engine import ENDING, EndingEngine, ends_engine
+
+STEP_SECONDS = 7.5
+"""`run_deadline_ms` of the steps' row."""
+SAMPLES = 4
+
+
+class Score:
+    """What engines do with scorers' requests.
+
+    Attributes
+    ----------
+    are_answered
+        Whether engines answer them; else these wait, and those that end wait for one of them.
+    crashes
+        Scorers' requests under which an engine ends for a reason of its own.
+    at_work
+        Scorers' requests at each engine.
+    """
+
+    def __init__(self, crashes: int) -> None:
+        self.are_answered = False
+        self.crashes = crashes
+        self.at_work: dict[str, int] = {}
+
+    async def let_end(self, engine: EndingEngine, exchange: Exchange) -> None:
+        """End under a content only once a scorer's request is at work there too."""
+        while not self.are_answered and not self.at_work.get(engine.identifier):
+            await curio.sleep(0.01)
+        await EndingEngine.whole(engine, exchange)
+
+    async def answer(self, engine: EndingEngine, exchange: Exchange) -> None:
+        """Answer a scorer's request, wait, or end."""
+        name = engine.identifier
+        self.at_work[name] = self.at_work.get(name, 0) + 1
+        try:
+            if not self.are_answered:
+                await exchange.wait_closed()
+                raise ConnectionLostError("left")
+            if self.crashes:
+                self.crashes -= 1
+                await engine.end()
+                raise ConnectionLostError("the engine ends")
+            await EndingEngine.whole(engine, exchange)
+        finally:
+            self.at_work[name] -= 1
+
+    async def whole(self, engine: EndingEngine, exchange: Exchange) -> None:
+        """Treat a request by whose it is."""
+        if exchange.request.headers[names.REQUEST_ID].endswith("-score"):
+            await self.answer(engine, exchange)
+        elif ends_engine(exchange.request.body):
+            await self.let_end(engine, exchange)
+        else:
+            await EndingEngine.whole(engine, exchange)
+
+
+def scorers_content() -> str:
+    scorer = step_body("s1", 1, 1)["requests"][0]["scorer"]
+    body = base64.b64decode(scorer["body"])
+    return content_digest(scorer["host"].encode(), scorer["path"].encode(), body)
+
+
+def is_held_by_all(system: System, content: str) -> bool:
+    return all(each.suspects.is_held(content) for each in system.gateways)
+
+
+async def until_ready(system: System) -> None:
+    await system.until_led()
+    await system.until(lambda: all(each.is_ready() for each in system.gateways))
+
+
+async def hold_beside(system: System, score: Score) -> None:
+    """Have a caller's content end two engines at which scorers' requests are at work."""
+    engines = await replace_engines(system, "app", 3)
+    for engine in engines:
+        engine.whole = lambda exchange, engine=engine: score.whole(engine, exchange)
+    assert await system.submit("s1", SAMPLES) == 202
+    await system.until(lambda: sum(score.at_work.values()) > 0)
+    await system.call("POST", "/quote/7", ENDING, request_id="e1")
+    await system.until(lambda: is_held_by_all(system, scorers_content()))
+
+
+@pytest.mark.parametrize("crashes", [0, 1])
+def test_a_step_is_listed_in_its_time_though_engines_ended_beside_its_scorers_requests(
+    tmp_path: Path, crashes: int
+) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        score = Score(crashes)
+        await hold_beside(system, score)
+        held_at = clock.monotonic()
+        score.are_answered = True
+        results = await system.read_all("s1", SAMPLES)
+        assert [each["state"] for each in results] == ["succeeded"] * SAMPLES
+        assert clock.monotonic() < held_at + STEP_SECONDS
+        assert score.crashes == 0
+
+    run_system(tmp_path, test, gateways=2)
+
+
+async def hold_together(system: System, contents: list[str]) -> None:
+    """Have two engines end under all of some contents."""
+    for number in range(MOST_ENDS):
+        for content in contents:
+            await system.gateways[0].suspects.note_end(content, f"e{number}@1")
+    await system.until(lambda: all(is_held_by_all(system, each) for each in contents))
+    await system.until(lambda: len(system.store.kinds.get(names.SUSPECTS, {})) == len(contents))
+
+
+@pytest.mark.parametrize(("engines", "is_granted"), [(1, False), (2, True)])
+def test_an_early_trial_leaves_its_service_an_engine(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, engines: int, is_granted: bool
+) -> None:
+    monkeypatch.setattr(quarantine, "SHARED_TRIAL_PAUSE_SECONDS", 0.0)
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        await replace_engines(system, "app", engines)
+        await hold_together(system, ["a", "b"])
+        gateway = system.gateways[0]
+        trials = ContentTrials(gateway.engines, gateway.forwarder.ends, gateway.suspects)
+        request = ForwardedRequest("q", "POST", "/quote/7", (), b"", 0.0, content="a")
+        assert await trials.take(request, "app", frozenset()) is is_granted
+
+    run_system(tmp_path, test)
+
+
+def test_contents_that_share_their_ends_and_end_engines_get_no_more_trials_than_others(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    pauses = (0.3, 0.3, 0.3)
+    monkeypatch.setattr(quarantine, "TRIAL_PAUSES_SECONDS", pauses)
+    monkeypatch.setattr(quarantine, "SHARED_TRIAL_PAUSE_SECONDS", 0.3)
+    bodies = [ENDING + b" a", ENDING + b" b"]
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        engines = await replace_engines(system, "app", 3)
+        # Of no tenant.
+        parts = (b"", b"app.example", b"POST", b"/quote/7")
+        contents = [content_digest(*parts, body) for body in bodies]
+        await hold_together(system, contents)
+        for number in range(240):
+            await system.call(
+                "POST", "/quote/7", bodies[number % 2], number // 2 % 2, request_id=f"e{number}"
+            )
+            await curio.sleep(0.02)
+        runs = [run for engine in engines for run in engine.runs]
+        assert 0 < len(runs) <= len(bodies) * len(pauses)
+
+    run_system(tmp_path, test, gateways=2)
--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -34,6 +34,9 @@
 """From a content's last end, or its last trial, until one request of it goes to one engine again,
 by its trials so far. A content that did no harm, and ran at both engines that another one ended,
 gets no answer while it is held back, so nothing else clears it. Each trial may end an engine."""
+SHARED_TRIAL_PAUSE_SECONDS = 2.0
+"""The same while fewer than `MOST_ENDS` of a content's ends are its own. Another held content ran
+at the other engines, and one of the two may be harmless: samples that wait are due in seconds."""
 ANSWERED_SECONDS = 60.0
 """How long after an answer of a content an end under it tells nothing. Load: a content that many
 callers send, as a status call without a body, is at work at every moment, so also when three
@@ -73,13 +76,30 @@
         is_sample = self.content.startswith(SAMPLE_PREFIX)
         return len(self.ends) >= (MOST_SAMPLE_ENDS if is_sample else MOST_ENDS)
 
-    @property
-    def next_trial_at(self) -> float:
-        """Time of day from which on one request may go to one engine, in seconds since 1970."""
+    def next_trial_at(self, own_ends: int, has_spare: bool) -> float:
+        """Return the time of day from which on one request may go to one engine.
+
+        Parameters
+        ----------
+        own_ends
+            Ends that no other held content shares.
+        has_spare
+            Whether its service keeps another engine if the trial ends one.
+
+        Returns
+        -------
+        float
+            In seconds since 1970; infinite where it had all of its trials.
+        """
         if self.trials >= len(TRIAL_PAUSES_SECONDS):
             return math.inf
         last_end = self.until - QUARANTINE_SECONDS
-        return max(last_end, self.tried_at) + TRIAL_PAUSES_SECONDS[self.trials]
+        since = max(last_end, self.tried_at)
+        if own_ends < MOST_ENDS and has_spare:
+            return since + SHARED_TRIAL_PAUSE_SECONDS
+        # Trials that came early, since ends were shared, do not lengthen the pause.
+        trials = min(self.trials, max(0, own_ends - MOST_ENDS))
+        return since + TRIAL_PAUSES_SECONDS[trials]
 
     def tried(self, wall_now: float) -> "Suspect":
         """Return it with one more trial."""
@@ -186,10 +206,26 @@
         self._keep(merged)
         return merged != before
 
-    def is_trial_due(self, content: str, wall_now: float) -> bool:
-        """Return whether one request of a content that is held back may go to one engine."""
+    def own_ends(self, content: str) -> int:
+        """Return how many engines ended under a content and under no other that is held back."""
+        suspect = self.suspects.get(content)
+        if suspect is None:
+            return 0
+        others = [each for each in self.suspects.values() if each.is_held and each is not suspect]
+        return len(suspect.ends.difference(*(each.ends for each in others)))
+
+    def is_trial_due(self, content: str, wall_now: float, has_spare: bool = False) -> bool:
+        """Return whether one request of a content that is held back may go to one engine.
+
+        Parameters
+        ----------
+        has_spare
+            As for `Suspect.next_trial_at`.
+        """
         suspect = self.suspects.get(content)
-        return suspect is not None and wall_now >= suspect.next_trial_at
+        if suspect is None:
+            return False
+        return wall_now >= suspect.next_trial_at(self.own_ends(content), has_spare)
 
     def forget(self, content: str) -> None:
         """Take that a content is to be suspected no longer."""
--- a/src/pondtiller/routes/tests/test_quarantine.py
+++ b/src/pondtiller/routes/tests/test_quarantine.py
@@ -1,5 +1,7 @@
 """Contents under which engines ended: what counts, what is held back, what is forgotten."""
 
+import math
+
 import pytest
 
 from pondtiller.hashing import DIGEST_SHOWN
@@ -11,6 +13,8 @@
     MOST_SUSPECTS,
     QUARANTINE_SECONDS,
     SAMPLE_PREFIX,
+    SHARED_TRIAL_PAUSE_SECONDS,
+    TRIAL_PAUSES_SECONDS,
     Quarantine,
     Suspect,
     sample_content,
@@ -124,3 +128,57 @@
     assert shown_content(first) != shown_content(second)
     assert shown_content(first) == first[: len(SAMPLE_PREFIX) + DIGEST_SHOWN]
     assert shown_content("9c41d07be2a35f68") == "9c41d07b"
+
+
+def test_ends_that_another_held_content_shares_are_not_a_contents_own() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS, "ends engines")
+    end_engines(quarantine, MOST_ENDS, "ran beside it")
+    quarantine.note_end("ends engines", "e2@1", 0.0, WALL)
+    assert quarantine.own_ends("ran beside it") == 0
+    assert quarantine.own_ends("ends engines") == 1
+    assert quarantine.own_ends("unknown") == 0
+    # Its answer leaves the other one alone with its ends.
+    quarantine.note_answer("ran beside it", 1.0)
+    assert quarantine.own_ends("ends engines") == MOST_ENDS + 1
+
+
+def test_ends_that_are_shared_with_a_content_that_is_not_held_are_a_contents_own() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS)
+    end_engines(quarantine, MOST_ENDS - 1, "another")
+    assert quarantine.own_ends("c") == MOST_ENDS
+
+
+def test_a_trial_is_due_soon_while_ends_are_shared_and_an_engine_is_spare() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS, "ends engines")
+    end_engines(quarantine, MOST_ENDS, "ran beside it")
+    soon, late = WALL + SHARED_TRIAL_PAUSE_SECONDS, WALL + TRIAL_PAUSES_SECONDS[0]
+    assert not quarantine.is_trial_due("ran beside it", soon - 0.1, has_spare=True)
+    assert quarantine.is_trial_due("ran beside it", soon, has_spare=True)
+    assert not quarantine.is_trial_due("ran beside it", late - 0.1, has_spare=False)
+    assert quarantine.is_trial_due("ran beside it", late, has_spare=False)
+
+
+def trial_times(own_ends: list[int]) -> list[float]:
+    """Return after which pauses trials are due, with so many own ends before each."""
+    suspect = Suspect("c", frozenset({"e0@1", "e1@1"}), WALL + QUARANTINE_SECONDS)
+    now, pauses = WALL, []
+    for count in own_ends:
+        due = suspect.next_trial_at(count, has_spare=True)
+        pauses.append(due - now)
+        now = due
+        suspect = suspect.tried(now)
+    return pauses
+
+
+def test_each_trial_under_which_an_engine_ends_makes_the_next_one_come_later() -> None:
+    first, second, third = TRIAL_PAUSES_SECONDS
+    assert trial_times([2, 3, 4, 5]) == [first, second, third, math.inf]
+
+
+def test_trials_that_met_ends_of_other_causes_do_not_make_the_next_one_come_later() -> None:
+    soon = SHARED_TRIAL_PAUSE_SECONDS
+    assert trial_times([0, 0, 0, 0]) == [soon, soon, soon, math.inf]
+    assert trial_times([0, 1, 2, 3]) == [soon, soon, TRIAL_PAUSES_SECONDS[0], math.inf]
