A trial that told nothing of its content is not used up

Cause: a trial was counted when it was granted, whatever became of it.

Now the gateway that made a trial tells its outcome a second after the request's end. One that no engine ran, or whose engine runs on without an answer (by a connection that lasts: its port alone may be that of the next start), or ended under another content, is counted as inconclusive in the store's object, and may be made once more. A planned stop waits for outcomes.

--- a/src/pondtiller/gateway/callers/content_trials.py
+++ b/src/pondtiller/gateway/callers/content_trials.py
@@ -4,8 +4,8 @@
 engine's answer clears the content. A trial that is not answered may have ended its engine, or may
 tell nothing: it never left, or the engine lived on.
 
-Owns no state. How many trials a content had is kept in the store (`engines.suspect_sharing`), and
-when the next one is due is decided in `routes.quarantine`.
+Owns the trials whose outcome is not known yet. How many trials a content had is kept in the store
+(`engines.suspect_sharing`), and when the next one is due is decided in `routes.quarantine`.
 """
 
 from enum import StrEnum
@@ -16,23 +16,24 @@
 from pondtiller.gateway.engines.engine_ends import EngineEnds
 from pondtiller.gateway.engines.suspects import SuspectContents
 from pondtiller.process import clock, logs
+from pondtiller.process.spawner import Spawner
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.quarantine import shown_content
 
 SETTLE_SECONDS = 1.0
-"""From the end of a trial without an answer until its engine is asked whether it still runs: an
-engine may close its connections, or miss a deadline, some time before it ends."""
+"""From the end of a trial without an answer until its outcome is told. An engine may end some time
+after a deadline, and other gateways tell a first end after 0.3 s."""
 
 
 class TrialOutcome(StrEnum):
     """What a trial tells of its content."""
 
     ANSWERED = "answered"
-    """It did no harm."""
+    """The content did no harm."""
     ENGINE_ENDED = "engine_ended"
-    """Its engine ended, under it or beside it."""
+    """Its engine ended, or cannot be shown to run still."""
     INCONCLUSIVE = "inconclusive"
-    """No engine ran it, or the engine did not answer and lived on."""
+    """No engine ran it; or its engine runs on without an answer, or ended under another content."""
 
 
 class ContentTrials:
@@ -52,6 +53,12 @@
         self._engines = engines
         self._ends = ends
         self._suspects = suspects
+        self._unsettled = Spawner()
+
+    @property
+    def unsettled(self) -> int:
+        """Trials whose outcome is not known yet."""
+        return len(self._unsettled)
 
     async def take(self, request: ForwardedRequest, service: str, homes: frozenset[str]) -> bool:
         """Return whether a request is its content's trial, which is then used up.
@@ -75,28 +82,37 @@
         ended = self._suspects.known_ends(content)
         return len([each for each in usable if each.identifier not in ended]) > 1
 
-    async def follow(self, whole: WholeRequest, is_answered: bool) -> None:
-        """Log the outcome of a trial that has ended, once it is known."""
-        if is_answered:
-            self._log(whole, TrialOutcome.ANSWERED)
+    async def follow(self, whole: WholeRequest) -> None:
+        """Follow a trial whose request has ended: one that told nothing is given back."""
+        if not whole.is_trial:
+            return
+        if self._suspects.is_suspect(whole.request.content):
+            await self._unsettled.spawn(self._settle, whole)
         else:
-            await curio.spawn(self._settle, whole, daemon=True)
+            self._log(whole, TrialOutcome.ANSWERED)
 
     async def _settle(self, whole: WholeRequest) -> None:
         outcome = TrialOutcome.INCONCLUSIVE
         if whole.attempts.sent:
-            await curio.sleep(SETTLE_SECONDS)
-            if await self._has_ended_engine(whole):
-                outcome = TrialOutcome.ENGINE_ENDED
+            outcome = await self._outcome(whole.request.content, whole.attempts.engines)
         self._log(whole, outcome)
-
-    async def _has_ended_engine(self, whole: WholeRequest) -> bool:
-        """Return whether an engine that got a trial ended, or cannot be shown to run still."""
-        ended = self._suspects.known_ends(whole.request.content)
-        for engine in whole.attempts.engines:
-            if engine in ended or not await self._ends.still_runs(engine):
-                return True
-        return False
+        if outcome is TrialOutcome.INCONCLUSIVE:
+            await self._suspects.give_trial_back(whole.request.content)
+
+    async def _outcome(self, content: str, engines: set[str]) -> TrialOutcome:
+        """Return what a trial without an answer told, by the engines that got it."""
+        settled_at = clock.monotonic() + SETTLE_SECONDS
+        ended = set()
+        for engine in engines:
+            is_known = engine in self._suspects.known_ends(content)
+            if is_known or not await self._ends.outlasts(engine, settled_at):
+                ended.add(engine)
+        # Others may tell until then under which of their requests it ended.
+        await curio.sleep(max(0.0, settled_at - clock.monotonic()))
+        quarantine = self._suspects.quarantine
+        if all(quarantine.is_explained(content, each) for each in ended):
+            return TrialOutcome.INCONCLUSIVE
+        return TrialOutcome.ENGINE_ENDED
 
     def _log(self, whole: WholeRequest, outcome: TrialOutcome) -> None:
         logs.decision(
--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -70,6 +70,8 @@
         Contents under which engines ended.
     ends
         Asked whether an engine has ended at which a request broke off.
+    trials
+        Lets single requests of held contents through.
     choice
         Chooses engines, for streams too.
     zones
@@ -98,7 +100,7 @@
         self.cold = cold
         self.suspects = suspects or SuspectContents(metrics)
         self.ends = EngineEnds(engines, pool, metrics, self.suspects)
-        self._trials = ContentTrials(engines, self.ends, self.suspects)
+        self.trials = ContentTrials(engines, self.ends, self.suspects)
         self.choice = EngineChoice(zone, engines, pool.has_kept, cold, rng)
         self.zones = ZoneReach(self.choice.silent_zones)
         self._sender = EngineSender(pool, gate, self.suspects, cold)
@@ -119,7 +121,7 @@
         nearly all answers take; the first good answer counts, and the other engine is left.
         """
         service = route.choose_service(request.identifier)
-        is_trial = await self._trials.take(request, service, route.homes)
+        is_trial = await self.trials.take(request, service, route.homes)
         if is_trial:
             route = replace(route, attempts=1)
         whole = WholeRequest(request, route, service, is_trial)
@@ -129,9 +131,8 @@
             finally:
                 await whole.tasks.cancel_all()
                 whole.attempts.leave_reserved()
+                await self.trials.follow(whole)
         self._log(whole, answer)
-        if is_trial:
-            await self._trials.follow(whole, not isinstance(answer, Failure))
         return answer
 
     async def _run(self, whole: WholeRequest) -> WholeAnswer | Failure:
--- a/src/pondtiller/gateway/engines/engine_ends.py
+++ b/src/pondtiller/gateway/engines/engine_ends.py
@@ -92,14 +92,26 @@
             await curio.spawn(self._look_again, broken, connection, daemon=True)
         return await self._note(broken, self._has_ended(engine))
 
-    async def still_runs(self, engine: str) -> bool:
-        """Return whether a start of an engine is still listed and its port takes connections."""
+    async def outlasts(self, engine: str, until: float) -> bool:
+        """Return whether a start of an engine goes on until a time, by a connection that lasts.
+
+        Its port alone does not tell: the next start may listen there a moment later.
+
+        Parameters
+        ----------
+        until
+            On the steady clock.
+        """
         known = self._engines.engines.get(engine)
-        if known is None or known.gone_at is not None:
+        if known is None:
             return False
         connection = await self._ask(engine, known.entry.address)
         if connection is None:
             return False
+        await curio.sleep(max(0.0, until - clock.monotonic()))
+        if not connection.is_clean():
+            await connection.close()
+            return False
         await self._pool.give_back_unused(connection)
         return True
 
--- a/src/pondtiller/gateway/engines/suspect_sharing.py
+++ b/src/pondtiller/gateway/engines/suspect_sharing.py
@@ -167,29 +167,62 @@
 
     async def _write_trial(self, content: str, has_spare: bool) -> bool:
         """Count a trial in the content's object; False where another gateway did so first."""
+        quarantine = self._suspects.quarantine
+
+        def count(known: Suspect) -> Suspect | None:
+            now = clock.wall()
+            return known.tried(now) if quarantine.is_trial_due(content, now, has_spare) else None
+
+        if not await self._update(content, count):
+            return False
+        logs.decision(
+            "content_tried",
+            content=shown_content(content),
+            ends=quarantine.ends(content),
+            own_ends=quarantine.own_ends(content),
+            trials=quarantine.suspects[content].trials,
+        )
+        return True
+
+    async def give_trial_back(self, content: str) -> None:
+        """Let a trial that told nothing of its content count no longer.
+
+        Where the store does not take that, the trial stays used up.
+        """
+        try:
+            for _ in range(MOST_WRITES):
+                if await self._update(content, Suspect.tried_in_vain):
+                    return
+            reason = "it was cleared, or others wrote it each time first"
+        except StoreCallError as error:
+            reason = str(error)
+        logs.decision("content_untold", content=shown_content(content), reason=reason)
+
+    async def _update(self, content: str, change: Callable[[Suspect], Suspect | None]) -> bool:
+        """Change what the store holds of a content; False where it did not take the change.
+
+        Parameters
+        ----------
+        change
+            Returns the content with its change, from all that is known of it; None for no change.
+        """
         found = await self._store.read(names.SUSPECTS, content)
         told = objects.read_suspect(found) if found is not None else None
         if found is None or told is None or not told.ends:
             return False
+        if not self._suspects.is_held(content):
+            # An engine answered it here meanwhile: what the store holds is out of date.
+            return False
         self._suspects.quarantine.take(told)
-        now = clock.wall()
-        if not self._suspects.quarantine.is_trial_due(content, now, has_spare):
+        changed = change(self._suspects.quarantine.suspects[content])
+        if changed is None:
             return False
-        trial = self._suspects.quarantine.suspects[content].tried(now)
         outcome = await self._store.replace(
-            names.SUSPECTS, content, found.revision, objects.suspect_spec(trial)
+            names.SUSPECTS, content, found.revision, objects.suspect_spec(changed)
         )
-        if outcome is not PutOutcome.DONE:
-            return False
-        self._suspects.quarantine.take(trial)
-        logs.decision(
-            "content_tried",
-            content=shown_content(content),
-            ends=len(trial.ends),
-            own_ends=self._suspects.quarantine.own_ends(content),
-            trials=trial.trials,
-        )
-        return True
+        if outcome is PutOutcome.DONE:
+            self._suspects.quarantine.take(changed)
+        return outcome is PutOutcome.DONE
 
     # What others are told
 
@@ -256,7 +289,7 @@
             quarantine.take(told)
         cleared = Suspect(found.name, frozenset(), clock.wall() + CLEARED_SECONDS)
         renewed = quarantine.suspects.get(found.name, cleared)
-        if told is not None and renewed.ends == told.ends and renewed.trials == told.trials:
+        if told is not None and renewed._replace(until=told.until) == told:
             return True
         outcome = await self._store.replace(
             names.SUSPECTS, found.name, found.revision, objects.suspect_spec(renewed)
--- a/src/pondtiller/gateway/engines/suspects.py
+++ b/src/pondtiller/gateway/engines/suspects.py
@@ -5,6 +5,7 @@
 answered is `routes.live_attempts.error_of_held_content`.
 """
 
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import curio
@@ -46,6 +47,8 @@
         Set when something is to be shared.
     take_trial
         Grants this gateway a trial of a held content.
+    give_trial_back
+        Lets a trial that told nothing of its content count no longer.
     """
 
     def __init__(self, metrics: GatewayMetrics) -> None:
@@ -53,6 +56,7 @@
         self.untold: dict[str, float] = {}
         self.has_news = curio.Event()
         self.take_trial: TrialGrant = _no_trial
+        self.give_trial_back: Callable[[str], Awaitable[None]] = _ignore
         self._metrics = metrics
 
     def is_held(self, content: str) -> bool:
@@ -135,3 +139,7 @@
 
 async def _no_trial(content: str, has_spare: bool = False) -> bool:
     return False
+
+
+async def _ignore(_content: str) -> None:
+    """Stands in where no trial is granted."""
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -252,6 +252,7 @@
             self.watches.longest_retry,
         )
         self.suspects.take_trial = self.suspect_sharing.take_trial
+        self.suspects.give_trial_back = self.suspect_sharing.give_trial_back
         self.evacuations: EvacuationWatch | None = None
         if settings.evacuation.within:
             self.evacuations = EvacuationWatch(
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -110,11 +110,15 @@
         end = began + self.settings.durations.stop - STOP_MARGIN_SECONDS
         await curio.sleep(max(0.0, min(began + NOT_READY_SECONDS, end) - clock.monotonic()))
         self.front.is_closed = True
-        while self.front.open_exchanges and clock.monotonic() < end:
+        while self._has_open_work() and clock.monotonic() < end:
             await curio.sleep(OPEN_LOOK_SECONDS)
         await self._tell_last_use()
         await self._stopped.set()
 
+    def _has_open_work(self) -> bool:
+        """Return whether callers wait, or a trial is to be given back where it told nothing."""
+        return bool(self.front.open_exchanges or self.forwarder.trials.unsettled)
+
     async def _tell_last_use(self) -> None:
         """Tell what was counted since the last time; nobody else knows it."""
         leader = self.leadership.leader()
--- a/src/pondtiller/gateway/tests/test_held_scorers.py
+++ b/src/pondtiller/gateway/tests/test_held_scorers.py
@@ -12,22 +12,26 @@
 import curio
 import pytest
 
-from pondtiller.gateway.callers.content_trials import ContentTrials
+from pondtiller.gateway.callers.content_trials import SETTLE_SECONDS, ContentTrials
 from pondtiller.gateway.callers.request import ForwardedRequest
+from pondtiller.gateway.engines import suspect_sharing
 from pondtiller.gateway.tests.ending_engines import replace_engines
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.hashing import content_digest
+from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import ConnectionLostError, Exchange
-from pondtiller.platform import names
+from pondtiller.platform import names, objects
+from pondtiller.platform.object_client import StoreObject
 from pondtiller.process import clock
 from pondtiller.routes import quarantine
-from pondtiller.routes.quarantine import MOST_ENDS
+from pondtiller.routes.quarantine import MOST_ENDS, Suspect
 from pondtiller.standins.documents import step_body
 from pondtiller.standins.ending_engine import ENDING, EndingEngine, ends_engine
 
 STEP_SECONDS = 7.5
 """`run_deadline_ms` of the steps' row."""
 SAMPLES = 4
+LATE_SECONDS = 0.3
 
 
 class Score:
@@ -37,14 +41,20 @@
     ----------
     are_answered
         Whether engines answer them; else these wait, and those that end wait for one of them.
+    are_refused
+        Whether engines answer meanwhile that they did not run them.
+    ends_late
+        Whether an engine ends `LATE_SECONDS` after a scorer's request was given up there.
     crashes
         Scorers' requests under which an engine ends for a reason of its own.
     at_work
         Scorers' requests at each engine.
     """
 
-    def __init__(self, crashes: int) -> None:
+    def __init__(self, crashes: int = 0) -> None:
         self.are_answered = False
+        self.are_refused = False
+        self.ends_late = False
         self.crashes = crashes
         self.at_work: dict[str, int] = {}
 
@@ -59,8 +69,15 @@
         name = engine.identifier
         self.at_work[name] = self.at_work.get(name, 0) + 1
         try:
+            if self.are_refused:
+                own = (names.REQUEST_ID, exchange.request.headers[names.REQUEST_ID])
+                await exchange.respond(HttpResponse(503, headers=(own, (names.NOT_RUN, "1"))))
+                return
             if not self.are_answered:
                 await exchange.wait_closed()
+                if self.ends_late:
+                    await curio.sleep(LATE_SECONDS)
+                    await engine.end()
                 raise ConnectionLostError("left")
             if self.crashes:
                 self.crashes -= 1
@@ -95,7 +112,7 @@
     await system.until(lambda: all(each.is_ready() for each in system.gateways))
 
 
-async def hold_beside(system: System, score: Score) -> None:
+async def hold_beside(system: System, score: Score) -> list[EndingEngine]:
     """Have a caller's content end two engines at which scorers' requests are at work."""
     engines = await replace_engines(system, "app", 3)
     for engine in engines:
@@ -104,6 +121,7 @@
     await system.until(lambda: sum(score.at_work.values()) > 0)
     await system.call("POST", "/quote/7", ENDING, request_id="e1")
     await system.until(lambda: is_held_by_all(system, scorers_content()))
+    return engines
 
 
 @pytest.mark.parametrize("crashes", [0, 1])
@@ -124,6 +142,81 @@
     run_system(tmp_path, test, gateways=2)
 
 
+def told_of_scorers(system: System) -> Suspect:
+    """Return what the store holds of the scorers' requests."""
+    content = scorers_content()
+    spec = system.store.kinds[names.SUSPECTS][content]["spec"]
+    told = objects.read_suspect(StoreObject(content, 1, spec))
+    assert told is not None
+    return told
+
+
+@pytest.mark.parametrize("are_refused", [False, True])
+def test_trials_that_no_engine_ran_or_that_ended_none_are_not_used_up(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, are_refused: bool
+) -> None:
+    monkeypatch.setattr(quarantine, "SHARED_TRIAL_PAUSE_SECONDS", 0.5)
+    monkeypatch.setattr(suspect_sharing, "TRIAL_RETRY_SECONDS", 0.5)
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        score = Score()
+        await hold_beside(system, score)
+        score.are_refused = are_refused
+        most = len(quarantine.TRIAL_PAUSES_SECONDS)
+        await system.until(lambda: told_of_scorers(system).trials >= most, 15.0)
+        await curio.sleep(SETTLE_SECONDS)
+        score.are_refused, score.are_answered = False, True
+        answered_at = clock.monotonic()
+        await system.read_all("s1", SAMPLES)
+        assert clock.monotonic() < answered_at + STEP_SECONDS
+
+    run_system(tmp_path, test, gateways=2)
+
+
+@pytest.mark.parametrize("is_others", [False, True])
+def test_a_trial_whose_engine_ends_after_its_deadline_is_used_up_unless_another_content_did_it(
+    tmp_path: Path, is_others: bool
+) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        score = Score()
+        engines = await hold_beside(system, score)
+        await system.until(lambda: told_of_scorers(system).trials == 1)
+        await system.until(lambda: any(score.at_work.get(each.identifier) for each in engines))
+        (engine,) = [each for each in engines if score.at_work.get(each.identifier)]
+        # From here on each of them ends its engine, some time after its sender gave up.
+        score.ends_late = True
+        if is_others:
+            await system.gateways[0].suspects.note_end("another", engine.identifier)
+        await system.until(lambda: not score.at_work[engine.identifier])
+        await curio.sleep(1.5 * SETTLE_SECONDS)
+        assert told_of_scorers(system).inconclusive == is_others
+
+    run_system(tmp_path, test, gateways=2)
+
+
+@pytest.mark.parametrize("is_others", [False, True])
+def test_a_trial_whose_engine_ends_under_another_content_is_not_used_up(
+    tmp_path: Path, is_others: bool
+) -> None:
+    async def test(system: System) -> None:
+        await until_ready(system)
+        score = Score()
+        engines = await hold_beside(system, score)
+        await system.until(lambda: told_of_scorers(system).trials == 1)
+        await system.until(lambda: any(score.at_work.get(each.identifier) for each in engines))
+        (engine,) = [each for each in engines if score.at_work.get(each.identifier)]
+        if is_others:
+            for start in (engine.identifier, "e9@1"):
+                await system.gateways[0].suspects.note_end("another", start)
+        await engine.end()
+        await curio.sleep(1.5 * SETTLE_SECONDS)
+        assert told_of_scorers(system).inconclusive == is_others
+
+    run_system(tmp_path, test, gateways=2)
+
+
 async def hold_together(system: System, contents: list[str]) -> None:
     """Have two engines end under all of some contents."""
     for number in range(MOST_ENDS):
--- a/src/pondtiller/platform/objects.py
+++ b/src/pondtiller/platform/objects.py
@@ -86,6 +86,8 @@
     spec = {"ends": sorted(suspect.ends), "until": suspect.until}
     if suspect.trials:
         spec |= {"trials": suspect.trials, "tried_at": suspect.tried_at}
+    if suspect.inconclusive:
+        spec["inconclusive"] = suspect.inconclusive
     return spec
 
 
@@ -94,9 +96,12 @@
     try:
         ends, until = found.spec["ends"], float(found.spec["until"])
         trials, tried_at = int(found.spec.get("trials", 0)), float(found.spec.get("tried_at", 0))
+        inconclusive = int(found.spec.get("inconclusive", 0))
     except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
     if not isinstance(ends, list) or not math.isfinite(until) or not math.isfinite(tried_at):
         return None
     names_of_ends = frozenset(str(each) for each in ends)
-    return Suspect(found.name, names_of_ends, until, max(0, trials), tried_at)
+    trials = max(0, trials)
+    inconclusive = min(max(0, inconclusive), trials)
+    return Suspect(found.name, names_of_ends, until, trials, tried_at, inconclusive)
--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -62,6 +62,8 @@
         Requests that were let through since it is held back, by all daemons.
     tried_at
         Time of day of the last of them, in seconds since 1970; 0 before the first.
+    inconclusive
+        Trials among them that told nothing, and may be made once more.
     """
 
     content: str
@@ -69,6 +71,7 @@
     until: float
     trials: int = 0
     tried_at: float = 0.0
+    inconclusive: int = 0
 
     @property
     def is_held(self) -> bool:
@@ -91,20 +94,24 @@
         float
             In seconds since 1970; infinite where it had all of its trials.
         """
-        if self.trials >= len(TRIAL_PAUSES_SECONDS):
+        spent = self.trials - self.inconclusive
+        if spent >= len(TRIAL_PAUSES_SECONDS):
             return math.inf
         last_end = self.until - QUARANTINE_SECONDS
         since = max(last_end, self.tried_at)
         if own_ends < MOST_ENDS and has_spare:
             return since + SHARED_TRIAL_PAUSE_SECONDS
         # Trials that came early, since ends were shared, do not lengthen the pause.
-        trials = min(self.trials, max(0, own_ends - MOST_ENDS))
-        return since + TRIAL_PAUSES_SECONDS[trials]
+        return since + TRIAL_PAUSES_SECONDS[min(spent, max(0, own_ends - MOST_ENDS))]
 
     def tried(self, wall_now: float) -> "Suspect":
         """Return it with one more trial."""
         return self._replace(trials=self.trials + 1, tried_at=wall_now)
 
+    def tried_in_vain(self) -> "Suspect":
+        """Return it with one more trial that was inconclusive."""
+        return self._replace(inconclusive=min(self.inconclusive + 1, self.trials))
+
     def joined(self, other: "Suspect") -> "Suspect":
         """Return what both tell of the same content."""
         return Suspect(
@@ -113,6 +120,7 @@
             max(self.until, other.until),
             max(self.trials, other.trials),
             max(self.tried_at, other.tried_at),
+            max(self.inconclusive, other.inconclusive),
         )
 
 
@@ -214,6 +222,23 @@
         others = [each for each in self.suspects.values() if each.is_held and each is not suspect]
         return len(suspect.ends.difference(*(each.ends for each in others)))
 
+    def is_explained(self, content: str, engine: str) -> bool:
+        """Return whether an engine that got a content is known to have ended under another one.
+
+        Where a request of the content broke off with the engine, only ordinary requests of another
+        held content explain the end: of two contents that both end engines, each would otherwise
+        stand for the ends of the other's trials.
+        """
+        others = [
+            each
+            for each in self.suspects.values()
+            if each.content != content and engine in each.ends
+        ]
+        suspect = self.suspects.get(content)
+        if suspect is None or engine not in suspect.ends:
+            return bool(others)
+        return any(each.is_held and not each.trials for each in others)
+
     def is_trial_due(self, content: str, wall_now: float, has_spare: bool = False) -> bool:
         """Return whether one request of a content that is held back may go to one engine.
 
--- a/src/pondtiller/routes/tests/test_quarantine.py
+++ b/src/pondtiller/routes/tests/test_quarantine.py
@@ -182,3 +182,49 @@
     soon = SHARED_TRIAL_PAUSE_SECONDS
     assert trial_times([0, 0, 0, 0]) == [soon, soon, soon, math.inf]
     assert trial_times([0, 1, 2, 3]) == [soon, soon, TRIAL_PAUSES_SECONDS[0], math.inf]
+
+
+def test_an_inconclusive_trial_is_not_used_up() -> None:
+    suspect = Suspect("c", frozenset({"e0@1", "e1@1"}), WALL + QUARANTINE_SECONDS)
+    most = len(TRIAL_PAUSES_SECONDS)
+    for _ in range(most + 1):
+        suspect = suspect.tried(WALL).tried_in_vain()
+    assert suspect.next_trial_at(MOST_ENDS, has_spare=True) == WALL + TRIAL_PAUSES_SECONDS[0]
+    for _ in range(most):
+        suspect = suspect.tried(WALL)
+    assert suspect.next_trial_at(MOST_ENDS, has_spare=True) == math.inf
+    # One that was told of earlier changes nothing.
+    assert suspect.joined(Suspect("c", suspect.ends, suspect.until)) == suspect
+
+
+def test_more_trials_are_not_given_back_than_were_made() -> None:
+    suspect = Suspect("c", frozenset({"e0@1", "e1@1"}), WALL + QUARANTINE_SECONDS)
+    assert suspect.tried_in_vain() == suspect
+
+
+@pytest.mark.parametrize(
+    ("other_ends", "other_trials", "broke_off", "is_explained"),
+    [
+        # Nobody else was there.
+        (0, 0, False, False),
+        (0, 0, True, False),
+        # The trial's request had ended before its engine did.
+        (1, 0, False, True),
+        (MOST_ENDS, 1, False, True),
+        # It broke off with its engine.
+        (MOST_ENDS - 1, 0, True, False),
+        (MOST_ENDS, 0, True, True),
+        (MOST_ENDS, 1, True, False),
+    ],
+)
+def test_which_ends_of_engines_that_got_a_trial_are_explained_by_another_content(
+    other_ends: int, other_trials: int, broke_off: bool, is_explained: bool
+) -> None:
+    quarantine = Quarantine()
+    quarantine.note_end("c", "e9@1", 0.0, WALL)
+    end_engines(quarantine, other_ends, "another")
+    for _ in range(other_trials):
+        quarantine.take(quarantine.suspects["another"].tried(WALL))
+    if broke_off:
+        quarantine.note_end("c", "e0@1", 0.0, WALL)
+    assert quarantine.is_explained("c", "e0@1") is is_explained
