Held contents that share their ends are tried one after the other

An early trial now also waits 2 s from the last trial of a content that shares its ends. The harmless one is answered meanwhile, and the other, alone with its ends then, is tried after 20 s as before: so fewer engines end early.

--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -79,7 +79,7 @@
         is_sample = self.content.startswith(SAMPLE_PREFIX)
         return len(self.ends) >= (MOST_SAMPLE_ENDS if is_sample else MOST_ENDS)
 
-    def next_trial_at(self, own_ends: int, has_spare: bool) -> float:
+    def next_trial_at(self, own_ends: int, has_spare: bool, others_tried_at: float = 0.0) -> float:
         """Return the time of day from which on one request may go to one engine.
 
         Parameters
@@ -88,6 +88,9 @@
             Ends that no other held content shares.
         has_spare
             Whether its service keeps another engine if the trial ends one.
+        others_tried_at
+            When a content that shares its ends had its last trial, in seconds since 1970: these
+            are tried one after the other, so that an answer of one tells of the others too.
 
         Returns
         -------
@@ -100,7 +103,7 @@
         last_end = self.until - QUARANTINE_SECONDS
         since = max(last_end, self.tried_at)
         if own_ends < MOST_ENDS and has_spare:
-            return since + SHARED_TRIAL_PAUSE_SECONDS
+            return max(since, others_tried_at) + SHARED_TRIAL_PAUSE_SECONDS
         # Trials that came early, since ends were shared, do not lengthen the pause.
         return since + TRIAL_PAUSES_SECONDS[min(spent, max(0, own_ends - MOST_ENDS))]
 
@@ -219,8 +222,17 @@
         suspect = self.suspects.get(content)
         if suspect is None:
             return 0
-        others = [each for each in self.suspects.values() if each.is_held and each is not suspect]
-        return len(suspect.ends.difference(*(each.ends for each in others)))
+        return len(suspect.ends.difference(*(each.ends for each in self._sharing(suspect))))
+
+    def _sharing(self, suspect: Suspect) -> list[Suspect]:
+        """Return the other held contents under which some of a content's engines ended too."""
+        return [
+            each
+            for each in self.suspects.values()
+            if each.is_held
+            and each.content != suspect.content
+            and not each.ends.isdisjoint(suspect.ends)
+        ]
 
     def is_explained(self, content: str, engine: str) -> bool:
         """Return whether an engine that got a content is known to have ended under another one.
@@ -250,7 +262,9 @@
         suspect = self.suspects.get(content)
         if suspect is None:
             return False
-        return wall_now >= suspect.next_trial_at(self.own_ends(content), has_spare)
+        others_tried_at = max((each.tried_at for each in self._sharing(suspect)), default=0.0)
+        due_at = suspect.next_trial_at(self.own_ends(content), has_spare, others_tried_at)
+        return wall_now >= due_at
 
     def forget(self, content: str) -> None:
         """Take that a content is to be suspected no longer."""
--- a/src/pondtiller/routes/tests/test_quarantine.py
+++ b/src/pondtiller/routes/tests/test_quarantine.py
@@ -161,6 +161,30 @@
     assert quarantine.is_trial_due("ran beside it", late, has_spare=False)
 
 
+def test_contents_that_share_their_ends_are_tried_one_after_the_other() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS, "ends engines")
+    end_engines(quarantine, MOST_ENDS, "ran beside it")
+    soon = WALL + SHARED_TRIAL_PAUSE_SECONDS
+    quarantine.take(quarantine.suspects["ran beside it"].tried(soon))
+    assert not quarantine.is_trial_due("ends engines", soon, has_spare=True)
+    # It did no harm, so the other one is tried late.
+    quarantine.note_answer("ran beside it", 1.0)
+    assert not quarantine.is_trial_due("ends engines", soon + 10.0, has_spare=True)
+    assert quarantine.is_trial_due("ends engines", WALL + TRIAL_PAUSES_SECONDS[0], has_spare=True)
+
+
+def test_a_content_is_tried_soon_after_the_trial_of_another_that_shares_its_ends() -> None:
+    quarantine = Quarantine()
+    end_engines(quarantine, MOST_ENDS, "ends engines")
+    end_engines(quarantine, MOST_ENDS, "ran beside it")
+    soon = WALL + SHARED_TRIAL_PAUSE_SECONDS
+    quarantine.take(quarantine.suspects["ends engines"].tried(soon))
+    due = soon + SHARED_TRIAL_PAUSE_SECONDS
+    assert not quarantine.is_trial_due("ran beside it", due - 0.1, has_spare=True)
+    assert quarantine.is_trial_due("ran beside it", due, has_spare=True)
+
+
 def trial_times(own_ends: list[int]) -> list[float]:
     """Return after which pauses trials are due, with so many own ends before each."""
     suspect = Suspect("c", frozenset({"e0@1", "e1@1"}), WALL + QUARANTINE_SECONDS)
