--- a/src/pondtiller/gateway/callers/content_trials.py
+++ b/src/pondtiller/gateway/callers/content_trials.py
@@ -9,6 +9,7 @@
 """
 
 from enum import StrEnum
+from functools import partial
 
 import curio
 
@@ -71,7 +72,8 @@
         content = request.content
         if not self._suspects.is_held(content):
             return False
-        return await self._suspects.take_trial(content, self._has_spare(content, service, homes))
+        has_spare = partial(self._has_spare, content, service, homes)
+        return await self._suspects.take_trial(content, has_spare)
 
     def _has_spare(self, content: str, service: str, homes: frozenset[str]) -> bool:
         """Return whether a service has two usable engines, so that one outlasts a trial.
--- a/src/pondtiller/gateway/engines/suspect_sharing.py
+++ b/src/pondtiller/gateway/engines/suspect_sharing.py
@@ -13,7 +13,7 @@
 
 import curio
 
-from pondtiller.gateway.engines.suspects import SuspectContents
+from pondtiller.gateway.engines.suspects import SuspectContents, no_spare
 from pondtiller.platform import names, objects
 from pondtiller.platform.object_client import (
     PutOutcome,
@@ -42,6 +42,9 @@
 TRIAL_RETRY_SECONDS = 2.0
 """Between two calls to the store for a content's trial: its requests may come many times a second,
 and each would ask while the store does not answer."""
+TRIAL_LOOK_SECONDS = 0.1
+"""Between two looks at whether a content's trial is due, each of which compares it with all others
+and goes through the engines of its service."""
 REMOVE_SECONDS = 60.0
 """Between two looks of a leader for objects that are out of date."""
 
@@ -145,22 +148,24 @@
 
     # Trials
 
-    async def take_trial(self, content: str, has_spare: bool = False) -> bool:
+    async def take_trial(self, content: str, has_spare: Callable[[], bool] = no_spare) -> bool:
         """Return whether this gateway takes a held content's next trial, which is then used up.
 
         Parameters
         ----------
         has_spare
-            Whether the content's service keeps another engine if the trial ends one.
+            Returns whether the content's service keeps another engine if the trial ends one.
         """
         now = clock.monotonic()
         if now < self._no_trial_before.get(content, 0.0):
             return False
-        if not self._suspects.quarantine.is_trial_due(content, clock.wall(), has_spare):
+        is_spare = has_spare()
+        if not self._suspects.quarantine.is_trial_due(content, clock.wall(), is_spare):
+            self._no_trial_before[content] = now + TRIAL_LOOK_SECONDS
             return False
         self._no_trial_before[content] = now + TRIAL_RETRY_SECONDS
         try:
-            return await self._write_trial(content, has_spare)
+            return await self._write_trial(content, is_spare)
         except StoreCallError as error:
             logs.decision("content_untold", content=shown_content(content), reason=str(error))
             return False
--- a/src/pondtiller/gateway/engines/suspects.py
+++ b/src/pondtiller/gateway/engines/suspects.py
@@ -23,16 +23,21 @@
 """Ends from which on each is shared at once: no engine may get the content any more, or one may."""
 
 
+def no_spare() -> bool:
+    """Return that a service may have no second engine: its trials come late."""
+    return False
+
+
 class TrialGrant(Protocol):
     """Grants trials of held contents, of all gateways together."""
 
-    async def __call__(self, content: str, has_spare: bool = False) -> bool:
+    async def __call__(self, content: str, has_spare: Callable[[], bool] = no_spare) -> bool:
         """Return whether this gateway may send one request of a content now.
 
         Parameters
         ----------
         has_spare
-            Whether the content's service keeps another engine if the trial ends one.
+            Returns whether the content's service keeps another engine if the trial ends one.
         """
 
 
@@ -137,7 +142,7 @@
         )
 
 
-async def _no_trial(content: str, has_spare: bool = False) -> bool:
+async def _no_trial(content: str, has_spare: Callable[[], bool] = no_spare) -> bool:
     return False
 
 
