A planned stop also waits for trials whose request is on its way

It did so only for those whose request had ended: requests of scorers are no open exchange of a caller, so the process could end beside one, and the trial stayed used up.

--- a/src/pondtiller/gateway/callers/content_trials.py
+++ b/src/pondtiller/gateway/callers/content_trials.py
@@ -54,12 +54,13 @@
         self._engines = engines
         self._ends = ends
         self._suspects = suspects
-        self._unsettled = Spawner()
+        self._running: set[str] = set()
+        self._settling = Spawner()
 
     @property
     def unsettled(self) -> int:
         """Trials whose outcome is not known yet."""
-        return len(self._unsettled)
+        return len(self._running) + len(self._settling)
 
     async def take(self, request: ForwardedRequest, service: str, homes: frozenset[str]) -> bool:
         """Return whether a request is its content's trial, which is then used up.
@@ -84,14 +85,20 @@
         ended = self._suspects.known_ends(content)
         return len([each for each in usable if each.identifier not in ended]) > 1
 
+    def begin(self, whole: WholeRequest) -> None:
+        """Take that a request begins, which may be a trial."""
+        if whole.is_trial:
+            self._running.add(whole.request.identifier)
+
     async def follow(self, whole: WholeRequest) -> None:
         """Follow a trial whose request has ended: one that told nothing is given back."""
         if not whole.is_trial:
             return
         if self._suspects.is_suspect(whole.request.content):
-            await self._unsettled.spawn(self._settle, whole)
+            await self._settling.spawn(self._settle, whole)
         else:
             self._log(whole, TrialOutcome.ANSWERED)
+        self._running.discard(whole.request.identifier)
 
     async def _settle(self, whole: WholeRequest) -> None:
         outcome = TrialOutcome.INCONCLUSIVE
--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -127,6 +127,7 @@
         whole = WholeRequest(request, route, service, is_trial)
         async with self._stalls:
             try:
+                self.trials.begin(whole)
                 answer = await self._run(whole)
             finally:
                 await whole.tasks.cancel_all()
--- a/src/pondtiller/gateway/tests/test_held_scorers.py
+++ b/src/pondtiller/gateway/tests/test_held_scorers.py
@@ -12,6 +12,7 @@
 import curio
 import pytest
 
+from pondtiller.gateway import process
 from pondtiller.gateway.callers.content_trials import SETTLE_SECONDS, ContentTrials
 from pondtiller.gateway.callers.request import ForwardedRequest
 from pondtiller.gateway.engines import suspect_sharing
@@ -121,6 +122,7 @@
     await system.until(lambda: sum(score.at_work.values()) > 0)
     await system.call("POST", "/quote/7", ENDING, request_id="e1")
     await system.until(lambda: is_held_by_all(system, scorers_content()))
+    await system.until(lambda: scorers_content() in system.store.kinds.get(names.SUSPECTS, {}))
     return engines
 
 
@@ -143,7 +145,7 @@
 
 
 def told_of_scorers(system: System) -> Suspect:
-    """Return what the store holds of the scorers' requests."""
+    """Return what the store holds of the scorers' requests, once they are held back."""
     content = scorers_content()
     spec = system.store.kinds[names.SUSPECTS][content]["spec"]
     told = objects.read_suspect(StoreObject(content, 1, spec))
@@ -217,6 +219,21 @@
     run_system(tmp_path, test, gateways=2)
 
 
+def test_a_planned_stop_waits_for_the_outcome_of_a_trial(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(process, "NOT_READY_SECONDS", 0.0)
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        await hold_beside(system, Score())
+        await system.until(lambda: told_of_scorers(system).trials == 1)
+        await system.gateways[0].stop()
+        assert told_of_scorers(system).inconclusive == 1
+
+    run_system(tmp_path, test)
+
+
 async def hold_together(system: System, contents: list[str]) -> None:
     """Have two engines end under all of some contents."""
     for number in range(MOST_ENDS):
