A soak whose stand-ins start tasks while its event loop shuts down ends all the same

Cause, by reading curio: it lists the tasks to cancel, then lets those run that are ready; one of these may start another, which is not on the list. A soak's proxies and engines still serve running programs at that moment. Which task it was is not known: 80 short soaks and three controlled orders of a proxy that is cancelled as it opens a connection did not show it.

The soak shuts its kernel down again where that happens, prints where the new tasks are, and writes its report first.

--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -22,6 +22,7 @@
 from pondtiller.soak.faults import Faults
 from pondtiller.soak.home_watch import HomeWatch
 from pondtiller.soak.kept_callers import KeptCallers
+from pondtiller.soak.kernel import shut_down
 from pondtiller.soak.leader_log import LeaderLog
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.places import REGIONS, ZONES
@@ -258,11 +259,13 @@
 
     soak = Soak(seed, folder)
     try:
-        report: SoakReport = curio.run(soak.run, seconds, only, together)
+        with curio.Kernel() as kernel:
+            report: SoakReport = kernel.run(soak.run, seconds, only, together)
+            text = json.dumps(report._asdict(), indent=1)
+            (folder / "report.json").write_text(text)
+            shut_down(kernel)
     finally:
         for program in soak.programs:
             program.close()
         soak.reserved.close()
-    text = json.dumps(report._asdict(), indent=1)
-    (folder / "report.json").write_text(text)
     return report
