Only a content that is held back explains the end of a trial's engine

Found by reading once more: a trial whose request had ended before its engine was given back where a request of any other content broke off at that end. On a busy service some always does, so that a content which ends engines only after its callers gave up could have had trials without bound.

The other content must be held back by now: most that break off beside it are answered elsewhere, and cleared.

--- a/src/pondtiller/gateway/tests/test_held_scorers.py
+++ b/src/pondtiller/gateway/tests/test_held_scorers.py
@@ -153,6 +153,12 @@
     return told
 
 
+async def hold_another(system: System, engine: EndingEngine) -> None:
+    """Have an engine, and one more, end under ordinary requests of another content."""
+    for start in (engine.identifier, "e9@1"):
+        await system.gateways[0].suspects.note_end("another", start)
+
+
 @pytest.mark.parametrize("are_refused", [False, True])
 def test_trials_that_no_engine_ran_or_that_ended_none_are_not_used_up(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, are_refused: bool
@@ -190,7 +196,7 @@
         # From here on each of them ends its engine, some time after its sender gave up.
         score.ends_late = True
         if is_others:
-            await system.gateways[0].suspects.note_end("another", engine.identifier)
+            await hold_another(system, engine)
         await system.until(lambda: not score.at_work[engine.identifier])
         await curio.sleep(1.5 * SETTLE_SECONDS)
         assert told_of_scorers(system).inconclusive == is_others
@@ -210,8 +216,7 @@
         await system.until(lambda: any(score.at_work.get(each.identifier) for each in engines))
         (engine,) = [each for each in engines if score.at_work.get(each.identifier)]
         if is_others:
-            for start in (engine.identifier, "e9@1"):
-                await system.gateways[0].suspects.note_end("another", start)
+            await hold_another(system, engine)
         await engine.end()
         await curio.sleep(1.5 * SETTLE_SECONDS)
         assert told_of_scorers(system).inconclusive == is_others
--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -235,21 +235,21 @@
         ]
 
     def is_explained(self, content: str, engine: str) -> bool:
-        """Return whether an engine that got a content is known to have ended under another one.
+        """Return whether an engine that got a content ended under another one that is held back.
 
-        Where a request of the content broke off with the engine, only ordinary requests of another
-        held content explain the end: of two contents that both end engines, each would otherwise
-        stand for the ends of the other's trials.
+        Where a request of the content broke off with the engine, only ordinary requests of the
+        other one explain the end: of two contents that both end engines, each would otherwise stand
+        for the ends of the other's trials.
         """
         others = [
             each
             for each in self.suspects.values()
-            if each.content != content and engine in each.ends
+            if each.is_held and each.content != content and engine in each.ends
         ]
         suspect = self.suspects.get(content)
-        if suspect is None or engine not in suspect.ends:
-            return bool(others)
-        return any(each.is_held and not each.trials for each in others)
+        if suspect is not None and engine in suspect.ends:
+            others = [each for each in others if not each.trials]
+        return bool(others)
 
     def is_trial_due(self, content: str, wall_now: float, has_spare: bool = False) -> bool:
         """Return whether one request of a content that is held back may go to one engine.
--- a/src/pondtiller/routes/tests/test_quarantine.py
+++ b/src/pondtiller/routes/tests/test_quarantine.py
@@ -233,7 +233,8 @@
         (0, 0, False, False),
         (0, 0, True, False),
         # The trial's request had ended before its engine did.
-        (1, 0, False, True),
+        (MOST_ENDS - 1, 0, False, False),
+        (MOST_ENDS, 0, False, True),
         (MOST_ENDS, 1, False, True),
         # It broke off with its engine.
         (MOST_ENDS - 1, 0, True, False),
