--- a/src/pondtiller/gateway/tests/test_held_scorers.py
+++ b/src/pondtiller/gateway/tests/test_held_scorers.py
@@ -159,6 +159,15 @@
         await system.gateways[0].suspects.note_end("another", start)
 
 
+async def hold_until_trial(system: System, score: Score) -> EndingEngine:
+    """Hold scorers' requests back; return the engine with the first trial, which it has now."""
+    engines = await hold_beside(system, score)
+    await system.until(lambda: told_of_scorers(system).trials == 1)
+    await system.until(lambda: any(score.at_work.get(each.identifier) for each in engines))
+    (engine,) = [each for each in engines if score.at_work.get(each.identifier)]
+    return engine
+
+
 @pytest.mark.parametrize("are_refused", [False, True])
 def test_trials_that_no_engine_ran_or_that_ended_none_are_not_used_up(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, are_refused: bool
@@ -189,10 +198,7 @@
     async def test(system: System) -> None:
         await until_ready(system)
         score = Score()
-        engines = await hold_beside(system, score)
-        await system.until(lambda: told_of_scorers(system).trials == 1)
-        await system.until(lambda: any(score.at_work.get(each.identifier) for each in engines))
-        (engine,) = [each for each in engines if score.at_work.get(each.identifier)]
+        engine = await hold_until_trial(system, score)
         # From here on each of them ends its engine, some time after its sender gave up.
         score.ends_late = True
         if is_others:
@@ -211,10 +217,7 @@
     async def test(system: System) -> None:
         await until_ready(system)
         score = Score()
-        engines = await hold_beside(system, score)
-        await system.until(lambda: told_of_scorers(system).trials == 1)
-        await system.until(lambda: any(score.at_work.get(each.identifier) for each in engines))
-        (engine,) = [each for each in engines if score.at_work.get(each.identifier)]
+        engine = await hold_until_trial(system, score)
         if is_others:
             await hold_another(system, engine)
         await engine.end()
