Docstrings of trials say what is counted, and name a parameter

Two docstrings said that a trial is used up once it is taken; since it is counted then, and given back where it told nothing. ContentTrials did not name its parameter `engines`. No code changed.

make check and the tests of held contents pass.

--- a/src/pondtiller/gateway/callers/content_trials.py
+++ b/src/pondtiller/gateway/callers/content_trials.py
@@ -42,6 +42,8 @@
 
     Parameters
     ----------
+    engines
+        Engines of each service, to tell whether one is left if a trial ends another.
     ends
         Asked whether a trial's engine still runs.
     suspects
@@ -63,7 +65,7 @@
         return len(self._running) + len(self._settling)
 
     async def take(self, request: ForwardedRequest, service: str, homes: frozenset[str]) -> bool:
-        """Return whether a request is its content's trial, which is then used up.
+        """Return whether a request is its content's trial, which is then counted.
 
         Parameters
         ----------
--- a/src/pondtiller/gateway/engines/suspect_sharing.py
+++ b/src/pondtiller/gateway/engines/suspect_sharing.py
@@ -149,7 +149,7 @@
     # Trials
 
     async def take_trial(self, content: str, has_spare: Callable[[], bool] = no_spare) -> bool:
-        """Return whether this gateway takes a held content's next trial, which is then used up.
+        """Return whether this gateway takes a held content's next trial, which is then counted.
 
         Parameters
         ----------
