--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")" || exit 2
 python3 - <<'END'
 import ast, pathlib
-for path in [pathlib.Path("lab.py"), *sorted(pathlib.Path(".").glob("[123]/case.py"))]:
+for path in [pathlib.Path("lab.py"), pathlib.Path("losses.py"), *sorted(pathlib.Path(".").glob("[123]/case.py"))]:
     ast.parse(path.read_text(), str(path))
 END
--- a/review/lab.py
+++ b/review/lab.py
@@ -256,7 +256,7 @@
         self.running = 0
         self.work_s, self.event_s, self.events = 0.03, 0.02, 12
         self.trouble = None
-        self.seen = []
+        self.seen, self.ended = [], set()
 
     def entry(self):
         models = [{"name": self.model, "version": self.version, "adapters": []}]
@@ -380,6 +380,7 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
+        self.ended.add(identifier)
         self.record(f"engine {self.identifier} ended {identifier} whole")
         return None
 
@@ -429,7 +430,7 @@
 links = "127.0.0.1:{links}"
 store = "{store}"
 data_folder = "{data}"
-first_start = true
+first_start = {first}
 [regions]
 "fukuoka-a" = "kyushu"
 "kumamoto-b" = "kyushu"
@@ -440,32 +441,32 @@
 class Program:
     """One program of the deploy file, as a process; settings as the templates fill them."""
 
-    def __init__(self, folder, role, name, zone, store):
+    def __init__(self, folder, role, name, zone, store, first="true"):
         self.role, self.name, self.zone = role, name, zone
+        self._text = {"name": name, "zone": zone, "store": store.address, "first": first}
         self.callers, self.readiness = free_port(), free_port()
         self.process = None
         self._folder = Path(folder)
-        data = self._folder / f"data-{name}"
-        data.mkdir(exist_ok=True)
-        text = GATEWAY if role == "gateway" else REPLICA
+        self.data = self._folder / f"data-{name}"
+        self.data.mkdir(exist_ok=True)
         self._settings = self._folder / f"{name}.toml"
-        self._settings.write_text(
-            text.format(
-                name=name,
-                zone=zone,
-                callers=self.callers,
-                readiness=self.readiness,
-                links=free_port(),
-                store=store.address,
-                data=data,
-            )
-        )
+        self._text |= {
+            "callers": self.callers,
+            "readiness": self.readiness,
+            "links": free_port(),
+            "data": self.data,
+        }
 
     @property
     def log(self):
         return self._folder / f"{self.name}.log"
 
-    def start(self):
+    def start(self, first=None):
+        """Start it; `first` says whether it is the first start of the whole system."""
+        if first is not None:
+            self._text["first"] = first
+        text = GATEWAY if self.role == "gateway" else REPLICA
+        self._settings.write_text(text.format(**self._text))
         environment = {
             "PATH": os.environ.get("PATH", ""),
             "HOME": os.environ.get("HOME", ""),
@@ -538,6 +539,12 @@
     def replicas(self):
         return [each for each in self.programs if each.role == "replica"]
 
+    def add_replica(self, name, zone):
+        """Add a store machine with an empty disk."""
+        program = Program(self.folder, "replica", name, zone, self.store, first="false")
+        self.programs.append(program)
+        program.start()
+
     def of(self, service):
         return [each for each in self.engines if each.service == service]
 
