--- a/review/lab.py
+++ b/review/lab.py
@@ -602,11 +602,17 @@
     return os.urandom(8).hex()
 
 
+def _end(_number, _frame):
+    """End the script, and with it all that it started."""
+    raise SystemExit(2)
+
+
 def main(case):
     """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     import tempfile
 
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, _end)
     folder = Path(sys.argv[1]).resolve()
     record = Record(folder / "record.txt")
 
