A success without a signature is no stream, for samples and callers

Cause: the rule that a 2xx counts only with the engine's signature stands in end_of_answer, and only requests with whole answers passed through it. SampleRunner._stream and StreamForwarder._pass_on looked at the status alone. judge_stream would have given an unsigned success back on a route without resumption.

Evidence: logs of the case, "sample_run_ended ... events=0 outcome=whole detail=200", 36 ms after the engine sent the spoilt head, then "sample_listed ... succeeded=True versions="""; "stream_ended ... last_event=0 tried=""".

Fix: all three paths take the meaning of a head from end_of_answer. A run ends as broken and continues elsewhere after its last event; a stream goes to another engine if it may be resumed, else it is answered 502, since the engine may have run it.

--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -33,7 +33,6 @@
 from pondtiller.routes.engine_choice import EngineChoice
 from pondtiller.routes.engines import Engine, EngineDirectory
 from pondtiller.routes.live_attempts import (
-    AnswerFacts,
     AttemptEnd,
     NextStep,
     end_of_answer,
@@ -247,7 +246,7 @@
         try:
             answer = await self._send(engine, whole)
             seconds = self._stalls.running_seconds() - began
-            end = end_of_answer(_facts(answer))
+            end = _end_of(answer)
             await ended.put(EndedAttempt(engine, end, answer, seconds=seconds))
         except SendBlockedError as error:
             attempts.note_blocked(engine, error.reason)
@@ -413,12 +412,8 @@
     return ended
 
 
-def _facts(answer: WholeAnswer) -> AnswerFacts:
-    return AnswerFacts(
-        status=answer.status,
-        is_not_run=engine_answers.is_not_run(answer.status, answer.headers),
-        is_signed=engine_answers.signature(answer.headers) is not None,
-    )
+def _end_of(answer: WholeAnswer) -> AttemptEnd:
+    return end_of_answer(engine_answers.answer_facts(answer.status, answer.headers))
 
 
 def is_streamed(route: RouteRow) -> bool:
--- a/src/pondtiller/gateway/callers/streams.py
+++ b/src/pondtiller/gateway/callers/streams.py
@@ -37,6 +37,7 @@
     AttemptEnd,
     NextStep,
     Verdict,
+    end_of_answer,
     error_without_engines,
     judge_stream,
 )
@@ -184,7 +185,11 @@
             connection, engine.identifier, request, stream.attempts, stream.last_event
         )
         self._forwarder.zones.note_answer(engine)
-        if not 200 <= head.status < 300:
+        end = end_of_answer(engine_answers.answer_facts(head.status, head.headers))
+        if end is AttemptEnd.UNSIGNED:
+            stream.attempts.details.append(f"{engine.identifier}:unsigned")
+            return self._judge(stream, end)
+        if end is not AttemptEnd.ANSWERED or not 200 <= head.status < 300:
             return await self._refused(stream, connection, head)
         if not stream.has_started:
             stream.has_started = True
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -25,7 +25,7 @@
 from pondtiller.platform.headers import Headers, sample_headers, scorer_headers
 from pondtiller.process import clock
 from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
-from pondtiller.routes.live_attempts import scorer_plan
+from pondtiller.routes.live_attempts import AttemptEnd, end_of_answer, scorer_plan
 from pondtiller.routes.quarantine import sample_content
 from pondtiller.routes.send_gate import BlockReason, SendGate
 from pondtiller.routes.table import RouteTable
@@ -207,7 +207,10 @@
         )
         await connection.send_plain("POST", sample.path, sample.body, headers)
         head = await connection.read_answer(sample.id)
-        if not 200 <= head.status < 300:
+        end = end_of_answer(engine_answers.answer_facts(head.status, head.headers))
+        if end is AttemptEnd.UNSIGNED:
+            return RunOutcome(RunEnd.BROKEN, f"unsigned({head.status})")
+        if end is not AttemptEnd.ANSWERED or not 200 <= head.status < 300:
             async for _ in connection.read_body():
                 pass
             return _refusal(head.status, head.headers)
--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_unsigned_answers.py
@@ -0,0 +1,111 @@
+"""Successes without the engine's signature: they are no answers, whatever they hold."""
+
+from pathlib import Path
+
+import pytest
+
+from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.gateway.tests.test_system import ready
+from pondtiller.httpio.messages import HttpResponse
+from pondtiller.httpio.server import Exchange
+from pondtiller.platform import names
+from pondtiller.standins.documents import configuration
+from pondtiller.standins.engine import Behaviour
+
+FORGED_EVENT = b"id: 1\ndata: forged\n\n"
+
+
+def unsigned(body: bytes) -> Behaviour:
+    """Return the behaviour of an engine that answers 200 without a signature."""
+
+    async def answer(exchange: Exchange) -> None:
+        named = (names.REQUEST_ID, exchange.request.headers[names.REQUEST_ID])
+        await exchange.respond(HttpResponse(200, body, "", (named, (names.VERSIONS, "1"))))
+
+    return answer
+
+
+async def add_stream_routes(system: System) -> None:
+    """Add a route for streams that may be resumed, and one for streams that may not."""
+    document = configuration(4, *system.app, *system.llm)
+    for path, may_resume in (("/chat/", True), ("/once/", False)):
+        document["routes"].append(
+            {
+                "name": path,
+                "host": "app.example",
+                "path_prefix": path,
+                "kind": "stream",
+                "resumable": may_resume,
+                "timeout_ms": 3000,
+                "slo_ms": 200,
+                "service": "llm",
+                "max_attempts": 3,
+            }
+        )
+    system.store.put("config", "main", document)
+    fronts = [each.front for each in system.gateways]
+    await system.until(lambda: all(each.table and each.table.version == 4 for each in fronts))
+
+
+@pytest.mark.parametrize("body", [b"", FORGED_EVENT])
+def test_a_sample_with_an_unsigned_success_runs_at_another_engine(
+    tmp_path: Path, body: bytes
+) -> None:
+    """Guards against listing an empty or forged text as succeeded."""
+
+    async def test(system: System) -> None:
+        await ready(system)
+        system.llm[0].next_behaviours = [unsigned(body), unsigned(body)]
+        assert await system.submit("s1") == 202
+        results = await system.read_all("s1", 4)
+        assert not system.llm[0].next_behaviours
+        for each in results:
+            assert each["text"] == "\n".join(f"{each['id']}/{number}" for number in (1, 2, 3))
+            assert each["state"] == "succeeded"
+
+    run_system(tmp_path, test)
+
+
+@pytest.mark.parametrize("body", [b"", FORGED_EVENT])
+@pytest.mark.parametrize("path", ["/chat/1", "/once/1"])
+def test_an_unsigned_success_does_not_reach_the_caller_of_a_stream(
+    tmp_path: Path, path: str, body: bytes
+) -> None:
+    """Guards against a success that no engine signed, on routes with and without resumption."""
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add_stream_routes(system)
+        for engine in system.llm:
+            engine.next_behaviours = [unsigned(body)]
+        answer = await ask(system, path, "q1")
+        assert answer.status == 502
+        tried = sum(not engine.next_behaviours for engine in system.llm)
+        assert tried == (2 if path == "/chat/1" else 1)
+
+    run_system(tmp_path, test)
+
+
+def test_a_resumable_stream_with_an_unsigned_success_goes_to_another_engine(
+    tmp_path: Path,
+) -> None:
+    """Guards against a failed stream where another engine may run it."""
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add_stream_routes(system)
+        system.llm[0].next_behaviours = [unsigned(b"")]
+        for number in range(8):
+            answer = await ask(system, "/chat/1", f"q{number}")
+            events = (f"id: {n}\ndata: q{number}/{n}\n\n" for n in (1, 2, 3))
+            assert (answer.status, answer.body) == (200, "".join(events).encode())
+        assert not system.llm[0].next_behaviours
+
+    run_system(tmp_path, test)
+
+
+async def ask(system: System, path: str, request: str) -> HttpResponse:
+    """Ask for a stream."""
+    return await system.call(
+        "POST", path, b"", request_id=request, model="m", request_deadline="2500"
+    )
--- a/src/pondtiller/platform/engine_answers.py
+++ b/src/pondtiller/platform/engine_answers.py
@@ -2,6 +2,7 @@
 
 from pondtiller.platform import names
 from pondtiller.platform.headers import Headers, header
+from pondtiller.routes.live_attempts import AnswerFacts
 
 MISDIRECTED = 421
 """Status of an engine that a request was not meant for: another incarnation may have its
@@ -18,6 +19,15 @@
     return status == MISDIRECTED or header(headers, names.NOT_RUN) is not None
 
 
+def answer_facts(status: int, headers: Headers) -> AnswerFacts:
+    """Return the properties of an answer that decide what it means for its request."""
+    return AnswerFacts(
+        status=status,
+        is_not_run=is_not_run(status, headers),
+        is_signed=signature(headers) is not None,
+    )
+
+
 def names_request(headers: Headers, request: str) -> bool:
     """Return whether an answer belongs to a request."""
     return header(headers, names.REQUEST_ID) == request
--- a/src/pondtiller/routes/live_attempts.py
+++ b/src/pondtiller/routes/live_attempts.py
@@ -129,7 +129,7 @@
 
 
 def end_of_answer(answer: AnswerFacts) -> AttemptEnd:
-    """Return the outcome of an attempt that got a complete answer."""
+    """Return the outcome of an attempt by the head of its answer."""
     if answer.is_not_run:
         return AttemptEnd.REFUSED
     if 200 <= answer.status < 300 and not answer.is_signed:
@@ -200,7 +200,7 @@
         return Verdict(NextStep.OTHER_ENGINE, end)
     if may_resume:
         return Verdict(NextStep.OTHER_ENGINE, end)
-    if end is AttemptEnd.BROKEN:
+    if end in (AttemptEnd.BROKEN, AttemptEnd.UNSIGNED):
         return Verdict(NextStep.GIVE_UP, end, ErrorKind.OUTCOME_UNKNOWN)
     if has_started:
         return Verdict(NextStep.GIVE_UP, end, ErrorKind.ENGINE_FAILED)
