An unsigned success clears no content and counts as no fast answer

Callers saw: nothing wrong in their answers; a content under which engines crash could be sent to further engines after one spoilt answer, and callers were hedged by a usual time that spoilt answers had shortened.

Forwarder._send cleared the content after everything that did not say "not run", and took each 2xx as a measured answer.

The test sends one request of a suspected content to an engine that answers 200 unsigned; before the fix the content was no suspect afterwards.

Only an answer that an engine vouches for, signed success or failure, clears a content; only a signed success is measured.

--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -291,15 +291,17 @@
             is_unanswered = False
             self.zones.note_answer(engine)
             body = b"".join([piece async for piece in connection.read_body()])
-            if engine_answers.is_not_run(head.status, head.headers):
+            answer = WholeAnswer(engine.identifier, head.status, head.headers, body)
+            end = _end_of(answer)
+            if end is AttemptEnd.REFUSED:
                 attempts.sent -= 1
                 request.beginning.note_not_started()
-            else:
+            elif end is not AttemptEnd.UNSIGNED:
                 await self.suspects.note_answer(request.content)
-            is_answered = 200 <= head.status < 300
+            is_answered = end is AttemptEnd.ANSWERED and head.status < 300
             await self._pool.give_back(connection)
             connection = None
-            return WholeAnswer(engine.identifier, head.status, head.headers, body)
+            return answer
         finally:
             seconds = self._stalls.running_seconds() - began
             self._times.note_attempt(engine, seconds, is_answered, clock.monotonic())
--- a/src/pondtiller/gateway/tests/test_live_load.py
+++ b/src/pondtiller/gateway/tests/test_live_load.py
@@ -40,6 +40,7 @@
 
     work_seconds: float
     is_up: bool = True
+    signature: str = "s"
     present: int = 0
     most_present: int = 0
     refused: int = 0
@@ -59,7 +60,8 @@
                 await curio.sleep(self.work_seconds)
         finally:
             self.present -= 1
-        return AnswerHead(200, ((names.SIGNATURE.lower(), "s"),))
+        signed = ((names.SIGNATURE.lower(), self.signature),) if self.signature else ()
+        return AnswerHead(200, signed)
 
 
 class FakeConnection:
--- a/src/pondtiller/gateway/tests/test_unsigned_answers.py
+++ b/src/pondtiller/gateway/tests/test_unsigned_answers.py
@@ -2,13 +2,17 @@
 
 from pathlib import Path
 
+import curio
 import pytest
 
+from pondtiller.gateway.callers.request import ForwardedRequest
 from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.gateway.tests.test_live_load import ROUTE, FakeEngine, Gateway
 from pondtiller.gateway.tests.test_system import ready
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange
 from pondtiller.platform import names
+from pondtiller.process import clock
 from pondtiller.standins.documents import configuration
 from pondtiller.standins.engine import Behaviour
 
@@ -104,6 +108,25 @@
     run_system(tmp_path, test)
 
 
+def test_an_unsigned_success_does_not_clear_a_content_that_crashes_engines() -> None:
+    """Guards against an end of the quarantine, and a fast answer, that no engine vouches for."""
+    engine = FakeEngine(0.0, signature="")
+    gateway = Gateway(engine)
+    forwarder = gateway.forwarder
+    usual_before = forwarder.usual_seconds("app")
+
+    async def play() -> None:
+        request = ForwardedRequest("q", "GET", "/", (), b"", clock.monotonic() + 1.0, content="c")
+        await forwarder.suspects.note_crash("c", "an-engine")
+        await forwarder.whole(request, ROUTE)
+
+    curio.run(play)
+    assert engine.seen
+    assert forwarder.suspects.is_suspect("c")
+    assert forwarder.usual_seconds("app") == usual_before
+    assert gateway.engines.engines["e0"].answer_seconds == 0.0
+
+
 async def ask(system: System, path: str, request: str) -> HttpResponse:
     """Ask for a stream."""
     return await system.call(
