Crashes of engines are not counted for samples: what was accepted is owed

Samples with two such crashes ran one at a time in a service.

Cause: samples were counted by the breaker for requests that crash engines. Only an answer clears a content, and a quarantined sample is sent nowhere.

Evidence, on: "content_suspected content=sample- ends=5 is_held=True", no sample_started for it afterwards, "only 3 of 4 were listed" with 5 and with 12 crashes; 1 stream at once after three crashes under each of four samples.

Fix: samples have no counted content, neither at the runner nor at the leader, so nothing can hold one back. Callers' requests are held back as before.

--- a/src/pondtiller/gateway/leader/duty_parts.py
+++ b/src/pondtiller/gateway/leader/duty_parts.py
@@ -1,6 +1,5 @@
 """Dependencies of a leader in all of its terms; created once when the process starts."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from pondtiller.coordination.agreed_clock import AgreedClock
@@ -43,9 +42,6 @@
         Returns how a rate may be granted, by its key.
     scaling
         Settings for ordering engines; None if no engines are ordered.
-    is_quarantined, crash_count
-        Whether a sample is quarantined, and how many engines crashed under it, by the key of
-        `quarantine.sample_content`; None if there is no quarantine.
     """
 
     leadership: Leadership
@@ -64,5 +60,3 @@
     cold: ColdEngines | None = None
     find_terms: FindTerms = no_terms
     scaling: ScalingSettings | None = None
-    is_quarantined: Callable[[str], bool] | None = None
-    crash_count: Callable[[str], int] | None = None
--- a/src/pondtiller/gateway/leader/term.py
+++ b/src/pondtiller/gateway/leader/term.py
@@ -91,8 +91,6 @@
             self.steward.is_loading,
             parts.leadership.zone,
             parts.cold,
-            parts.is_quarantined,
-            parts.crash_count,
         )
         self.scheduler.epoch = won.epoch
         self.wake = curio.Event()
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -217,8 +217,6 @@
             cold=self._cold_engines,
             find_terms=self._rate_terms,
             scaling=scaling_settings(settings),
-            is_quarantined=self.suspects.is_quarantined,
-            crash_count=self.suspects.crash_count,
         )
         self.duties = LeaderDuties(parts)
         self.leadership.serve(self.duties)
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -26,14 +26,11 @@
 from pondtiller.process import clock
 from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
 from pondtiller.routes.live_attempts import AttemptEnd, end_of_answer, scorer_plan
-from pondtiller.routes.quarantine import sample_content
+from pondtiller.routes.quarantine import UNCOUNTED_CONTENT
 from pondtiller.routes.send_gate import BlockReason, SendGate
 from pondtiller.routes.table import RouteTable
 from pondtiller.wire.steplog import Sample, Scorer
 
-SURVIVED_ENDS = (RunEnd.WHOLE, RunEnd.FAILED, RunEnd.IMPOSSIBLE)
-"""Ends of a run that the engine reported itself, which shows that it survived the run."""
-
 EventSink = Callable[[int, int, str, int, float], bool]
 
 
@@ -150,19 +147,17 @@
         if self._gate.engines.has_left(order.engine, clock.monotonic()):
             return RunOutcome(RunEnd.REFUSED, BlockReason.LEAVING.value)
         connection: EngineConnection | None = None
-        content = sample_content(order.sample)
-        suspects = self._forwarder.suspects
         await self._prepare(order)
         try:
             # The leader limits the duration of a run, so there is no deadline here.
-            connection = await self._sender.take(order.engine, order.address, content, math.inf)
+            connection = await self._sender.take(
+                order.engine, order.address, UNCOUNTED_CONTENT, math.inf
+            )
             if self._is_excluded_by_newer_table(order):
                 await self._pool.give_back_unused(connection)
                 connection = None
                 return RunOutcome(RunEnd.REFUSED, BlockReason.OLD_TABLE.value)
             outcome = await self._stream(order, connection, take)
-            if outcome.end in SURVIVED_ENDS:
-                await suspects.note_answer(content)
             if outcome.end is not RunEnd.STALE:
                 await self._pool.give_back(connection)
                 connection = None
@@ -172,7 +167,9 @@
         except NotSentError as error:
             return RunOutcome(RunEnd.BROKEN, f"unreachable({error})")
         except BrokenError as error:
-            await self._forwarder.ends.confirm(order.engine, order.address, order.sample, content)
+            await self._forwarder.ends.confirm(
+                order.engine, order.address, order.sample, UNCOUNTED_CONTENT
+            )
             return RunOutcome(RunEnd.BROKEN, str(error))
         finally:
             if connection is not None:
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -10,7 +10,6 @@
 
 from pondtiller.rollouts.start_order import UNORDERED, StartOrder
 from pondtiller.rollouts.step_record import SampleHead, StepRecord
-from pondtiller.routes.quarantine import sample_content
 from pondtiller.routes.table import RouteRow
 from pondtiller.routes.tenants import owned_name
 from pondtiller.wire.steplog import SampleResult
@@ -295,7 +294,6 @@
         self.step_id: str = step.id
         self.sample_id: str = self.sample.id
         self.storage_name: str = owned_name(step.tenant, self.sample.id)
-        self.content: str = sample_content(self.storage_name)
         self.group: str = self.sample.group
         self.model: str = step.model
         self.oldest_version: int = step.oldest_version
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -39,7 +39,6 @@
 from pondtiller.rollouts.unfinished_texts import UnfinishedTexts
 from pondtiller.routes.cold import ColdEngines
 from pondtiller.routes.engines import Engine, EngineDirectory
-from pondtiller.routes.quarantine import SERIAL_SAMPLE_CRASHES
 from pondtiller.routes.table import RouteRow
 from pondtiller.wire.steplog import SampleProgress, SampleResult
 
@@ -65,11 +64,6 @@
         Zone of this leader, to which all events of the runs are sent.
     cold
         Which engines are cold; None if none ever is.
-    is_quarantined
-        Returns whether a sample is quarantined since it crashed engines. It waits until its step
-        ends or it is given up as too late; otherwise one sample would crash engine after engine.
-    crash_count
-        Returns how many engines crashed under a sample.
 
     Attributes
     ----------
@@ -87,16 +81,12 @@
         is_loading: Callable[[str, str], bool],
         zone: str = "",
         cold: ColdEngines | None = None,
-        is_quarantined: Callable[[str], bool] | None = None,
-        crash_count: Callable[[str], int] | None = None,
     ) -> None:
         self.placement = Placement(engines, is_loading, zone, cold)
         self.work: dict[tuple[str, str], SampleWork] = {}
         self._table = RunTable(engines, self.placement)
         self.runs = self._table.runs
         self._engines = engines
-        self._is_quarantined = is_quarantined or (lambda _content: False)
-        self._crash_count = crash_count or (lambda _content: 0)
         self._texts = UnfinishedTexts()
         self._group_turns = GroupTurns(self.placement)
         self.run_times = self._group_turns.run_times
@@ -290,11 +280,7 @@
     def _waiting(self) -> list[SampleWork]:
         """Return the samples that may start now."""
         waiting = [
-            work
-            for work in self.work.values()
-            if work.stage is Stage.WAITING
-            and work.is_routed
-            and not self._is_quarantined(work.content)
+            work for work in self.work.values() if work.stage is Stage.WAITING and work.is_routed
         ]
         ending = self._table.ending
         if ending:
@@ -305,17 +291,11 @@
     def _start_in_order(self, waiting: list[SampleWork], now: float) -> None:
         """Start runs, up to the limit of a tick."""
         full: set[str] = set()
-        suspected = {work.service for work in self.runs.values() if self._runs_alone(work)}
         most_runs = len(self.runs) + STARTS_PER_TICK
         for work in waiting:
             service = work.service
             if service in full:
                 continue
-            if self._runs_alone(work):
-                # A sample that crashes engines would add crashes to those beside it.
-                if service in suspected:
-                    continue
-                suspected.add(service)
             # With few free slots, checking each sample of a large step would be wasted.
             if not self.placement.view(service, now).free_engines:
                 full.add(service)
@@ -325,9 +305,6 @@
                 return
             self._try_start(work, now)
 
-    def _runs_alone(self, work: SampleWork) -> bool:
-        return self._crash_count(work.content) >= SERIAL_SAMPLE_CRASHES
-
     def is_in_progress(self, offered: OfferedRun) -> bool:
         """Return whether an offered run is one of this term that has not ended here."""
         work = self.runs.get(offered.name.run)
--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -14,21 +14,16 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from pondtiller.hashing import DIGEST_SHOWN, content_digest
+from pondtiller.hashing import DIGEST_SHOWN
 
-SAMPLE_PREFIX = "sample-"
-MAX_CALLER_CRASHES = 2
-"""Crashes under a caller's content after which it is quarantined. With three engines, one content
+UNCOUNTED_CONTENT = ""
+"""Content of requests under which crashes are not counted. Samples have it: they are accepted to be
+run later and share their engines with many others, so a crash tells nothing of one of them."""
+MAX_CRASHES = 2
+"""Crashes under a content after which it is quarantined. With three engines, one content
 that crashes them and other requests beside it, 1.000 of the others were answered with a limit of 2
 crashes, 0.984 with 3, 0.981 with 4, and 0.850 without a quarantine; no other content was
 quarantined with any limit."""
-MAX_SAMPLE_CRASHES = 5
-"""As `MAX_CALLER_CRASHES`, for a sample. Samples run for seconds beside others, so harmless ones
-soon share three crashes: with 3, one of three harmless samples was quarantined beside one that
-crashes engines."""
-SERIAL_SAMPLE_CRASHES = 2
-"""Crashes from which on the suspected samples of a service run one at a time, so that harmless ones
-finish and are cleared."""
 QUARANTINE_SECONDS = 3600.0
 """How long crashes count, from the latest one. A request that triggers a fault of the engine's
 software may be retried until that is fixed; after this time it may crash as many engines again."""
@@ -37,7 +32,7 @@
 the number of its trials. A harmless content that ran at the engines which another one crashed gets
 no answer while it is quarantined, so only a trial can clear it. Each trial may crash an engine."""
 SHARED_TRIAL_PAUSE_SECONDS = 2.0
-"""Pause before a trial while fewer than `MAX_CALLER_CRASHES` of a content's crashes are its own.
+"""Pause before a trial while fewer than `MAX_CRASHES` of a content's crashes are its own.
 Another quarantined content ran at the other engines, so one of the two may be harmless, and waiting
 samples are due in seconds."""
 ANSWERED_SECONDS = 60.0
@@ -79,8 +74,7 @@
     @property
     def is_quarantined(self) -> bool:
         """Whether the content is quarantined."""
-        is_sample = self.content.startswith(SAMPLE_PREFIX)
-        return len(self.ends) >= (MAX_SAMPLE_CRASHES if is_sample else MAX_CALLER_CRASHES)
+        return len(self.ends) >= MAX_CRASHES
 
     def next_trial_at(
         self, own_crashes: int, has_spare: bool, others_tried_at: float = 0.0
@@ -107,10 +101,10 @@
             return math.inf
         last_end = self.until - QUARANTINE_SECONDS
         since = max(last_end, self.tried_at)
-        if own_crashes < MAX_CALLER_CRASHES and has_spare:
+        if own_crashes < MAX_CRASHES and has_spare:
             return max(since, others_tried_at) + SHARED_TRIAL_PAUSE_SECONDS
         # Early trials, made because crashes were shared, do not lengthen the pause.
-        return since + TRIAL_PAUSES_SECONDS[min(spent, max(0, own_crashes - MAX_CALLER_CRASHES))]
+        return since + TRIAL_PAUSES_SECONDS[min(spent, max(0, own_crashes - MAX_CRASHES))]
 
     def with_trial(self, wall_now: float) -> "Suspect":
         """Return a copy with one more trial."""
@@ -132,25 +126,9 @@
         )
 
 
-def sample_content(storage_name: str) -> str:
-    """Return the key of a sample's content; a retried sample has the same key.
-
-    Parameters
-    ----------
-    storage_name
-        Name under which the sample's unfinished text is stored.
-    """
-    return SAMPLE_PREFIX + content_digest(storage_name.encode("utf-8", "surrogatepass"))
-
-
 def abbreviate_content(content: str) -> str:
-    """Return a content's key shortened for log lines, long enough to tell contents apart.
-
-    A sample's prefix is kept in addition to the digits; counted among them, it left room for only
-    16 different keys.
-    """
-    prefix = SAMPLE_PREFIX if content.startswith(SAMPLE_PREFIX) else ""
-    return content[: len(prefix) + DIGEST_SHOWN]
+    """Return a content's key shortened for log lines, long enough to tell contents apart."""
+    return content[:DIGEST_SHOWN]
 
 
 class Quarantine:
--- a/tools/bench_ending_requests.py
+++ b/tools/bench_ending_requests.py
@@ -5,7 +5,7 @@
 Three engines that end under one content and are back 1.5 s later, three gateways, other callers
 whose contents come once (or, with `--hot`, that all send one content), all on loopback.
 
-Sets `MAX_CALLER_CRASHES` (`routes/quarantine.py`): share of the other callers answered 1.000 with
+Sets `MAX_CRASHES` (`routes/quarantine.py`): share of the other callers answered 1.000 with
 2 ends, 0.984 with 3, 0.981 with 4, 0.850 where nothing is held back.
 """
 
@@ -92,7 +92,7 @@
 
 def run_once(seed: int, most_ends: int, is_hot: bool) -> Outcome:
     """Return the outcome of one seed under one bound."""
-    quarantine.MAX_CALLER_CRASHES = most_ends
+    quarantine.MAX_CRASHES = most_ends
     ending_engine.DOWN_SECONDS = DOWN_SECONDS
     found: list[Outcome] = []
 
