A scorer's request is tried until an engine answers, however many crashed

Cause: the breaker for callers' requests grants three trials, and a scorer's request is counted as one of them. An accepted sample waits for it, so it is owed like the sample itself.

Evidence, on: six crashes under the scorers' requests of a step and no other content beside them; "content_suspected content= ends=3 is_held=True", no further crash within 20 s since nothing was sent, step not listed.

Fix: requests that must be answered in the end are marked as owed; their trials come every 2 s and are not used up. Callers' requests keep their three trials, so the limit for contents that crash engines stays.

The test's case of six crashes failed before and passes; its case of two passed before too.

--- a/src/pondtiller/gateway/callers/content_trials.py
+++ b/src/pondtiller/gateway/callers/content_trials.py
@@ -79,7 +79,7 @@
         if not self._suspects.is_quarantined(content):
             return False
         has_spare = partial(self._has_spare, content, service, homes)
-        return await self._suspects.take_trial(content, has_spare)
+        return await self._suspects.take_trial(content, has_spare, request.is_owed)
 
     def _has_spare(self, content: str, service: str, homes: frozenset[str]) -> bool:
         """Return whether a service has two usable engines, so that one is left after a trial.
--- a/src/pondtiller/gateway/callers/request.py
+++ b/src/pondtiller/gateway/callers/request.py
@@ -12,6 +12,7 @@
 from pondtiller.gateway.callers.table_in_force import NOT_DECIDED, TableReading
 from pondtiller.platform.headers import Headers
 from pondtiller.process.spawner import Spawner
+from pondtiller.routes.quarantine import UNCOUNTED_CONTENT
 from pondtiller.routes.table import RouteRow
 from pondtiller.usage.meter import Beginning
 
@@ -30,6 +31,8 @@
         Digest that identifies a retry of the same request: caller, host, method, path and body.
     decided_by
         Table by which the request was routed.
+    is_owed
+        Whether it must be answered in the end, since an accepted sample waits for it.
     """
 
     identifier: str
@@ -39,8 +42,9 @@
     body: bytes
     deadline: float
     beginning: Beginning = field(default_factory=Beginning)
-    content: str = ""
+    content: str = UNCOUNTED_CONTENT
     decided_by: TableReading = NOT_DECIDED
+    is_owed: bool = False
 
 
 @dataclass(eq=False)
@@ -72,4 +76,4 @@
     @property
     def checked_content(self) -> str:
         """Content to check against the quarantine; empty for a trial."""
-        return "" if self.is_trial else self.request.content
+        return UNCOUNTED_CONTENT if self.is_trial else self.request.content
--- a/src/pondtiller/gateway/engines/suspect_sharing.py
+++ b/src/pondtiller/gateway/engines/suspect_sharing.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, Protocol
 
 import curio
@@ -50,6 +51,13 @@
 """Interval at which a leader removes outdated objects."""
 
 
+class TrialCheck(Protocol):
+    """Checks whether a content's trial is due."""
+
+    def __call__(self, *, wall_now: float) -> bool:
+        """Return whether it is due at a wall-clock time in seconds since 1970."""
+
+
 class SuspectStore(Protocol):
     """Store calls needed for sharing."""
 
@@ -149,37 +157,44 @@
 
     # Trials
 
-    async def take_trial(self, content: str, has_spare: Callable[[], bool] = no_spare) -> bool:
+    async def take_trial(
+        self, content: str, has_spare: Callable[[], bool] = no_spare, is_owed: bool = False
+    ) -> bool:
         """Return whether this gateway takes a quarantined content's next trial, which then counts.
 
         Parameters
         ----------
         has_spare
             Returns whether the content's service keeps another engine if the trial crashes one.
+        is_owed
+            Whether the request must be answered in the end.
         """
         now = clock.monotonic()
         if now < self._no_trial_before.get(content, 0.0):
             return False
-        is_spare = has_spare()
-        if not self._suspects.quarantine.is_trial_due(content, clock.wall(), is_spare):
+        is_due = partial(
+            self._suspects.quarantine.is_trial_due,
+            content,
+            has_spare=has_spare(),
+            is_owed=is_owed,
+        )
+        if not is_due(wall_now=clock.wall()):
             self._no_trial_before[content] = now + TRIAL_CHECK_SECONDS
             return False
         self._no_trial_before[content] = now + TRIAL_RETRY_SECONDS
         try:
-            return await self._write_trial(content, is_spare)
+            return await self._write_trial(content, is_due)
         except StoreCallError as error:
             logs.decision("content_untold", content=abbreviate_content(content), reason=str(error))
             return False
 
-    async def _write_trial(self, content: str, has_spare: bool) -> bool:
+    async def _write_trial(self, content: str, is_due: TrialCheck) -> bool:
         """Count a trial in the content's object; False if another gateway did so first."""
         quarantine = self._suspects.quarantine
 
         def count(known: Suspect) -> Suspect | None:
             now = clock.wall()
-            return (
-                known.with_trial(now) if quarantine.is_trial_due(content, now, has_spare) else None
-            )
+            return known.with_trial(now) if is_due(wall_now=now) else None
 
         if not await self._update(content, count):
             return False
--- a/src/pondtiller/gateway/engines/suspects.py
+++ b/src/pondtiller/gateway/engines/suspects.py
@@ -31,13 +31,17 @@
 class TrialGrant(Protocol):
     """Grants trials of quarantined contents, over all gateways together."""
 
-    async def __call__(self, content: str, has_spare: Callable[[], bool] = no_spare) -> bool:
+    async def __call__(
+        self, content: str, has_spare: Callable[[], bool] = no_spare, is_owed: bool = False
+    ) -> bool:
         """Return whether this gateway may send one request of a content now.
 
         Parameters
         ----------
         has_spare
             Returns whether the content's service keeps another engine if the trial crashes one.
+        is_owed
+            Whether the request must be answered in the end.
         """
 
 
@@ -145,7 +149,9 @@
         )
 
 
-async def _no_trial(content: str, has_spare: Callable[[], bool] = no_spare) -> bool:
+async def _no_trial(
+    content: str, has_spare: Callable[[], bool] = no_spare, is_owed: bool = False
+) -> bool:
     return False
 
 
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -249,6 +249,7 @@
             content=content_digest(scorer.host.encode(), scorer.path.encode(), scorer.body),
             deadline=clock.monotonic() + plan.seconds,
             decided_by=TableReading(table.version),
+            is_owed=True,
         )
         answer = await self._forwarder.whole(request, replace(route, attempts=plan.engines))
         if isinstance(answer, Failure):
--- a/src/pondtiller/gateway/tests/test_held_scorers.py
+++ b/src/pondtiller/gateway/tests/test_held_scorers.py
@@ -144,6 +144,28 @@
     run_system(tmp_path, test, gateways=2)
 
 
+@pytest.mark.parametrize("crashes", [2, 6])
+def test_a_step_is_listed_in_time_although_engines_crashed_under_its_scorers_requests_alone(
+    tmp_path: Path, crashes: int
+) -> None:
+    """Guards against a whole sample whose scorer is not asked any more after a burst of crashes."""
+
+    async def test(system: System) -> None:
+        await until_ready(system)
+        score = Score(crashes)
+        score.are_answered = True
+        for engine in await replace_engines(system, "app", 3):
+            engine.whole = lambda exchange, engine=engine: score.whole(engine, exchange)
+        assert await system.submit("s1", SAMPLES) == 202
+        await system.until(lambda: not score.crashes, 20.0)
+        over_at = clock.monotonic()
+        results = await system.read_all("s1", SAMPLES)
+        assert [each["state"] for each in results] == ["succeeded"] * SAMPLES
+        assert clock.monotonic() < over_at + STEP_SECONDS
+
+    run_system(tmp_path, test, gateways=2)
+
+
 def stored_scorers_report(system: System) -> Suspect:
     """Return the stored report on the scorers' requests, once they are quarantined."""
     content = scorers_content()
--- a/src/pondtiller/routes/quarantine.py
+++ b/src/pondtiller/routes/quarantine.py
@@ -41,6 +41,9 @@
 crash within 0.1 s because of another content."""
 MAX_ANSWERED = 2000
 """Contents that are remembered as answered; they take 0.2 MB."""
+OWED_TRIAL_PAUSE_SECONDS = 2.0
+"""Pause before each trial of a content that must be answered in the end, whatever the number of its
+trials: an accepted sample waits for it, and its step is due in seconds."""
 MAX_SUSPECTS = 1000
 """Contents whose crashes are kept; the oldest are dropped first."""
 
@@ -77,7 +80,11 @@
         return len(self.ends) >= MAX_CRASHES
 
     def next_trial_at(
-        self, own_crashes: int, has_spare: bool, others_tried_at: float = 0.0
+        self,
+        own_crashes: int,
+        has_spare: bool,
+        others_tried_at: float = 0.0,
+        is_owed: bool = False,
     ) -> float:
         """Return the wall-clock time from which on one request may go to one engine.
 
@@ -90,17 +97,21 @@
         others_tried_at
             Last trial of a content that shares its crashes, in seconds since 1970. These are
             tried one after the other, so that an answer to one also informs about the others.
+        is_owed
+            Whether it must be answered in the end, so that its trials are never used up.
 
         Returns
         -------
         float
             Seconds since 1970; infinite if all of its trials are used up.
         """
+        last_end = self.until - QUARANTINE_SECONDS
+        since = max(last_end, self.tried_at)
+        if is_owed:
+            return max(since, others_tried_at) + OWED_TRIAL_PAUSE_SECONDS
         spent = self.trials - self.inconclusive
         if spent >= len(TRIAL_PAUSES_SECONDS):
             return math.inf
-        last_end = self.until - QUARANTINE_SECONDS
-        since = max(last_end, self.tried_at)
         if own_crashes < MAX_CRASHES and has_spare:
             return max(since, others_tried_at) + SHARED_TRIAL_PAUSE_SECONDS
         # Early trials, made because crashes were shared, do not lengthen the pause.
@@ -235,19 +246,22 @@
             others = [each for each in others if not each.trials]
         return bool(others)
 
-    def is_trial_due(self, content: str, wall_now: float, has_spare: bool = False) -> bool:
+    def is_trial_due(
+        self, content: str, wall_now: float, has_spare: bool = False, is_owed: bool = False
+    ) -> bool:
         """Return whether one request of a quarantined content may go to one engine.
 
         Parameters
         ----------
-        has_spare
+        has_spare, is_owed
             See `Suspect.next_trial_at`.
         """
         suspect = self.suspects.get(content)
         if suspect is None:
             return False
         others_tried_at = max((each.tried_at for each in self._sharing(suspect)), default=0.0)
-        due_at = suspect.next_trial_at(self.count_own_crashes(content), has_spare, others_tried_at)
+        own_crashes = self.count_own_crashes(content)
+        due_at = suspect.next_trial_at(own_crashes, has_spare, others_tried_at, is_owed)
         return wall_now >= due_at
 
     def forget(self, content: str) -> None:
--- a/src/pondtiller/routes/tests/test_quarantine.py
+++ b/src/pondtiller/routes/tests/test_quarantine.py
@@ -10,6 +10,7 @@
     MAX_ANSWERED,
     MAX_CRASHES,
     MAX_SUSPECTS,
+    OWED_TRIAL_PAUSE_SECONDS,
     QUARANTINE_SECONDS,
     SHARED_TRIAL_PAUSE_SECONDS,
     TRIAL_PAUSES_SECONDS,
@@ -197,6 +198,17 @@
     assert trial_times([0, 1, 2, 3]) == [soon, soon, TRIAL_PAUSES_SECONDS[0], math.inf]
 
 
+def test_a_content_that_must_be_answered_is_tried_without_end() -> None:
+    """Guards against a scorer's request that waits for a minute, or is never sent again."""
+    suspect = Suspect("c", frozenset({"e0@1", "e1@1"}), WALL + QUARANTINE_SECONDS)
+    for number in range(len(TRIAL_PAUSES_SECONDS) + 3):
+        due_at = suspect.next_trial_at(len(suspect.ends), has_spare=False, is_owed=True)
+        last = suspect.tried_at or WALL
+        assert due_at == last + OWED_TRIAL_PAUSE_SECONDS
+        suspect = suspect.with_trial(due_at)._replace(ends=suspect.ends | {f"t{number}@1"})
+    assert suspect.next_trial_at(len(suspect.ends), has_spare=True) == math.inf
+
+
 def test_an_inconclusive_trial_is_not_used_up() -> None:
     suspect = Suspect("c", frozenset({"e0@1", "e1@1"}), WALL + QUARANTINE_SECONDS)
     most = len(TRIAL_PAUSES_SECONDS)
