A sender that never pauses does not keep the event loop

Callers would see: a gateway that answers nobody while an engine sends bytes without end; no time limit ends the call either.

Cause: curio's recv does not wait while there is something to read, so reading from a sender that is faster than the reader gives no other task a turn, nor the clock to a time limit.

Fix: each connection to a server gives other tasks a turn after 16 reads, of 64 KiB each at the most.

--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -19,6 +19,9 @@
 
 READ_BYTES = 65_536
 """Largest read, in bytes, so that most answers take a single read."""
+READS_PER_TURN = 16
+"""Reads from one connection after which other tasks get a turn. A read from a sender that never
+pauses does not wait, so its reader would keep the event loop."""
 MAX_IDLE_CONNECTIONS = 32
 """Connections to one address that are kept for later calls; limits open files only, since more than
 these may be in use at once."""
@@ -51,6 +54,7 @@
         self._socket = stream_socket
         self._protocol = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._reads = 0
 
     async def send(
         self, method: str, target: str, body: bytes, headers: tuple[tuple[str, str], ...]
@@ -120,6 +124,9 @@
                 raise BrokenError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
+            self._reads += 1
+            if self._reads % READS_PER_TURN == 0:
+                await curio.sleep(0)
             try:
                 self._protocol.receive_data(await self._socket.recv(READ_BYTES))
             except OSError as error:
--- a/src/pondtiller/httpio/tests/test_client.py
+++ b/src/pondtiller/httpio/tests/test_client.py
@@ -1,5 +1,8 @@
 """Kept connections of the HTTP client."""
 
+import math
+import time
+
 import curio
 import pytest
 
@@ -7,6 +10,7 @@
 from pondtiller.httpio.client import HttpClient, NoAnswerError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange, bind_tcp, serve_http
+from pondtiller.standins.endless_engine import Endless, EndlessEngine
 
 
 def test_a_connection_idle_for_long_is_not_reused() -> None:
@@ -60,3 +64,35 @@
         await server.cancel()
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("kind", [Endless.UNFRAMED, Endless.CHUNKED, Endless.LENGTH])
+def test_a_body_without_end_does_not_keep_the_event_loop(kind: Endless) -> None:
+    """Guards against a process that answers nobody else while a sender never pauses."""
+    engine = EndlessEngine(kind, most_bytes=math.inf)
+    turns: list[float] = []
+
+    async def read() -> None:
+        connection = await HttpClient().open(
+            Address("127.0.0.1", engine.port), "GET", "/", b"", (("Request-Id", "q"),)
+        )
+        try:
+            await connection.read_head()
+            async for _piece in connection.read_body():
+                pass
+        finally:
+            await connection.close()
+
+    async def main() -> None:
+        reader = await curio.spawn(read)
+        while len(turns) < 20:
+            await curio.sleep(0.01)
+            turns.append(time.monotonic())
+        await reader.cancel()
+
+    try:
+        curio.run(main)
+    finally:
+        engine.close()
+    (sent,) = engine.sent
+    assert sent.was_closed
