Errors of calls to servers have a module of their own

Cause: what reads bodies up to a limit raises them too, and the client uses it. Change: the three classes move, imports follow; no behaviour changes. Measured: mypy and the tests of httpio and of live streams and load pass.

--- a/src/pondtiller/cli/table_status.py
+++ b/src/pondtiller/cli/table_status.py
@@ -11,7 +11,8 @@
 
 from pondtiller.cli.common import EXIT_OK, EXIT_UNAVAILABLE, bad_option, read_address
 from pondtiller.cli.table_view import align
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 
 GATEWAY_TABLE_PATH = "/table"
 
--- a/src/pondtiller/cli/table_view.py
+++ b/src/pondtiller/cli/table_view.py
@@ -10,7 +10,8 @@
 from result import Err, Ok
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.process import clock
 from pondtiller.serve.core.constants import STATUS_DOCUMENT_PREFIX
 from pondtiller.serve.core.events import StoredObject
--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -26,7 +26,7 @@
 from pondtiller.gateway.engines.suspects import SuspectContents
 from pondtiller.gateway.engines.zone_reach import ZoneReach
 from pondtiller.gateway.metrics import GatewayMetrics
-from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.platform import engine_answers
 from pondtiller.process import clock, logs
 from pondtiller.process.stalls import StallWatch
--- a/src/pondtiller/gateway/callers/streams.py
+++ b/src/pondtiller/gateway/callers/streams.py
@@ -25,7 +25,7 @@
     EnginePool,
     SendBlockedError,
 )
-from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import ConnectionLostError, Exchange, failure_response
 from pondtiller.platform import engine_answers
--- a/src/pondtiller/gateway/engines/engine_ends.py
+++ b/src/pondtiller/gateway/engines/engine_ends.py
@@ -19,7 +19,7 @@
 )
 from pondtiller.gateway.engines.suspects import SuspectContents
 from pondtiller.gateway.metrics import GatewayMetrics
-from pondtiller.httpio.client import NotSentError
+from pondtiller.httpio.client_errors import NotSentError
 from pondtiller.process import clock, logs
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.quarantine import abbreviate_content
--- a/src/pondtiller/gateway/engines/engine_pool.py
+++ b/src/pondtiller/gateway/engines/engine_pool.py
@@ -15,7 +15,8 @@
 import h11
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import BrokenError, ClientConnection, NotSentError
+from pondtiller.httpio.client import ClientConnection
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.httpio.sockets import tune
 from pondtiller.platform import engine_answers
 from pondtiller.platform.headers import Headers, header
--- a/src/pondtiller/gateway/engines/orders.py
+++ b/src/pondtiller/gateway/engines/orders.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Callable
 
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.platform import engine_orders, names
 from pondtiller.platform.engine_orders import EngineReport
 from pondtiller.process import logs
--- a/src/pondtiller/gateway/engines/zone_reach.py
+++ b/src/pondtiller/gateway/engines/zone_reach.py
@@ -5,7 +5,7 @@
 """
 
 from pondtiller.gateway.engines.engine_pool import SilentEngineError
-from pondtiller.httpio.client import NotSentError
+from pondtiller.httpio.client_errors import NotSentError
 from pondtiller.process import clock, logs
 from pondtiller.routes.engines import Engine
 from pondtiller.routes.silent_zones import SilentZones
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -19,7 +19,7 @@
 from pondtiller.gateway.engines.cold_sends import ColdSends
 from pondtiller.gateway.engines.engine_pool import EngineConnection, EnginePool, SendBlockedError
 from pondtiller.hashing import content_digest
-from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.platform import engine_answers
 from pondtiller.platform.events import EventReader
 from pondtiller.platform.headers import Headers, sample_headers, scorer_headers
--- a/src/pondtiller/gateway/tests/test_evacuations.py
+++ b/src/pondtiller/gateway/tests/test_evacuations.py
@@ -12,7 +12,7 @@
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.runs.sample_runner import RunOrder
 from pondtiller.gateway.tests.system import System, run_system
-from pondtiller.httpio.client import BrokenError
+from pondtiller.httpio.client_errors import BrokenError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange
 from pondtiller.platform.object_client import StoreCallError
--- a/src/pondtiller/gateway/tests/test_live_load.py
+++ b/src/pondtiller/gateway/tests/test_live_load.py
@@ -13,7 +13,7 @@
 from pondtiller.gateway.callers.request import ForwardedRequest
 from pondtiller.gateway.engines.engine_pool import AnswerHead, EnginePool
 from pondtiller.gateway.metrics import GatewayMetrics
-from pondtiller.httpio.client import NotSentError
+from pondtiller.httpio.client_errors import NotSentError
 from pondtiller.platform import names
 from pondtiller.process import clock
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
--- a/src/pondtiller/gateway/tests/test_live_streams.py
+++ b/src/pondtiller/gateway/tests/test_live_streams.py
@@ -12,7 +12,7 @@
 from pondtiller.gateway.callers.streams import StreamForwarder
 from pondtiller.gateway.engines.engine_pool import EnginePool
 from pondtiller.gateway.metrics import GatewayMetrics
-from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.process import clock
 from pondtiller.routes.engines import EngineDirectory, EngineEntry, EngineState
--- a/src/pondtiller/gateway/tests/test_planned_stop.py
+++ b/src/pondtiller/gateway/tests/test_planned_stop.py
@@ -8,7 +8,7 @@
 from pondtiller.gateway import process as processes
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.tests.system import System, run_system
-from pondtiller.httpio.client import BrokenError, NotSentError
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 
 CALLERS = 4
 CALL_SECONDS = 2.0
--- a/src/pondtiller/gateway/tests/test_suspended.py
+++ b/src/pondtiller/gateway/tests/test_suspended.py
@@ -20,7 +20,8 @@
 from pondtiller.gateway.engines.engine_pool import EnginePool
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.gateway.tests.system import System, run_system
-from pondtiller.httpio.client import HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import NotSentError
 from pondtiller.peers.share_asker import ShareAsker
 from pondtiller.process import clock
 from pondtiller.rollouts.run_holding import HoldStep, LostLeader, next_step
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -13,6 +13,7 @@
 import h11
 
 from pondtiller.address import Address
+from pondtiller.httpio.client_errors import BrokenError, NoAnswerError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.sockets import tune
 from pondtiller.process import clock
@@ -30,18 +31,6 @@
 repeats a lost SYN after 1 s, so one loss is tolerated."""
 
 
-class NotSentError(Exception):
-    """The connection failed before any byte of the request was sent."""
-
-
-class BrokenError(Exception):
-    """The connection failed after the request may have been received."""
-
-
-class NoAnswerError(BrokenError):
-    """No complete answer came within a call's time limit."""
-
-
 def _always() -> bool:
     return True
 
--- a/src/pondtiller/httpio/tests/test_client.py
+++ b/src/pondtiller/httpio/tests/test_client.py
@@ -7,7 +7,8 @@
 import pytest
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import HttpClient, NoAnswerError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import NoAnswerError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange, bind_tcp, serve_http
 from pondtiller.standins.endless_engine import Endless, EndlessEngine
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -13,7 +13,8 @@
 from urllib.parse import quote
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import BrokenError, HttpClient, NoAnswerError, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NoAnswerError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform.configuration import without_keys
 from pondtiller.platform.names import CONFIGURATIONS, OBJECTS_PATH
--- a/src/pondtiller/platform/operator_api.py
+++ b/src/pondtiller/platform/operator_api.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.platform import names
 from pondtiller.rollouts.scaling import ScaleOrder
 
--- a/src/pondtiller/serve/daemon/engine_client.py
+++ b/src/pondtiller/serve/daemon/engine_client.py
@@ -11,7 +11,8 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from pondtiller.errors import Ran
-from pondtiller.httpio.client import BrokenError, ClientConnection, HttpClient, NotSentError
+from pondtiller.httpio.client import ClientConnection, HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.serve.core.constants import ORDER_TIMEOUT_SECONDS
 from pondtiller.serve.core.events import (
     AttemptFailed,
--- a/src/pondtiller/serve/daemon/platform_client.py
+++ b/src/pondtiller/serve/daemon/platform_client.py
@@ -12,7 +12,8 @@
 from result import Err, Ok, Result
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.serve.core.constants import WATCH_SECONDS
 from pondtiller.serve.core.events import (
     Event,
--- a/src/pondtiller/serve/demo/load.py
+++ b/src/pondtiller/serve/demo/load.py
@@ -14,7 +14,8 @@
 from pondtiller.address import Address
 from pondtiller.errors import ErrorKind, Ran
 from pondtiller.hashing import digest
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.process import clock
 from pondtiller.process.spawner import Spawner
--- a/src/pondtiller/serve/emulator/trainer_client.py
+++ b/src/pondtiller/serve/emulator/trainer_client.py
@@ -13,7 +13,8 @@
 
 from pondtiller.address import Address
 from pondtiller.errors import ErrorKind
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.process import clock
 from pondtiller.serve.core.sample_bodies import SampleBody
--- a/src/pondtiller/soak/calls.py
+++ b/src/pondtiller/soak/calls.py
@@ -3,7 +3,8 @@
 import curio
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import BrokenError, HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 
 CALL_LIMIT_SECONDS = 6.0
 """Longest wait of a caller for its answer, in seconds: four times the time limit of live rows (1.5
--- a/src/pondtiller/soak/kept_callers.py
+++ b/src/pondtiller/soak/kept_callers.py
@@ -5,7 +5,8 @@
 import curio
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import BrokenError, ClientConnection, HttpClient, NotSentError
+from pondtiller.httpio.client import ClientConnection, HttpClient
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.process.spawner import Spawner
 from pondtiller.soak.calls import CALL_LIMIT_SECONDS
 from pondtiller.soak.programs import Program
--- a/src/pondtiller/soak/tests/test_ending_rules.py
+++ b/src/pondtiller/soak/tests/test_ending_rules.py
@@ -4,7 +4,8 @@
 import pytest
 
 from pondtiller.address import Address
-from pondtiller.httpio.client import HttpClient, NotSentError
+from pondtiller.httpio.client import HttpClient
+from pondtiller.httpio.client_errors import NotSentError
 from pondtiller.httpio.server import bind_tcp
 from pondtiller.soak.ending_rules import (
     KNOWN_SECONDS,
