Whole answers are read up to a limit, one by one and together

Callers would see: a gateway that grows until it is ended, with all requests in progress, and 504 for the request itself.

Cause: bodies of whole answers, of failures and of stray answers were read to their end, whatever their length; interim heads before a report were skipped without a limit.

Evidence: a stand-in engine that sends without end from a thread.

Fix: a body over 16 MiB is broken off, and so is one with which all bodies over 64 KiB that are being read would take more than 48 MiB; what is read only to keep a connection ends at 1 MiB. The attempt ends as broken: a safe request goes to another engine, an unsafe one is answered 502, the connection is closed. serve's engines are read the same way. Heads were bounded by h11 (16 KiB) and stay so.

--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -290,7 +290,7 @@
             head = await self._sender.send(connection, engine.identifier, request, attempts)
             is_unanswered = False
             self.zones.note_answer(engine)
-            body = b"".join([piece async for piece in connection.read_body()])
+            body = await self._pool.bodies.read_whole(connection.read_body())
             answer = WholeAnswer(engine.identifier, head.status, head.headers, body)
             end = _end_of(answer)
             if end is AttemptEnd.REFUSED:
--- a/src/pondtiller/gateway/callers/streams.py
+++ b/src/pondtiller/gateway/callers/streams.py
@@ -203,7 +203,7 @@
         self, stream: Stream, connection: EngineConnection, head: AnswerHead
     ) -> StreamStep:
         """Handle an answer that is no stream; it is returned if no other engine may be tried."""
-        body = b"".join([piece async for piece in connection.read_body()])
+        body = await self._pool.bodies.read_whole(connection.read_body())
         stream.attempts.details.append(f"{connection.engine}:status({head.status})")
         if engine_answers.is_not_run(head.status, head.headers):
             stream.attempts.sent -= 1
--- a/src/pondtiller/gateway/engines/engine_pool.py
+++ b/src/pondtiller/gateway/engines/engine_pool.py
@@ -15,6 +15,7 @@
 import h11
 
 from pondtiller.address import Address
+from pondtiller.httpio.bodies import BodyBuffer, discard
 from pondtiller.httpio.client import ClientConnection
 from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.httpio.sockets import tune
@@ -103,8 +104,7 @@
         return False
 
     async def _skip_stray_answer(self) -> None:
-        async for _ in self.read_body():
-            pass
+        await discard(self.read_body())
         rest = self._protocol.trailing_data[0]
         if self._protocol.their_state is not h11.DONE or self._request is None:
             raise BrokenError("an answer of another request ended the connection")
@@ -142,15 +142,20 @@
     ----------
     stalls
         Measures pauses of this process, which do not count as silence of an engine.
+    bodies
+        Limits the memory of the answers being read; by default of this pool's alone.
 
     Attributes
     ----------
     opened
         New connections since the start, for `/metrics`.
+    bodies
+        As the parameter.
     """
 
-    def __init__(self, stalls: StallWatch | None = None) -> None:
+    def __init__(self, stalls: StallWatch | None = None, bodies: BodyBuffer | None = None) -> None:
         self.opened = 0
+        self.bodies = bodies or BodyBuffer()
         self._stalls = stalls or StallWatch()
         self._kept: dict[str, list[EngineConnection]] = {}
 
--- a/src/pondtiller/gateway/parts.py
+++ b/src/pondtiller/gateway/parts.py
@@ -37,6 +37,7 @@
 from pondtiller.gateway.sockets import GatewaySockets
 from pondtiller.gateway.stale_configuration import StaleConfigurationLog
 from pondtiller.gateway.watches import ENGINES_REST_SECONDS, GatewayWatches
+from pondtiller.httpio.bodies import BodyBuffer
 from pondtiller.httpio.client import HttpClient
 from pondtiller.peers.leader_age import leader_age
 from pondtiller.peers.leader_client import LeaderClient
@@ -93,7 +94,8 @@
         settings = self.settings
         self.gate = SendGate(self.engines)
         self.stalls = StallWatch(lambda: self.run_host.runs > 0 or self.duties.term is not None)
-        self.pool = EnginePool(self.stalls)
+        self.bodies = BodyBuffer()
+        self.pool = EnginePool(self.stalls, self.bodies)
         bound = ColdBound(settings.cold.excess, settings.cold.slack)
         self._cold_engines = ColdEngines(self.engines, bound, self._table)
         self.shares = ShareAsker(
@@ -205,7 +207,7 @@
             engines=self.engines,
             in_force=self.front.in_force,
             runner=self._runner,
-            orders=EngineOrders(settings.name, self.engines, HttpClient()),
+            orders=EngineOrders(settings.name, self.engines, HttpClient(bodies=self.bodies)),
             watches=self.leader_watches,
             metrics=self.metrics,
             stalls=self.stalls,
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -19,6 +19,7 @@
 from pondtiller.gateway.engines.cold_sends import ColdSends
 from pondtiller.gateway.engines.engine_pool import EngineConnection, EnginePool, SendBlockedError
 from pondtiller.hashing import content_digest
+from pondtiller.httpio.bodies import discard
 from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.platform import engine_answers
 from pondtiller.platform.events import EventReader
@@ -208,8 +209,7 @@
         if end is AttemptEnd.UNSIGNED:
             return RunOutcome(RunEnd.BROKEN, f"unsigned({head.status})")
         if end is not AttemptEnd.ANSWERED or not 200 <= head.status < 300:
-            async for _ in connection.read_body():
-                pass
+            await discard(connection.read_body())
             return _refusal(head.status, head.headers)
         version = engine_answers.answer_version(head.headers)
         reader = EventReader()
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -13,6 +13,7 @@
 import h11
 
 from pondtiller.address import Address
+from pondtiller.httpio.bodies import BodyBuffer
 from pondtiller.httpio.client_errors import BrokenError, NoAnswerError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.sockets import tune
@@ -20,6 +21,8 @@
 
 READ_BYTES = 65_536
 """Largest read, in bytes, so that most answers take a single read."""
+MAX_INTERIM_HEADS = 4
+"""Interim heads that are skipped before an answer; a connection with more of them is closed."""
 READS_PER_TURN = 16
 """Reads from one connection after which other tasks get a turn. A read from a sender that never
 pauses does not wait, so its reader would keep the event loop."""
@@ -74,12 +77,13 @@
 
     async def read_head(self) -> h11.Response:
         """Read the head of the answer."""
-        while True:
+        for _ in range(MAX_INTERIM_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError("the answer did not begin")
+        raise BrokenError(f"more than {MAX_INTERIM_HEADS} interim heads before the answer")
 
     def read_body(self) -> "BodyPieces":
         """Return the body piece by piece; an incomplete body raises `BrokenError`."""
@@ -157,10 +161,15 @@
     longest_rest_seconds
         Idle time after which a connection is not used again: it may have become silent, which only
         a call on it would show.
+    bodies
+        Limits the memory of the answers being read; by default of this client's alone.
     """
 
-    def __init__(self, longest_rest_seconds: float = math.inf) -> None:
+    def __init__(
+        self, longest_rest_seconds: float = math.inf, bodies: BodyBuffer | None = None
+    ) -> None:
         self._longest_rest_seconds = longest_rest_seconds
+        self._bodies = bodies or BodyBuffer()
         self._kept: dict[Address, list[IdleConnection]] = {}
 
     async def request(
@@ -210,13 +219,13 @@
         connection = await self.open(address, method, target, body, headers, may_send)
         try:
             head = await connection.read_head()
-            pieces = [piece async for piece in connection.read_body()]
+            body = await self._bodies.read_whole(connection.read_body())
         except BaseException:
             await connection.close()
             raise
         await self.give_back(connection)
         received = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-        return HttpResponse(head.status_code, b"".join(pieces), headers=received)
+        return HttpResponse(head.status_code, body, headers=received)
 
     async def open(
         self,
--- a/src/pondtiller/serve/daemon/engine_client.py
+++ b/src/pondtiller/serve/daemon/engine_client.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from pondtiller.errors import Ran
+from pondtiller.httpio.bodies import BodyBuffer
 from pondtiller.httpio.client import ClientConnection, HttpClient
 from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.serve.core.constants import ORDER_TIMEOUT_SECONDS
@@ -67,6 +68,7 @@
     def __init__(self, client: HttpClient, post: Post) -> None:
         self._client = client
         self._post = post
+        self._bodies = BodyBuffer()
 
     async def attempt(self, start: StartAttempt) -> None:
         """Send a request and post its chunks, or how it failed."""
@@ -95,7 +97,7 @@
     async def _read_answer(self, start: StartAttempt, connection: ClientConnection) -> bool:
         head = await connection.read_head()
         if head.status_code != 200:
-            body = b"".join([piece async for piece in connection.read_body()])
+            body = await self._bodies.read_whole(connection.read_body())
             await self._post(_refusal(start.attempt_id, head.status_code, body))
             return True
         rest = b""
--- a/src/pondtiller/standins/endless_engine.py
+++ b/src/pondtiller/standins/endless_engine.py
@@ -4,11 +4,12 @@
 wait whenever that program does not, and would hide that it keeps the loop.
 """
 
+import contextlib
 import socket
 import threading
 import time
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 MOST_BYTES = 256 * 1024 * 1024
 """A connection is given up after this many bytes unless more are wanted."""
@@ -48,6 +49,8 @@
 
     Attributes
     ----------
+    bytes_sent
+        Most bytes that it took: the last piece may have been sent in part.
     seconds
         From its first byte until it was closed.
     was_closed
@@ -94,6 +97,7 @@
         self.sent: list[SentAnswer] = []
         self.is_over = False
         self._listener = socket.create_server(("127.0.0.1", 0))
+        self._connections: list[socket.socket] = []
         self._threads: list[threading.Thread] = []
         self._start(self._accept)
 
@@ -107,10 +111,26 @@
         """Where it listens, as IP:PORT."""
         return f"127.0.0.1:{self.port}"
 
+    def entry(self, service: str, model: str = "") -> dict[str, Any]:
+        """Return what the engine writes about itself into the store."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "z",
+            "version": "v1",
+            "cold_left_ms": 0,
+            "slots": 4,
+            "state": "ready",
+            "models": [{"name": model, "version": 1}] if model else [],
+            "sequence": 1,
+        }
+
     def close(self) -> None:
         """End all connections."""
         self.is_over = True
-        self._listener.shutdown(socket.SHUT_RDWR)
+        for each in (self._listener, *self._connections):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for thread in self._threads:
             thread.join(STOP_SECONDS)
@@ -126,6 +146,7 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            self._connections.append(connection)
             self._start(self._serve, connection)
 
     def _serve(self, connection: socket.socket) -> None:
@@ -141,8 +162,8 @@
             began, count, was_closed = time.monotonic(), 0, False
             try:
                 for piece in self._pieces(request.encode()):
-                    connection.sendall(piece)
                     count += len(piece)
+                    connection.sendall(piece)
                     if self._is_enough(began, count):
                         break
                     time.sleep(self.pause_seconds)
