Streams of engines are read event by event, up to a length

Callers would see: bytes that are no events passed on to a stream's caller, or a stream and a sample that never end, while the gateway's buffer grows.

Cause: a stream was read until an event ended, of any length; what was no event was passed on to callers, and reported as event -1 of samples. Nothing bounded a sample's text or the events that a runner keeps.

Evidence: an engine that streams without end.

Fix: an event over 256 KiB, or what has none of an event's lines, breaks the stream, as does an event of a sample that is not the next one. A stream continues elsewhere where its route lets it, a sample after its last event. A text over 4 Mi characters is dropped and begins anew at another engine, as it can't be told from a sound one; a runner ends a run at 16 MiB. Streams whose events end with CRLF are passed on event by event too: they were held back to their end.

--- a/src/pondtiller/gateway/callers/streams.py
+++ b/src/pondtiller/gateway/callers/streams.py
@@ -218,15 +218,10 @@
     async def _pass_events(self, stream: Stream, connection: EngineConnection) -> None:
         """Forward whole events; a partial event is kept until the rest has arrived."""
         reader = EventReader()
-        held = b""
         async for piece in connection.read_body():
-            held += piece
             for event in reader.feed(piece):
                 stream.request.beginning.note_first_token(clock.monotonic())
+                await stream.exchange.send_piece(event.raw)
                 stream.last_event = max(stream.last_event, event.number)
-            whole, separator, rest = held.rpartition(b"\n\n")
-            if separator:
-                held = rest
-                await stream.exchange.send_piece(whole + separator)
-        if held:
+        if reader.has_rest:
             raise BrokenError("the stream ended within an event")
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -22,7 +22,7 @@
 from pondtiller.httpio.bodies import discard
 from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.platform import engine_answers
-from pondtiller.platform.events import EventReader
+from pondtiller.platform.events import EventReader, StreamEvent
 from pondtiller.platform.headers import Headers, sample_headers, scorer_headers
 from pondtiller.process import clock
 from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
@@ -32,6 +32,10 @@
 from pondtiller.routes.table import RouteTable
 from pondtiller.wire.steplog import Sample, Scorer
 
+MAX_RUN_BYTES = 16 * 1024 * 1024
+"""Longest stream of a run, in bytes. A leader drops a run much earlier (`MAX_TEXT_SIZE`); this one
+holds for a run whose leader is away."""
+
 EventSink = Callable[[int, int, str, int, float], bool]
 
 
@@ -213,8 +217,14 @@
             return _refusal(head.status, head.headers)
         version = engine_answers.answer_version(head.headers)
         reader = EventReader()
+        due, length = order.last_event + 1, 0
         async for piece in connection.read_body():
             for event in reader.feed(piece):
+                _check_event(event, due)
+                due += 1
+                length += len(event.raw)
+                if length > MAX_RUN_BYTES:
+                    raise BrokenError(f"the run is longer than {MAX_RUN_BYTES} bytes")
                 version = event.version if event.version is not None else version
                 if not take(order.run, event.number, event.data, version, clock.monotonic()):
                     return RunOutcome(RunEnd.STALE, f"event={event.number} version={version}")
@@ -260,6 +270,12 @@
         return ScoreOutcome(ScoreEnd.FAILED, "", str(answer.status), route.attempts)
 
 
+def _check_event(event: StreamEvent, due: int) -> None:
+    """Raise `BrokenError` unless an event may be part of a sample's text."""
+    if event.number != due:
+        raise BrokenError(f"event {event.number} where {due} is due")
+
+
 def _refusal(status: int, headers: Headers) -> RunOutcome:
     if engine_answers.is_not_run(status, headers):
         return RunOutcome(RunEnd.REFUSED, str(status))
--- a/src/pondtiller/gateway/tests/test_endless_answers.py
+++ b/src/pondtiller/gateway/tests/test_endless_answers.py
@@ -12,12 +12,14 @@
 
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.gateway.tests.test_system import ready
+from pondtiller.gateway.tests.test_unsigned_answers import add_stream_routes, ask
 from pondtiller.httpio.bodies import MAX_BODY_BYTES
+from pondtiller.httpio.client_errors import BrokenError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.standins.endless_engine import PIECE_BYTES, Endless, EndlessEngine
 
 CALLS = 16
-IN_ANSWERS = tuple(kind for kind in Endless if kind is not Endless.AFTER)
+IN_ANSWERS = tuple(kind for kind in Endless if kind not in (Endless.AFTER, Endless.EVENTS))
 """Places in which the answer itself never ends."""
 MOST_BYTES = MAX_BODY_BYTES + 2 * PIECE_BYTES
 
@@ -100,6 +102,105 @@
     run_system(tmp_path, test)
 
 
+async def ask_streams(system: System, path: str) -> list[HttpResponse | None]:
+    """Ask for streams at the same time; return their answers, None for one that was cut."""
+
+    async def ask_one(request: str) -> HttpResponse | None:
+        try:
+            return await ask(system, path, request)
+        except BrokenError:
+            return None
+
+    async with curio.TaskGroup() as group:
+        calls = [await group.spawn(ask_one, f"q{number}") for number in range(CALLS)]
+    return [each.result for each in calls]
+
+
+def stream_body(number: int) -> bytes:
+    """Return the whole stream that a sound engine makes for a request."""
+    return b"".join(b"id: %d\ndata: q%d/%d\n\n" % (n, number, n) for n in (1, 2, 3))
+
+
+@pytest.mark.parametrize("kind", IN_ANSWERS)
+def test_a_resumable_stream_without_end_goes_to_another_engine(
+    tmp_path: Path, engines: list[EndlessEngine], kind: Endless
+) -> None:
+    """Guards against bytes that are no events and fill the memory, or reach the caller."""
+    engines.append(engine := EndlessEngine(kind))
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add_stream_routes(system)
+        await add(system, engine, "llm", "m")
+        for number, answer in enumerate(await ask_streams(system, "/chat/1")):
+            assert answer is not None
+            assert (answer.status, answer.body) == (200, stream_body(number))
+        await system.until(lambda: bool(engine.sent))
+        check_closed(engine)
+
+    run_system(tmp_path, test)
+
+
+@pytest.mark.parametrize("kind", IN_ANSWERS)
+def test_a_stream_without_end_that_may_not_resume_is_broken_off(
+    tmp_path: Path, engines: list[EndlessEngine], kind: Endless
+) -> None:
+    """Guards against a stream that a caller takes for whole, or that never ends."""
+    engines.append(engine := EndlessEngine(kind))
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add_stream_routes(system)
+        await add(system, engine, "llm", "m")
+        for number, answer in enumerate(await ask_streams(system, "/once/1")):
+            is_whole = answer is not None and answer.body == stream_body(number)
+            assert is_whole or answer is None or answer.status == 502
+        await system.until(lambda: bool(engine.sent))
+        check_closed(engine)
+
+    run_system(tmp_path, test)
+
+
+@pytest.mark.parametrize("kind", [*IN_ANSWERS, Endless.EVENTS])
+def test_a_sample_with_a_stream_without_end_is_made_by_another_engine(
+    tmp_path: Path, engines: list[EndlessEngine], kind: Endless
+) -> None:
+    """Guards against a text without end, and a sample that is listed with a part of it."""
+    engines.append(engine := EndlessEngine(kind))
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add(system, engine, "llm", "m")
+        assert await system.submit("s1", samples=12) == 202
+        results = await system.read_all("s1", 12)
+        for each in results:
+            assert each["text"] == "\n".join(f"{each['id']}/{n}" for n in (1, 2, 3))
+            assert each["state"] == "succeeded"
+        await system.until(lambda: bool(engine.sent))
+        check_closed(engine)
+
+    run_system(tmp_path, test, gateways=2)
+
+
+@pytest.mark.parametrize("kind", IN_ANSWERS)
+def test_a_scorer_with_an_answer_without_end_is_asked_again(
+    tmp_path: Path, engines: list[EndlessEngine], kind: Endless
+) -> None:
+    """Guards against a whole text that waits for a score without end."""
+    engines.append(engine := EndlessEngine(kind))
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add(system, engine, "app")
+        assert await system.submit("s1", samples=12) == 202
+        results = await system.read_all("s1", 12)
+        assert {each["state"] for each in results} == {"succeeded"}
+        await system.until(lambda: bool(engine.sent))
+        check_closed(engine)
+
+    run_system(tmp_path, test)
+
+
 def test_a_connection_with_bytes_after_a_whole_answer_is_closed(
     tmp_path: Path, engines: list[EndlessEngine]
 ) -> None:
--- a/src/pondtiller/platform/events.py
+++ b/src/pondtiller/platform/events.py
@@ -1,10 +1,21 @@
 """Events of an engine's stream."""
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from pondtiller.httpio.client_errors import BrokenError
 from pondtiller.platform import names
 
+MAX_EVENT_BYTES = 256 * 1024
+"""Longest event that is read, in bytes: a stream without an end of an event is broken off. An event
+holds a few tokens."""
+SEPARATOR = re.compile(rb"\r?\n\r?\n")
+SEPARATOR_BYTES = 4
+"""Length of the longest separator."""
+FIELDS = frozenset({"id", "data", "event", "retry", "", names.VERSIONS})
+"""Names of the lines of an event; the empty one is that of a comment."""
+
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
@@ -16,18 +27,22 @@
         Counts from 1; -1 if the event has none.
     version
         Version of the weights from this event on; None if it did not change.
+    raw
+        The event as received, with its separator.
     """
 
     number: int
     data: str
     version: int | None
+    raw: bytes
 
 
 class EventReader:
     """Splits an engine's stream into complete events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
 
     @property
     def has_rest(self) -> bool:
@@ -35,26 +50,39 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
-        """Add bytes and return the complete events."""
-        self._buffer += data.replace(b"\r\n", b"\n")
+        """Add bytes and return the complete events.
+
+        Raises `BrokenError` if an event is too long, or if something is no event.
+        """
+        self._buffer += data
         while True:
-            block, separator, rest = self._buffer.partition(b"\n\n")
-            if not separator:
+            found = SEPARATOR.search(self._buffer, max(0, self._searched - SEPARATOR_BYTES))
+            end = found.end() if found is not None else len(self._buffer)
+            if end > MAX_EVENT_BYTES:
+                raise BrokenError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+            if found is None:
+                self._searched = end
                 return
-            self._buffer = rest
-            yield _event(block.decode("utf-8", "surrogateescape"))
+            raw = bytes(self._buffer[:end])
+            del self._buffer[:end]
+            self._searched = 0
+            yield _event(raw)
 
 
-def _event(block: str) -> StreamEvent:
+def _event(raw: bytes) -> StreamEvent:
     number, version = -1, None
     data: list[str] = []
-    for line in block.split("\n"):
+    is_event = False
+    for line in raw.decode("utf-8", "surrogateescape").replace("\r\n", "\n").split("\n"):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
+        is_event = is_event or (name in FIELDS and bool(line))
         if name == "id" and value.isdecimal():
             number = int(value)
         elif name == "data":
             data.append(value)
         elif name == names.VERSIONS and value.isdecimal():
             version = int(value)
-    return StreamEvent(number, "\n".join(data), version)
+    if not is_event:
+        raise BrokenError(f"{len(raw)} bytes of the stream are no event")
+    return StreamEvent(number, "\n".join(data), version, raw)
--- a/src/pondtiller/platform/tests/test_formats.py
+++ b/src/pondtiller/platform/tests/test_formats.py
@@ -2,11 +2,13 @@
 
 import json
 
+import pytest
 from result import Err, Ok
 
+from pondtiller.httpio.client_errors import BrokenError
 from pondtiller.platform import engine_entries, engine_orders, headers, step_format
 from pondtiller.platform.configuration import route_table
-from pondtiller.platform.events import EventReader
+from pondtiller.platform.events import MAX_EVENT_BYTES, EventReader
 from pondtiller.platform.operator_api import scale_body
 from pondtiller.rollouts.scaling import ScaleOrder
 from pondtiller.rollouts.step_record import sample_heads
@@ -144,3 +146,19 @@
         "score": "sig",
     }
     assert written["results"][1]["state"] == "terminated"
+
+
+def test_a_stream_that_is_no_series_of_events_is_broken() -> None:
+    """Guards against a buffer that grows with bytes which never end an event."""
+    reader = EventReader()
+    with pytest.raises(BrokenError):
+        for _ in range(MAX_EVENT_BYTES // 1000 + 1):
+            assert not list(reader.feed(b"x" * 1000))
+    for nonsense in (b"\n\n", b"no event\n\n", b"\xff\xfe\r\n\r\n"):
+        with pytest.raises(BrokenError):
+            list(EventReader().feed(nonsense))
+    (comment,) = EventReader().feed(b": still here\r\n\r\n")
+    assert (comment.number, comment.data, comment.raw) == (-1, "", b": still here\r\n\r\n")
+    long = b"data: " + b"x" * (MAX_EVENT_BYTES - 8) + b"\n\n"
+    (event,) = EventReader().feed(long)
+    assert event.raw == long
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -14,6 +14,11 @@
 from pondtiller.routes.tenants import owned_name
 from pondtiller.wire.steplog import SampleResult
 
+EVENT_SIZE = 16
+"""What an event adds to the size of a text beside its data, so that empty ones count too."""
+MAX_TEXT_SIZE = 4 * 1024 * 1024
+"""Largest size of a sample's text, in characters: a stream without end makes no sample, and the
+texts of all open samples are held in memory."""
 NO_RETURN_SECONDS = 4.0
 """How long a sample does not return to an engine that its run left. An engine without power stays
 listed for three heartbeats (3.6 s), longer than its pause after a failure: a long sample returned
@@ -183,6 +188,10 @@
 Instruction = StartRun | CancelRun | ScoreText | ListResult
 
 
+def _event_size(data: str) -> int:
+    return len(data) + EVENT_SIZE
+
+
 @dataclass
 class Text:
     """Text of a sample so far.
@@ -197,6 +206,8 @@
         Number of the last event; 0 before the first.
     made_by
         Run that made the last event.
+    size
+        Characters of the events, and `EVENT_SIZE` for each.
     """
 
     events: list[str] = field(default_factory=list)
@@ -205,9 +216,17 @@
     is_whole: bool = False
     made_by: RunName = NO_RUN
 
+    def __post_init__(self) -> None:
+        self.size = sum(map(_event_size, self.events))
+
+    def has_room(self, data: str) -> bool:
+        """Return whether another event still makes a text of a possible length."""
+        return self.size + _event_size(data) <= MAX_TEXT_SIZE
+
     def add(self, number: int, data: str, version: int, made_by: RunName) -> None:
         """Append the next event."""
         self.events.append(data)
+        self.size += _event_size(data)
         self.made_by = made_by
         self.last_event = number
         if version not in self.versions:
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -174,6 +174,11 @@
         if work.route.single_version and work.text.versions not in ([], [version]):
             work.text = Text()
             return False
+        if not work.text.has_room(data):
+            # A stream without end: what it made so far is no sample either.
+            work.text = Text()
+            work.left[work.engine] = now
+            return False
         self._note_gap(work, now)
         work.text.add(number, data, version, RunName(self.epoch, run))
         work.run_events += 1
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pondtiller.rollouts import sample_work
 from pondtiller.rollouts.sample_work import (
     CancelReason,
     CancelRun,
@@ -556,3 +557,18 @@
     break_off(bench, run, 0.1)
     (again,) = starts(bench.tick(1.0))
     assert again.engine == "e0"
+
+
+def test_a_text_that_grows_without_end_begins_anew_at_another_engine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a text that fills the memory, and one that continues after its events."""
+    monkeypatch.setattr(sample_work, "MAX_TEXT_SIZE", 9 * (sample_work.EVENT_SIZE + 2))
+    bench = Bench(engines=2)
+    bench.open(size=1)
+    (run,) = starts(bench.tick(0.0))
+    taken = [bench.scheduler.run_event(run.run, n, "ab", 1, 0.1) for n in range(1, 11)]
+    assert taken == [True] * 9 + [False]
+    bench.scheduler.run_ended(run.run, RunEnd.STALE, 0.2)
+    (again,) = starts(bench.tick(0.3))
+    assert (again.last_event, again.engine != run.engine) == (0, True)
--- a/src/pondtiller/standins/endless_engine.py
+++ b/src/pondtiller/standins/endless_engine.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 import time
+from collections.abc import Iterator
 from enum import StrEnum
 from typing import Any, NamedTuple
 
@@ -17,8 +18,12 @@
 """A connection is given up after this time."""
 PIECE_BYTES = 16 * 1024 * 1024
 """So long that one call sends for a while, without the lock that Python threads share."""
+DATA = b"d" * 4096
+"""Data of each event."""
 READ_BYTES = 65_536
+"""Longest read of a request."""
 STOP_SECONDS = 5.0
+"""How long the end of each thread is waited for."""
 
 
 class Endless(StrEnum):
@@ -35,7 +40,9 @@
     LENGTH = "length"
     """A body whose announced length is never reached."""
     LINES = "lines"
-    """A body without a length, of empty events."""
+    """A body without a length, of empty lines."""
+    EVENTS = "events"
+    """A body of events with rising numbers."""
     FAILURE = "failure"
     """The body of a failure."""
     OTHERS = "others"
@@ -175,7 +182,7 @@
         late = time.monotonic() > began + MOST_SECONDS
         return self.is_over or late or count > self.most_bytes
 
-    def _pieces(self, request: bytes):  # type: ignore[no-untyped-def]
+    def _pieces(self, request: bytes) -> Iterator[bytes]:
         """Yield what is sent: a head, then the same piece without end."""
         named = b"Request-Id: other" if self.kind is Endless.OTHERS else b"Request-Id: " + request
         status = b"500 X" if self.kind is Endless.FAILURE else b"200 OK"
@@ -194,6 +201,9 @@
             case Endless.LINES:
                 yield head + b"\r\n"
                 repeated = b"\n\n" * (PIECE_BYTES // 2)
+            case Endless.EVENTS:
+                yield head + b"Weight-Versions: 1\r\n\r\n"
+                yield from _events()
             case Endless.AFTER:
                 yield head + b"Content-Length: 5\r\n\r\nwhole"
             case _:
@@ -202,6 +212,15 @@
             yield repeated
 
 
+def _events() -> Iterator[bytes]:
+    """Yield events without end."""
+    number = 0
+    while True:
+        events = (b"id: %d\ndata: %s\n\n" % (number + n, DATA) for n in range(1, 101))
+        yield b"".join(events)
+        number += 100
+
+
 def _read_request(connection: socket.socket) -> bytes | None:
     """Return the head of a request once its body is read too; None at the connection's end."""
     data = b""
