A stream is over at its deadline, also if its engine goes on

Cause: a stream's deadline was looked at between two attempts only. An attempt had no limit in time; engines end by themselves at the deadline that they are handed, faulty ones do not.

Evidence: a stand-in that sends a byte, or an event, each 0.05 s.

Fix: all attempts of a stream together end 0.1 s after its deadline. The caller gets 504, or the connection's end where it has a part.

The test's bound is the users' half second after the time limit.

--- a/src/pondtiller/gateway/callers/streams.py
+++ b/src/pondtiller/gateway/callers/streams.py
@@ -39,12 +39,16 @@
     Verdict,
     end_of_answer,
     error_without_engines,
+    error_without_time,
     judge_stream,
 )
 from pondtiller.routes.quarantine import abbreviate_content
 from pondtiller.routes.send_gate import BlockReason, SendGate
 from pondtiller.routes.table import RouteRow
 
+END_GRACE_SECONDS = 0.1
+"""How long after its deadline a stream is left to its engine, which ends it then itself. An engine
+that does not is left."""
 BLOCKS_ALL_ENGINES = (BlockReason.ENDS_ENGINES, BlockReason.LATE)
 """Reasons that apply to all engines: the chosen one need not be excluded."""
 
@@ -115,9 +119,12 @@
         )
 
     async def _run(self, stream: Stream) -> None:
-        step, failure = NextStep.OTHER_ENGINE, None
-        while step is NextStep.OTHER_ENGINE:
-            step, failure = await self._next_attempt(stream)
+        left = stream.request.deadline + END_GRACE_SECONDS - clock.monotonic()
+        try:
+            failure = await curio.timeout_after(left, self._make_attempts, stream)
+        except curio.TaskTimeout:
+            stream.attempts.note_unanswered()
+            failure = Failure(error_without_time(stream.attempts.ran))
         if failure is None:
             return
         if stream.has_started:
@@ -125,6 +132,13 @@
             raise ConnectionLostError("the stream could not be continued")
         await stream.exchange.respond(failure_response(failure))
 
+    async def _make_attempts(self, stream: Stream) -> Failure | None:
+        """Make attempts until one is answered; return the failure if none is."""
+        step, failure = NextStep.OTHER_ENGINE, None
+        while step is NextStep.OTHER_ENGINE:
+            step, failure = await self._next_attempt(stream)
+        return failure
+
     async def _next_attempt(self, stream: Stream) -> StreamStep:
         """Make one more attempt if the stream is allowed one."""
         request, route, attempts = stream.request, stream.route, stream.attempts
--- a/src/pondtiller/gateway/tests/test_endless_answers.py
+++ b/src/pondtiller/gateway/tests/test_endless_answers.py
@@ -4,6 +4,7 @@
 and other callers are answered meanwhile.
 """
 
+import contextlib
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -16,11 +17,14 @@
 from pondtiller.httpio.bodies import MAX_BODY_BYTES
 from pondtiller.httpio.client_errors import BrokenError
 from pondtiller.httpio.messages import HttpResponse
+from pondtiller.process import clock
 from pondtiller.standins.endless_engine import PIECE_BYTES, Endless, EndlessEngine
 
 CALLS = 16
 IN_ANSWERS = tuple(kind for kind in Endless if kind not in (Endless.AFTER, Endless.EVENTS))
 """Places in which the answer itself never ends."""
+LATE_SECONDS = 0.5
+"""How long after its time limit a request must be over, as the users' rules say."""
 MOST_BYTES = MAX_BODY_BYTES + 2 * PIECE_BYTES
 
 
@@ -201,6 +205,36 @@
     run_system(tmp_path, test)
 
 
+@pytest.mark.parametrize("path", ["/quote/7", "/chat/1", "/once/1"])
+@pytest.mark.parametrize("kind", [Endless.HEADER, Endless.CHUNKED, Endless.EVENTS])
+def test_a_request_with_slow_bytes_without_end_is_over_at_its_deadline(
+    tmp_path: Path, engines: list[EndlessEngine], path: str, kind: Endless
+) -> None:
+    """Guards against a request that is held for as long as its engine sends."""
+    engines.append(engine := EndlessEngine(kind, pause_seconds=0.05, piece=b"x"))
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add_stream_routes(system)
+        for each in (*system.app, *system.llm):
+            system.store.remove("servers", each.identifier)
+        await add(system, engine, "app" if path == "/quote/7" else "llm", "m")
+        began = clock.monotonic()
+        answer = None
+        with contextlib.suppress(BrokenError):
+            answer = await system.call(
+                "POST", path, b"", request_id="q", model="m", request_deadline="600"
+            )
+        # Pauses of this process, which the engine's threads share, do not count.
+        assert clock.monotonic() < began + 0.6 + LATE_SECONDS + sum(system.stalls)
+        is_begun_stream = kind is not Endless.HEADER and path != "/quote/7"
+        assert answer is None if is_begun_stream else answer is not None and answer.status == 504
+        await system.until(lambda: bool(engine.sent))
+        check_closed(engine)
+
+    run_system(tmp_path, test)
+
+
 def test_a_connection_with_bytes_after_a_whole_answer_is_closed(
     tmp_path: Path, engines: list[EndlessEngine]
 ) -> None:
