Kept connections to engines that send unasked are closed within seconds

Callers saw nothing; an engine that goes on sending after a whole answer kept its connection, and the memory of its unread bytes, until the next request to it, or for good.

Cause: a kept connection was looked at only before its next use.

Evidence: a stand-in that sends 0.3 s after its whole answer; before, its connection was still open when it gave up after 5.3 s. Bytes that come with the answer closed the connection before, and do.

Fix: the housekeeping closes, every 5 s, the kept connections that would not be used again: those with something to read, closed ones, and those past their time.

The test's case with the pause fails before and passes.

--- a/src/pondtiller/gateway/engines/engine_pool.py
+++ b/src/pondtiller/gateway/engines/engine_pool.py
@@ -211,6 +211,20 @@
         else:
             await connection.close()
 
+    async def close_unusable(self) -> None:
+        """Close the kept connections that a request would not be sent on any more.
+
+        An engine may send on them without being asked, which takes memory until they are closed.
+        """
+        unusable: list[EngineConnection] = []
+        for kept in self._kept.values():
+            found = [each for each in kept if not each.is_clean()]
+            # In place: `take` may be waiting in the middle of this list.
+            kept[:] = [each for each in kept if each not in found]
+            unusable += found
+        for connection in unusable:
+            await connection.close()
+
     async def forget(self, engines: set[str]) -> None:
         """Close the kept connections of all engines except those given."""
         for engine in [each for each in self._kept if each not in engines]:
--- a/src/pondtiller/gateway/housekeeping.py
+++ b/src/pondtiller/gateway/housekeeping.py
@@ -1,7 +1,8 @@
-"""Periodic tasks of a gateway: discovery of replicas, removal of gone engines, stale table.
+"""Periodic tasks of a gateway: discovery of replicas, removal of gone engines and of unusable
+connections, stale table.
 
-Holds only the time of the next search. Relies on the store to discover replicas; a gateway that is
-connected to one replica learns of the others from it.
+Holds only the times of the next search and check. Relies on the store to discover replicas; a
+gateway that is connected to one replica learns of the others from it.
 """
 
 import curio
@@ -14,6 +15,8 @@
 HOUSEKEEPING_SECONDS = 0.5
 """Interval of the periodic tasks. Connections to an engine that is gone are kept at most this much
 longer; nothing is sent on them, since the engine is not chosen any more."""
+KEPT_CHECK_SECONDS = 5.0
+"""Interval at which kept connections to engines are checked, each with a system call."""
 NO_REPLICA_SECONDS = 2.5
 """How long no message of any replica must have arrived before the store is searched for replicas:
 as long as a silent link is kept (`peers.replicas.SILENT_SECONDS`)."""
@@ -35,6 +38,7 @@
         """Run the periodic tasks until cancelled."""
         parts = self._parts
         next_search, pause = 0.0, SEARCH_SECONDS
+        next_check = clock.monotonic() + KEPT_CHECK_SECONDS
         while True:
             now = clock.monotonic()
             if not self._lacks_replicas(now):
@@ -48,6 +52,9 @@
             parts.cold.log_changes(now)
             parts.stale_configuration.check()
             await parts.pool.forget(set(parts.engines.engines))
+            if now >= next_check:
+                next_check = now + KEPT_CHECK_SECONDS
+                await parts.pool.close_unusable()
             await curio.sleep(HOUSEKEEPING_SECONDS)
 
     def _lacks_replicas(self, now: float) -> bool:
--- a/src/pondtiller/gateway/tests/test_endless_answers.py
+++ b/src/pondtiller/gateway/tests/test_endless_answers.py
@@ -11,6 +11,7 @@
 import curio
 import pytest
 
+from pondtiller.gateway import housekeeping
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.gateway.tests.test_system import ready
 from pondtiller.gateway.tests.test_unsigned_answers import add_stream_routes, ask
@@ -235,11 +236,16 @@
     run_system(tmp_path, test)
 
 
+@pytest.mark.parametrize("pause_seconds", [0.0, 0.3])
 def test_a_connection_with_bytes_after_a_whole_answer_is_closed(
-    tmp_path: Path, engines: list[EndlessEngine]
+    tmp_path: Path,
+    engines: list[EndlessEngine],
+    monkeypatch: pytest.MonkeyPatch,
+    pause_seconds: float,
 ) -> None:
-    """Guards against bytes that belong to no request and are kept for the next one."""
-    engines.append(engine := EndlessEngine(Endless.AFTER))
+    """Guards against bytes that belong to no request, at once or on a kept connection."""
+    monkeypatch.setattr(housekeeping, "KEPT_CHECK_SECONDS", 0.5)
+    engines.append(engine := EndlessEngine(Endless.AFTER, pause_seconds))
 
     async def test(system: System) -> None:
         await ready(system)
--- a/src/pondtiller/standins/endless_engine.py
+++ b/src/pondtiller/standins/endless_engine.py
@@ -174,6 +174,8 @@
                     if self._is_enough(began, count):
                         break
                     time.sleep(self.pause_seconds)
+            except TimeoutError:
+                pass
             except OSError:
                 was_closed = True
             self.sent.append(SentAnswer(request, count, time.monotonic() - began, was_closed))
