--- a/src/pondtiller/httpio/tests/test_bodies.py
+++ b/src/pondtiller/httpio/tests/test_bodies.py
@@ -33,9 +33,9 @@
 
     try:
         curio.run(main)
+        sent = engine.wait_sent()
     finally:
         engine.close()
-    (sent,) = engine.sent
     assert sent.was_closed
     assert sent.bytes_sent <= bodies.MAX_BODY_BYTES + 2 * PIECE_BYTES
 
--- a/src/pondtiller/httpio/tests/test_client.py
+++ b/src/pondtiller/httpio/tests/test_client.py
@@ -93,7 +93,7 @@
 
     try:
         curio.run(main)
+        sent = engine.wait_sent()
     finally:
         engine.close()
-    (sent,) = engine.sent
     assert sent.was_closed
--- a/src/pondtiller/standins/endless_engine.py
+++ b/src/pondtiller/standins/endless_engine.py
@@ -22,6 +22,8 @@
 """Data of each event."""
 READ_BYTES = 65_536
 """Longest read of a request."""
+WAIT_SECONDS = 0.01
+"""Interval of the checks for an ended connection."""
 STOP_SECONDS = 5.0
 """How long the end of each thread is waited for."""
 
@@ -132,6 +134,13 @@
             "sequence": 1,
         }
 
+    def wait_sent(self) -> SentAnswer:
+        """Return the first answer whose connection has ended, once there is one."""
+        until = time.monotonic() + MOST_SECONDS + STOP_SECONDS
+        while not self.sent and time.monotonic() < until:
+            time.sleep(WAIT_SECONDS)
+        return self.sent[0]
+
     def close(self) -> None:
         """End all connections."""
         self.is_over = True
