An event that is not UTF-8 breaks a sample's run, not the leader

Cause: bytes that are not UTF-8 were kept as surrogates, which the log of steps can't encode.

Fix: the runner takes such an event as broken bytes, so that the sample continues at another engine and the text never holds it. Streams are passed on as they are.

The test fails before and passes.

--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -22,7 +22,7 @@
 from pondtiller.httpio.bodies import discard
 from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.platform import engine_answers
-from pondtiller.platform.events import EventReader, StreamEvent
+from pondtiller.platform.events import EventReader, StreamEvent, is_text
 from pondtiller.platform.headers import Headers, sample_headers, scorer_headers
 from pondtiller.process import clock
 from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
@@ -274,6 +274,8 @@
     """Raise `BrokenError` unless an event may be part of a sample's text."""
     if event.number != due:
         raise BrokenError(f"event {event.number} where {due} is due")
+    if not is_text(event.data):
+        raise BrokenError(f"event {event.number} is not UTF-8")
 
 
 def _refusal(status: int, headers: Headers) -> RunOutcome:
--- a/src/pondtiller/gateway/tests/test_unsigned_answers.py
+++ b/src/pondtiller/gateway/tests/test_unsigned_answers.py
@@ -1,4 +1,4 @@
-"""Successes without the engine's signature: they are no answers, whatever they hold."""
+"""Successes that are no answers: without the engine's signature, or of bytes that are no text."""
 
 from pathlib import Path
 
@@ -99,15 +99,45 @@
         await ready(system)
         await add_stream_routes(system)
         system.llm[0].next_behaviours = [unsigned(b"")]
-        for number in range(8):
-            answer = await ask(system, "/chat/1", f"q{number}")
+        # At the same time, so that both engines get some.
+        async with curio.TaskGroup() as group:
+            calls = [await group.spawn(ask, system, "/chat/1", f"q{n}") for n in range(8)]
+        for number, call in enumerate(calls):
             events = (f"id: {n}\ndata: q{number}/{n}\n\n" for n in (1, 2, 3))
-            assert (answer.status, answer.body) == (200, "".join(events).encode())
+            assert (call.result.status, call.result.body) == (200, "".join(events).encode())
         assert not system.llm[0].next_behaviours
 
     run_system(tmp_path, test)
 
 
+async def not_utf8(exchange: Exchange) -> None:
+    """Stream a signed event that can't be a part of a text."""
+    named = (names.REQUEST_ID, exchange.request.headers[names.REQUEST_ID])
+    headers = (named, (names.SIGNATURE, "s"), (names.VERSIONS, "1"))
+    await exchange.start_response(200, headers)
+    await exchange.send_piece(b"id: 1\ndata: \xff\n\n")
+    await exchange.end_stream()
+
+
+def test_a_sample_with_an_event_that_is_not_utf8_runs_at_another_engine(tmp_path: Path) -> None:
+    """Guards against a byte that ends the leader's decisions whenever its sample is listed."""
+
+    async def test(system: System) -> None:
+        await ready(system)
+        term = system.gateways[0].duties.term
+        for engine in system.llm:
+            engine.next_behaviours = [not_utf8]
+        assert await system.submit("s1") == 202
+        results = await system.read_all("s1", 4)
+        assert not any(engine.next_behaviours for engine in system.llm)
+        for each in results:
+            assert each["text"] == "\n".join(f"{each['id']}/{number}" for number in (1, 2, 3))
+        # A fault of the leader's decisions begins another term.
+        assert system.gateways[0].duties.term is term
+
+    run_system(tmp_path, test)
+
+
 def test_an_unsigned_success_does_not_clear_a_content_that_crashes_engines() -> None:
     """Guards against an end of the quarantine, and a fast answer, that no engine vouches for."""
     engine = FakeEngine(0.0, signature="")
--- a/src/pondtiller/platform/events.py
+++ b/src/pondtiller/platform/events.py
@@ -25,6 +25,8 @@
     ----------
     number
         Counts from 1; -1 if the event has none.
+    data
+        Bytes that are not UTF-8 are kept as surrogates (`is_text`).
     version
         Version of the weights from this event on; None if it did not change.
     raw
@@ -69,6 +71,15 @@
             yield _event(raw)
 
 
+def is_text(data: str) -> bool:
+    """Return whether an event's data was valid UTF-8, so that it can be stored and returned."""
+    try:
+        data.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _event(raw: bytes) -> StreamEvent:
     number, version = -1, None
     data: list[str] = []
