A stream's deadline holds while its events never pause

Callers would see: a stream that goes on beyond its deadline while its engine sends faster than the caller reads.

Cause: curio marks an expired limit on a task that is ready, delivers it at the task's next wait, and takes it away as an inner limit ends. Each piece for the caller is written under a limit of its own, so while neither side waits the outer one is never delivered.

Evidence: "stream_ended last_event=9100 tried=''" with no unanswered(...): the limit was not delivered in 5 s.

Fix: the deadline is looked at before each event is passed on.

Also: the reading of a sample's events is a method of its own, and AnswerFacts says whether an answer is a success.

--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -246,7 +246,8 @@
         try:
             answer = await self._send(engine, whole)
             seconds = self._stalls.running_seconds() - began
-            end = _end_of(answer)
+            facts = engine_answers.answer_facts(answer.status, answer.headers)
+            end = end_of_answer(facts)
             await ended.put(EndedAttempt(engine, end, answer, seconds=seconds))
         except SendBlockedError as error:
             attempts.note_blocked(engine, error.reason)
@@ -292,13 +293,14 @@
             self.zones.note_answer(engine)
             body = await self._pool.bodies.read_whole(connection.read_body())
             answer = WholeAnswer(engine.identifier, head.status, head.headers, body)
-            end = _end_of(answer)
+            facts = engine_answers.answer_facts(head.status, head.headers)
+            end = end_of_answer(facts)
             if end is AttemptEnd.REFUSED:
                 attempts.sent -= 1
                 request.beginning.note_not_started()
             elif end is not AttemptEnd.UNSIGNED:
                 await self.suspects.note_answer(request.content)
-            is_answered = end is AttemptEnd.ANSWERED and head.status < 300
+            is_answered = end is AttemptEnd.ANSWERED and facts.is_success
             await self._pool.give_back(connection)
             connection = None
             return answer
@@ -414,10 +416,6 @@
     return ended
 
 
-def _end_of(answer: WholeAnswer) -> AttemptEnd:
-    return end_of_answer(engine_answers.answer_facts(answer.status, answer.headers))
-
-
 def is_streamed(route: RouteRow) -> bool:
     """Return whether a route's answers are event streams."""
     return route.kind is RequestKind.STREAM
--- a/src/pondtiller/gateway/callers/streams.py
+++ b/src/pondtiller/gateway/callers/streams.py
@@ -47,8 +47,8 @@
 from pondtiller.routes.table import RouteRow
 
 END_GRACE_SECONDS = 0.1
-"""How long after its deadline a stream is left to its engine, which ends it then itself. An engine
-that does not is left."""
+"""Time after its deadline in which a stream may still end: a sound engine ends it at the deadline,
+and its last bytes arrive a moment later."""
 BLOCKS_ALL_ENGINES = (BlockReason.ENDS_ENGINES, BlockReason.LATE)
 """Reasons that apply to all engines: the chosen one need not be excluded."""
 
@@ -199,11 +199,12 @@
             connection, engine.identifier, request, stream.attempts, stream.last_event
         )
         self._forwarder.zones.note_answer(engine)
-        end = end_of_answer(engine_answers.answer_facts(head.status, head.headers))
+        facts = engine_answers.answer_facts(head.status, head.headers)
+        end = end_of_answer(facts)
         if end is AttemptEnd.UNSIGNED:
             stream.attempts.details.append(f"{engine.identifier}:unsigned")
             return self._judge(stream, end)
-        if end is not AttemptEnd.ANSWERED or not 200 <= head.status < 300:
+        if end is not AttemptEnd.ANSWERED or not facts.is_success:
             return await self._refused(stream, connection, head)
         if not stream.has_started:
             stream.has_started = True
@@ -234,7 +235,11 @@
         reader = EventReader()
         async for piece in connection.read_body():
             for event in reader.feed(piece):
-                stream.request.beginning.note_first_token(clock.monotonic())
+                now = clock.monotonic()
+                if now >= stream.request.deadline + END_GRACE_SECONDS:
+                    # The limit of `_run` is not delivered while neither side waits.
+                    raise BrokenError("the stream went on beyond its deadline")
+                stream.request.beginning.note_first_token(now)
                 await stream.exchange.send_piece(event.raw)
                 stream.last_event = max(stream.last_event, event.number)
         if reader.has_rest:
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -17,7 +17,12 @@
 from pondtiller.gateway.callers.sending import EngineSender
 from pondtiller.gateway.callers.table_in_force import TableReading
 from pondtiller.gateway.engines.cold_sends import ColdSends
-from pondtiller.gateway.engines.engine_pool import EngineConnection, EnginePool, SendBlockedError
+from pondtiller.gateway.engines.engine_pool import (
+    AnswerHead,
+    EngineConnection,
+    EnginePool,
+    SendBlockedError,
+)
 from pondtiller.hashing import content_digest
 from pondtiller.httpio.bodies import discard
 from pondtiller.httpio.client_errors import BrokenError, NotSentError
@@ -209,12 +214,19 @@
         )
         await connection.send_plain("POST", sample.path, sample.body, headers)
         head = await connection.read_answer(sample.id)
-        end = end_of_answer(engine_answers.answer_facts(head.status, head.headers))
+        facts = engine_answers.answer_facts(head.status, head.headers)
+        end = end_of_answer(facts)
         if end is AttemptEnd.UNSIGNED:
             return RunOutcome(RunEnd.BROKEN, f"unsigned({head.status})")
-        if end is not AttemptEnd.ANSWERED or not 200 <= head.status < 300:
+        if end is not AttemptEnd.ANSWERED or not facts.is_success:
             await discard(connection.read_body())
             return _refusal(head.status, head.headers)
+        return await self._read_events(order, connection, head, take)
+
+    async def _read_events(
+        self, order: RunOrder, connection: EngineConnection, head: AnswerHead, take: EventSink
+    ) -> RunOutcome:
+        """Read a stream to its end; raises `BrokenError` if it can't be a sample's text."""
         version = engine_answers.answer_version(head.headers)
         reader = EventReader()
         due, length = order.last_event + 1, 0
--- a/src/pondtiller/gateway/tests/test_endless_answers.py
+++ b/src/pondtiller/gateway/tests/test_endless_answers.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -206,6 +207,41 @@
     run_system(tmp_path, test)
 
 
+async def ask_until_deadline(
+    system: System, engine: EndlessEngine, path: str
+) -> HttpResponse | None:
+    """Send a request with a deadline to an engine alone; None if its answer was cut."""
+    await ready(system)
+    await add_stream_routes(system)
+    for each in (*system.app, *system.llm):
+        system.store.remove("servers", each.identifier)
+    await add(system, engine, "app" if path == "/quote/7" else "llm", "m")
+    began = clock.monotonic()
+    answer = None
+    with contextlib.suppress(BrokenError):
+        answer = await system.call(
+            "POST", path, b"", request_id="q", model="m", request_deadline="600"
+        )
+    # Pauses of this process, which the engine's threads share, do not count.
+    assert clock.monotonic() < began + 0.6 + LATE_SECONDS + sum(system.stalls)
+    await system.until(lambda: bool(engine.sent))
+    assert engine.sent[0].was_closed
+    return answer
+
+
+@pytest.mark.parametrize("path", ["/chat/1", "/once/1"])
+def test_a_stream_whose_events_never_pause_is_over_at_its_deadline(
+    tmp_path: Path, engines: list[EndlessEngine], path: str
+) -> None:
+    """Guards against a time limit that is lost while neither side waits for the other."""
+    engines.append(engine := EndlessEngine(Endless.EVENTS, most_bytes=math.inf))
+
+    async def test(system: System) -> None:
+        assert await ask_until_deadline(system, engine, path) is None
+
+    run_system(tmp_path, test)
+
+
 @pytest.mark.parametrize("path", ["/quote/7", "/chat/1", "/once/1"])
 @pytest.mark.parametrize("kind", [Endless.HEADER, Endless.CHUNKED, Endless.EVENTS])
 def test_a_request_with_slow_bytes_without_end_is_over_at_its_deadline(
@@ -215,23 +251,9 @@
     engines.append(engine := EndlessEngine(kind, pause_seconds=0.05, piece=b"x"))
 
     async def test(system: System) -> None:
-        await ready(system)
-        await add_stream_routes(system)
-        for each in (*system.app, *system.llm):
-            system.store.remove("servers", each.identifier)
-        await add(system, engine, "app" if path == "/quote/7" else "llm", "m")
-        began = clock.monotonic()
-        answer = None
-        with contextlib.suppress(BrokenError):
-            answer = await system.call(
-                "POST", path, b"", request_id="q", model="m", request_deadline="600"
-            )
-        # Pauses of this process, which the engine's threads share, do not count.
-        assert clock.monotonic() < began + 0.6 + LATE_SECONDS + sum(system.stalls)
+        answer = await ask_until_deadline(system, engine, path)
         is_begun_stream = kind is not Endless.HEADER and path != "/quote/7"
         assert answer is None if is_begun_stream else answer is not None and answer.status == 504
-        await system.until(lambda: bool(engine.sent))
-        check_closed(engine)
 
     run_system(tmp_path, test)
 
--- a/src/pondtiller/routes/live_attempts.py
+++ b/src/pondtiller/routes/live_attempts.py
@@ -127,12 +127,17 @@
     is_not_run: bool
     is_signed: bool
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the status says that the request succeeded."""
+        return 200 <= self.status < 300
+
 
 def end_of_answer(answer: AnswerFacts) -> AttemptEnd:
     """Return the outcome of an attempt by the head of its answer."""
     if answer.is_not_run:
         return AttemptEnd.REFUSED
-    if 200 <= answer.status < 300 and not answer.is_signed:
+    if answer.is_success and not answer.is_signed:
         return AttemptEnd.UNSIGNED
     return AttemptEnd.FAILED if answer.status >= 500 else AttemptEnd.ANSWERED
 
