The limit of buffered bodies is checked before they are counted

Cause: the counter was raised, compared and lowered again where a body is over the limit. Change: the sum is compared first; no behaviour, bound or check changes. Measured: make check, and the 12 tests of httpio pass.

--- a/src/pondtiller/httpio/bodies.py
+++ b/src/pondtiller/httpio/bodies.py
@@ -47,11 +47,10 @@
         return bytes(body)
 
     def _count(self, more_bytes: int) -> None:
-        self.held_bytes += more_bytes
-        if self.held_bytes > MAX_BUFFERED_BYTES:
-            held = self.held_bytes
-            self.held_bytes -= more_bytes
+        held = self.held_bytes + more_bytes
+        if held > MAX_BUFFERED_BYTES:
             raise BrokenError(f"bodies take {held} bytes of {MAX_BUFFERED_BYTES}")
+        self.held_bytes = held
 
 
 async def discard(pieces: AsyncIterator[bytes]) -> None:
