Log ends of scorers' requests and of steps

A gateway's lines did not say of which sample or run a scorer's request is, nor when one was cancelled, and the leader wrote nothing when it ended a step. So a reward call that outlives its step could not be told from one whose leader was lost.

score_ended: a gateway's scorer's request is over or was cancelled, with sample, request, the leader's run, seconds and outcome. step_ended: how many runs and scores were in progress as the leader ended a step. pondtiller_hosted_scores: scorers' requests under way at a gateway. No decision changes.

--- a/src/pondtiller/gateway/leader/term.py
+++ b/src/pondtiller/gateway/leader/term.py
@@ -335,7 +335,10 @@
         record = self.book.end(step)
         if record is None:
             return StepStatus.UNKNOWN
-        self.scheduler.close(step)
+        closed = self.scheduler.close(step)
+        logs.decision(
+            "step_ended", step=step, runs=closed.runs, scores=closed.scores, epoch=self.epoch
+        )
         await self._carry_out()
         if not await self._waiters.until(step, lambda: record.is_end_written, COMMIT_SECONDS):
             return StepStatus.UNCERTAIN
--- a/src/pondtiller/gateway/pages/figure_sources.py
+++ b/src/pondtiller/gateway/pages/figure_sources.py
@@ -99,6 +99,7 @@
             "runs": float(len(term.scheduler.runs) if term is not None else 0),
             "runners": float(len(term.runners.links) if term is not None else 0),
             "hosted_runs": float(self.run_host.runs),
+            "hosted_scores": float(self.run_host.runner.scores),
             "evacuated_zones": float(len(self.engines.evacuated)),
             "evacuated_running": float(self._evacuated_running()),
             "clock_spread_seconds": self.agreed.spread_seconds(now),
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -29,7 +29,7 @@
 from pondtiller.platform import engine_answers
 from pondtiller.platform.events import EventReader, StreamEvent, is_text
 from pondtiller.platform.headers import Headers, sample_headers, scorer_headers
-from pondtiller.process import clock
+from pondtiller.process import clock, logs
 from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName, ScoreEnd
 from pondtiller.routes.live_attempts import AttemptEnd, end_of_answer, scorer_plan
 from pondtiller.routes.quarantine import UNCOUNTED_CONTENT
@@ -124,6 +124,9 @@
     request: str = ""
 
 
+SCORE_CANCELLED = ScoreOutcome(ScoreEnd.LOST, "", "cancelled")
+
+
 class SampleRunner:
     """Sends samples to engines and finished texts to scorers.
 
@@ -135,6 +138,11 @@
         Checked right before a sample is sent.
     cold
         Waits for a share of a cold engine's rate; None if no engine is ever cold.
+
+    Attributes
+    ----------
+    scores
+        Number of scorers' requests in progress here.
     """
 
     def __init__(
@@ -151,6 +159,7 @@
         self._sender = EngineSender(pool, gate, forwarder.suspects, cold)
         self._forwarder = forwarder
         self._find_table = find_table
+        self.scores = 0
 
     async def run(self, order: RunOrder, take: EventSink) -> RunOutcome:
         """Run a sample on an engine; `take` receives each event and returns whether to continue."""
@@ -244,13 +253,29 @@
             raise BrokenError("the stream ended within an event")
         return RunOutcome(RunEnd.WHOLE, str(head.status))
 
-    async def score(self, _run: int, content: bytes) -> ScoreOutcome:
+    async def score(self, run: int, content: bytes) -> ScoreOutcome:
         """Have a finished sample scored; without a scorer it succeeds without a score."""
-        scorer = Sample().parse(content).scorer
+        sample = Sample().parse(content)
+        scorer = sample.scorer
         if not scorer.id:
             return ScoreOutcome(ScoreEnd.SCORED, "", "no scorer")
-        outcome = await self._ask_scorer(scorer)
-        return replace(outcome, request=scorer.id)
+        began = clock.monotonic()
+        self.scores += 1
+        outcome = SCORE_CANCELLED
+        try:
+            outcome = replace(await self._ask_scorer(scorer), request=scorer.id)
+            return outcome
+        finally:
+            self.scores -= 1
+            logs.decision(
+                "score_ended",
+                sample=sample.id,
+                request=scorer.id,
+                run=run,
+                seconds=clock.monotonic() - began,
+                outcome=outcome.end.value,
+                detail=outcome.detail,
+            )
 
     async def _ask_scorer(self, scorer: Scorer) -> ScoreOutcome:
         """Send one request, hedged like a caller's."""
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -156,6 +156,19 @@
     reason: CancelReason
 
 
+class ClosedStep(NamedTuple):
+    """Work of a step that was in progress when it ended.
+
+    Attributes
+    ----------
+    runs, scores
+        Number of its runs, and of its samples that waited for their scores.
+    """
+
+    runs: int
+    scores: int
+
+
 class ScoreText(NamedTuple):
     """Have a finished sample scored.
 
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -19,6 +19,7 @@
 from pondtiller.rollouts.run_table import RunTable
 from pondtiller.rollouts.sample_work import (
     CancelReason,
+    ClosedStep,
     GiveUpReason,
     Instruction,
     ListResult,
@@ -151,12 +152,14 @@
                 work.route = route
                 work.late_at = late_at(work.accepted_at, route.queue_seconds)
 
-    def close(self, step: str) -> None:
+    def close(self, step: str) -> ClosedStep:
         """End a step: its runs stop, its unfinished texts are kept for a later step."""
-        for key in [key for key in self.work if key[0] == step]:
-            work = self.work.pop(key)
+        closing = [self.work.pop(key) for key in list(self.work) if key[0] == step]
+        stages = [work.stage for work in closing]
+        for work in closing:
             self._stop_run(work, CancelReason.STEP_ENDED)
             self._texts.keep(work.storage_name, work.text)
+        return ClosedStep(stages.count(Stage.RUNNING), stages.count(Stage.SCORING))
 
     def keep_progress(self, progress: SampleProgress) -> None:
         """Add a text that an earlier leader saved; the longest one if replicas differ."""
