A step's end cancels its scorers' requests, at whoever has them

Cause: the end of a step cancelled through the table of runs, and a sample that is being scored has no run. Nothing could cancel a score that the leader had asked a runner for; it lived for six usual times of the service, the leader's wait for 6 s. After these the leader asked again beside the first one. A runner that no longer heard its leader ended its runs, and not such scores. Class: work derived from a request that does not share its owner's lifetime.

Now a score has a number like a run and is cancelled like one: by its step's end, by the end of its sample (given up for its age), or as nobody waits for it any more (DropRun). The runner keeps asked scores by link: they end with it, with a leader that is silent, and as long before the leader's wait ends that no two are under way.

--- a/src/pondtiller/gateway/leader/run_links.py
+++ b/src/pondtiller/gateway/leader/run_links.py
@@ -46,7 +46,9 @@
 after the disconnection (`LEADER_SILENT_SECONDS` plus the replicas' answer), so they overlap with
 the leader's new runs by 0.35 s at most."""
 SCORE_CALL_SECONDS = 6.0
-"""Longer than any scorer may take; if the runner is gone, the call ends with its link."""
+"""Longest wait for a score that a runner was asked for: the runner may have become silent."""
+SCORE_ANSWER_SECONDS = 0.5
+"""Part of that wait for the runner's answer, so that its request has ended when the wait ends."""
 RUNNER_LOST = RunOutcome(RunEnd.STALE, "the runner is lost")
 """Outcome of a run whose runner was lost: neither the engine nor the sample is at fault, and the
 run continues elsewhere from its text."""
@@ -61,7 +63,13 @@
         """Run a sample on an engine; `take` receives each event and returns whether to continue."""
 
     async def score(self, run: int, content: bytes) -> ScoreOutcome:
-        """Have the sample scored that a run has completed."""
+        """Have the sample scored that a run has completed.
+
+        Parameters
+        ----------
+        run
+            Number in the `ScoreText`.
+        """
 
 
 @dataclass
@@ -113,6 +121,10 @@
     last_message_at
         When its last message arrived, in running time of this process
         (`StallWatch.running_seconds`); when its first run started if none has arrived.
+    scores
+        Scores of texts that the runner has completed, by the number of the run.
+    asked
+        Numbers of the scores that the runner was asked for.
     has_received
         Whether any message has arrived on this link.
     was_given_up
@@ -132,6 +144,7 @@
         self.daemon = daemon
         self.runs: dict[int, RemoteRun] = {}
         self.scores: dict[int, RemoteScore] = {}
+        self.asked: set[int] = set()
         self.link = link
         self._epoch = epoch
         self._checked = checked
@@ -195,22 +208,38 @@
             await self.link.send(DropRun(run=run))
 
     async def score(self, run: int, content: bytes) -> ScoreOutcome:
-        """Wait for a sample's score; the runner that completed it scores it without being asked."""
-        waiting = self.scores.get(run)
-        if waiting is None:
-            return await self._ask_score(content)
-        try:
-            if not self.link.is_lost:
-                await waiting.done.wait()
-            return waiting.outcome
-        finally:
-            self.scores.pop(run, None)
+        """Wait for a sample's score; the runner that completed it scores it without being asked.
 
-    async def _ask_score(self, content: bytes) -> ScoreOutcome:
+        Once nobody waits for the score, the runner is told to cancel it.
+        """
+        waiting = self.scores.get(run)
+        has_ended = False
         try:
-            answer = await self.link.call(ScoreSample(content=content), SCORE_CALL_SECONDS)
+            if waiting is None:
+                outcome = await self._ask_score(run, content)
+            else:
+                outcome = await self._await_score(waiting)
+            has_ended = True
+            return outcome
         except LinkLostError as error:
             return ScoreOutcome(ScoreEnd.LOST, "", str(error))
+        finally:
+            self.scores.pop(run, None)
+            self.asked.discard(run)
+            if not has_ended:
+                await self.link.send(DropRun(run=run))
+
+    async def _await_score(self, waiting: RemoteScore) -> ScoreOutcome:
+        if not self.link.is_lost:
+            await waiting.done.wait()
+        return waiting.outcome
+
+    async def _ask_score(self, run: int, content: bytes) -> ScoreOutcome:
+        """Return the runner's answer; raises `LinkLostError` if there is none in time."""
+        runner_seconds = SCORE_CALL_SECONDS - SCORE_ANSWER_SECONDS
+        message = ScoreSample(content, run, round(runner_seconds * 1000))
+        self.asked.add(run)
+        answer = await self.link.call(message, SCORE_CALL_SECONDS)
         if not isinstance(answer, ScoreAnswer):
             return ScoreOutcome(ScoreEnd.LOST, "", "no answer to a score")
         return ScoreOutcome(
@@ -265,7 +294,7 @@
     async def _keep(self) -> None:
         """Tell the runner to keep its runs while there are any; close the link if it is silent."""
         while not self.link.is_lost:
-            if self.runs or any(not each.done.is_set() for each in self.scores.values()):
+            if self.asked or self._expects_news():
                 while not self._holds_lease() and not self.link.is_lost:
                     await curio.sleep(LEASE_CHECK_SECONDS)
                 await self.link.send(KeepRuns(epoch=self._epoch))
@@ -278,7 +307,13 @@
                     await self.link.drop()
             await curio.sleep(KEEP_RUNS_SECONDS)
 
+    def _expects_news(self) -> bool:
+        """Return whether the runner sends messages at intervals."""
+        return bool(self.runs) or any(not each.done.is_set() for each in self.scores.values())
+
     def _is_silent(self) -> bool:
+        if not self._expects_news():
+            return False
         return is_silent(self.last_message_at, self._dropped_at(), self._stalls.running_seconds())
 
     def _dropped_at(self) -> list[float]:
--- a/src/pondtiller/gateway/leader/sample_runs.py
+++ b/src/pondtiller/gateway/leader/sample_runs.py
@@ -22,6 +22,7 @@
 from pondtiller.process.stalls import StallWatch
 from pondtiller.rollouts.sample_work import (
     CancelRun,
+    CancelScore,
     RunEnd,
     RunName,
     SampleWork,
@@ -77,6 +78,7 @@
         self._scheduler = parts.scheduler
         self._tasks: dict[int, curio.Task] = {}
         self._runner_of: dict[int, RunnerLink] = {}
+        self._scores: dict[int, curio.Task] = {}
         self._unwanted: set[int] = set()
         self._stalls = parts.stalls.cursor()
 
@@ -93,7 +95,21 @@
 
     async def score(self, order: ScoreText) -> None:
         """Start scoring a text."""
-        await self._parts.tasks.spawn(self._score, order)
+        self._scores[order.run] = await self._parts.tasks.spawn(self._score, order)
+
+    async def cancel_score(self, order: CancelScore) -> None:
+        """Cancel the scoring of a text; its runner is told, and drops the scorer's request."""
+        task = self._scores.pop(order.run, None)
+        if task is not None:
+            await task.cancel(blocking=False)
+        logs.decision(
+            "score_cancelled",
+            sample=order.sample,
+            step=order.step,
+            run=order.run,
+            reason=order.reason.value,
+            epoch=self._parts.epoch,
+        )
 
     async def cancel(self, order: CancelRun) -> None:
         """End a run that is no longer wanted."""
@@ -256,6 +272,7 @@
                 detail=outcome.detail,
             )
             await curio.sleep(SCORE_RETRY_SECONDS)
+        self._scores.pop(order.run, None)
         self._scheduler.scored(order.step, sample.id, outcome.end, outcome.score, outcome.attempts)
         # The next tick writes it, so that one message to each replica holds all results until then.
         await self._parts.wake.set()
--- a/src/pondtiller/gateway/leader/term.py
+++ b/src/pondtiller/gateway/leader/term.py
@@ -28,6 +28,7 @@
 from pondtiller.process.supervise import keep_running
 from pondtiller.rollouts.sample_work import (
     CancelRun,
+    CancelScore,
     ListResult,
     ScoreText,
     StartRun,
@@ -402,6 +403,8 @@
                     await self._runs.cancel(instruction)
                 case ScoreText():
                     await self._runs.score(instruction)
+                case CancelScore():
+                    await self._runs.cancel_score(instruction)
                 case ListResult():
                     self._list(instruction)
         await self._flush()
--- a/src/pondtiller/gateway/link_service.py
+++ b/src/pondtiller/gateway/link_service.py
@@ -29,6 +29,8 @@
             async def take(_link: Link, call: int, message: Message) -> None:
                 if isinstance(message, RUN_MESSAGES):
                     await self._run_host.handle(link, message)
+                elif isinstance(message, ScoreSample) and message.run:
+                    await self._run_host.begin_score(link, call, message)
                 elif isinstance(message, SaveProgress):
                     await self._replicas.send_to_members(message)
                 else:
@@ -41,6 +43,7 @@
 
     async def _answer(self, link: Link, call: int, message: Message) -> None:
         if isinstance(message, ScoreSample):
+            # Of a leader of an earlier release, which neither keeps nor cancels it.
             await link.reply(call, await self._run_host.score(message))
             return
         answer = await self._duties.answer(message)
--- a/src/pondtiller/gateway/runs/leader_runs.py
+++ b/src/pondtiller/gateway/runs/leader_runs.py
@@ -14,12 +14,13 @@
 from pondtiller.gateway.runs.sample_runner import RunOrder
 from pondtiller.links.link import Link
 from pondtiller.process import clock
+from pondtiller.process.curio_types import Task
 from pondtiller.process.spawner import Spawner
 from pondtiller.process.stalls import StallWatch
 from pondtiller.rollouts.run_holding import LEADER_SILENT_SECONDS, LeaveReason, LostLeader
 from pondtiller.rollouts.run_news import EndedRun, RunEvent, RunNewsBatch, ScoredRun
 from pondtiller.rollouts.sample_work import NO_RUN, RunEnd, RunName
-from pondtiller.wire.steplog import BeginRun, RunNews
+from pondtiller.wire.steplog import BeginRun, RunNews, ScoreAnswer, ScoreSample
 
 NEWS_SECONDS = 0.25
 """Interval at which events are batched; texts are saved every 0.5 s, so more frequent messages do
@@ -44,6 +45,9 @@
     ) -> None:
         """Keep runs whose leader is lost, or end them."""
 
+    async def score(self, message: ScoreSample) -> ScoreAnswer:
+        """Have a finished sample scored."""
+
 
 class LeaderRuns:
     """Runs that one leader has started at this gateway over its link.
@@ -54,6 +58,9 @@
         Runs whose engines are working, by the leader's number.
     judged
         Runs whose texts are complete and wait for their scores, by the leader's number.
+    asked
+        Tasks of the scores that the leader asked for, by its number. They end with the link: the
+        next leader asks again.
     last_message_at
         When the last message of the leader arrived, in monotonic time.
     last_message_running
@@ -65,6 +72,7 @@
     def __init__(self, host: RunStarter, link: Link) -> None:
         self.runs: dict[int, ExecutedRun] = {}
         self.judged: dict[int, ExecutedRun] = {}
+        self.asked: dict[int, Task] = {}
         self.last_message_at = clock.monotonic()
         self.last_message_running = host.stalls.running_seconds()
         self.epoch = 0
@@ -106,11 +114,26 @@
         self.runs[order.run] = held
         await held.continue_under(order, self.epoch, self)
 
+    async def begin_score(self, call: int, message: ScoreSample) -> None:
+        """Begin to score a text that is not of a run here; the call is answered at its end."""
+        task = await self._group.spawn(self._answer_score, call, message)
+        self.asked[message.run] = task
+        await self._start_sending()
+
+    async def _answer_score(self, call: int, message: ScoreSample) -> None:
+        answer = await self._host.score(message)
+        self.asked.pop(message.run, None)
+        await self._link.reply(call, answer)
+
     async def drop(self, run: int) -> None:
-        """End a run that is no longer wanted, and confirm it once its engine has been left.
+        """End a run or score that is no longer wanted; confirm it once its engine has been left.
 
         The leader starts the sample elsewhere only after that.
         """
+        asked = self.asked.pop(run, None)
+        if asked is not None:
+            await asked.cancel(blocking=False)
+            return
         dropped = self.runs.pop(run, None) or self.judged.pop(run, None)
         self._news.drop(run)
         if dropped is not None:
@@ -153,6 +176,9 @@
         await self._group.__aexit__()
 
     async def _leave_runs(self, reason: LeaveReason) -> None:
+        for asked in list(self.asked.values()):
+            await asked.cancel(blocking=False)
+        self.asked = {}
         runs = [*self.runs.values(), *self.judged.values()]
         self.runs, self.judged, self._sender_task = {}, {}, None
         lost = LostLeader(self.epoch, self.last_message_at, self.last_message_running)
@@ -178,7 +204,7 @@
 
     async def _send_batches(self) -> None:
         """Send events while there are runs or pending scores; ends and scores are sent at once."""
-        while self.runs or self.judged or self._news.ended or self._news.scored:
+        while self.runs or self.judged or self.asked or self._news.ended or self._news.scored:
             silent_at = self.last_message_at + LEADER_SILENT_SECONDS
             wait = min(NEWS_SECONDS, max(0.0, silent_at - clock.monotonic()))
             await curio.ignore_after(wait, self._has_news.wait)
--- a/src/pondtiller/gateway/runs/run_host.py
+++ b/src/pondtiller/gateway/runs/run_host.py
@@ -8,6 +8,7 @@
 leader.
 """
 
+import math
 from collections.abc import Callable
 
 from betterproto import Message
@@ -68,10 +69,7 @@
 
     async def handle(self, link: Link, message: Message) -> None:
         """Handle a message that starts, drops or keeps runs."""
-        of_leader = self.by_link.get(link)
-        if of_leader is None:
-            of_leader = self.by_link[link] = LeaderRuns(self, link)
-        of_leader.note_message()
+        of_leader = self._of_leader(link)
         match message:
             case BeginRun():
                 if await self._may_begin(link, message):
@@ -79,6 +77,18 @@
             case DropRun():
                 await of_leader.drop(message.run)
 
+    async def begin_score(self, link: Link, call: int, message: ScoreSample) -> None:
+        """Begin to score a finished sample; the call is answered when that is done."""
+        await self._of_leader(link).begin_score(call, message)
+
+    def _of_leader(self, link: Link) -> LeaderRuns:
+        """Return the runs of a link on which a message has just arrived."""
+        of_leader = self.by_link.get(link)
+        if of_leader is None:
+            of_leader = self.by_link[link] = LeaderRuns(self, link)
+        of_leader.note_message()
+        return of_leader
+
     async def start(self, order: RunOrder, listener: RunListener, epoch: int) -> ExecutedRun:
         """Start a run at its engine."""
         await self.stalls.begin()
@@ -176,7 +186,13 @@
 
     async def score(self, message: ScoreSample) -> ScoreAnswer:
         """Have a finished sample scored."""
-        outcome = await self.runner.score(0, message.content)
+        longest_seconds = message.wait_milliseconds / 1000 or math.inf
+        try:
+            outcome = await self.runner.score(message.run, message.content, longest_seconds)
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            logs.decision("hosted_run_failed", run=message.run, engine="", reason=reason)
+            outcome = ScoreOutcome(ScoreEnd.LOST, "", reason)
         return ScoreAnswer(
             end=outcome.end.value,
             score=outcome.score,
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -253,8 +253,18 @@
             raise BrokenError("the stream ended within an event")
         return RunOutcome(RunEnd.WHOLE, str(head.status))
 
-    async def score(self, run: int, content: bytes) -> ScoreOutcome:
-        """Have a finished sample scored; without a scorer it succeeds without a score."""
+    async def score(
+        self, run: int, content: bytes, longest_seconds: float = math.inf
+    ) -> ScoreOutcome:
+        """Have a finished sample scored; without a scorer it succeeds without a score.
+
+        Parameters
+        ----------
+        run
+            The leader's number, for logs.
+        longest_seconds
+            Time after which nobody waits for the score.
+        """
         sample = Sample().parse(content)
         scorer = sample.scorer
         if not scorer.id:
@@ -263,7 +273,7 @@
         self.scores += 1
         outcome = SCORE_CANCELLED
         try:
-            outcome = replace(await self._ask_scorer(scorer), request=scorer.id)
+            outcome = replace(await self._ask_scorer(scorer, longest_seconds), request=scorer.id)
             return outcome
         finally:
             self.scores -= 1
@@ -277,7 +287,7 @@
                 detail=outcome.detail,
             )
 
-    async def _ask_scorer(self, scorer: Scorer) -> ScoreOutcome:
+    async def _ask_scorer(self, scorer: Scorer, longest_seconds: float) -> ScoreOutcome:
         """Send one request, hedged like a caller's."""
         table = self._find_table()
         route = table.find(scorer.host, scorer.path) if table is not None else None
@@ -294,7 +304,7 @@
             headers=scorer_headers(scorer.id, scorer.host, scorer.body),
             body=scorer.body,
             content=content_digest(scorer.host.encode(), scorer.path.encode(), scorer.body),
-            deadline=clock.monotonic() + plan.seconds,
+            deadline=clock.monotonic() + min(plan.seconds, longest_seconds),
             decided_by=TableReading(table.version),
             is_owed=True,
         )
--- a/src/pondtiller/rollouts/run_table.py
+++ b/src/pondtiller/rollouts/run_table.py
@@ -39,12 +39,16 @@
         """Stored names of samples on which an engine may still work although cancelled."""
         return set(self._ending.values())
 
+    def new_number(self) -> int:
+        """Return a number that no run of this term has."""
+        self._last_run += 1
+        return self._last_run
+
     def begin(
         self, work: SampleWork, engine: Engine, now: float, runner: str = "", held: RunName = NO_RUN
     ) -> StartRun:
         """Start a run, or take over one that continues at its runner."""
-        self._last_run += 1
-        work.run = self._last_run
+        work.run = self.new_number()
         work.engine = engine.identifier
         work.stage = Stage.RUNNING
         work.run_started = work.last_event_at = now
--- a/src/pondtiller/rollouts/sample_work.py
+++ b/src/pondtiller/rollouts/sample_work.py
@@ -174,8 +174,11 @@
 
     Attributes
     ----------
-    run, engine
-        Run that completed it, and its engine; 0 and empty if a stored text was complete.
+    run
+        Run that completed it; a number of its own for each further request, and if a stored text
+        was complete.
+    engine
+        Engine of the run that completed it; empty if a stored text was complete.
     """
 
     step: str
@@ -184,6 +187,23 @@
     engine: str
 
 
+class CancelScore(NamedTuple):
+    """Cancel the scoring of a sample.
+
+    Attributes
+    ----------
+    run
+        The same as in its `ScoreText`.
+    reason
+        Reason, for logs.
+    """
+
+    step: str
+    sample: str
+    run: int
+    reason: CancelReason
+
+
 class ListResult(NamedTuple):
     """Assign a position to a sample's result.
 
@@ -198,7 +218,7 @@
     given_up: GiveUpReason | None = None
 
 
-Instruction = StartRun | CancelRun | ScoreText | ListResult
+Instruction = StartRun | CancelRun | ScoreText | CancelScore | ListResult
 
 
 def _event_size(data: str) -> int:
@@ -268,7 +288,8 @@
         Its position among the waiting samples.
     run, engine, run_started, run_events
         Its run, the engine, the start and the number of events of that run; of the last run if none
-        is in progress. Times are monotonic, in seconds.
+        is in progress. While it is scored, `run` is the number in its last `ScoreText`. Times are
+        monotonic, in seconds.
     last_event_at
         When the run's last event arrived, or the run started.
     gap_spans_pause
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -19,6 +19,7 @@
 from pondtiller.rollouts.run_table import RunTable
 from pondtiller.rollouts.sample_work import (
     CancelReason,
+    CancelScore,
     ClosedStep,
     GiveUpReason,
     Instruction,
@@ -133,6 +134,7 @@
             work.table_version = table_version
             self.work[key] = work
             if work.text.is_whole:
+                work.run = self._table.new_number()
                 self._score(work)
 
     def abandon(self) -> None:
@@ -153,11 +155,11 @@
                 work.late_at = late_at(work.accepted_at, route.queue_seconds)
 
     def close(self, step: str) -> ClosedStep:
-        """End a step: its runs stop, its unfinished texts are kept for a later step."""
+        """End a step: its runs and scores stop, its unfinished texts are kept for a later step."""
         closing = [self.work.pop(key) for key in list(self.work) if key[0] == step]
         stages = [work.stage for work in closing]
         for work in closing:
-            self._stop_run(work, CancelReason.STEP_ENDED)
+            self._stop(work, CancelReason.STEP_ENDED)
             self._texts.keep(work.storage_name, work.text)
         return ClosedStep(stages.count(Stage.RUNNING), stages.count(Stage.SCORING))
 
@@ -253,13 +255,15 @@
         if end is ScoreEnd.SCORED:
             self._list(work, self._result(work, score))
             return
+        work.stage = Stage.WAITING
         if end is ScoreEnd.FAILED:
             work.score_failures += 1
         reason = reason_after_scoring(end, work.score_failures, attempts)
         if reason is not None:
             self._give_up(work, reason)
         else:
-            self._out.append(ScoreText(step, work.sample, work.run, work.engine))
+            work.run = self._table.new_number()
+            self._score(work)
 
     def _result(self, work: SampleWork, score: str) -> SampleResult:
         return SampleResult(
@@ -429,7 +433,7 @@
     # Results and ends
 
     def _give_up(self, work: SampleWork, reason: GiveUpReason) -> None:
-        self._stop_run(work, CancelReason.GIVEN_UP)
+        self._stop(work, CancelReason.GIVEN_UP)
         self._list(work, SampleResult(id=work.sample_id, succeeded=False), reason)
 
     def _list(
@@ -444,6 +448,12 @@
         work.stage = Stage.SCORING
         self._out.append(ScoreText(work.step_id, work.sample, work.run, work.engine))
 
+    def _stop(self, work: SampleWork, reason: CancelReason) -> None:
+        """Cancel what is in progress for a sample that is not wanted any more."""
+        self._stop_run(work, reason)
+        if work.stage is Stage.SCORING:
+            self._out.append(CancelScore(work.step_id, work.sample_id, work.run, reason))
+
     def _stop_run(self, work: SampleWork, reason: CancelReason) -> None:
         cancelled = self._table.cancel(work, reason)
         if cancelled is not None:
--- a/src/pondtiller/rollouts/tests/test_samples.py
+++ b/src/pondtiller/rollouts/tests/test_samples.py
@@ -8,6 +8,7 @@
 from pondtiller.rollouts.sample_work import (
     CancelReason,
     CancelRun,
+    CancelScore,
     ListResult,
     OfferedRun,
     RunEnd,
@@ -450,6 +451,41 @@
     assert not given_up.result.succeeded
 
 
+def scored_bench() -> tuple[Bench, ScoreText]:
+    """Return a bench with one sample that waits for its score."""
+    bench = Bench(engines=1)
+    bench.open(groups=1, size=1)
+    (start,) = starts(bench.tick(0.0))
+    bench.scheduler.run_ended(start.run, RunEnd.WHOLE, 0.5)
+    (score,) = bench.scheduler.pop_instructions()
+    assert isinstance(score, ScoreText)
+    return bench, score
+
+
+def test_an_ended_step_cancels_the_scores_of_its_samples() -> None:
+    bench, score = scored_bench()
+    bench.scheduler.close("s")
+    (cancelled,) = bench.scheduler.pop_instructions()
+    assert cancelled == CancelScore("s", "s-0-0", score.run, CancelReason.STEP_ENDED)
+
+
+def test_a_sample_that_is_given_up_for_its_age_cancels_its_score() -> None:
+    bench, score = scored_bench()
+    cancelled, listed = bench.tick(1.0, wall=44.0)
+    assert cancelled == CancelScore("s", "s-0-0", score.run, CancelReason.GIVEN_UP)
+    assert isinstance(listed, ListResult) and not listed.result.succeeded
+
+
+def test_each_request_for_a_score_has_a_number_of_its_own() -> None:
+    bench, score = scored_bench()
+    bench.scheduler.scored("s", "s-0-0", ScoreEnd.LOST, "", 3)
+    (again,) = bench.scheduler.pop_instructions()
+    assert isinstance(again, ScoreText) and again.run != score.run
+    bench.scheduler.close("s")
+    (cancelled,) = bench.scheduler.pop_instructions()
+    assert isinstance(cancelled, CancelScore) and cancelled.run == again.run
+
+
 def test_nothing_is_placed_in_an_evacuated_zone_and_nothing_moves_there() -> None:
     bench = Bench(engines=2)
     bench.directory.update_entry(replace(entry("e1"), zone="y"))
--- a/src/pondtiller/wire/steplog/__init__.py
+++ b/src/pondtiller/wire/steplog/__init__.py
@@ -255,6 +255,14 @@
     content: bytes = betterproto.bytes_field(1)
     """An encoded `Sample`."""
 
+    run: int = betterproto.uint32_field(2)
+    """
+    Number that a `DropRun` names; 0 from leaders of earlier releases, which cannot cancel it.
+    """
+
+    wait_milliseconds: int = betterproto.uint32_field(3)
+    """How long the leader waits for the answer; 0 if not stated."""
+
 
 @dataclass(eq=False, repr=False)
 class ScoreAnswer(betterproto.Message):
