Reset connections whose request is abandoned

Callers saw nothing of it; engines did. A request that was given up (its step had ended, its time was over, its caller had left, or another engine had answered) could still arrive later in whole, where the path to the engine or the engine itself had not taken its bytes yet.

Cause: the connection was closed, and a close delivers what was written before.

Evidence: a listener that takes 2 KB of a connection and reads the rest after the sender has given up got all 32 KB, in 5 of 5 ways to abandon a request: FAILED test_abandoned_requests.py::test_an_abandoned_request_is_not_delivered_later[abandon_call] AssertionError: assert not True (and cancel_call, cancel_run, cancel_request, give_stream_back)

A reset drops what has not been delivered, so the request stays incomplete and cannot be executed. Connections whose answer was whole, or on which nothing was sent, are closed as before; two tests see to the former.

--- a/src/pondtiller/gateway/callers/forward.py
+++ b/src/pondtiller/gateway/callers/forward.py
@@ -312,7 +312,7 @@
             engine.end_work()
             attempts.seconds_left_when_sent.pop(engine.identifier, None)
             if connection is not None:
-                await connection.close()
+                await connection.abort()
 
     def _send_by(self, whole: WholeRequest) -> float:
         """Return when an attempt must have been sent to be answered in time, at the row's pace."""
--- a/src/pondtiller/gateway/engines/engine_pool.py
+++ b/src/pondtiller/gateway/engines/engine_pool.py
@@ -196,7 +196,13 @@
         return EngineConnection(engine, address, stream)
 
     async def give_back(self, connection: EngineConnection) -> None:
-        """Keep a connection whose answer was read completely, if it can be reused."""
+        """Keep a connection whose answer was read completely, if it can be reused.
+
+        One whose request was abandoned is reset.
+        """
+        if not connection.is_answered:
+            await connection.abort()
+            return
         kept = self._kept.setdefault(connection.engine, [])
         if len(kept) < KEPT_CONNECTIONS and connection.prepare_reuse():
             kept.append(connection)
--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -192,7 +192,7 @@
             return RunOutcome(RunEnd.BROKEN, str(error))
         finally:
             if connection is not None:
-                await connection.close()
+                await connection.abort()
 
     def _is_excluded_by_newer_table(self, order: RunOrder) -> bool:
         """Return whether a table newer than the leader's excludes the engine for the sample."""
--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -16,7 +16,7 @@
 from pondtiller.httpio.bodies import BodyBuffer
 from pondtiller.httpio.client_errors import BrokenError, NoAnswerError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
-from pondtiller.httpio.sockets import tune
+from pondtiller.httpio.sockets import reset_on_close, tune
 from pondtiller.process import clock
 
 READ_BYTES = 65_536
@@ -32,6 +32,8 @@
 CONNECT_SECONDS = 2.0
 """Time limit of opening a connection; a call's own limit may end it earlier. The operating system
 repeats a lost SYN after 1 s, so one loss is tolerated."""
+ANSWER_ENDED = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+"""States of the other side in which it has sent a whole answer."""
 
 
 def _always() -> bool:
@@ -105,8 +107,18 @@
             return True
         return False
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the last request's answer was read to its end."""
+        return self._protocol.their_state in ANSWER_ENDED
+
     async def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; what was sent on it is still delivered."""
+        await self._socket.close()
+
+    async def abort(self) -> None:
+        """Reset the connection; what was sent on it and has not arrived yet is dropped."""
+        reset_on_close(self._socket)
         await self._socket.close()
 
     async def _next_event(self) -> Any:
@@ -221,7 +233,7 @@
             head = await connection.read_head()
             body = await self._bodies.read_whole(connection.read_body())
         except BaseException:
-            await connection.close()
+            await connection.abort()
             raise
         await self.give_back(connection)
         received = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
@@ -247,7 +259,7 @@
         try:
             await connection.send(method, target, body, headers)
         except BaseException:
-            await connection.close()
+            await connection.abort()
             raise
         return connection
 
--- a/src/pondtiller/httpio/sockets.py
+++ b/src/pondtiller/httpio/sockets.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import struct
 from typing import Any
 
 KEEPALIVE_SECONDS = 1
@@ -15,6 +16,8 @@
 USER_TIMEOUT_MILLISECONDS = 2500
 """How long sent data may stay unacknowledged, in ms: less than the 3 s of the probes, which do not
 run while data waits."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of `SO_LINGER`: unsent data is not kept after the close."""
 
 
 def tune(stream: Any) -> None:
@@ -25,3 +28,8 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+
+
+def reset_on_close(stream: Any) -> None:
+    """Have the connection reset when it is closed, so that unsent data is dropped."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/src/pondtiller/serve/daemon/engine_client.py
+++ b/src/pondtiller/serve/daemon/engine_client.py
@@ -92,7 +92,7 @@
             if kept:
                 await self._client.give_back(connection)
             else:
-                await connection.close()
+                await connection.abort()
 
     async def _read_answer(self, start: StartAttempt, connection: ClientConnection) -> bool:
         head = await connection.read_head()
