A run's text is scored and cancelled at the runner that completed it

Seen: a scorer's request that outlives its step, and two requests of one identifier at once.

Cause: the leader chose the runner for a score by the engine, anew. While a link is lost, the engine's next sample gets another runner; the runs over the lost link continue at the first one, which scores their texts without being asked. The leader then asked the other runner as well, and a step's end was told to that one only. A runner in another region that a nearer one replaces during a run gives the same. Runs that were taken over from an earlier leader had a place of their own for this; that is now one for all runs.

Evidence, the test before the fix: E AssertionError: the condition did not become true in time (at_work.total() 3 s after the acknowledged end), and with its last assertion first: E assert 2 == 1 (most_at_work).

--- a/src/pondtiller/gateway/leader/run_offers.py
+++ b/src/pondtiller/gateway/leader/run_offers.py
@@ -1,7 +1,7 @@
 """Runs of an earlier leader that runners offer to the new one, which takes them over.
 
-Holds which runners were asked to offer again, and where the runs that were taken over continue;
-both end with the term. Which run fits the log is decided by `SampleScheduler.take_over`.
+Holds which runners were asked to offer again; this ends with the term. Which run fits the log is
+decided by `SampleScheduler.take_over`.
 """
 
 from collections.abc import Awaitable, Callable
@@ -10,7 +10,7 @@
 
 from pondtiller.address import Address
 from pondtiller.gateway.leader.leadership import Leadership
-from pondtiller.gateway.leader.run_links import Runner, RunnerLink
+from pondtiller.gateway.leader.run_links import Runner
 from pondtiller.gateway.leader.runner_directory import RunnerDirectory
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.links.link import CONNECT_SECONDS
@@ -115,7 +115,6 @@
         self._connecting = 0
         self._texts_read = began
         self._to_reoffer: set[str] = set()
-        self._runner_of: dict[int, RunnerLink] = {}
 
     def are_awaited(self, now: float) -> bool:
         """Return whether runs of an earlier leader may still be taken over instead of restarted."""
@@ -195,19 +194,7 @@
         """Return who runs a sample; a run that is taken over stays at its runner."""
         if not start.runner:
             return self._runners.runner_for(start.engine)
-        runner = self._runners.links.get(start.runner)
-        if runner is not None:
-            self._runner_of[start.run] = runner
-        return start.runner, runner
-
-    def move_to(self, run: int, runner: RunnerLink) -> None:
-        """Record that a run continues over another link, if it was taken over."""
-        if run in self._runner_of:
-            self._runner_of[run] = runner
-
-    def pop_runner(self, run: int) -> RunnerLink | None:
-        """Return and forget the runner of a run that was taken over; None for other runs."""
-        return self._runner_of.pop(run, None)
+        return start.runner, self._runners.links.get(start.runner)
 
 
 def _read(message: OfferRuns) -> list[OfferedRun]:
--- a/src/pondtiller/gateway/leader/sample_runs.py
+++ b/src/pondtiller/gateway/leader/sample_runs.py
@@ -78,6 +78,7 @@
         self._scheduler = parts.scheduler
         self._tasks: dict[int, curio.Task] = {}
         self._runner_of: dict[int, RunnerLink] = {}
+        self._completed_at: dict[int, RunnerLink] = {}
         self._scores: dict[int, curio.Task] = {}
         self._unwanted: set[int] = set()
         self._stalls = parts.stalls.cursor()
@@ -151,14 +152,15 @@
         began = clock.monotonic()
         outcome = await self._safe_outcome(start, work, engine, runner)
         self._tasks.pop(start.run, None)
-        self._runner_of.pop(start.run, None)
+        completed_at = self._runner_of.pop(start.run, None)
         self._unwanted.discard(start.run)
-        if outcome.end is not RunEnd.WHOLE:
-            self._parts.offers.pop_runner(start.run)
         is_measured = outcome.end is RunEnd.WHOLE and not start.last_event and not start.runner
         if self._parts.scaling is not None and is_measured:
             self._parts.scaling.note_run(work, clock.monotonic() - began)
-        self._scheduler.run_ended(start.run, outcome.end, clock.monotonic())
+        ended = self._scheduler.run_ended(start.run, outcome.end, clock.monotonic())
+        if ended is not None and completed_at is not None and outcome.end is RunEnd.WHOLE:
+            # It scores the text without being asked.
+            self._completed_at[start.run] = completed_at
         if engine is not None and outcome.detail == BlockReason.EVACUATED.value:
             engine.note_evacuated(clock.monotonic())
         logs.decision(
@@ -231,7 +233,6 @@
             if found is None:
                 return outcome
             runner = self._runner_of[order.run] = found
-            self._parts.offers.move_to(order.run, runner)
             kept = order._replace(
                 last_event=work.text.last_event,
                 held=RunName(self._parts.epoch, order.run),
@@ -257,9 +258,9 @@
     async def _score(self, order: ScoreText) -> None:
         sample = order.sample
         name, runner = self._parts.runners.runner_for(order.engine)
-        own = self._parts.offers.pop_runner(order.run)
-        if own is not None:
-            name, runner = own.daemon.name, own
+        completed_at = self._completed_at.pop(order.run, None)
+        if completed_at is not None:
+            name, runner = completed_at.daemon.name, completed_at
         outcome = await runner.score(order.run, sample.content)
         if outcome.end is not ScoreEnd.SCORED:
             logs.decision(
--- a/src/pondtiller/gateway/tests/test_ended_steps.py
+++ b/src/pondtiller/gateway/tests/test_ended_steps.py
@@ -9,6 +9,7 @@
 import pytest
 
 from pondtiller.gateway.leader import run_links
+from pondtiller.gateway.leader.term import Term
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.httpio.messages import HttpResponse
@@ -95,13 +96,19 @@
         return sum(each > moment for each in self.arrivals)
 
 
-async def until_asked(system: System, scorers: Scorers) -> GatewayProcess:
-    """Submit a step; return the leader once all of its samples wait for their scorers."""
+async def until_connected(system: System) -> tuple[GatewayProcess, Term]:
+    """Return the leader and its term once it has links to all runners."""
     leader = await system.until_led()
     await system.until(lambda: all(each.is_ready() for each in system.gateways))
     term = leader.duties.term
     assert term is not None
     await system.until(lambda: len(term.runners.links) >= len(system.gateways) - 1)
+    return leader, term
+
+
+async def until_asked(system: System, scorers: Scorers) -> GatewayProcess:
+    """Submit a step; return the leader once all of its samples wait for their scorers."""
+    leader, _ = await until_connected(system)
     assert await system.submit("s1", samples=SAMPLES) == 202
     requests = SAMPLES * (2 if scorers.first_fails else 1)
     await system.until(lambda: len(scorers.arrivals) >= requests)
@@ -184,3 +191,28 @@
         assert scorers.most_at_work == 1
 
     run_system(tmp_path, test, gateways=3)
+
+
+def test_no_scorers_request_outlives_its_step_although_its_engine_got_another_runner(
+    tmp_path: Path,
+) -> None:
+    async def test(system: System) -> None:
+        scorers = Scorers(system, holds=True)
+        _, term = await until_connected(system)
+        for engine in system.llm:
+            engine.events, engine.event_seconds = 20, 0.05
+        assert await system.submit("s1", samples=SAMPLES) == 202
+        links = list(term.runners.links.values())
+        await system.until(lambda: sum(len(each.runs) for each in links) == SAMPLES)
+        lost = next(each for each in links if each.runs)
+        await lost.link.drop()
+        for engine in system.llm:
+            # As a sample that starts before the link is found again.
+            term.runners.runner_for(engine.identifier)
+        await system.until(lambda: len(scorers.seen) == SAMPLES)
+        await curio.sleep(0.5)
+        await end_step(system)
+        await system.until(lambda: not scorers.at_work.total(), CANCEL_SECONDS)
+        assert scorers.most_at_work == 1
+
+    run_system(tmp_path, test, gateways=3)
