Planned stop: answer what is open before the process ends

Requests that were open when a planned stop was over lost their connection without an answer: safe and unsafe ones at engines slower than the grace, and trainers' calls that waited for a leader.

Cause: the end of the process ended the tasks of open requests, whatever they owed their callers.

0.8 s before the end of the grace the open requests are interrupted, and each is answered 502 (it may have run) by its own task, with Connection: close. An answer of which a part was sent is cut, so that it does not look complete. The margin was 0.7 s before; the 0.1 s are for these answers.

test_every_request_up_to_the_end_is_answered_or_was_not_begun plays callers that use open and new connections until the process is gone, with pauses, slow bodies and two requests at once.

--- a/src/pondtiller/gateway/callers/front.py
+++ b/src/pondtiller/gateway/callers/front.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+import curio
 import h11
 from result import Err
 
@@ -25,12 +26,17 @@
 from pondtiller.peers.leader_client import LeaderClient
 from pondtiller.platform.requests import CallerRequest, RequestTarget, read_request
 from pondtiller.process import clock, logs
+from pondtiller.process.curio_types import Task
 from pondtiller.routes.planned_stop import PlannedStop
 from pondtiller.routes.table import RequestKind, RouteTable
 from pondtiller.routes.topology import Topology
 from pondtiller.usage.meter import UseMeter
 
 
+class StopsError(curio.TaskCancelled):  # type: ignore[misc]
+    """The process ends before a request was answered."""
+
+
 class Front:
     """Handles all requests on the callers' address.
 
@@ -59,6 +65,7 @@
         self.in_force = TableInForce()
         self.open_exchanges = 0
         self.stop: PlannedStop | None = None
+        self._open: set[Task] = set()
         self._metrics = metrics
         self._failures = FailureAnswers(metrics)
         self._router = RequestRouter(self.in_force, places, are_keys_fresh)
@@ -74,17 +81,33 @@
         """Answer one request."""
         started = clock.monotonic()
         request = read_request(exchange.request)
+        task = await curio.current_task()
+        self._open.add(task)
         self.open_exchanges += 1
         try:
             await self._answer(exchange, request)
+        except StopsError:
+            await self._answer_at_end(exchange, request)
         except (ConnectionLostError, h11.LocalProtocolError):
             raise
         except Exception as error:
             await self._fail_internally(exchange, request, error)
         finally:
+            self._open.discard(task)
             self.open_exchanges -= 1
             self._metrics.request_seconds.add(clock.monotonic() - started)
 
+    async def end_open(self) -> None:
+        """Answer the requests that are still open: the process ends."""
+        for task in list(self._open):
+            await task.cancel(exc=StopsError, blocking=False)
+
+    async def _answer_at_end(self, exchange: Exchange, request: CallerRequest) -> None:
+        logs.decision("ended_unanswered", request=request.identifier, started=exchange.started)
+        if exchange.started:
+            raise ConnectionLostError("the process ends")
+        await self._failures.answer(exchange, Failure(ErrorKind.OUTCOME_UNKNOWN), "")
+
     async def _fail_internally(
         self, exchange: Exchange, request: CallerRequest, error: Exception
     ) -> None:
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -24,9 +24,12 @@
 NOT_READY_SECONDS = 3.0
 """Time from the stop request until callers are rejected: the platform needs it to notice that the
 gateway is not ready and to send callers elsewhere."""
-STOP_MARGIN_SECONDS = 0.7
+STOP_MARGIN_SECONDS = 0.8
 """Time before `durations.stop`, when the platform kills the process, at which open requests are
-abandoned and the last usage counts are sent, which take `LAST_USE_SECONDS` of it."""
+answered without their engines and the last usage counts are sent, which take `LAST_ANSWERS_SECONDS`
+and `LAST_USE_SECONDS` of it."""
+LAST_ANSWERS_SECONDS = 0.1
+"""Part of `STOP_MARGIN_SECONDS` for sending the last answers."""
 OPEN_CHECK_SECONDS = 0.05
 """Interval of the check for open requests; a stop takes at most this much longer."""
 LAST_USE_SECONDS = 0.4
@@ -114,9 +117,17 @@
         await curio.sleep(max(0.0, stop.accepts_until - clock.monotonic()))
         while self._has_open_work() and clock.monotonic() < stop.answers_by:
             await curio.sleep(OPEN_CHECK_SECONDS)
+        await self._end_open()
         await self._send_last_usage()
         await self._stopped.set()
 
+    async def _end_open(self) -> None:
+        """Answer what is still open."""
+        give_up = clock.monotonic() + LAST_ANSWERS_SECONDS
+        await self.front.end_open()
+        while self.front.open_exchanges and clock.monotonic() < give_up:
+            await curio.sleep(OPEN_CHECK_SECONDS)
+
     def _has_open_work(self) -> bool:
         """Return whether callers wait, or the outcome of a trial must still be recorded."""
         return bool(self.front.open_exchanges or self.forwarder.trials.unsettled_trials)
--- a/src/pondtiller/gateway/tests/test_planned_stop_connections.py
+++ b/src/pondtiller/gateway/tests/test_planned_stop_connections.py
@@ -11,6 +11,8 @@
 from pondtiller.gateway import process as processes
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.httpio.client import ClientConnection
+from pondtiller.httpio.client_errors import BrokenError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange
 from pondtiller.platform import names
@@ -67,6 +69,20 @@
     return {seen.identifier for engine in system.app for seen in engine.seen}
 
 
+async def send(connection: ClientConnection, name: str, path: str = "/list/7") -> HttpResponse:
+    """Send a request on an open connection and return its whole answer."""
+    headers = (("Host", "app.example"), ("Request-Id", name))
+    await connection.send_plain("POST", path, b"x", headers)
+    return await read(connection)
+
+
+async def read(connection: ClientConnection) -> HttpResponse:
+    head = await connection.read_head()
+    body = b"".join([piece async for piece in connection.read_body()])
+    received = tuple((key.decode(), value.decode()) for key, value in head.headers)
+    return HttpResponse(head.status_code, body, headers=received)
+
+
 def is_refused_as_not_run(answer: HttpResponse) -> bool:
     given = {name.lower(): value for name, value in answer.headers}
     is_announced = given.get("connection") == "close" and float(given.get("retry-after", 0)) > 0
@@ -106,6 +122,23 @@
     run_stop(tmp_path, monkeypatch, test)
 
 
+@pytest.mark.parametrize("path", ["/list/7", "/quote/7"])
+def test_a_request_whose_engine_outlasts_the_grace_is_answered_before_the_end(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    async def test(system: System, gateway: GatewayProcess) -> None:
+        for engine in system.app:
+            engine.work_seconds = LONG_WORK_SECONDS
+        connection = await system.client.open_plain(system.callers())
+        call = await curio.spawn(send, connection, "early", path)
+        await system.until(lambda: "early" in seen_at(system))
+        assert await stop_and_end(system, gateway) < GRACE_SECONDS
+        answer = await curio.timeout_after(1.0, call.join)
+        assert answer.status == 502
+
+    run_stop(tmp_path, monkeypatch, test)
+
+
 def test_a_request_that_waits_for_an_engine_as_the_stop_begins_is_refused_as_not_run(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -128,3 +161,159 @@
     identifier = exchange.request.headers[names.REQUEST_ID]
     headers = ((names.REQUEST_ID, identifier), (names.NOT_RUN, "1"))
     await exchange.respond(HttpResponse(503, headers=headers))
+
+
+def test_a_step_that_waits_for_a_leader_is_answered_before_the_end(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test(system: System, gateway: GatewayProcess) -> None:
+        calls = [
+            await curio.spawn(system.submit, "s1"),
+            await curio.spawn(
+                system.call, "DELETE", "/pondtiller/lots/s1", b"", 0, "train.example"
+            ),
+            await curio.spawn(system.call, "GET", "/pondtiller/lots/s1", b"", 0, "train.example"),
+        ]
+        await system.until(lambda: gateway.front.open_exchanges == len(calls))
+        assert await stop_and_end(system, gateway) < GRACE_SECONDS
+        submitted, ended, read_answer = [
+            await curio.timeout_after(1.0, call.join) for call in calls
+        ]
+        assert submitted in (502, 503)
+        assert ended.status in (502, 503)
+        assert read_answer.status in (502, 503)
+
+    run_stop(tmp_path, monkeypatch, test, replicas=0)
+
+
+class LateCallers:
+    """Callers that go on until the process is gone, each in another way.
+
+    Attributes
+    ----------
+    answered
+        Requests with a whole answer, with its status.
+    broken
+        Requests that were sent, and whose connection ended without an answer.
+    """
+
+    def __init__(self, system: System) -> None:
+        self.system = system
+        self.is_over = False
+        self.answered: dict[str, int] = {}
+        self.broken: set[str] = set()
+
+    async def call_until_gone(
+        self, kind: str, call: Callable[[ClientConnection, str], Awaitable[HttpResponse]]
+    ) -> None:
+        """Call on a connection as long as it may be kept, then on another one."""
+        number = 0
+        while not self.is_over:
+            try:
+                connection = await self.system.client.open_plain(self.system.callers())
+            except NotSentError:
+                await curio.sleep(0.01)
+                continue
+            try:
+                may_go_on = True
+                while may_go_on and not self.is_over:
+                    number += 1
+                    may_go_on = await self._call(f"{kind}{number}", connection, call)
+            finally:
+                await connection.close()
+
+    async def _call(
+        self,
+        name: str,
+        connection: ClientConnection,
+        call: Callable[[ClientConnection, str], Awaitable[HttpResponse]],
+    ) -> bool:
+        try:
+            answer = await curio.timeout_after(4.0, call, connection, name)
+        except (BrokenError, OSError, curio.TaskTimeout):
+            self.broken.add(name)
+            return False
+        self.answered[name] = answer.status
+        return connection.can_be_kept()
+
+
+async def call_at_once(connection: ClientConnection, name: str) -> HttpResponse:
+    return await send(connection, name)
+
+
+async def call_after_a_pause(connection: ClientConnection, name: str) -> HttpResponse:
+    await curio.sleep(0.07)
+    return await send(connection, name)
+
+
+async def call_slowly(connection: ClientConnection, name: str) -> HttpResponse:
+    """Send a body in pieces over most of the grace."""
+    pieces = 8
+    head = f"POST /list/7 HTTP/1.1\r\nHost: app.example\r\nRequest-Id: {name}\r\n"
+    await connection._socket.sendall(f"{head}Content-Length: {pieces}\r\n\r\n".encode())
+    for _ in range(pieces):
+        await curio.sleep(0.1)
+        await connection._socket.sendall(b"x")
+    return await read_raw(connection)
+
+
+async def read_raw(connection: ClientConnection) -> HttpResponse:
+    """Read the answer to a request that was sent by hand; its connection is not kept."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        piece = await connection._socket.recv(65_536)
+        if not piece:
+            raise BrokenError("no answer")
+        received += piece
+    head, _, body = received.partition(b"\r\n\r\n")
+    names = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+    while len(body) < int(names[b"content-length"]):
+        piece = await connection._socket.recv(65_536)
+        if not piece:
+            raise BrokenError("a part of an answer")
+        body += piece
+    return HttpResponse(int(head.split()[1]), body)
+
+
+async def call_with_next_one_behind(connection: ClientConnection, name: str) -> HttpResponse:
+    """Send a request and, in the same moment, a second one behind it; read the first answer."""
+    for each in (name, f"{name}-next"):
+        head = f"POST /list/7 HTTP/1.1\r\nHost: app.example\r\nRequest-Id: {each}\r\n"
+        await connection._socket.sendall(f"{head}Content-Length: 1\r\n\r\nx".encode())
+    return await read_raw(connection)
+
+
+@pytest.mark.parametrize("work_seconds", [0.01, 0.3])
+def test_every_request_up_to_the_end_is_answered_or_was_not_begun(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, work_seconds: float
+) -> None:
+    kinds = {
+        "kept": call_at_once,
+        "pause": call_after_a_pause,
+        "slow": call_slowly,
+        "behind": call_with_next_one_behind,
+    }
+
+    async def test(system: System, gateway: GatewayProcess) -> None:
+        for engine in system.app:
+            engine.work_seconds = work_seconds
+        callers = LateCallers(system)
+        tasks = []
+        for kind, call in kinds.items():
+            for number in range(2):
+                tasks.append(await curio.spawn(callers.call_until_gone, f"{kind}-{number}-", call))
+        await curio.sleep(BUSY_SECONDS)
+        seconds = await stop_and_end(system, gateway)
+        await curio.sleep(0.2)
+        callers.is_over = True
+        for task in tasks:
+            await task.cancel()
+        begun = {name for name in seen_at(system) if not name.endswith("-next")}
+        assert seconds < GRACE_SECONDS
+        assert 200 in callers.answered.values()
+        assert not begun & callers.broken
+        assert not begun - set(callers.answered)
+        refused = {name for name, status in callers.answered.items() if status == 503}
+        assert not begun & refused
+
+    run_stop(tmp_path, monkeypatch, test)
--- a/src/pondtiller/process/curio_types.py
+++ b/src/pondtiller/process/curio_types.py
@@ -6,14 +6,18 @@
 from types import TracebackType
 from typing import Protocol, TypeVar
 
+import curio
+
 Item = TypeVar("Item")
 
 
 class Task(Protocol):
     """A running task."""
 
-    async def cancel(self, *, blocking: bool = True) -> bool:
-        """Cancel the task; wait for its end unless `blocking` is False."""
+    async def cancel(
+        self, *, exc: type[BaseException] = curio.TaskCancelled, blocking: bool = True
+    ) -> bool:
+        """Raise an exception in the task; wait for its end unless `blocking` is False."""
 
     async def wait(self) -> None:
         """Return once the task has ended; its error is not raised."""
