Planned stop: hand over the leadership beside the stop, not before it

A leader that stops saves texts and resigns, which waits for replicas. While that did not return, the stop went no further: the gateway passed requests on as ever until the platform killed it.

Cause: refusing what comes late, and ending, were steps after the handing over.

The handing over now runs in its own task, in the same order. A stop waits for it as for open requests, at most until these are answered, and then ends it.

--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -110,17 +110,25 @@
         stop = planned_stop(clock.monotonic(), answer_seconds, NOT_READY_SECONDS)
         self.front.stop = stop
         await self.forwarder.begin_stop(stop)
-        await self.leadership.replicas.take_no_runs()
-        await self.run_host.stop()
-        await self.duties.save_progress()
-        await self.leadership.resign()
+        # Beside the rest: it waits for other processes, and requests are rejected in time anyway.
+        handing_over = await curio.spawn(self._hand_over, daemon=True)
         await curio.sleep(max(0.0, stop.accepts_until - clock.monotonic()))
-        while self._has_open_work() and clock.monotonic() < stop.answers_by:
+        while clock.monotonic() < stop.answers_by and (
+            self._has_open_work() or not handing_over.terminated
+        ):
             await curio.sleep(OPEN_CHECK_SECONDS)
+        await handing_over.cancel(blocking=False)
         await self._end_open()
         await self._send_last_usage()
         await self._stopped.set()
 
+    async def _hand_over(self) -> None:
+        """Have other gateways run this one's samples, and lead."""
+        await self.leadership.replicas.take_no_runs()
+        await self.run_host.stop()
+        await self.duties.save_progress()
+        await self.leadership.resign()
+
     async def _end_open(self) -> None:
         """Answer what is still open."""
         give_up = clock.monotonic() + LAST_ANSWERS_SECONDS
--- a/src/pondtiller/gateway/tests/test_planned_stop_connections.py
+++ b/src/pondtiller/gateway/tests/test_planned_stop_connections.py
@@ -163,6 +163,27 @@
     await exchange.respond(HttpResponse(503, headers=headers))
 
 
+def test_calls_are_refused_in_time_though_handing_over_the_leadership_hangs(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def hang(_leadership: object) -> None:
+        await curio.sleep(60.0)
+
+    async def test(system: System, gateway: GatewayProcess) -> None:
+        monkeypatch.setattr(type(gateway.leadership), "resign", hang)
+        stop = await curio.spawn(stop_and_end, system, gateway)
+        await system.until(lambda: gateway.is_stopping)
+        await curio.sleep(ACCEPT_SECONDS + 0.2)
+        answer = await system.call(
+            "POST", "/list/7", b"x", request_id="late", request_deadline="300"
+        )
+        assert is_refused_as_not_run(answer)
+        assert not seen_at(system)
+        assert await curio.timeout_after(GRACE_SECONDS, stop.join) < GRACE_SECONDS
+
+    run_stop(tmp_path, monkeypatch, test)
+
+
 def test_a_step_that_waits_for_a_leader_is_answered_before_the_end(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/src/pondtiller/process/curio_types.py
+++ b/src/pondtiller/process/curio_types.py
@@ -14,6 +14,8 @@
 class Task(Protocol):
     """A running task."""
 
+    terminated: bool
+
     async def cancel(
         self, *, exc: type[BaseException] = curio.TaskCancelled, blocking: bool = True
     ) -> bool:
