HTTP server: answer requests that were read before a connection closes

A caller that sent a second request in the same moment as its first one to a stopping gateway got the first answer with Connection: close. The second request had been read with the first, and was dropped with the connection.

Cause: the closing was announced without regard to what had been read.

Evidence: test_requests_that_were_read_are_answered_before_a_closing_connection_ends failed before:

AssertionError: assert [b'/0'] == [b'/0', b'/1', b'/2']

An answer announces the closing only if nothing that was read is left.

--- a/src/pondtiller/httpio/server.py
+++ b/src/pondtiller/httpio/server.py
@@ -220,7 +220,7 @@
         headers = [("Content-Length", str(len(response.body))), *response.headers]
         if response.content_type:
             headers.insert(0, ("Content-Type", response.content_type))
-        if self._is_closing():
+        if self._announces_close():
             headers.append(("Connection", "close"))
         await self._send(
             h11.Response(status_code=response.status, headers=headers),
@@ -235,9 +235,14 @@
 
     async def start_response(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Send the head of an answer whose body is sent in pieces."""
-        closing = (("Connection", "close"),) if self._is_closing() else ()
+        closing = (("Connection", "close"),) if self._announces_close() else ()
         await self._send(h11.Response(status_code=status, headers=[*headers, *closing]))
 
+    def _announces_close(self) -> bool:
+        """Return whether this answer is the last one; a request that was read is answered first."""
+        unread, _ = self._protocol.trailing_data
+        return self._is_closing() and not unread
+
     async def send_data(self, data: bytes) -> None:
         """Send a piece of a body."""
         await self._send(h11.Data(data=data))
