--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -1,8 +1,8 @@
 """One gateway process: start, tasks, reload and stop.
 
-Holds the tasks of the process, each of which is restarted if it fails. A stop first gives up
-leadership, accepts callers for a while, then rejects them and waits for open requests. It ends
-before the platform kills the process.
+Holds the tasks of the process, each of which is restarted if it fails. A stop gives up leadership,
+accepts callers for a while, then rejects them and waits for open requests. It ends before the
+platform kills the process. Which requests are still passed on is decided in `routes.planned_stop`.
 """
 
 import curio
@@ -18,14 +18,18 @@
 from pondtiller.process import clock, logs
 from pondtiller.process.spawner import Spawner
 from pondtiller.process.supervise import keep_running
+from pondtiller.routes.planned_stop import planned_stop
 from pondtiller.settings import GatewaySettings
 
 NOT_READY_SECONDS = 3.0
 """Time from the stop request until callers are rejected: the platform needs it to notice that the
 gateway is not ready and to send callers elsewhere."""
-STOP_MARGIN_SECONDS = 0.7
+STOP_MARGIN_SECONDS = 0.8
 """Time before `durations.stop`, when the platform kills the process, at which open requests are
-abandoned and the last usage counts are sent, which take `LAST_USE_SECONDS` of it."""
+answered without their engines and the last usage counts are sent, which take `LAST_ANSWERS_SECONDS`
+and `LAST_USE_SECONDS` of it."""
+LAST_ANSWERS_SECONDS = 0.1
+"""Part of `STOP_MARGIN_SECONDS` for sending the last answers."""
 OPEN_CHECK_SECONDS = 0.05
 """Interval of the check for open requests; a stop takes at most this much longer."""
 LAST_USE_SECONDS = 0.4
@@ -102,18 +106,35 @@
             return
         self.is_stopping = True
         logs.decision("stopping", daemon=self.settings.name, open=self.front.open_exchanges)
-        began = clock.monotonic()
+        answer_seconds = self.settings.durations.stop - STOP_MARGIN_SECONDS
+        stop = planned_stop(clock.monotonic(), answer_seconds, NOT_READY_SECONDS)
+        self.front.stop = stop
+        await self.forwarder.begin_stop(stop)
+        # Beside the rest: it waits for other processes, and requests are rejected in time anyway.
+        handing_over = await curio.spawn(self._hand_over, daemon=True)
+        await curio.sleep(max(0.0, stop.accepts_until - clock.monotonic()))
+        while clock.monotonic() < stop.answers_by and (
+            self._has_open_work() or not handing_over.terminated
+        ):
+            await curio.sleep(OPEN_CHECK_SECONDS)
+        await handing_over.cancel(blocking=False)
+        await self._end_open()
+        await self._send_last_usage()
+        await self._stopped.set()
+
+    async def _hand_over(self) -> None:
+        """Have other gateways run this one's samples, and lead."""
         await self.leadership.replicas.take_no_runs()
         await self.run_host.stop()
         await self.duties.save_progress()
         await self.leadership.resign()
-        end = began + self.settings.durations.stop - STOP_MARGIN_SECONDS
-        await curio.sleep(max(0.0, min(began + NOT_READY_SECONDS, end) - clock.monotonic()))
-        self.front.is_closed = True
-        while self._has_open_work() and clock.monotonic() < end:
+
+    async def _end_open(self) -> None:
+        """Answer what is still open."""
+        give_up = clock.monotonic() + LAST_ANSWERS_SECONDS
+        await self.front.end_open()
+        while self.front.open_exchanges and clock.monotonic() < give_up:
             await curio.sleep(OPEN_CHECK_SECONDS)
-        await self._send_last_usage()
-        await self._stopped.set()
 
     def _has_open_work(self) -> bool:
         """Return whether callers wait, or the outcome of a trial must still be recorded."""
