An answer whose status is none of HTTP is no answer

Callers saw: status 600 to 999 of an engine as the answer to an unsafe request, a stream that may not resume, or a safe request that no engine answered otherwise, with the engine's signature; with Not-Executed beside it, 503, a promise. Items whose scorers answered so were listed as terminated. An order answered so counted as refused. serve took a report, a listing and the end of an order of such a status.

Cause: h11 rejects statuses below 100 and what is no number of three digits, skips those from 100 to 199, and passes on all others; statuses were only compared from below (>= 500), or not at all.

Evidence: stand-ins that are sound but for the status on the wire. Before, 12 of 111 cases failed, all of them with 600 or 999, for example

test_an_unsafe_request_with_an_odd_status_fails_as_unknown[too_high] AssertionError: assert 600 in (502, 504) test_a_scorer_with_an_odd_status_does_not_end_its_sample[too_high] AssertionError: assert not [{'id': 's1-3', 'state': 'terminated', ... test_an_order_answered_with_an_odd_status_may_have_been_taken[too_high] assert False is None

The other 99, among them status 000 on every kind of connection, passed before and stay as tests.

Fix: the connection that all calls to servers use breaks off at the head of an answer with a status outside 200 to 599, as it does at bytes that h11 rejects.

--- a/src/pondtiller/httpio/client.py
+++ b/src/pondtiller/httpio/client.py
@@ -21,6 +21,9 @@
 
 READ_BYTES = 65_536
 """Largest read, in bytes, so that most answers take a single read."""
+ANSWER_STATUSES = range(200, 600)
+"""Statuses of answers: HTTP defines none above, and those below precede an answer. Of any other
+head nothing is read, so a call that gets one may have taken effect."""
 MAX_INTERIM_HEADS = 4
 """Interim heads that are skipped before an answer; a connection with more of them is closed."""
 READS_PER_TURN = 16
@@ -116,6 +119,7 @@
             except h11.RemoteProtocolError as error:
                 raise BrokenError(str(error)) from error
             if event is not h11.NEED_DATA:
+                _check_status(event)
                 return event
             self._reads += 1
             if self._reads % READS_PER_TURN == 0:
@@ -289,6 +293,15 @@
         return ClientConnection(address, stream)
 
 
+def _check_status(event: Any) -> None:
+    """Raise `BrokenError` for the head of an answer without a valid status.
+
+    h11 rejects all invalid statuses except those above `ANSWER_STATUSES`.
+    """
+    if isinstance(event, h11.Response) and event.status_code not in ANSWER_STATUSES:
+        raise BrokenError(f"{event.status_code} is not the status of an answer")
+
+
 def _was_closed(connection: ClientConnection) -> bool:
     """Return whether a kept connection has something to read: its end, or unexpected data."""
     with connection._socket.blocking() as plain:
