Only an answer of 500 counts as a failure of a scorer

Callers saw: items listed as terminated after max_attempts answers of their scorers that were no 500, such as a 504 at the deadline or a 404.

Cause: every answer of a scorer's engine without a signed success was the failure that ends a sample, whatever its status. Runs of samples tell 500 from other statuses already.

Evidence: scorers' engines that are sound but for the status on the wire, which is 302, 404, 422, 503, 504 or 599. Before, 6 of 6 cases failed:

test_only_an_answer_of_500_counts_as_a_failure_of_a_scorer[504] AssertionError: assert not True + where True = has_logged(<logbook...TestHandler ...>, 'sample_listed')

Fix: another status leaves the request without an outcome, so the scorer is asked again as after a broken connection; with 500 the sample is given up as before, which the test checks too.

--- a/src/pondtiller/gateway/runs/sample_runner.py
+++ b/src/pondtiller/gateway/runs/sample_runner.py
@@ -40,6 +40,9 @@
 MAX_RUN_BYTES = 2 * 1024 * 1024
 """Longest stream of a run, in bytes. Longer than any text (`MAX_TEXT_SIZE`), so that a leader drops
 the text before the run ends; the news of a longer one would keep both for a second."""
+FAILED_STATUS = 500
+"""Status of an engine that failed at a request; no other failure of a scorer counts against its
+sample."""
 
 EventSink = Callable[[int, int, str, int, float], bool]
 
@@ -279,7 +282,8 @@
         signature = engine_answers.signature(answer.headers)
         if 200 <= answer.status < 300 and signature is not None:
             return ScoreOutcome(ScoreEnd.SCORED, signature, str(answer.status))
-        return ScoreOutcome(ScoreEnd.FAILED, "", str(answer.status), route.attempts)
+        end = ScoreEnd.FAILED if answer.status == FAILED_STATUS else ScoreEnd.LOST
+        return ScoreOutcome(end, "", str(answer.status), route.attempts)
 
 
 def _check_event(event: StreamEvent, due: int) -> None:
@@ -295,6 +299,6 @@
         return RunOutcome(RunEnd.REFUSED, str(status))
     if status == 422:
         return RunOutcome(RunEnd.IMPOSSIBLE, str(status))
-    if status == 500:
+    if status == FAILED_STATUS:
         return RunOutcome(RunEnd.FAILED, str(status))
     return RunOutcome(RunEnd.BROKEN, str(status))
--- a/src/pondtiller/gateway/tests/test_odd_statuses.py
+++ b/src/pondtiller/gateway/tests/test_odd_statuses.py
@@ -215,6 +215,34 @@
     run_system(tmp_path, test)
 
 
+@pytest.mark.parametrize("status", [b"302", b"404", b"422", b"503", b"504", b"599"])
+def test_only_an_answer_of_500_counts_as_a_failure_of_a_scorer(
+    tmp_path: Path, status: bytes
+) -> None:
+    """Guards against a sample that is given up for another failure, such as a passed deadline."""
+    log = logbook.TestHandler(bubble=True)
+
+    async def test(system: System) -> None:
+        await ready(system)
+        for engine in system.app:
+            engine.statuses = itertools.repeat(status)
+        assert await system.submit("s1", samples=4) == 202
+        # More calls than the row allows failures of all samples together.
+        await system.until(
+            lambda: (
+                sum(len(engine.seen) for engine in system.app) >= 32
+                or has_logged(log, "sample_listed")
+            )
+        )
+        assert not has_logged(log, "sample_listed")
+        for engine in system.app:
+            engine.statuses = itertools.repeat(b"500")
+        assert {each["state"] for each in await system.read_all("s1", 4)} == {"terminated"}
+
+    with log.applicationbound():
+        run_system(tmp_path, test)
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_an_order_answered_with_an_odd_status_may_have_been_taken(kind: str) -> None:
     """Guards against an order that counts as refused and is given again."""
