serve: a failure is no report, listing or end of an order

Callers would see: requests sent by a load that an engine in trouble reports with status 500, an order of weights that counts as done, and a configuration taken from a failure of the object service.

Cause: polls, orders, listings and watches read a sound body whatever the status; attempts, writes and scores compare it.

Evidence: a stand-in whose answers are sound but for the status on the wire, 302, 404, 500 or 503.

Fix: these calls take only the statuses of a success.

--- a/src/pondtiller/serve/daemon/engine_client.py
+++ b/src/pondtiller/serve/daemon/engine_client.py
@@ -14,6 +14,7 @@
 from pondtiller.httpio.bodies import BodyBuffer
 from pondtiller.httpio.client import ClientConnection, HttpClient
 from pondtiller.httpio.client_errors import BrokenError, NotSentError
+from pondtiller.httpio.messages import HttpResponse
 from pondtiller.serve.core.constants import ORDER_TIMEOUT_SECONDS
 from pondtiller.serve.core.events import (
     AttemptFailed,
@@ -30,6 +31,8 @@
 
 POLL_SECONDS = 1.0
 """Longest wait for a report of load. Chosen: one period of polls."""
+OK_STATUS = 200
+"""Status of an engine's answers to all calls."""
 REFUSED_STATUS = 503
 """Status of an engine that refuses what it has not begun."""
 DATA_PREFIX = b"data: "
@@ -96,7 +99,7 @@
 
     async def _read_answer(self, start: StartAttempt, connection: ClientConnection) -> bool:
         head = await connection.read_head()
-        if head.status_code != 200:
+        if head.status_code != OK_STATUS:
             body = await self._bodies.read_whole(connection.read_body())
             await self._post(_refusal(start.attempt_id, head.status_code, body))
             return True
@@ -119,7 +122,7 @@
             response = await self._client.request(
                 poll.address, "GET", "/load", seconds=POLL_SECONDS
             )
-            load = LoadBody.model_validate_json(response.body)
+            load = LoadBody.model_validate_json(_body_of_success(response))
         except (NotSentError, BrokenError, ValidationError):
             await self._post(EnginePollFailed(poll.engine))
             return
@@ -141,7 +144,7 @@
                 _order_body(order),
                 seconds=ORDER_TIMEOUT_SECONDS,
             )
-            answered = response.json()
+            answered = json.loads(_body_of_success(response))
             if isinstance(answered, dict) and isinstance(answered.get("result"), str):
                 result = answered["result"]
         except (NotSentError, BrokenError, ValueError):
@@ -149,6 +152,13 @@
         await self._post(OrderAnswered(order.engine, order.order.order_id, result))
 
 
+def _body_of_success(response: HttpResponse) -> bytes:
+    """Return an answer's body; raises `BrokenError` for a failure, whatever its body says."""
+    if response.status != OK_STATUS:
+        raise BrokenError(f"engine answered {response.status}")
+    return response.body
+
+
 def _request_body(start: StartAttempt) -> bytes:
     request = start.request
     body = {
--- a/src/pondtiller/serve/daemon/platform_client.py
+++ b/src/pondtiller/serve/daemon/platform_client.py
@@ -111,6 +111,8 @@
             response = await self._client.request(self._platform, "GET", target, seconds=seconds)
             if response.status == EXPIRED_STATUS:
                 return Err(StoreFailed(expired=True))
+            if response.status not in OK_STATUSES:
+                return Err(StoreFailed(expired=False))
             return Ok(ListBody.model_validate_json(response.body))
         except (NotSentError, BrokenError, ValidationError):
             return Err(StoreFailed(expired=False))
--- a/src/pondtiller/serve/daemon/tests/test_odd_statuses.py
+++ b/src/pondtiller/serve/daemon/tests/test_odd_statuses.py
@@ -1,4 +1,4 @@
-"""Engines and a platform whose answers are whole, but have an odd status."""
+"""Engines and a platform whose answers are whole, but have an odd status or that of a failure."""
 
 import itertools
 import json
@@ -37,6 +37,7 @@
 
 # Nothing follows an interim head, so a call that gets one lasts for its whole time limit.
 STATUSES = [status for kind in ODD_STATUSES.values() for status in kind if status not in INTERIM]
+FAILURES = [b"302", b"404", b"500", b"503"]
 REFUSED = HttpResponse(503, json.dumps({"refused": "busy"}).encode())
 CHUNK = {"first_token": 0, "token_count": 1, "text": "a", "version": 1, "finish_reason": "stop"}
 STORED = {"metadata": {"name": "a", "resourceVersion": "2"}, "spec": {}}
@@ -102,8 +103,8 @@
     assert event.ran is Ran.UNKNOWN
 
 
-@pytest.mark.parametrize("status", STATUSES)
-def test_an_engine_is_not_polled_or_ordered_by_an_odd_status(status):
+@pytest.mark.parametrize("status", [*STATUSES, *FAILURES])
+def test_an_engine_has_not_answered_a_poll_or_an_order_without_a_success(status):
     """Guards against a report, or the end of an order, of such a status."""
     server = spoilt(status)
     address = to_address(server.address)
@@ -119,8 +120,8 @@
     assert answered.result == OrderResult.NO_ANSWER
 
 
-@pytest.mark.parametrize("status", STATUSES)
-def test_a_platform_with_an_odd_status_has_not_answered(status):
+@pytest.mark.parametrize("status", [*STATUSES, *FAILURES])
+def test_a_platform_has_not_answered_without_a_success(status):
     """Guards against a state, a write or a score of such a status."""
 
     async def call(_engines, platform):
