Soak: callers on kept connections use a row that outlasts a stop's grace

They sent to rows with a limit of 1.5 s only, so no stop had to refuse a request because of its limit. Every second request now goes to a row with 12 s, which may not be repeated; what is answered as not run must not be begun by any engine from then on, as with the other callers.

Most of the latter's stops are cut short after 4 s at most by the soak itself, which kills what still runs as it undoes a fault.

--- a/src/pondtiller/soak/kept_callers.py
+++ b/src/pondtiller/soak/kept_callers.py
@@ -10,7 +10,7 @@
 from pondtiller.process.spawner import Spawner
 from pondtiller.soak.calls import CALL_LIMIT_SECONDS
 from pondtiller.soak.programs import Program
-from pondtiller.soak.promises import Promises
+from pondtiller.soak.promises import NOT_RUN, Promises
 
 PAUSE_SECONDS = 0.05
 """Between an answer and the next request on the connection, in seconds. Chosen, not measured:
@@ -18,6 +18,10 @@
 DOWN_SECONDS = 0.3
 """Between two attempts to connect to a gateway that is down, in seconds. Chosen, not measured."""
 HOST = "app.example"
+LONG_PATH = "/list/long/"
+"""Path of a row whose time limit is longer than the grace of a stop."""
+PATHS = ("/list/9", f"{LONG_PATH}9")
+"""Where the callers send, in turn; none of it may be repeated."""
 
 
 class KeptCallers:
@@ -35,11 +39,13 @@
         ports: list[int],
         promises: Promises,
         has_begun: Callable[[str], bool],
+        refuse: Callable[[str], None],
     ) -> None:
         self.is_calm = False
         self._gateways = list(zip(gateways, ports, strict=True))
         self._promises = promises
         self._has_begun = has_begun
+        self._refuse = refuse
         self._client = HttpClient()
 
     async def run(self, group: Spawner) -> None:
@@ -58,19 +64,22 @@
             try:
                 while not self.is_calm:
                     count += 1
-                    if not await self._call(f"c{number}-{count}", gateway, connection):
+                    path = PATHS[count % len(PATHS)]
+                    if not await self._call(f"c{number}-{count}", path, gateway, connection):
                         break
                     await curio.sleep(PAUSE_SECONDS)
             finally:
                 await connection.close()
 
-    async def _call(self, identifier: str, gateway: Program, connection: ClientConnection) -> bool:
+    async def _call(
+        self, identifier: str, path: str, gateway: Program, connection: ClientConnection
+    ) -> bool:
         """Send one request; return whether the connection may be used again."""
         kills, body = gateway.kills, f"body of {identifier}".encode()
         headers = (("Host", HOST), ("Request-Id", identifier))
         try:
             answer = await curio.timeout_after(
-                CALL_LIMIT_SECONDS, self._exchange, connection, body, headers
+                CALL_LIMIT_SECONDS, self._exchange, connection, path, body, headers
             )
         except curio.TaskTimeout:
             return False
@@ -82,13 +91,19 @@
                     f"{identifier}: {gateway.spec.name} ended the connection",
                 )
             return False
+        if answer[0] in NOT_RUN:
+            self._refuse(identifier)
         self._promises.answered(identifier, answer[0], answer[1], body)
         return bool(answer[2])
 
     async def _exchange(
-        self, connection: ClientConnection, body: bytes, headers: tuple[tuple[str, str], ...]
+        self,
+        connection: ClientConnection,
+        path: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
     ) -> tuple[int, bytes, bool]:
-        await connection.send_plain("POST", "/list/9", body, headers)
+        await connection.send_plain("POST", path, body, headers)
         head = await connection.read_head()
         received = b"".join([piece async for piece in connection.read_body()])
         return head.status_code, received, connection.can_be_kept()
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -142,7 +142,9 @@
             self.promises,
             self._could_know_since,
         )
-        self.kept_callers = KeptCallers(self.gateways, self.ports, self.promises, self._has_begun)
+        self.kept_callers = KeptCallers(
+            self.gateways, self.ports, self.promises, self._has_begun, self._refuse
+        )
 
     @property
     def programs(self) -> list[Program]:
@@ -173,6 +175,11 @@
     def _has_begun(self, identifier: str) -> bool:
         return any(identifier in each.begun for each in self.apps)
 
+    def _refuse(self, identifier: str) -> None:
+        """Take that a request must not be begun any more."""
+        for each in self.apps:
+            each.refused.add(identifier)
+
     async def _watch_store(self) -> None:
         while True:
             self.reach.look([each.spec.name for each in self.programs], clock.monotonic())
--- a/src/pondtiller/standins/documents.py
+++ b/src/pondtiller/standins/documents.py
@@ -16,6 +16,11 @@
     return {**given, "routes": routes, "tenants": tenants}
 
 
+def copied_route(route: dict[str, Any], name: str, path: str, limit_ms: int) -> dict[str, Any]:
+    """Return a route like another one, at another path and with another time limit."""
+    return {**route, "name": name, "path_prefix": path, "timeout_ms": limit_ms}
+
+
 def public_routes(host: str, paths: Sequence[str], service: str) -> list[dict[str, Any]]:
     """Return routes for requests that may be repeated and need no key, one for each path."""
     return [
