--- a/src/pondtiller/soak/soak_table.py
+++ b/src/pondtiller/soak/soak_table.py
@@ -9,7 +9,12 @@
 from pondtiller.soak.kept_callers import LONG_PATH
 from pondtiller.soak.places import NORTH, SOUTH
 from pondtiller.soak.stand_ins import SoakEngine
-from pondtiller.standins.documents import configuration, public_routes, with_tenants
+from pondtiller.standins.documents import (
+    configuration,
+    copied_route,
+    public_routes,
+    with_tenants,
+)
 
 VERSION = 3
 """Of the first configuration."""
@@ -39,14 +44,7 @@
     """
     given = configuration(versions[-1], *engines)
     listings = next(each for each in given["routes"] if each["name"] == "listings")
-    given["routes"].append(
-        {
-            **listings,
-            "name": LONG_LISTINGS,
-            "path_prefix": LONG_PATH,
-            "timeout_ms": LONG_LIMIT_MS,
-        }
-    )
+    given["routes"].append(copied_route(listings, LONG_LISTINGS, LONG_PATH, LONG_LIMIT_MS))
     made = with_tenants(given, KEYS, PUBLIC)
     listings = next(each for each in made["routes"] if each["name"] == "listings")
     made["routes"] += [
