Soak: a second trainer ends its steps early, while samples are made or scored

Now one does; its scorers' requests fail, are refused or get no answer, and a request of it that reaches an engine, or is left there, more than 3 s after the acknowledged end is a breach, where its gateway has run and reached the engine for as long.

--- a/src/pondtiller/cli/soak.py
+++ b/src/pondtiller/cli/soak.py
@@ -65,5 +65,6 @@
             f"results={report.results} answers={report.answers} overlaps={report.overlaps} "
             f"longest_overlap={report.longest_overlap} "
             f"rated={report.rated} homed={report.homed} ended={report.ended} "
+            f"cancelled={report.cancelled} "
             f"own_ends={','.join(report.own_ends) or 'none'} promises={verdict} logs={folder}"
         )
--- a/src/pondtiller/soak/report.py
+++ b/src/pondtiller/soak/report.py
@@ -27,6 +27,8 @@
         Runs of contents that end engines.
     changed
         Answers that showed whether a gateway acts on a version of the table.
+    cancelled
+        Steps that were ended while their samples were made or scored.
     """
 
     seed: int
@@ -42,3 +44,4 @@
     homed: int
     ended: int
     changed: int
+    cancelled: int
--- a/src/pondtiller/soak/run.py
+++ b/src/pondtiller/soak/run.py
@@ -17,6 +17,8 @@
 from pondtiller.soak.caller_rules import HomeRule, RateRule
 from pondtiller.soak.callers import Callers
 from pondtiller.soak.calls import Calls
+from pondtiller.soak.cancelled_steps import CancelledSteps
+from pondtiller.soak.cancelling_trainer import CancellingTrainer
 from pondtiller.soak.ending_rules import EndingRule, StoreReach
 from pondtiller.soak.fault_targets import FaultTargets
 from pondtiller.soak.faults import Faults
@@ -78,6 +80,7 @@
         self.rate = RateRule(self.promises)
         self.homes = HomeRule(REGIONS, self.promises)
         self.ending = EndingRule(self.promises)
+        self.cancelled = CancelledSteps(self.promises)
         self.reach = StoreReach(self._reaches_store)
         self.trap = Trap(self.promises, self.store)
         self._make_engines(owners)
@@ -96,6 +99,7 @@
             self._acts_since,
             self.ending,
             self._could_know_contents_since,
+            self.cancelled,
         )
         self.apps = [SoakEngine(f"a{n}", "app", platform, EVENTS, f"z{n}") for n in range(ZONES)]
         self.models = [SoakEngine(f"m{n}", "llm", platform, EVENTS, f"z{n}") for n in range(ZONES)]
@@ -133,6 +137,10 @@
         calls = Calls(self.ports)
         self.callers = Callers(self.random, calls, self.promises, self.rate, self.apps, self.group)
         self.trainer = Trainer(self.random, calls, self.promises, self.store, self.group)
+        # Of its own, so that other callers draw the same with it.
+        self.cancelling = CancellingTrainer(
+            random.Random(f"ended steps of {self.seed}"), calls, self.cancelled
+        )
         self.table_changes = TableChanges(
             random.Random(f"table of {self.seed}"),
             self.store,
@@ -165,7 +173,8 @@
         return is_sound and not self.store_proxy.is_held(name)
 
     def _could_know_since(self, name: str) -> float:
-        started = max(each.started_at for each in self.programs if each.spec.name == name)
+        starts = [each.started_at for each in self.programs if each.spec.name == name]
+        started = max(starts, default=NEVER)
         return max(self._acts_since(name), self.reach.since(name), started)
 
     def _could_know_contents_since(self, name: str) -> float:
@@ -202,8 +211,8 @@
             for program in self.programs:
                 program.start()
             await curio.sleep(START_SECONDS)
-            for task in (self.trainer.run, self.callers.run, self.table_changes.run):
-                await self.group.spawn(task)
+            for each in (self.trainer, self.callers, self.table_changes, self.cancelling):
+                await self.group.spawn(each.run)
             await self.kept_callers.run(self.group)
             strike = self.faults.strike_together if together else self.faults.strike
             await strike(seconds, only)
@@ -228,7 +237,7 @@
 
     async def _finish(self) -> None:
         self.trainer.is_calm = self.callers.is_calm = self.kept_callers.is_calm = True
-        self.table_changes.is_calm = True
+        self.table_changes.is_calm = self.cancelling.is_calm = True
         self.faults.heal()
         give_up = clock.monotonic() + CALM_SECONDS
         while clock.monotonic() < give_up and self.trainer.has_unfinished():
@@ -251,6 +260,7 @@
             homed=self.homes.seen,
             ended=sum(map(len, self.ending.runs.values())),
             changed=self.table_changes.checked,
+            cancelled=self.cancelled.ended,
         )
 
 
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -12,6 +12,8 @@
 from pondtiller.platform import names
 from pondtiller.process import clock
 from pondtiller.soak.caller_rules import RateRule
+from pondtiller.soak.cancelled_steps import CancelledSteps, EngineRequest
+from pondtiller.soak.cancelling_trainer import is_cancelled
 from pondtiller.soak.ending_rules import EndingRule, EndingRun
 from pondtiller.soak.engine_rules import NEWS_SECONDS, EngineRules
 from pondtiller.soak.owners import Owners
@@ -49,6 +51,8 @@
         Takes runs of contents that end engines.
     could_know_since
         Returns since when the program of a name has run and reached the store.
+    cancelled
+        Takes requests of steps that their trainer ends early.
     """
 
     promises: Promises
@@ -59,6 +63,7 @@
     can_act_since: Callable[[str], float]
     ending: EndingRule
     could_know_since: Callable[[str], float]
+    cancelled: CancelledSteps
 
 
 class SoakEngine(StandInEngine):
@@ -96,6 +101,7 @@
         self.started_ms = FIRST_START_MS
         self.ending = platform.ending
         self._could_know_since = platform.could_know_since
+        self._cancelled = platform.cancelled
 
     def end(self) -> None:
         """End, whatever it runs."""
@@ -175,7 +181,30 @@
         self.rate.began(identifier, clock.monotonic())
         self.promises.began(identifier, is_once, identifier in self.refused)
         await curio.sleep(WHOLE_SECONDS)
-        await super().whole(exchange)
+        if is_cancelled(identifier):
+            await self._score_never(exchange, identifier)
+        else:
+            await super().whole(exchange)
+
+    async def _score_never(self, exchange: Exchange, identifier: str) -> None:
+        """Fail, refuse or hold a scorer's request, by the number of its sample."""
+        request = self._engine_request(exchange, identifier)
+        self._cancelled.began(request, clock.monotonic())
+        own = (names.REQUEST_ID, identifier)
+        match int(identifier.split("-")[1]) % 3:
+            case 0:
+                signature = (names.SIGNATURE, f"sig-{identifier}")
+                await exchange.respond(HttpResponse(504, headers=(own, signature)))
+            case 1:
+                await exchange.respond(HttpResponse(503, headers=(own, (names.NOT_RUN, "1"))))
+            case _:
+                await exchange.wait_closed()
+                self._cancelled.left(request, clock.monotonic())
+                raise ConnectionLostError("its sender left")
+
+    def _engine_request(self, exchange: Exchange, identifier: str) -> EngineRequest:
+        opener = self._opener(exchange)
+        return EngineRequest(identifier, opener, self._acts_since(opener))
 
     async def stream(self, exchange: Exchange, stop_after: int = NEVER) -> None:
         """Stream a sample's events, each with the version that made it."""
@@ -183,6 +212,7 @@
         opener = self._opener(exchange)
         self._check_rules(identifier, opener)
         acts_since = partial(self._acts_since, opener)
+        self._cancelled.began(self._engine_request(exchange, identifier), clock.monotonic())
         run = SampleRun(identifier, self.identifier, opener, acts_since, clock.monotonic())
         self.sample_runs.began(run)
         watch = await curio.spawn(self._end_when_left, exchange, run)
--- a/src/pondtiller/soak/tests/platforms.py
+++ b/src/pondtiller/soak/tests/platforms.py
@@ -1,6 +1,7 @@
 """What engines of a soak share, for tests that look at one of its parts."""
 
 from pondtiller.soak.caller_rules import RateRule
+from pondtiller.soak.cancelled_steps import CancelledSteps
 from pondtiller.soak.ending_rules import EndingRule
 from pondtiller.soak.owners import Owners
 from pondtiller.soak.promises import Promises
@@ -22,4 +23,5 @@
         lambda _: acts_since,
         EndingRule(seen),
         lambda _: acts_since,
+        CancelledSteps(seen),
     )
