A step that ends as a text is completed cancels its score too

Seen: a scorer's request that outlives its step.

Cause: between the arrival of the news that a run is complete and the turn of the leader's task that waits for it, the step may end. Its scheduler still has the run and cancels it; the link no longer has it, so no DropRun was sent, while the runner was scoring the text already. The task then found its run cancelled and asked for no score, so nothing could cancel it later either.

Why it works: a link that is told to drop a run drops its score as well.

--- a/src/pondtiller/gateway/leader/run_links.py
+++ b/src/pondtiller/gateway/leader/run_links.py
@@ -194,8 +194,11 @@
     async def drop(self, run: int) -> bool:
         """Have a run ended that is no longer wanted; return False if the runner does not have it.
 
-        `run` returns once it is over: until then an engine may be working on the sample.
+        `run` returns once it is over: until then an engine may be working on the sample. If the
+        runner is scoring its text already, that is cancelled.
         """
+        if self.scores.pop(run, None) is not None:
+            await self.link.send(DropRun(run=run))
         dropped = self.runs.get(run)
         if dropped is None or self.link.is_lost:
             return False
--- a/src/pondtiller/gateway/tests/test_ended_steps.py
+++ b/src/pondtiller/gateway/tests/test_ended_steps.py
@@ -9,12 +9,15 @@
 import pytest
 
 from pondtiller.gateway.leader import run_links
+from pondtiller.gateway.leader.run_links import RunnerLink
 from pondtiller.gateway.leader.term import Term
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform import names
 from pondtiller.process import clock
+from pondtiller.rollouts.run_news import EndedRun
+from pondtiller.rollouts.sample_work import RunEnd
 from pondtiller.routes import live_attempts
 
 CANCEL_SECONDS = 3.0
@@ -216,3 +219,27 @@
         assert scorers.most_at_work == 1
 
     run_system(tmp_path, test, gateways=3)
+
+
+def test_no_scorers_request_outlives_a_step_that_ends_as_a_text_is_completed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    usual = RunnerLink._end
+
+    async def test(system: System) -> None:
+        scorers, completed = Scorers(system, holds=True), list[int]()
+        _, term = await until_connected(system)
+
+        async def end_both(runner: RunnerLink, ended: EndedRun) -> None:
+            await usual(runner, ended)
+            if ended.end is RunEnd.WHOLE:
+                completed.append(ended.run)
+                await term.end_step("s1")
+
+        monkeypatch.setattr(RunnerLink, "_end", end_both)
+        assert await system.submit("s1", samples=SAMPLES) == 202
+        await system.until(lambda: bool(completed) and not term.scheduler.work)
+        await curio.sleep(0.5)
+        await system.until(lambda: not scorers.at_work.total(), CANCEL_SECONDS)
+
+    run_system(tmp_path, test, gateways=3)
