A score cancelled before it was begun is not begun

Seen: a scorer's request that outlives its step.

Cause: the leader executes a batch of instructions one by one, and some wait (the end of a run of its own). A step that ended meanwhile cancelled a score that was later in the batch: there was no task to cancel, nothing was told to the runner that was scoring by itself, and then the score was begun after all. Runs have a check for this (a run that the scheduler does not know is not started), scores had none.

Why it works: a score is begun only if its sample still waits for the score of this number, and cancelling one that was not begun drops it at the runner that completed the text.

--- a/src/pondtiller/gateway/leader/sample_runs.py
+++ b/src/pondtiller/gateway/leader/sample_runs.py
@@ -95,7 +95,9 @@
         self._tasks[start.run] = await self._parts.tasks.spawn(self._run, start)
 
     async def score(self, order: ScoreText) -> None:
-        """Start scoring a text."""
+        """Start scoring a text, unless that was cancelled before."""
+        if not self._scheduler.is_scoring(order.step, order.sample.id, order.run):
+            return
         self._scores[order.run] = await self._parts.tasks.spawn(self._score, order)
 
     async def cancel_score(self, order: CancelScore) -> None:
@@ -103,6 +105,8 @@
         task = self._scores.pop(order.run, None)
         if task is not None:
             await task.cancel(blocking=False)
+        else:
+            await self._drop_unbegun(order.run)
         logs.decision(
             "score_cancelled",
             sample=order.sample,
@@ -112,6 +116,12 @@
             epoch=self._parts.epoch,
         )
 
+    async def _drop_unbegun(self, run: int) -> None:
+        """Cancel a score that the runner began by itself and that was not started here yet."""
+        completed_at = self._completed_at.pop(run, None)
+        if completed_at is not None:
+            await completed_at.drop(run)
+
     async def cancel(self, order: CancelRun) -> None:
         """End a run that is no longer wanted."""
         runner = self._runner_of.get(order.run)
--- a/src/pondtiller/gateway/tests/test_ended_steps.py
+++ b/src/pondtiller/gateway/tests/test_ended_steps.py
@@ -17,7 +17,7 @@
 from pondtiller.platform import names
 from pondtiller.process import clock
 from pondtiller.rollouts.run_news import EndedRun
-from pondtiller.rollouts.sample_work import RunEnd
+from pondtiller.rollouts.sample_work import RunEnd, ScoreText
 from pondtiller.routes import live_attempts
 
 CANCEL_SECONDS = 3.0
@@ -243,3 +243,31 @@
         await system.until(lambda: not scorers.at_work.total(), CANCEL_SECONDS)
 
     run_system(tmp_path, test, gateways=3)
+
+
+@pytest.mark.parametrize("is_spawned", [False, True])
+@pytest.mark.parametrize("gateways", [1, 3])
+def test_a_score_whose_step_ends_before_the_leader_begins_it_is_not_asked(
+    tmp_path: Path, gateways: int, is_spawned: bool
+) -> None:
+    async def test(system: System) -> None:
+        scorers = Scorers(system, holds=True)
+        _, term = await until_connected(system)
+        usual, held_up = term._runs.score, list[ScoreText]()
+
+        async def score_late(order: ScoreText) -> None:
+            held_up.append(order)
+            if is_spawned:
+                await usual(order)
+            if len(held_up) == 1:
+                await term.end_step("s1")
+            if not is_spawned:
+                await usual(order)
+
+        term._runs.score = score_late  # type: ignore[method-assign]
+        assert await system.submit("s1", samples=SAMPLES) == 202
+        await system.until(lambda: bool(held_up) and not term.scheduler.work)
+        await curio.sleep(0.5)
+        await system.until(lambda: not scorers.at_work.total(), CANCEL_SECONDS)
+
+    run_system(tmp_path, test, gateways=gateways)
--- a/src/pondtiller/rollouts/samples.py
+++ b/src/pondtiller/rollouts/samples.py
@@ -247,6 +247,11 @@
             self._give_up(work, reason)
         return work
 
+    def is_scoring(self, step: str, sample: str, run: int) -> bool:
+        """Return whether a sample waits for the score of this number."""
+        work = self.work.get((step, sample))
+        return work is not None and work.stage is Stage.SCORING and work.run == run
+
     def scored(self, step: str, sample: str, end: ScoreEnd, score: str, attempts: int) -> None:
         """Process a scorer's answer; after `attempts` failures the sample is given up."""
         work = self.work.get((step, sample))
