Store: one odd object no longer keeps a list from being read

Callers saw: one object that is nested too deeply, or has an integer of more than 4300 digits, anywhere in a kind made every list, watch and read of that kind fail ("the answer is no JSON"), so gateways and replicas learned of no later change, and a gateway that started never became ready. A revision of 1e400 ended the reader with OverflowError, one of 400 digits or half a surrogate pair spoiled the page of a mirror.

Cause: an answer was parsed as a whole, and what the parser accepts was trusted further on (mirror pages, 64-bit fields, conversions of floats).

Fix: platform/store_answers.py parses an answer; if that fails, deep containers and long numbers are cut from its text and the rest is parsed. flaw_of finds in each parsed object what no reader can use (more than 64 levels, numbers beyond 64 bits or not finite, half a surrogate pair); such an object keeps its name and revision and has no contents, so that every reader handles it as an invalid one: an engine's entry is unreadable, a configuration is refused. It is logged once per cause with its reason (object_unreadable).

--- /dev/null
+++ b/src/pondtiller/gateway/tests/test_odd_entries.py
@@ -0,0 +1,86 @@
+"""Odd objects among those that a gateway follows: no task ends, and later changes are seen."""
+
+import json
+from pathlib import Path
+
+import logbook
+import pytest
+
+from pondtiller.gateway.tests.system import System, run_system
+from pondtiller.gateway.tests.test_system import ready
+from pondtiller.platform import names
+from pondtiller.standins.documents import configuration
+from pondtiller.standins.engine import StandInEngine
+
+HUGE = 10**400
+TEXTS = {
+    "deep": "[" * 100_000 + "]" * 100_000,
+    "deep_for_a_writer": "[" * 960 + "]" * 960,
+    "deep_objects": '{"spec":' * 3_000 + "1" + "}" * 3_000,
+    "infinite": '{"version":1e400,"generation":1e400,"until":1e400,"model":"m"}',
+    "huge": json.dumps({"version": HUGE, "generation": HUGE, "until": HUGE}),
+    "beyond_the_parser": '{"version":1' + "0" * 5_000 + "}",
+    "long": json.dumps({"x": ["y" * 100] * 10_000}),
+}
+KINDS = (
+    names.ENGINES,
+    names.CONFIGURATIONS,
+    names.VERSIONS_NAMED,
+    names.RETIREMENTS,
+    names.EVACUATIONS,
+    names.REPLICAS,
+    names.SUSPECTS,
+)
+
+
+def put_odd(system: System, text: str) -> None:
+    """Write an odd object of each kind, between and among the sound ones."""
+    for kind in KINDS:
+        system.store.put_text(kind, "a0b", text)
+    system.store.put_text(names.ENGINES, "a1", text)
+
+
+async def check_followed(system: System) -> None:
+    """Check that the other engines are in use, and that later changes take effect."""
+    await ready(system)
+    for number in range(6):
+        answer = await system.call("POST", "/quote/7", b"x", request_id=f"q{number}")
+        assert answer.status == 200
+    added = StandInEngine("a2", "app")
+    await system.group.spawn(added.serve)
+    system.store.put(names.ENGINES, "a2", added.entry())
+    system.store.put(names.CONFIGURATIONS, "main", configuration(9, *system.app, *system.llm))
+    system.store.put(names.VERSIONS_NAMED, "m", {"model": "m", "version": 2})
+    gateway = system.gateways[0]
+    await system.until(lambda: gateway.engines.current("a2") is not None)
+    await system.until(lambda: gateway.front.table.version == 9)
+    await system.until(lambda: all(engine.version == 2 for engine in system.llm))
+
+
+def check_logs(handler: logbook.TestHandler) -> None:
+    """Check that no task failed, and that each odd object was logged once for each reader."""
+    lines = [record.message for record in handler.records]
+    assert not [line for line in lines if "event=task_failed" in line]
+    odd = [line for line in lines if "event=entry_unreadable" in line]
+    assert len({line.split("revision=")[0] for line in odd}) == len(odd)
+
+
+@pytest.mark.parametrize("text", TEXTS.values(), ids=TEXTS)
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_lists_with_an_odd_object_are_followed_further(
+    tmp_path: Path, text: str, is_listed: bool
+) -> None:
+    """Guards against a gateway that follows a list no longer, or fails again and again."""
+
+    async def test(system: System) -> None:
+        if is_listed:
+            put_odd(system, text)
+        await ready(system)
+        if not is_listed:
+            put_odd(system, text)
+        await check_followed(system)
+        assert system.gateways[0].engines.current("a0b") is None
+
+    with logbook.TestHandler(bubble=True) as handler:
+        run_system(tmp_path, test, evacuate_within=5.0)
+    check_logs(handler)
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -1,6 +1,7 @@
 """Calls to the platform's object store.
 
-Counts the calls of each kind and the objects that could not be parsed. It retries no call and
+Counts the calls of each kind and the objects that could not be parsed: one without a name or a
+revision is left out, one with odd contents is returned without them. It retries no call and
 decides nothing by what it reads: watching with retries is in `store/store_watch.py`. Callers' keys
 in a configuration are replaced by digests here.
 """
@@ -18,6 +19,7 @@
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform.configuration import without_keys
 from pondtiller.platform.names import CONFIGURATIONS, OBJECTS_PATH
+from pondtiller.platform.store_answers import MAX_INTEGER, flaw_of, is_unicode, read_json
 from pondtiller.process import clock, logs
 
 CALL_SECONDS = 2.0
@@ -114,7 +116,7 @@
     calls
         Number of calls by kind, for `/metrics`.
     unread
-        Objects that could not be parsed, and were left out.
+        Objects that could not be parsed, and were left out or returned without their contents.
     """
 
     def __init__(self, address: Address, client: HttpClient) -> None:
@@ -122,7 +124,7 @@
         self._client = client
         self.calls: dict[str, int] = {}
         self.unread = 0
-        self._unread: set[tuple[str, str]] = set()
+        self._unread: set[tuple[str, str, str]] = set()
 
     async def list_all(self, kind: str) -> StoreListing:
         """Return all objects of a kind at one revision; raises `StoreCallError`."""
@@ -183,7 +185,7 @@
         answer = await self._call("read", "GET", f"{kind}/{quote(name)}")
         if answer.status == 404:
             return None
-        found = _object(kind, _json(answer, 200))
+        found = self._read_or_note(kind, _json(answer, 200))
         if found is None:
             raise StoreCallError("an object is not whole")
         return found
@@ -222,16 +224,17 @@
                 yield StoreChange(found, bool(event.get("gone")))
 
     def _read_or_note(self, kind: str, given: Any) -> StoreObject | None:
-        """Parse an object; count an invalid one, and log its name once."""
-        found = _object(kind, given)
-        if found is not None:
+        """Parse an object; count an invalid one, and log its name once per cause."""
+        flaw = flaw_of(given)
+        found = _object(kind, given, bool(flaw))
+        if found is not None and not flaw:
             return found
         self.unread += 1
-        name = _name(given)
-        if (kind, name) not in self._unread and len(self._unread) < MAX_UNREAD:
-            self._unread.add((kind, name))
-            logs.decision("object_unreadable", kind=kind, name=name)
-        return None
+        noted = (kind, _name(given), flaw or "no name or no revision")
+        if noted not in self._unread and len(self._unread) < MAX_UNREAD:
+            self._unread.add(noted)
+            logs.decision("object_unreadable", kind=kind, name=noted[1], reason=noted[2])
+        return found
 
     async def _call(
         self, name: str, method: str, target: str, body: Any = None, seconds: float = CALL_SECONDS
@@ -260,17 +263,16 @@
     if answer.status != status:
         raise StoreCallError(f"status {answer.status}")
     try:
-        # Invalid UTF-8 in one object must not prevent reading the others.
-        return json.loads(answer.body.decode("utf-8", "replace"))
-    except (ValueError, RecursionError) as error:
+        return read_json(answer.body)
+    except ValueError as error:
         raise StoreCallError("the answer is no JSON") from error
 
 
 def _page(page: Any, field: str) -> tuple[list[Any], int]:
     """Return the list in a field of an answer, and the store's revision."""
     try:
-        return list(page[field]), int(page["at"])
-    except (KeyError, TypeError, ValueError) as error:
+        return list(page[field]), _revision(page["at"])
+    except (KeyError, OverflowError, TypeError, ValueError) as error:
         raise StoreCallError(f"the answer tells no {field}") from error
 
 
@@ -278,20 +280,35 @@
     """Return an object's name if it has one."""
     metadata = given.get("metadata") if isinstance(given, dict) else None
     name = metadata.get("name") if isinstance(metadata, dict) else None
-    return name if isinstance(name, str) else ""
+    return name if isinstance(name, str) and is_unicode(name) else ""
+
+
+def _revision(given: Any) -> int:
+    """Parse a revision; raises `OverflowError`, `TypeError` or `ValueError`."""
+    revision = int(given)
+    if not 0 <= revision <= MAX_INTEGER:
+        raise ValueError("no revision")
+    return revision
 
 
-def _object(kind: str, given: Any) -> StoreObject | None:
-    """Parse an object; the callers' keys in a configuration are removed here."""
+def _object(kind: str, given: Any, is_odd: bool) -> StoreObject | None:
+    """Parse an object, an odd one without its contents; None if it has no name or revision.
+
+    The callers' keys in a configuration are removed here.
+    """
     name = _name(given)
     try:
-        revision = int(given["metadata"]["revision"])
-        spec = given.get("spec")
-        if kind == CONFIGURATIONS:
-            spec = without_keys(spec)
-    except (KeyError, TypeError, ValueError, AttributeError):
+        revision = _revision(given["metadata"]["revision"])
+    except (KeyError, OverflowError, TypeError, ValueError):
+        return None
+    if not name:
         return None
-    return StoreObject(name, revision, spec, given.get("status")) if name else None
+    if is_odd:
+        return StoreObject(name, revision, None)
+    spec = given.get("spec")
+    if kind == CONFIGURATIONS:
+        spec = without_keys(spec)
+    return StoreObject(name, revision, spec, given.get("status"))
 
 
 def _outcome(answer: HttpResponse) -> PutOutcome:
--- a/src/pondtiller/standins/store.py
+++ b/src/pondtiller/standins/store.py
@@ -1,6 +1,7 @@
 """A stand-in of the platform's object store, on a socket."""
 
 import json
+from dataclasses import replace
 from typing import Any, NamedTuple
 
 import curio
@@ -49,6 +50,8 @@
         Whether it takes writes and ends the connection instead of answering.
     page
         Objects in one page of a listing, at most.
+    texts
+        Specs written as texts, which answers contain in place of the objects' own.
     silenced_at
         When connections that were open turned silent, on the steady clock.
     """
@@ -63,6 +66,7 @@
         self.loses_answers = False
         self.page = 2
         self.calls = 0
+        self.texts: list[bytes] = []
         self._ports: set[int] = set()
         self._silent_ports: set[int] = set()
         self.silenced_at = float("-inf")
@@ -71,6 +75,11 @@
         """Write an object as the operator, a trainer or an engine does."""
         self._store(kind, name, spec, None)
 
+    def put_text(self, kind: str, name: str, text: str) -> None:
+        """Write an object whose spec is any text that a writer may send as JSON."""
+        self.put(kind, name, f"text {len(self.texts)} of this store")
+        self.texts.append(text.encode("utf-8", "surrogatepass"))
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object; watches are answered with its end."""
         gone = self.kinds[kind].pop(name)
@@ -110,9 +119,8 @@
         if request.method == "GET" and "watch" in request.query:
             await self._watch(exchange, kind)
         elif request.method == "GET":
-            await exchange.respond(
-                self._read(kind, name, request.query.get(names.FROM_POSITION, ""))
-            )
+            answer = self._read(kind, name, request.query.get(names.FROM_POSITION, ""))
+            await exchange.respond(self._with_texts(answer))
         else:
             answer = self._write(request.method, kind, name, json.loads(request.body or b"{}"))
             if self.loses_answers:
@@ -154,7 +162,14 @@
                 break
             await curio.sleep(CHECK_SECONDS)
         events = [{"object": each.object, "gone": each.is_gone} for each in found]
-        await exchange.respond(json_response(200, {"events": events, "at": seen}))
+        answer = json_response(200, {"events": events, "at": seen})
+        await exchange.respond(self._with_texts(answer))
+
+    def _with_texts(self, answer: HttpResponse) -> HttpResponse:
+        body = answer.body
+        for number, text in enumerate(self.texts):
+            body = body.replace(b'"text %d of this store"' % number, text)
+        return replace(answer, body=body)
 
     def _write(self, method: str, kind: str, name: str, body: dict[str, Any]) -> HttpResponse:
         name, _, part = name.partition("/")
