Engines: an entry with a field out of range names no engine

Callers saw: an entry whose address is no IP address (a name, a NUL, half a surrogate pair), or with 2**62 slots, a cold time of 1e300 ms or a zone of 1 MB, named an engine that requests and samples were sent to. A cold time of 10**400 raised OverflowError.

Cause: fields were checked for their types only; an address for its port only.

Fix: problem_of bounds each field: counts by 64 bits, slots by 2**31 - 1, durations by 10**12 ms, names by 1024 characters, and an address must be an IP address with an ASCII port. A start time out of range counts as not said, as others that are no integer do.

--- a/src/pondtiller/gateway/tests/test_odd_entries.py
+++ b/src/pondtiller/gateway/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import json
 from pathlib import Path
+from typing import Any
 
 import logbook
 import pytest
@@ -84,3 +85,46 @@
     with logbook.TestHandler(bubble=True) as handler:
         run_system(tmp_path, test, evacuate_within=5.0)
     check_logs(handler)
+
+
+ODD_FIELDS: list[tuple[str, Any]] = [
+    *(("address", f"127.0.0.1:{port}") for port in (0, -1, 65536, 99999999, "\u0663", "1" * 5_000)),
+    *(
+        ("address", f"{host}:80")
+        for host in ("no-host", "127.0.0.256", "a" * 70 + ".b", "\0", "\ud800", "[::1")
+    ),
+    ("cold_left_ms", 10**400),
+    ("cold_left_ms", 2**62),
+    ("cold_left_ms", 1.5e300),
+    ("slots", 10**400),
+    ("slots", 2**62),
+    ("sequence", 10**400),
+    ("models", [{"name": "m", "version": 10**400}]),
+    ("models", [{"name": "m", "version": 1}] * 10 + [{"name": "m", "version": -1}]),
+    ("zone", "z" * 1_000_000),
+    ("service", "\ud800"),
+]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    ODD_FIELDS,
+    ids=[f"{field}-{number}" for number, (field, _) in enumerate(ODD_FIELDS)],
+)
+def test_an_entry_with_an_odd_field_names_no_engine(
+    tmp_path: Path, field: str, value: object
+) -> None:
+    """Guards against an entry that ends a reader, and against work for a place that is none."""
+
+    async def test(system: System) -> None:
+        await ready(system)
+        sound = StandInEngine("odd", "app")
+        system.store.put(names.ENGINES, "odd", {**sound.entry(), field: value})
+        gateway = system.gateways[0]
+        await system.until(lambda: gateway.watches.entries_unread > 0)
+        await check_followed(system)
+        assert gateway.engines.current("odd") is None
+
+    with logbook.TestHandler(bubble=True) as handler:
+        run_system(tmp_path, test)
+    check_logs(handler)
--- a/src/pondtiller/platform/engine_entries.py
+++ b/src/pondtiller/platform/engine_entries.py
@@ -1,29 +1,36 @@
 """Parses engines' list entries, defensively: another writer may leave an incomplete one.
 
-An entry that lacks a field, or has one of the wrong type, names no usable engine.
+An entry that lacks a field, or has one of the wrong type or out of range, names no usable engine.
 """
 
-import math
 from collections.abc import Callable
 from typing import Any
 
-from pondtiller.platform.values import address, is_whole, started_ms
+from pondtiller.platform.values import (
+    MAX_COUNT,
+    MAX_DURATION_MS,
+    MAX_INTEGER,
+    MAX_NAME_CHARACTERS,
+    address,
+    is_whole,
+    started_ms,
+)
 from pondtiller.routes.engines import EngineEntry, EngineState
 
 STATES = {"ready": EngineState.READY, "draining": EngineState.LEAVING}
 
 
 def _is_text(given: Any) -> bool:
-    return isinstance(given, str) and bool(given)
+    return isinstance(given, str) and 0 < len(given) <= MAX_NAME_CHARACTERS
 
 
 def _is_count(given: Any) -> bool:
-    return is_whole(given) and given >= 0
+    return is_whole(given) and 0 <= given <= MAX_INTEGER
 
 
 def _is_duration(given: Any) -> bool:
     is_number = isinstance(given, int | float) and not isinstance(given, bool)
-    return is_number and 0 <= given < math.inf
+    return is_number and 0 <= given <= MAX_DURATION_MS
 
 
 def _is_address(given: Any) -> bool:
@@ -49,7 +56,7 @@
     "address": _is_address,
     "zone": _is_text,
     "version": _is_text,
-    "slots": lambda given: is_whole(given) and given >= 1,
+    "slots": lambda given: is_whole(given) and 1 <= given <= MAX_COUNT,
     "state": lambda given: _is_text(given) and given in STATES,
     "cold_left_ms": _is_duration,
     "sequence": _is_count,
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -19,7 +19,8 @@
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform.configuration import without_keys
 from pondtiller.platform.names import CONFIGURATIONS, OBJECTS_PATH
-from pondtiller.platform.store_answers import MAX_INTEGER, flaw_of, is_unicode, read_json
+from pondtiller.platform.store_answers import flaw_of, is_unicode, read_json
+from pondtiller.platform.values import MAX_INTEGER
 from pondtiller.process import clock, logs
 
 CALL_SECONDS = 2.0
--- a/src/pondtiller/platform/store_answers.py
+++ b/src/pondtiller/platform/store_answers.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterator
 from typing import Any
 
+from pondtiller.platform.values import MAX_INTEGER
+
 MAX_DEPTH = 64
 """Deepest nesting of an object's parts. Python's encoder and decoder fail at some 900, depending on
 the depth of the call."""
-MAX_INTEGER = 2**63 - 1
-"""Largest integer of a signed 64-bit field."""
 MAX_NUMBER_CHARACTERS = 400
 """Longest number that is parsed if an answer can't be parsed as it is. Python refuses integers of
 more than 4300 digits."""
--- a/src/pondtiller/platform/tests/test_engine_entries.py
+++ b/src/pondtiller/platform/tests/test_engine_entries.py
@@ -35,6 +35,7 @@
     st.just([None]),
     st.just([{"name": 3}]),
     st.just("10.0.0.9:99999999"),
+    st.sampled_from([10**400, -(10**400), 2**63, 1e300, "name:80", "\0:80"]),
 )
 
 
@@ -76,6 +77,20 @@
         ("models", [{"name": "m", "version": "x"}]),
         ("models", [{"name": 5, "version": 1}]),
         ("models", {"name": "m"}),
+        ("models", [{"name": "m", "version": 2**63}]),
+        ("address", "10.0.0.9:" + "1" * 5_000),
+        ("address", "10.0.0.9:\u0663"),
+        ("address", "10.0.0.256:80"),
+        ("address", "name:80"),
+        ("address", "\0:80"),
+        ("address", "\ud800:80"),
+        ("slots", 2**31),
+        ("slots", 10**400),
+        ("sequence", 10**400),
+        ("cold_left_ms", 10**400),
+        ("cold_left_ms", 1e300),
+        ("cold_left_ms", float("nan")),
+        ("zone", "z" * 1_000_000),
     ],
 )
 def test_an_entry_with_an_invalid_field_names_no_engine(field: str, value: object) -> None:
