Reports: one nested too deeply or with a number out of range is invalid

Callers saw: nothing by itself; the leader's task that asks an engine for its report ended with RecursionError or OverflowError where the engine answered with such JSON.

Cause: engine_report expected the parser to raise ValueError only, and int() to accept each number.

Evidence, before the fix, 3 of 6 cases of the new test: "RecursionError: maximum recursion depth exceeded while decoding a JSON array from a unicode string", "OverflowError: cannot convert float infinity to integer", and a report with orders_taken of 401 digits.

Fix: a report in which flaw_of finds something is invalid, like any other that is not understood. The module of flaw_of is named json_values now, since it is not for the store's answers alone.

--- a/src/pondtiller/platform/engine_orders.py
+++ b/src/pondtiller/platform/engine_orders.py
@@ -6,6 +6,7 @@
 
 from pondtiller.platform import names
 from pondtiller.platform.headers import Headers
+from pondtiller.platform.json_values import flaw_of
 from pondtiller.platform.values import started_ms
 from pondtiller.rollouts.versions import OrderVersion
 from pondtiller.routes.engines import name_of
@@ -39,10 +40,12 @@
     """Parse an engine's report; None if it is invalid."""
     try:
         given = json.loads(body)
+        if flaw_of(given):
+            return None
         orders = int(given.get("sequence") or 0)
         started = started_ms(given.get("born"))
         return EngineReport(_models(given), orders, bool(given.get("busy")), started)
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError):
         return None
 
 
--- a/src/pondtiller/platform/store_answers.py
+++ b/src/pondtiller/platform/json_values.py
@@ -1,7 +1,7 @@
-"""Parses answers of the platform's store, in which any writer may have left an odd object.
+"""Parses JSON that others wrote, in which any writer may have left odd values.
 
-An object is odd if no reader can use it: nested too deeply, with a number out of range, or with
-text that is no Unicode. It must not prevent reading the objects beside it.
+A value is odd if no reader can use it: nested too deeply, with a number out of range, or with text
+that is no Unicode. In an answer of the store, it must not prevent reading the objects beside it.
 """
 
 import json
@@ -26,7 +26,7 @@
 
 
 def read_json(body: bytes) -> Any:
-    """Parse an answer; raises `ValueError` if it is no JSON.
+    """Parse an answer of the store; raises `ValueError` if it is no JSON.
 
     An answer with an object that can't be parsed is parsed without the parts that prevent it, in
     such a way that `flaw_of` still finds the object's flaw.
--- a/src/pondtiller/platform/object_client.py
+++ b/src/pondtiller/platform/object_client.py
@@ -18,8 +18,8 @@
 from pondtiller.httpio.client_errors import BrokenError, NoAnswerError, NotSentError
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform.configuration import without_keys
+from pondtiller.platform.json_values import flaw_of, is_unicode, read_json
 from pondtiller.platform.names import CONFIGURATIONS, OBJECTS_PATH
-from pondtiller.platform.store_answers import flaw_of, is_unicode, read_json
 from pondtiller.platform.values import MAX_INTEGER
 from pondtiller.process import clock, logs
 
--- a/src/pondtiller/platform/tests/test_formats.py
+++ b/src/pondtiller/platform/tests/test_formats.py
@@ -162,3 +162,19 @@
     long = b"data: " + b"x" * (MAX_EVENT_BYTES - 8) + b"\n\n"
     (event,) = EventReader().feed(long)
     assert event.raw == long
+
+
+ODD_JSON = (
+    b"[" * 100_000,
+    b"[" * 100 + b"]" * 100,
+    b'{"%s":1e400}',
+    b'{"%s":1' + b"0" * 400 + b"}",
+    b'{"%s":1' + b"0" * 5_000 + b"}",
+    b'{"%s":"\\ud800"}',
+)
+
+
+@pytest.mark.parametrize("body", ODD_JSON, ids=range(len(ODD_JSON)))
+def test_a_report_nested_too_deeply_or_with_a_number_out_of_range_is_invalid(body: bytes) -> None:
+    """Guards against a faulty engine that ends the task which asks it."""
+    assert engine_orders.engine_report(body.replace(b"%s", b"sequence")) is None
--- a/src/pondtiller/platform/tests/test_odd_objects.py
+++ b/src/pondtiller/platform/tests/test_odd_objects.py
@@ -8,9 +8,9 @@
 from pondtiller.address import to_address
 from pondtiller.httpio.client import HttpClient
 from pondtiller.platform import names
+from pondtiller.platform.json_values import MAX_DEPTH, read_json
 from pondtiller.platform.mirror import MirroredKind, read_changes, read_listing
 from pondtiller.platform.object_client import ObjectClient, StoreCallError, _page
-from pondtiller.platform.store_answers import MAX_DEPTH, read_json
 from pondtiller.standins.store import StandInStore
 from pondtiller.wire.steplog import MirrorPage
 
