Steps: one nested too deeply or with a number out of range is rejected

Callers saw: 500 for a step nested too deeply or with 1e400; 202 for one whose number, lowest version or desired groups have more than 64 bits. Such a step was stored, and what is written of it can't be parsed: in a trial, Step().parse(bytes(step)) raised "ValueError: Too many bytes when decoding varint." What a next leader does with it was not tried.

Cause: read_step expected ValueError only, and trusted each integer of Python to fit its field.

Fix: a step in which flaw_of finds something is answered 400 as any malformed one, and so is one with a number in a text that is out of range.

--- a/src/pondtiller/platform/json_values.py
+++ b/src/pondtiller/platform/json_values.py
@@ -18,6 +18,7 @@
 MAX_NUMBER_CHARACTERS = 400
 """Longest number that is parsed if an answer can't be parsed as it is. Python refuses integers of
 more than 4300 digits."""
+TOO_DEEP = "nested too deeply"
 
 _ANSWER_DEPTH = 8
 """More than the levels that an answer has around an object's parts."""
@@ -55,7 +56,7 @@
         if not below:
             return ""
         level = below
-    return "nested too deeply"
+    return TOO_DEEP
 
 
 def _flaw_of_single(value: Any) -> str:
--- a/src/pondtiller/platform/step_format.py
+++ b/src/pondtiller/platform/step_format.py
@@ -9,6 +9,8 @@
 
 from pondtiller.platform import names
 from pondtiller.platform.headers import CALLER_HEADERS
+from pondtiller.platform.json_values import TOO_DEEP, flaw_of
+from pondtiller.platform.values import MAX_INTEGER
 from pondtiller.rollouts.step_record import add_sample
 from pondtiller.routes.tenants import owned_name
 from pondtiller.wire.steplog import Header, ResultsPage, Sample, SampleResult, Scorer, Step
@@ -20,19 +22,23 @@
     """Parse a step that a tenant submits; the error says what is wrong with it."""
     try:
         given = json.loads(body)
+        if flaw := flaw_of(given):
+            return Err(flaw)
         step = Step(
             id=owned_name(tenant, identifier),
             tenant=tenant,
             host=host,
             path=path,
-            number=int(given.get("step") or 0),
+            number=_whole(given.get("step")),
             model=str(given.get("model") or ""),
-            oldest_version=int(given.get("min_version") or 0),
-            desired_groups=int(given.get("desired") or 0),
+            oldest_version=_whole(given.get("min_version")),
+            desired_groups=_whole(given.get("desired")),
         )
         for each in given["requests"]:
             sample = _sample(each)
             add_sample(step, sample, expected_tokens(sample))
+    except RecursionError:
+        return Err(TOO_DEEP)
     except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
         return Err(f"{type(error).__name__}: {error}")
     if len(set(step.sample_ids)) != len(step.sample_ids):
@@ -40,6 +46,14 @@
     return Ok(step)
 
 
+def _whole(given: Any) -> int:
+    """Return a number, 0 if it is missing; one in a text may be longer than any field."""
+    number = int(given or 0)
+    if abs(number) > MAX_INTEGER:
+        raise ValueError("a number out of range")
+    return number
+
+
 def _sample(given: dict[str, Any]) -> Sample:
     scorer = given.get("scorer")
     return Sample(
@@ -51,7 +65,7 @@
             if name.lower() not in CALLER_HEADERS
         ],
         body=base64.b64decode(given.get("body") or "", validate=True),
-        tokens=int(given.get("tokens") or 0),
+        tokens=_whole(given.get("tokens")),
         group=str(given.get("group") or given["id"]),
         scorer=_scorer(scorer) if scorer else Scorer(),
     )
--- a/src/pondtiller/platform/tests/test_formats.py
+++ b/src/pondtiller/platform/tests/test_formats.py
@@ -178,3 +178,24 @@
 def test_a_report_nested_too_deeply_or_with_a_number_out_of_range_is_invalid(body: bytes) -> None:
     """Guards against a faulty engine that ends the task which asks it."""
     assert engine_orders.engine_report(body.replace(b"%s", b"sequence")) is None
+
+
+@pytest.mark.parametrize("field", [b"step", b"min_version", b"desired", b"model", b"tokens"])
+@pytest.mark.parametrize("body", ODD_JSON, ids=range(len(ODD_JSON)))
+def test_a_step_nested_too_deeply_or_with_a_number_out_of_range_is_rejected(
+    body: bytes, field: bytes
+) -> None:
+    """Guards against an accepted step that no later reader of the log can parse."""
+    given = body.replace(b"%s", field)
+    if field == b"tokens":
+        given = b'{"requests":[{"id":"x","path":"/",' + given.removeprefix(b"{") + b"]}"
+    else:
+        given = given.removesuffix(b"}") + b',"requests":[]}'
+    assert isinstance(step_format.read_step("s", "h", "/p", given), Err)
+
+
+@pytest.mark.parametrize("field", ["step", "min_version", "desired"])
+def test_a_step_with_a_text_of_a_number_out_of_range_is_rejected(field: str) -> None:
+    """Guards against an accepted step that no later reader of the log can parse."""
+    body = json.dumps({field: "1" + "0" * 400, "requests": []}).encode()
+    assert isinstance(step_format.read_step("s", "h", "/p", body), Err)
