serve: a stream without end is left after a bounded length

Callers saw: an engine that sent bytes without an end of a line, or lines that are no chunk, was read for as long as it sent; the unfinished line was kept whole and split anew at each read.

Cause: EngineClient bounded bodies that are no stream only.

Polls, orders, scores, lists and watches of the platform were sound (9 cases of the second test).

Fix: a line of more than 256 KiB, or a stream of more than 16 MiB, breaks the attempt, as an engine does that closes its connection. Whether the bytes sent by sound engines of the users stay below is not known; those of the emulator do.

--- a/src/pondtiller/serve/daemon/engine_client.py
+++ b/src/pondtiller/serve/daemon/engine_client.py
@@ -33,6 +33,10 @@
 REFUSED_STATUS = 503
 """Status of an engine that refuses what it has not begun."""
 DATA_PREFIX = b"data: "
+MAX_LINE_BYTES = 262_144
+"""Longest line of a stream, in bytes; a faulty engine may send bytes without an end of a line."""
+MAX_STREAM_BYTES = 16 * 1024 * 1024
+"""Longest stream, in bytes."""
 
 Post = Callable[[Event], Awaitable[None]]
 
@@ -101,14 +105,18 @@
             await self._post(_refusal(start.attempt_id, head.status_code, body))
             return True
         rest = b""
+        length = 0
         finished = False
         async for piece in connection.read_body():
+            length += len(piece)
             *lines, rest = (rest + piece).split(b"\n")
             for line in lines:
                 if line.startswith(DATA_PREFIX):
                     chunk = _chunk(line.removeprefix(DATA_PREFIX))
                     finished = finished or bool(chunk.finish_reason)
                     await self._post(ChunkArrived(start.attempt_id, chunk))
+            if len(rest) > MAX_LINE_BYTES or length > MAX_STREAM_BYTES:
+                raise BrokenError("the stream has no end")
         if not finished:
             raise BrokenError("the stream ended early")
         return True
