--- a/src/pondtiller/gateway/tests/test_endless_answers.py
+++ b/src/pondtiller/gateway/tests/test_endless_answers.py
@@ -280,3 +280,22 @@
         check_closed(engine)
 
     run_system(tmp_path, test)
+
+
+@pytest.mark.parametrize("kind", IN_ANSWERS)
+def test_reports_and_orders_with_answers_without_end_end_at_their_limits(
+    tmp_path: Path, engines: list[EndlessEngine], kind: Endless
+) -> None:
+    """Guards against a leader that orders nothing from sound engines any more."""
+    engines.append(engine := EndlessEngine(kind))
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add(system, engine, "llm", "m")
+        system.store.put("versions", "m", {"model": "m", "version": 2})
+        await system.until(lambda: all(each.version == 2 for each in system.llm))
+        await system.until(lambda: bool(engine.sent))
+        assert (await system.call("POST", "/quote/7", b"x", request_id="q")).status == 200
+        check_closed(engine)
+
+    run_system(tmp_path, test)
