A gateway that has ended checks no ports any more

Operators may see: a gateway whose process ends with curio's "New tasks created during shutdown".

Cause: after a request broke off, a task of its own looks at the engine's port again 0.1 s later. It belonged to nothing, so it went on after the gateway's tasks had been cancelled, opened connections and started further tasks while the kernel shut down.

Fix: the checks are tasks of EngineEnds, and the process cancels them after its requests.

--- a/src/pondtiller/gateway/engines/engine_ends.py
+++ b/src/pondtiller/gateway/engines/engine_ends.py
@@ -21,6 +21,7 @@
 from pondtiller.gateway.metrics import GatewayMetrics
 from pondtiller.httpio.client_errors import NotSentError
 from pondtiller.process import clock, logs
+from pondtiller.process.spawner import Spawner
 from pondtiller.routes.engines import EngineDirectory
 from pondtiller.routes.quarantine import abbreviate_content
 
@@ -74,6 +75,11 @@
         self._metrics = metrics
         self._suspects = suspects
         self._ended_at: dict[str, float] = {}
+        self._checks = Spawner()
+
+    async def close(self) -> None:
+        """End the checks that are in progress; called when no request is."""
+        await self._checks.cancel_all()
 
     async def confirm(self, engine: str, address: Address, request: str, content: str) -> bool:
         """Return whether an engine has crashed, after a request broke off there.
@@ -89,7 +95,7 @@
         broken = BrokenOff(engine, address, request, content, is_planned)
         connection = await self._ask(engine, address)
         if connection is not None:
-            await curio.spawn(self._check_again, broken, connection, daemon=True)
+            await self._checks.spawn(self._check_again, broken, connection)
         return await self._note(broken, self._has_ended(engine))
 
     async def still_runs_at(self, engine: str, until: float) -> bool:
--- a/src/pondtiller/gateway/process.py
+++ b/src/pondtiller/gateway/process.py
@@ -94,6 +94,7 @@
             await self.run_host.close()
             await self.stalls.close()
             await group.cancel_all()
+            await self.forwarder.ends.close()
         logs.decision("stopped", daemon=settings.name, open=self.front.open_exchanges)
 
     async def stop(self) -> None:
--- a/src/pondtiller/gateway/tests/test_odd_statuses.py
+++ b/src/pondtiller/gateway/tests/test_odd_statuses.py
@@ -17,7 +17,7 @@
     stream_body,
 )
 from pondtiller.gateway.tests.test_system import ready
-from pondtiller.gateway.tests.test_unsigned_answers import add_stream_routes
+from pondtiller.gateway.tests.test_unsigned_answers import add_stream_routes, ask
 from pondtiller.httpio.client import HttpClient
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.httpio.server import Exchange
@@ -104,6 +104,25 @@
     run_system(tmp_path, test)
 
 
+@pytest.mark.parametrize("path", ["/list/7", "/once/1"])
+def test_an_engines_own_status_reaches_the_caller_unchanged(tmp_path: Path, path: str) -> None:
+    """Guards against a valid status, defined or not, that counts as odd."""
+    # Without 204 and 304, which have no body: the stand-in sends one.
+    statuses = [200, 205, 299, 300, 399, 400, 404, 451, 499, 500, 502, 599]
+
+    async def test(system: System) -> None:
+        await ready(system)
+        await add_stream_routes(system)
+        for status in statuses:
+            for engine in (*system.app, *system.llm):
+                engine.statuses = itertools.repeat(b"%d" % status)
+            answer = await ask(system, path, f"q{status}")
+            assert answer.status == status
+            assert dict(answer.headers)[SIGNATURE] == f"sig-q{status}"
+
+    run_system(tmp_path, test)
+
+
 async def not_run(exchange: Exchange) -> None:
     """Answer that the request did not run."""
     named = (names.REQUEST_ID, exchange.request.headers[names.REQUEST_ID])
