--- a/src/pondtiller/soak/cancelling_trainer.py
+++ b/src/pondtiller/soak/cancelling_trainer.py
@@ -14,12 +14,15 @@
 PREFIX = "end"
 """Begins the names of its steps."""
 SAMPLES = 4
+"""Samples of a step: one or two for each way in which a scorer's request fails."""
 STEP_SECONDS = 3.0
 """Time between two steps."""
 MIN_OPEN_SECONDS = 0.1
+"""Shortest time for which a step is open."""
 MAX_OPEN_SECONDS = 4.0
-"""A step is open for a time between these two, of which a short sample takes 0.6 s."""
+"""Longest time for which a step is open; a short sample takes 0.6 s of it, a long one 3.6 s."""
 TRY_PAUSE_SECONDS = 0.3
+"""Pause between two tries of a call."""
 HOST = "train.example"
 
 
