Test: a step with a number out of range keeps no next leader from its samples

What such a step did before it was rejected, in a trial on with two gateways: it was answered 202, and once another gateway led, its task of samples failed again and again ("task_failed task=samples error=ValueError reason="Too many bytes when decoding varint."", 32 times in some 7 s); of a step of four samples that the new leader accepted none was made in 6 s. With the step rejected, all four were made.

The test of odd objects counts the log lines too: one an object and cause.

--- a/src/pondtiller/gateway/tests/test_odd_entries.py
+++ b/src/pondtiller/gateway/tests/test_odd_entries.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+import curio
 import logbook
 import pytest
 
@@ -128,3 +129,32 @@
     with logbook.TestHandler(bubble=True) as handler:
         run_system(tmp_path, test)
     check_logs(handler)
+
+
+def test_a_step_with_a_number_out_of_range_keeps_no_next_leader_from_its_samples(
+    tmp_path: Path,
+) -> None:
+    """Guards against an accepted step that no later leader can parse."""
+    sample = {"id": "x", "path": "/", "tokens": 1}
+    odd = json.dumps({"step": HUGE, "model": "m", "requests": [sample]}).encode()
+
+    async def test(system: System) -> None:
+        await ready(system)
+        leader = await system.until_led()
+        first = system.gateways.index(leader)
+        answer = await system.call(
+            "POST", "/rollout/x", odd, first, "train.example", request_id="odd"
+        )
+        assert answer.status == 400
+        await system.tasks[leader].cancel()
+        other = 1 - first
+        await system.until(lambda: system.gateways[other].duties.term is not None, 20.0)
+        assert await system.submit("s1", gateway=other) == 202
+        for _ in range(400):
+            listed = await system.read("s1", gateway=other)
+            if len(listed["results"]) == 4:
+                return
+            await curio.sleep(0.02)
+        raise AssertionError("the samples were not made")
+
+    run_system(tmp_path, test, gateways=2)
--- a/src/pondtiller/platform/tests/test_odd_objects.py
+++ b/src/pondtiller/platform/tests/test_odd_objects.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import curio
+import logbook
 import pytest
 
 from pondtiller.address import to_address
@@ -81,7 +82,11 @@
         assert read is not None and read.spec is None
         assert client.unread == 3
 
-    run(test)
+    with logbook.TestHandler(bubble=True) as handler:
+        run(test)
+    lines = [each.message for each in handler.records if "object_unreadable" in each.message]
+    assert len(lines) == 1
+    assert f"kind={kind} name=odd reason=" in lines[0]
 
 
 @pytest.mark.parametrize("text", SOUND_TEXTS.values(), ids=SOUND_TEXTS)
