Engines: a version or an event's number of more than 64 bits counts as missing

Callers saw: nothing by itself. A faulty engine's number of 400 digits would be stored with a sample's text, as a step's number was, which no reader of the log can parse; one of 5000 digits raised ValueError where only a broken stream is expected.

Cause: any decimal digits were taken for a number.

Evidence, before the fix, all 4 cases of the new test: "AssertionError: assert...", "ValueError: Exceeds the limit (4300 digits) for integer string conversion". Not tried with a whole system.

Fix: whole_of reads a number of at most 64 bits in ASCII digits, and nothing else.

--- a/src/pondtiller/platform/engine_answers.py
+++ b/src/pondtiller/platform/engine_answers.py
@@ -2,6 +2,7 @@
 
 from pondtiller.platform import names
 from pondtiller.platform.headers import Headers, header
+from pondtiller.platform.values import whole_of
 from pondtiller.routes.live_attempts import AnswerFacts
 
 MISDIRECTED = 421
@@ -35,5 +36,4 @@
 
 def answer_version(headers: Headers) -> int:
     """Return the version of the weights with which an answer begins; 0 if none is named."""
-    text = header(headers, names.VERSIONS) or "0"
-    return int(text) if text.isdecimal() else 0
+    return whole_of(header(headers, names.VERSIONS) or "") or 0
--- a/src/pondtiller/platform/events.py
+++ b/src/pondtiller/platform/events.py
@@ -6,6 +6,7 @@
 
 from pondtiller.httpio.client_errors import BrokenError
 from pondtiller.platform import names
+from pondtiller.platform.values import whole_of
 
 MAX_EVENT_BYTES = 256 * 1024
 """Longest event that is read, in bytes: a stream without an end of an event is broken off. An event
@@ -88,12 +89,14 @@
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         is_event = is_event or (name in FIELDS and bool(line))
-        if name == "id" and value.isdecimal():
-            number = int(value)
+        if name == "id":
+            given = whole_of(value)
+            number = given if given is not None else number
         elif name == "data":
             data.append(value)
-        elif name == names.VERSIONS and value.isdecimal():
-            version = int(value)
+        elif name == names.VERSIONS:
+            given = whole_of(value)
+            version = given if given is not None else version
     if not is_event:
         raise BrokenError(f"{len(raw)} bytes of the stream are no event")
     return StreamEvent(number, "\n".join(data), version, raw)
--- a/src/pondtiller/platform/tests/test_formats.py
+++ b/src/pondtiller/platform/tests/test_formats.py
@@ -6,7 +6,13 @@
 from result import Err, Ok
 
 from pondtiller.httpio.client_errors import BrokenError
-from pondtiller.platform import engine_entries, engine_orders, headers, step_format
+from pondtiller.platform import (
+    engine_answers,
+    engine_entries,
+    engine_orders,
+    headers,
+    step_format,
+)
 from pondtiller.platform.configuration import route_table
 from pondtiller.platform.events import MAX_EVENT_BYTES, EventReader
 from pondtiller.platform.operator_api import scale_body
@@ -199,3 +205,19 @@
     """Guards against an accepted step that no later reader of the log can parse."""
     body = json.dumps({field: "1" + "0" * 400, "requests": []}).encode()
     assert isinstance(step_format.read_step("s", "h", "/p", body), Err)
+
+
+@pytest.mark.parametrize("digits", ["1" + "0" * 400, "1" + "0" * 5_000, str(2**63), "\u0663"])
+def test_a_version_or_an_event_number_out_of_range_counts_as_missing(digits: str) -> None:
+    """Guards against a faulty engine's number that is stored and that no reader can parse."""
+    assert engine_answers.answer_version((("weight-versions", digits),)) == 0
+    (event,) = EventReader().feed(f"id: {digits}\nweight-versions: {digits}\ndata: x\n\n".encode())
+    assert (event.number, event.version) == (-1, None)
+
+
+def test_the_largest_version_and_event_number_are_read() -> None:
+    """Guards against a limit that leaves out sound numbers."""
+    most = 2**63 - 1
+    assert engine_answers.answer_version((("weight-versions", str(most)),)) == most
+    (event,) = EventReader().feed(f"id: {most}\nweight-versions: 7\ndata: x\n\n".encode())
+    assert (event.number, event.version) == (most, 7)
--- a/src/pondtiller/platform/values.py
+++ b/src/pondtiller/platform/values.py
@@ -22,6 +22,14 @@
     return isinstance(given, int) and not isinstance(given, bool)
 
 
+def whole_of(text: str) -> int | None:
+    """Return a number written in decimal digits; None if it is none, or of more than 64 bits."""
+    if not text.isascii() or not text.isdecimal() or len(text) > len(str(MAX_INTEGER)):
+        return None
+    number = int(text)
+    return number if number <= MAX_INTEGER else None
+
+
 def started_ms(given: Any) -> int:
     """Return when an engine started, in ms since 1970; 0 if it is not a sensible integer."""
     return int(given) if is_whole(given) and 0 < given <= MAX_INTEGER else 0
