Results: a position of more than 64 bits is rejected

Callers saw: a trainer that asked a gateway which does not lead for results after position 10**400 got 503 (one trial, two gateways). By the code, the leader takes such a message for a broken frame and ends the link, which other requests of that gateway use too; that others lost their answers was not shown. A wait of "nan" was answered 500.

Cause: any integer was put into a field of 64 bits.

Fix: read_results_read rejects both, as it does what is no number.

--- a/src/pondtiller/platform/requests.py
+++ b/src/pondtiller/platform/requests.py
@@ -4,6 +4,7 @@
 on `httpio` for a completely read request. Bodies of steps are parsed by `step_format`.
 """
 
+import math
 from enum import Enum, auto
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 from pondtiller.httpio.messages import HttpRequest
 from pondtiller.platform import names
 from pondtiller.platform.headers import Headers, header
+from pondtiller.platform.values import MAX_INTEGER
 from pondtiller.routes.tenants import digest_of
 
 
@@ -124,6 +126,8 @@
         wait_seconds = float(received.headers.get(names.WAIT) or 0) / 1000.0
     except ValueError as error:
         return Err(str(error))
+    if abs(position) > MAX_INTEGER or math.isnan(wait_seconds):
+        return Err("a number out of range")
     return Ok(ResultsRead(position, wait_seconds))
 
 
--- a/src/pondtiller/platform/tests/test_requests.py
+++ b/src/pondtiller/platform/tests/test_requests.py
@@ -106,3 +106,16 @@
 
     assert wanted("/p?id=a&id=b%2F1") == "b/1"
     assert wanted("/p?id=") == wanted("/p") == ""
+
+
+@pytest.mark.parametrize("position", ["1" + "0" * 400, str(2**63), "-1" + "0" * 400])
+def test_a_position_out_of_range_is_rejected(position: str) -> None:
+    """Guards against a number that ends the link to the leader."""
+    received = parse_target("GET", f"/pondtiller/lots/s?since_rev={position}", (), b"")
+    assert isinstance(requests.read_results_read(received), Err)
+
+
+def test_a_wait_for_results_that_is_not_a_number_is_rejected() -> None:
+    """Guards against an internal error."""
+    received = parse_target("GET", "/pondtiller/lots/s", (("wait-ms", "nan"),), b"")
+    assert isinstance(requests.read_results_read(received), Err)
