Test: all drops of a step within the time in which its requests may arrive

The bound of 1 s was no stated one. Under load (10 to 15 on 8 cores) two of the eight cases missed it in one run of this suite's files together, and one of them in 2 of 3 further runs with the times printed: 1.105 s and 1.268 s (0.69 s and 0.65 s of processor time), 0.610 s in the third. These are the scorers' requests that wait for free engines: each request that ends wakes all others that wait. The bound is now the 3 s that the callers were promised; the waits in which runs are dropped last 30 s, so a drop that waits for one of them still fails the test.

--- a/src/pondtiller/gateway/tests/test_drops.py
+++ b/src/pondtiller/gateway/tests/test_drops.py
@@ -29,8 +29,8 @@
 
 RUNS = 200
 ENGINES = 4
-DROP_SECONDS = 1.0
-"""Time for all drops of a step: a third of the time within which its requests may still arrive."""
+DROP_SECONDS = 3.0
+"""Time for all drops of a step: that within which its requests may still arrive."""
 WAIT_SECONDS = 30.0
 """Time limit of the waits in which the runs are dropped: much longer than all drops may take."""
 ROUTE = RouteRow("r", "h", "/", RequestKind.SAFE, (ServiceShare("llm", 1.0),), attempts=3)
