Test: each part that ends a scorer's request is needed by a test

With single parts of the cancellation taken out, all tests of test_ended_steps.py still passed, since silence ended the requests within the 3 s: the message that drops a score, the runner's cancel for a silent leader, and the wait that a request for a score names. Now another step keeps the links alive, drops may be lost, and a leader that asked for scores only is played at both ends of a link.

--- a/src/pondtiller/gateway/tests/test_ended_steps.py
+++ b/src/pondtiller/gateway/tests/test_ended_steps.py
@@ -12,6 +12,7 @@
 from pondtiller.gateway.leader.run_links import RunnerLink
 from pondtiller.gateway.leader.term import Term
 from pondtiller.gateway.process import GatewayProcess
+from pondtiller.gateway.runs.leader_runs import LeaderRuns
 from pondtiller.gateway.tests.system import System, run_system
 from pondtiller.httpio.messages import HttpResponse
 from pondtiller.platform import names
@@ -95,6 +96,9 @@
         else:
             await exchange.respond(HttpResponse(503, headers=(own, (names.NOT_RUN, "1"))))
 
+    def at_work_of(self, step: str) -> list[str]:
+        return [each for each in self.at_work.elements() if each.startswith(f"{step}-")]
+
     def arrived_after(self, moment: float) -> int:
         return sum(each > moment for each in self.arrivals)
 
@@ -156,6 +160,22 @@
     run_system(tmp_path, test, gateways=3)
 
 
+@pytest.mark.parametrize("first_fails", [False, True])
+def test_the_end_of_a_step_ends_its_scorers_requests_beside_those_of_another_one(
+    tmp_path: Path, first_fails: bool
+) -> None:
+    async def test(system: System) -> None:
+        scorers = Scorers(system, first_fails, holds=True)
+        await until_asked(system, scorers)
+        assert await system.submit("s2", samples=SAMPLES) == 202
+        await system.until(lambda: len(scorers.at_work_of("s2")) == SAMPLES)
+        await end_step(system)
+        await system.until(lambda: not scorers.at_work_of("s1"), CANCEL_SECONDS)
+        assert len(scorers.at_work_of("s2")) == SAMPLES
+
+    run_system(tmp_path, test, gateways=3)
+
+
 async def silence_links(leader: GatewayProcess) -> None:
     """Lose what the leader sends to its runners from now on; the connections stay open."""
 
@@ -182,10 +202,18 @@
     run_system(tmp_path, test, gateways=3)
 
 
+@pytest.mark.parametrize("are_drops_lost", [False, True])
 def test_a_scorers_request_that_takes_long_is_not_made_twice_at_once(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, are_drops_lost: bool
 ) -> None:
     monkeypatch.setattr(run_links, "SCORE_CALL_SECONDS", 1.0)
+    usual = LeaderRuns.drop
+
+    async def drop(runs: LeaderRuns, run: int) -> None:
+        if not are_drops_lost:
+            await usual(runs, run)
+
+    monkeypatch.setattr(LeaderRuns, "drop", drop)
 
     async def test(system: System) -> None:
         scorers = Scorers(system, first_fails=True, holds=True)
--- a/src/pondtiller/gateway/tests/test_runs_elsewhere.py
+++ b/src/pondtiller/gateway/tests/test_runs_elsewhere.py
@@ -14,15 +14,15 @@
 from pondtiller.gateway.process import GatewayProcess
 from pondtiller.gateway.runs import leader_runs
 from pondtiller.gateway.runs.run_host import RunHost
-from pondtiller.gateway.runs.sample_runner import EventSink, RunOrder, RunOutcome
+from pondtiller.gateway.runs.sample_runner import EventSink, RunOrder, RunOutcome, ScoreOutcome
 from pondtiller.gateway.tests.system import System, run_system
-from pondtiller.links.link import Link
+from pondtiller.links.link import Link, LinkLostError
 from pondtiller.process import clock
 from pondtiller.rollouts import run_holding
 from pondtiller.rollouts.run_news import EndedRun, read_ends, read_events
 from pondtiller.rollouts.runner_choice import Daemon
-from pondtiller.rollouts.sample_work import RunEnd
-from pondtiller.wire.steplog import BeginRun, DropRun, KeepRuns, RunNews
+from pondtiller.rollouts.sample_work import RunEnd, ScoreEnd
+from pondtiller.wire.steplog import BeginRun, DropRun, KeepRuns, RunNews, ScoreSample
 
 ORDER = RunOrder(1, "e", Address("10.0.0.1", 1), "h", 0, 0, None, b"")
 BEGIN = BeginRun(epoch=5, run=1, engine="e", engine_host="10.0.0.1", engine_port=1)
@@ -229,16 +229,32 @@
     async def run(self, _handler: object) -> None:
         await self.ended.wait()
 
+    async def call(self, message: Message, _seconds: float) -> Message:
+        self.sent.append(message)
+        await self.ended.wait()
+        raise LinkLostError("the test ends")
+
+    async def reply(self, _call: int, message: Message) -> None:
+        self.sent.append(message)
+
     def of(self, kind: type[Message]) -> list[Message]:
         return [each for each in self.sent if isinstance(each, kind)]
 
 
 class Engine:
-    """A runner whose engine makes an event every 20 ms, without end."""
+    """A runner whose engine makes an event every 20 ms, without end; its scorers never answer."""
 
     def __init__(self) -> None:
         self.working = 0
 
+    async def score(self, _run: int, _content: bytes, _longest_seconds: float) -> ScoreOutcome:
+        self.working += 1
+        try:
+            await curio.sleep(100.0)
+        finally:
+            self.working -= 1
+        return ScoreOutcome(ScoreEnd.SCORED, "", "")
+
     async def run(self, order: RunOrder, take: EventSink) -> RunOutcome:
         self.working += 1
         try:
@@ -270,6 +286,21 @@
     curio.run(main)
 
 
+def test_scores_that_a_leader_asked_for_end_when_it_is_silent() -> None:
+    async def main() -> None:
+        engine, link = Engine(), FakeLink()
+        host = RunHost(engine, lambda: 5)
+        await host.begin_score(link, 1, ScoreSample(run=1))
+        for _ in range(4):
+            await curio.sleep(0.3)
+            await host.handle(link, KeepRuns(epoch=5))
+        assert engine.working == 1
+        await curio.sleep(leader_runs.LEADER_SILENT_SECONDS + leader_runs.NEWS_SECONDS + 0.2)
+        assert (engine.working, link.is_lost) == (0, True)
+
+    curio.run(main)
+
+
 def test_a_leader_of_an_older_epoch_starts_nothing() -> None:
     async def main() -> None:
         engine, link = Engine(), FakeLink()
@@ -318,6 +349,26 @@
     curio.run(main)
 
 
+def test_a_runner_is_kept_while_it_was_asked_for_a_score_only() -> None:
+    async def main() -> None:
+        link = FakeLink()
+        daemon = Daemon("d", "z", Address("10.0.0.1", 1), 1.0)
+        runner = RunnerLink(daemon, link, 5, lambda runs, now: None)
+        serving = await curio.spawn(runner.serve)
+        score = await curio.spawn(runner.score, 1, b"")
+        await curio.sleep(RUNNER_SILENT_SECONDS + 1.0)
+        kept = len(link.of(KeepRuns))
+        assert kept >= 4 and not link.is_lost
+        await score.cancel()
+        assert link.of(DropRun) == [DropRun(run=1)]
+        await curio.sleep(run_links.KEEP_RUNS_SECONDS * 3)
+        assert len(link.of(KeepRuns)) <= kept + 1
+        await link.drop()
+        await serving.join()
+
+    curio.run(main)
+
+
 def test_a_run_that_its_leader_cancels_is_dropped_at_the_runner() -> None:
     async def main() -> None:
         link = FakeLink()
