Soak: a cancellation that a link held up is late from its healing on

The trace shows the case is allowed: g2 cancelled the request and closed its connection 4 ms after the leader ended the step (score_ended detail=cancelled), as the fault silent_zone began to hold back everything to that engine; it healed 3.5 s later. The check took the moment since which the gateway reached the engine as the request began, and not as it was left. It is asked at the time of the check now, as the rule about two engines at one sample does; the bound of 3 s stands.

--- a/src/pondtiller/soak/cancelled_steps.py
+++ b/src/pondtiller/soak/cancelled_steps.py
@@ -1,5 +1,6 @@
 """Steps that their trainer ends early: nothing of them reaches an engine later, or stays at one."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from pondtiller.soak.promises import Promises
@@ -19,13 +20,13 @@
     opener
         Gateway that sent it.
     acts_since
-        Since when that gateway has run and reached the engine, on the steady clock; infinite while
-        it does not.
+        Returns since when that gateway has run and reached the engine, on the steady clock;
+        infinite while it does not.
     """
 
     identifier: str
     opener: str
-    acts_since: float
+    acts_since: Callable[[], float]
 
 
 class CancelledSteps:
@@ -60,7 +61,7 @@
         ended_at = self._ended_at.get(request.identifier)
         if ended_at is None or now <= ended_at + CANCEL_SECONDS:
             return
-        if now < request.acts_since + CANCEL_SECONDS:
+        if now < request.acts_since() + CANCEL_SECONDS:
             return
         late = now - ended_at
         detail = f"{request.identifier} {what} {late:.2f} s after the end, by {request.opener}"
--- a/src/pondtiller/soak/stand_ins.py
+++ b/src/pondtiller/soak/stand_ins.py
@@ -204,7 +204,7 @@
 
     def _engine_request(self, exchange: Exchange, identifier: str) -> EngineRequest:
         opener = self._opener(exchange)
-        return EngineRequest(identifier, opener, self._acts_since(opener))
+        return EngineRequest(identifier, opener, partial(self._acts_since, opener))
 
     async def stream(self, exchange: Exchange, stop_after: int = NEVER) -> None:
         """Stream a sample's events, each with the version that made it."""
