--- a/src/pondtiller/gateway/runs/run_host.py
+++ b/src/pondtiller/gateway/runs/run_host.py
@@ -102,7 +102,7 @@
         try:
             outcome = await self.runner.run(run.order, run.take_event)
         except Exception as error:
-            outcome = RunOutcome(RunEnd.BROKEN, self._log_error(run, error))
+            outcome = RunOutcome(RunEnd.BROKEN, _log_error(run.order.run, run.order.engine, error))
         if run.is_dropped:
             return
         await run.ended(outcome)
@@ -111,17 +111,10 @@
         try:
             score = await self.runner.score(run.order.run, run.order.content)
         except Exception as error:
-            score = ScoreOutcome(ScoreEnd.LOST, "", self._log_error(run, error))
+            reason = _log_error(run.order.run, run.order.engine, error)
+            score = ScoreOutcome(ScoreEnd.LOST, "", reason)
         await run.scored(score)
 
-    def _log_error(self, run: ExecutedRun, error: Exception) -> str:
-        """Log an internal error; the leader continues the sample elsewhere."""
-        reason = f"{type(error).__name__}: {error}"
-        logs.decision(
-            "hosted_run_failed", run=run.order.run, engine=run.order.engine, reason=reason
-        )
-        return reason
-
     def take_held_run(self, order: RunOrder) -> ExecutedRun | None:
         """Return the held run of an order's sample; it is no longer held.
 
@@ -190,9 +183,7 @@
         try:
             outcome = await self.runner.score(message.run, message.content, longest_seconds)
         except Exception as error:
-            reason = f"{type(error).__name__}: {error}"
-            logs.decision("hosted_run_failed", run=message.run, engine="", reason=reason)
-            outcome = ScoreOutcome(ScoreEnd.LOST, "", reason)
+            outcome = ScoreOutcome(ScoreEnd.LOST, "", _log_error(message.run, "", error))
         return ScoreAnswer(
             end=outcome.end.value,
             score=outcome.score,
@@ -200,3 +191,10 @@
             attempts=outcome.attempts,
             request=outcome.request,
         )
+
+
+def _log_error(run: int, engine: str, error: Exception) -> str:
+    """Log an internal error and return its text; the leader continues the sample elsewhere."""
+    reason = f"{type(error).__name__}: {error}"
+    logs.decision("hosted_run_failed", run=run, engine=engine, reason=reason)
+    return reason
